--- /dev/null
+++ b/src/sycamorehaven/__init__.py
@@ -0,0 +1,5 @@
+"""A router fleet that shares serving capacity fairly between workspaces."""
+
+from __future__ import annotations
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/sycamorehaven/blackboard/board.py
@@ -0,0 +1,100 @@
+"""All sections of one router's state."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sycamorehaven.blackboard.configuration import ConfigurationSection
+from sycamorehaven.blackboard.counters import CountersSection
+from sycamorehaven.blackboard.lifecycle import LifecycleSection
+from sycamorehaven.blackboard.members import Member, MembersSection
+from sycamorehaven.blackboard.outcomes import OutcomesSection
+from sycamorehaven.blackboard.permits import PermitsSection
+from sycamorehaven.blackboard.queues import QueuesSection
+from sycamorehaven.blackboard.servers import ServersSection
+from sycamorehaven.blackboard.traffic import TrafficSection
+from sycamorehaven.identity import RouterId, create_incarnation
+
+if TYPE_CHECKING:
+    from sycamorehaven.settings import RouterSettings
+
+
+class Blackboard:
+    """
+    The state that controllers share.
+
+    :param identity: this router.
+    :param address: its peer address.
+    :param failure_domain: where it stands.
+    """
+
+    def __init__(self, identity: RouterId, address: str, failure_domain: str) -> None:
+        own = Member(
+            identity.host, identity.incarnation, address, failure_domain, "alive"
+        )
+        self._identity = identity
+        self._members = MembersSection(own)
+        self._configuration = ConfigurationSection()
+        self._lifecycle = LifecycleSection()
+        self._traffic = TrafficSection()
+        self._outcomes = OutcomesSection()
+        self._queues = QueuesSection()
+        self._permits = PermitsSection()
+        self._servers = ServersSection()
+        self._counters = CountersSection(identity)
+
+    @classmethod
+    def from_settings(cls, settings: RouterSettings) -> Blackboard:
+        """Return the empty state of a new process."""
+        identity = RouterId(settings.host, create_incarnation())
+        return cls(identity, settings.peers_address, settings.failure_domain)
+
+    @property
+    def identity(self) -> RouterId:
+        """This router."""
+        return self._identity
+
+    @property
+    def members(self) -> MembersSection:
+        """Live routers."""
+        return self._members
+
+    @property
+    def configuration(self) -> ConfigurationSection:
+        """The configuration in force."""
+        return self._configuration
+
+    @property
+    def lifecycle(self) -> LifecycleSection:
+        """The phase of this process."""
+        return self._lifecycle
+
+    @property
+    def traffic(self) -> TrafficSection:
+        """Counts of control traffic."""
+        return self._traffic
+
+    @property
+    def outcomes(self) -> OutcomesSection:
+        """Counts of what became of calls."""
+        return self._outcomes
+
+    @property
+    def queues(self) -> QueuesSection:
+        """Requests that wait at this edge."""
+        return self._queues
+
+    @property
+    def permits(self) -> PermitsSection:
+        """Permits that this edge holds."""
+        return self._permits
+
+    @property
+    def servers(self) -> ServersSection:
+        """What is known of backend servers."""
+        return self._servers
+
+    @property
+    def counters(self) -> CountersSection:
+        """Service given, fleet-wide."""
+        return self._counters
--- /dev/null
+++ b/src/sycamorehaven/blackboard/configuration.py
@@ -0,0 +1,55 @@
+"""The configuration in force; written by the configuration controller."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sycamorehaven.blackboard.signal import Signal
+
+if TYPE_CHECKING:
+    from sycamorehaven.configuration.model import Configuration
+    from sycamorehaven.exceptions.faults import ConfigurationError
+
+
+class ConfigurationSection:
+    """The accepted configuration and the last refused one."""
+
+    def __init__(self) -> None:
+        self._current: Configuration | None = None
+        self._refused: tuple[int, ConfigurationError] | None = None
+        self._changed = Signal()
+
+    @property
+    def current(self) -> Configuration | None:
+        """The configuration in force, ``None`` before the first."""
+        return self._current
+
+    @property
+    def revision(self) -> int:
+        """Its revision, 0 before the first."""
+        return self._current.revision if self._current else 0
+
+    @property
+    def refused(self) -> tuple[int, ConfigurationError] | None:
+        """Revision and faults of the newest text that was refused."""
+        return self._refused
+
+    @property
+    def changed(self) -> Signal:
+        """Raised when another configuration takes force."""
+        return self._changed
+
+    def replace(self, configuration: Configuration) -> bool:
+        """Put a newer configuration in force; an older one is ignored."""
+        if configuration.revision <= self.revision:
+            return False
+        self._current = configuration
+        if self._refused and self._refused[0] <= configuration.revision:
+            self._refused = None
+        self._changed.notify()
+        return True
+
+    def refuse(self, revision: int, error: ConfigurationError) -> None:
+        """Keep the faults of a refused text for operators."""
+        if revision > self.revision:
+            self._refused = (revision, error)
--- /dev/null
+++ b/src/sycamorehaven/blackboard/lifecycle.py
@@ -0,0 +1,43 @@
+"""The phase of this process; written by the daemon."""
+
+from __future__ import annotations
+
+from sycamorehaven.blackboard.signal import Signal
+
+
+class LifecycleSection:
+    """Whether the router drains, and how many requests are in progress."""
+
+    def __init__(self) -> None:
+        self._draining = False
+        self._in_progress = 0
+        self._changed = Signal()
+
+    @property
+    def draining(self) -> bool:
+        """Whether a graceful shutdown has begun."""
+        return self._draining
+
+    @property
+    def in_progress(self) -> int:
+        """Requests that have come in and are not answered yet."""
+        return self._in_progress
+
+    @property
+    def changed(self) -> Signal:
+        """Raised when draining begins and when a request ends."""
+        return self._changed
+
+    def begin_draining(self) -> None:
+        """Mark the start of a graceful shutdown."""
+        self._draining = True
+        self._changed.notify()
+
+    def enter(self) -> None:
+        """Count a request in."""
+        self._in_progress += 1
+
+    def leave(self) -> None:
+        """Count a request out."""
+        self._in_progress -= 1
+        self._changed.notify()
--- /dev/null
+++ b/src/sycamorehaven/blackboard/queues.py
@@ -0,0 +1,119 @@
+"""Requests that wait at this edge; written by the call controller."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING, NamedTuple
+
+from sycamorehaven.blackboard.signal import Signal
+
+if TYPE_CHECKING:
+    from sycamorehaven.blackboard.permits import Permit
+
+
+class QueueKey(NamedTuple):
+    """
+    A queue of this edge.
+
+    :ivar service: the service.
+    :ivar workspace: whose requests.
+    :ivar priority: ``"interactive"`` or ``"batch"``.
+    """
+
+    service: str
+    workspace: str
+    priority: str
+
+
+class Waiting:
+    """
+    A request that waits for a permit.
+
+    :param key: its queue.
+    :param since: when it came in, seconds of the monotonic clock.
+    :param cost: estimated cost, in the service's unit.
+    """
+
+    def __init__(self, key: QueueKey, since: float, cost: float) -> None:
+        self._key = key
+        self._since = since
+        self._cost = cost
+        self._permit: asyncio.Future[Permit] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    @property
+    def key(self) -> QueueKey:
+        """Its queue."""
+        return self._key
+
+    @property
+    def since(self) -> float:
+        """When it came in, seconds of the monotonic clock."""
+        return self._since
+
+    @property
+    def cost(self) -> float:
+        """Estimated cost, in the service's unit."""
+        return self._cost
+
+    @property
+    def permit(self) -> asyncio.Future[Permit]:
+        """Resolves to the permit that the request is bound to."""
+        return self._permit
+
+
+class QueuesSection:
+    """First-in first-out queues by service, workspace and class."""
+
+    def __init__(self) -> None:
+        self._queues: dict[QueueKey, deque[Waiting]] = {}
+        self._changed = Signal()
+
+    @property
+    def changed(self) -> Signal:
+        """Raised when a request joins or leaves a queue."""
+        return self._changed
+
+    def count(self, service: str, workspace: str) -> int:
+        """Return how many requests of a workspace wait for a service."""
+        return sum(
+            len(queue)
+            for key, queue in self._queues.items()
+            if key.service == service and key.workspace == workspace
+        )
+
+    def list(self) -> list[tuple[QueueKey, deque[Waiting]]]:
+        """Return every queue that holds a request."""
+        return list(self._queues.items())
+
+    def push(self, waiting: Waiting, *, first: bool = False) -> None:
+        """Add a request; ``first`` puts a retried one ahead."""
+        queue = self._queues.setdefault(waiting.key, deque())
+        if first:
+            queue.appendleft(waiting)
+        else:
+            queue.append(waiting)
+        self._changed.notify()
+
+    def pop(self, key: QueueKey) -> Waiting | None:
+        """Take the oldest request of a queue, or ``None``."""
+        queue = self._queues.get(key)
+        if not queue:
+            return None
+        waiting = queue.popleft()
+        if not queue:
+            del self._queues[key]
+        self._changed.notify()
+        return waiting
+
+    def remove(self, waiting: Waiting) -> None:
+        """Take a request out whose caller is gone or whose time is up."""
+        queue = self._queues.get(waiting.key)
+        if queue is None or waiting not in queue:
+            return
+        queue.remove(waiting)
+        if not queue:
+            del self._queues[waiting.key]
+        self._changed.notify()
--- /dev/null
+++ b/src/sycamorehaven/blackboard/traffic.py
@@ -0,0 +1,55 @@
+"""Counts of control traffic; written by the peer transport."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+
+class TrafficSection:
+    """Messages and bytes by kind, sent and received, and drops by cause."""
+
+    def __init__(self) -> None:
+        self._sent: Counter[str] = Counter()
+        self._sent_bytes: Counter[str] = Counter()
+        self._received: Counter[str] = Counter()
+        self._received_bytes: Counter[str] = Counter()
+        self._dropped: Counter[str] = Counter()
+
+    @property
+    def sent(self) -> Counter[str]:
+        """Messages sent by kind."""
+        return self._sent
+
+    @property
+    def sent_bytes(self) -> Counter[str]:
+        """Bytes sent by kind."""
+        return self._sent_bytes
+
+    @property
+    def received(self) -> Counter[str]:
+        """Messages received by kind."""
+        return self._received
+
+    @property
+    def received_bytes(self) -> Counter[str]:
+        """Bytes received by kind."""
+        return self._received_bytes
+
+    @property
+    def dropped(self) -> Counter[str]:
+        """Messages dropped by cause."""
+        return self._dropped
+
+    def count_sent(self, kind: str, size: int) -> None:
+        """Count a message of ``size`` bytes that was sent."""
+        self._sent[kind] += 1
+        self._sent_bytes[kind] += size
+
+    def count_received(self, kind: str, size: int) -> None:
+        """Count a message of ``size`` bytes that was received."""
+        self._received[kind] += 1
+        self._received_bytes[kind] += size
+
+    def count_dropped(self, cause: str) -> None:
+        """Count a message that was dropped."""
+        self._dropped[cause] += 1
--- /dev/null
+++ b/src/sycamorehaven/configuration/__init__.py
@@ -0,0 +1,3 @@
+"""The operators' one text: its tables, its checks and its accepted form."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/sycamorehaven/console/commands/__init__.py
@@ -0,0 +1,3 @@
+"""The command-line tool."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/sycamorehaven/decisions/roles.py
@@ -0,0 +1,35 @@
+"""Which router holds which role, derived from the live membership."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sycamorehaven.decisions.rendezvous import choose_candidate, rank_candidates
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from sycamorehaven.configuration.model import BackendServer
+
+READERS_PER_DOMAIN = 2
+"""Routers of a failure domain that watch the configuration service."""
+
+
+def choose_scheduler(server: BackendServer, domains: Mapping[str, str]) -> str | None:
+    """
+    Return the host that schedules ``server``.
+
+    :param domains: failure domain of each live host.
+    """
+    near = [h for h, domain in domains.items() if domain == server.failure_domain]
+    return choose_candidate(f"server/{server.name}", near or domains)
+
+
+def choose_readers(domain: str, hosts: Iterable[str]) -> list[str]:
+    """Return the hosts of a failure domain that read the configuration."""
+    return rank_candidates(f"reader/{domain}", hosts)[:READERS_PER_DOMAIN]
+
+
+def choose_aggregator(domain: str, hosts: Iterable[str]) -> str | None:
+    """Return the host that sums a failure domain's counters."""
+    return choose_candidate(f"aggregator/{domain}", hosts)
--- /dev/null
+++ b/src/sycamorehaven/exceptions/backends.py
@@ -0,0 +1,55 @@
+"""Failures of an attempt on a backend server, seen by the router only."""
+
+from __future__ import annotations
+
+from sycamorehaven.exceptions.base import SycamorehavenError
+
+
+class BackendError(SycamorehavenError):
+    """
+    An attempt on a backend server failed.
+
+    :param sent: whether any byte of the call was handed to the connection.
+    """
+
+    code = "backend_error"
+    remedy = "the router tries another backend server if the call allows it"
+
+    def __init__(self, detail: str, *, sent: bool) -> None:
+        super().__init__(detail)
+        self._sent = sent
+
+    @property
+    def sent(self) -> bool:
+        """Whether any byte of the call was handed to the connection."""
+        return self._sent
+
+
+class ConnectFailed(BackendError):
+    """No connection could be opened; the call provably did not run."""
+
+    code = "connect_failed"
+
+
+class ServerLost(BackendError):
+    """The connection broke while the call ran."""
+
+    code = "server_lost"
+
+
+class ServerSilent(BackendError):
+    """The connection made no progress within its timeout."""
+
+    code = "server_silent"
+
+
+class ServerLeaving(BackendError):
+    """The backend server refused the call because it is leaving."""
+
+    code = "server_leaving"
+
+
+class ServerOverloaded(BackendError):
+    """The backend server refused the call for lack of capacity."""
+
+    code = "server_overloaded"
--- /dev/null
+++ b/src/sycamorehaven/exceptions/refusals.py
@@ -0,0 +1,200 @@
+"""
+Refusals and failures that a caller sees.
+
+Each becomes an ``application/problem+json`` answer (RFC 9457). ``was_run`` is
+``"no"`` only if no byte of the call reached a backend server connection.
+"""
+
+from __future__ import annotations
+
+from typing import ClassVar, Literal
+
+from sycamorehaven.exceptions.base import SycamorehavenError
+
+WasRun = Literal["no", "yes", "unknown"]
+
+
+class Refusal(SycamorehavenError):
+    """
+    A final answer that is not the backend server's own.
+
+    :cvar status: HTTP status code.
+    :param was_run: whether the call ran on a backend server.
+    :param retry_after: seconds after which trying again may help.
+    :param extra: further members of the problem document.
+    """
+
+    status: ClassVar[int] = 500
+
+    def __init__(
+        self,
+        detail: str,
+        *,
+        was_run: WasRun = "no",
+        retry_after: float | None = None,
+        extra: dict[str, str] | None = None,
+        remedy: str | None = None,
+    ) -> None:
+        super().__init__(detail, remedy=remedy)
+        self._was_run: WasRun = was_run
+        self._retry_after = retry_after
+        self._extra = extra or {}
+
+    @property
+    def was_run(self) -> WasRun:
+        """Whether the call ran on a backend server."""
+        return self._was_run
+
+    @property
+    def retry_after(self) -> float | None:
+        """Seconds after which trying again may help, or ``None``."""
+        return self._retry_after
+
+    @property
+    def extra(self) -> dict[str, str]:
+        """Further members of the problem document."""
+        return self._extra
+
+
+class BadRequest(Refusal):
+    """A header or the body does not have the required form."""
+
+    code = "bad_request"
+    status = 400
+    remedy = "correct the named header or body and send the request again"
+
+
+class InvalidWorkspaceKey(Refusal):
+    """The bearer key belongs to no workspace."""
+
+    code = "invalid_workspace_key"
+    status = 401
+    remedy = "send 'Authorization: Bearer <workspace key>' with a valid key"
+
+
+class UnknownService(Refusal):
+    """The configuration has no such service."""
+
+    code = "unknown_service"
+    status = 404
+    remedy = "use a service named in the operators' configuration"
+
+
+class OutcomeUnknown(Refusal):
+    """The router that owned the token is gone; the call never runs again."""
+
+    code = "outcome_unknown"
+    status = 409
+    remedy = "look up whether the call took effect, then use a new token"
+
+
+class TokenExpired(Refusal):
+    """The idempotency token is past its expiry or was not minted here."""
+
+    code = "token_expired"
+    status = 409
+    remedy = "mint a new token with POST /v1/idempotency-tokens"
+
+
+class TokenMismatch(Refusal):
+    """The token was first used with another request."""
+
+    code = "token_mismatch"
+    status = 422
+    remedy = "use one token per request; mint a new one for this request"
+
+
+class BodyTooLarge(Refusal):
+    """The request body passes the limit."""
+
+    code = "body_too_large"
+    status = 413
+    remedy = "send a smaller body"
+
+
+class RequestQuarantined(Refusal):
+    """Backend servers were lost while they ran this request."""
+
+    code = "request_quarantined"
+    status = 422
+    remedy = "change the request; the same one stays refused for a while"
+
+
+class TokenRequired(Refusal):
+    """A call that is not idempotent came without an idempotency token."""
+
+    code = "idempotency_token_required"
+    status = 428
+    remedy = "send the call again with the Idempotency-Token in this answer"
+
+
+class QueueFull(Refusal):
+    """The workspace's queue on this router is at its bound."""
+
+    code = "queue_full"
+    status = 429
+    remedy = "send again after Retry-After seconds, or send less at once"
+
+
+class DeadlineUnreachable(Refusal):
+    """The request cannot be served within its timeout."""
+
+    code = "deadline_unreachable"
+    status = 503
+    remedy = "send again after Retry-After seconds or with a longer timeout"
+
+
+class DependencyUnavailable(Refusal):
+    """A service that this one depends on has no serving backend server."""
+
+    code = "dependency_unavailable"
+    status = 503
+    remedy = "send again after Retry-After seconds"
+
+
+class NoBackendServer(Refusal):
+    """No backend server of the service takes work."""
+
+    code = "no_backend_server"
+    status = 503
+    remedy = "send again after Retry-After seconds"
+
+
+class NotReady(Refusal):
+    """The router has no configuration yet."""
+
+    code = "not_ready"
+    status = 503
+    remedy = "send again after Retry-After seconds, through any router"
+
+
+class Draining(Refusal):
+    """The router is shutting down and takes no new request."""
+
+    code = "draining"
+    status = 503
+    remedy = "send again at once; the balancer picks another router"
+
+
+class TokenOwnerUnreachable(Refusal):
+    """The router that owns the token cannot be reached for now."""
+
+    code = "token_owner_unreachable"
+    status = 503
+    remedy = "send the same token again after Retry-After seconds"
+
+
+class AttemptsExhausted(Refusal):
+    """Every permitted attempt failed."""
+
+    code = "attempts_exhausted"
+    status = 502
+    remedy = "an idempotent request may be sent again after Retry-After"
+
+
+class BackendTimeout(Refusal):
+    """The backend server made no progress in time."""
+
+    code = "backend_timeout"
+    status = 504
+    remedy = "an idempotent request may be sent again after Retry-After"
--- /dev/null
+++ b/src/sycamorehaven/settings.py
@@ -0,0 +1,289 @@
+"""The settings of one router process, read from a TOML file."""
+
+from __future__ import annotations
+
+import ipaddress
+import tomllib
+from typing import TYPE_CHECKING, Annotated, Any, NamedTuple, NotRequired, TypedDict
+
+from msgspec import Meta
+
+from sycamorehaven.checking import convert_table, find_unknown_keys
+from sycamorehaven.exceptions.faults import Fault, SettingsError
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[\w.-]+$")]
+Address = Annotated[str, Meta(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d+$")]
+Url = Annotated[str, Meta(pattern=r"^https?://")]
+CurveKey = Annotated[str, Meta(min_length=40, max_length=40)]
+
+DEFAULT_BODY_LIMIT = 1_048_576
+"""Largest request body, bytes."""
+DEFAULT_DRAIN_TIMEOUT = 600.0
+"""Longest graceful shutdown, seconds."""
+
+
+class RouterTable(TypedDict):
+    """The ``[router]`` table: who the process is."""
+
+    host: Name
+    failure_domain: Name
+
+
+class CallersTable(TypedDict):
+    """The ``[callers]`` table: where requests come in."""
+
+    address: Address
+    body_limit: NotRequired[Annotated[int, Meta(ge=1, le=67_108_864)]]
+    certificate: NotRequired[str]
+    private_key: NotRequired[str]
+
+
+class PeersTable(TypedDict):
+    """The ``[peers]`` table: the listener for other routers."""
+
+    address: Address
+    seeds: NotRequired[list[Address]]
+    public_key: NotRequired[CurveKey]
+    secret_key: NotRequired[CurveKey]
+    allow_plaintext: NotRequired[bool]
+
+
+class AdminTable(TypedDict):
+    """The ``[admin]`` table: the read-only interface for operators."""
+
+    address: Address
+    key_sha256: NotRequired[Annotated[str, Meta(pattern="^[0-9a-f]{64}$")]]
+
+
+class PlatformTable(TypedDict):
+    """The ``[platform]`` table: where the platform answers."""
+
+    url: Url
+
+
+class TelemetryTable(TypedDict):
+    """The ``[telemetry]`` table: log level and trace collector."""
+
+    level: NotRequired[Annotated[str, Meta(pattern="^(debug|info|warning|error)$")]]
+    otlp_url: NotRequired[Url]
+
+
+class ShutdownTable(TypedDict):
+    """The ``[shutdown]`` table."""
+
+    drain_timeout: NotRequired[Annotated[float, Meta(gt=0, le=86_400)]]
+
+
+class TestingTable(TypedDict):
+    """The ``[testing]`` table: faults made at the peer transport's seam."""
+
+    peer_faults: str
+
+
+class RouterSettings(NamedTuple):
+    """
+    Checked settings.
+
+    :ivar host: name of this host, unique in the fleet.
+    :ivar failure_domain: failure domain of this host.
+    :ivar callers_address: ``ip:port`` for callers.
+    :ivar body_limit: largest request body, bytes.
+    :ivar certificate: path of the TLS certificate chain for callers, or "".
+    :ivar private_key: path of its private key, or "".
+    :ivar peers_address: ``ip:port`` for other routers.
+    :ivar seeds: peer addresses to join through, besides the host list.
+    :ivar public_key: the fleet's CURVE public key, Z85, or "".
+    :ivar secret_key: the fleet's CURVE secret key, Z85, or "".
+    :ivar admin_address: ``ip:port`` for operators.
+    :ivar admin_key_sha256: SHA-256 of the admin key, hex, or "".
+    :ivar platform_url: base URL of the platform.
+    :ivar level: log level.
+    :ivar otlp_url: OTLP trace collector, or "".
+    :ivar drain_timeout: longest graceful shutdown, seconds.
+    :ivar peer_faults: path of a file of faults to inject, for tests, or "".
+    """
+
+    host: str
+    failure_domain: str
+    callers_address: str
+    body_limit: int
+    certificate: str
+    private_key: str
+    peers_address: str
+    seeds: tuple[str, ...]
+    public_key: str
+    secret_key: str
+    admin_address: str
+    admin_key_sha256: str
+    platform_url: str
+    level: str
+    otlp_url: str
+    drain_timeout: float
+    peer_faults: str
+
+    @classmethod
+    def from_file(cls, path: Path) -> RouterSettings:
+        """
+        Read and check a settings file.
+
+        :raises SettingsError: with every fault found.
+        """
+        try:
+            document = tomllib.loads(path.read_bytes().decode())
+        except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+            fault = Fault(
+                str(path), "unreadable", str(error), "name a readable TOML file"
+            )
+            raise SettingsError([fault]) from error
+        return cls.from_document(document)
+
+    @classmethod
+    def from_document(cls, document: dict[str, Any]) -> RouterSettings:
+        """
+        Check a parsed settings document.
+
+        :raises SettingsError: with every fault found.
+        """
+        tables, faults = _convert_tables(document)
+        if not faults:
+            faults = _check_exposure(tables)
+        if faults:
+            raise SettingsError(faults)
+        return _assemble(tables)
+
+
+_TABLES: dict[str, type[Any]] = {
+    "router": RouterTable,
+    "callers": CallersTable,
+    "peers": PeersTable,
+    "admin": AdminTable,
+    "platform": PlatformTable,
+    "telemetry": TelemetryTable,
+    "shutdown": ShutdownTable,
+    "testing": TestingTable,
+}
+_OPTIONAL = {"telemetry", "shutdown", "testing"}
+
+
+def _convert_tables(
+    document: dict[str, Any],
+) -> tuple[dict[str, Any], list[Fault]]:
+    faults = find_unknown_keys("", document, set(_TABLES))
+    tables: dict[str, Any] = {}
+    for name, kind in _TABLES.items():
+        if name not in document and name in _OPTIONAL:
+            tables[name] = {}
+            continue
+        if name not in document:
+            faults.append(
+                Fault(name, "missing_table", "the table is missing", "add it")
+            )
+            continue
+        value = convert_table(name, document[name], kind)
+        if isinstance(value, list):
+            faults.extend(value)
+        else:
+            tables[name] = value
+    return tables, faults
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the IP number and the port of ``ip:port``."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def is_loopback(address: str) -> bool:
+    """Return whether ``ip:port`` is on the loopback interface."""
+    return ipaddress.ip_address(split_address(address)[0]).is_loopback
+
+
+def _check_exposure(tables: dict[str, Any]) -> list[Fault]:
+    faults = _check_addresses(tables)
+    if faults:
+        return faults
+    peers, admin = tables["peers"], tables["admin"]
+    if ("public_key" in peers) != ("secret_key" in peers):
+        faults.append(
+            Fault("peers", "half_a_key", "one CURVE key is missing", "set both keys")
+        )
+    open_peers = not is_loopback(peers["address"]) and "secret_key" not in peers
+    if open_peers and not peers.get("allow_plaintext", False):
+        faults.append(
+            Fault(
+                "peers.address",
+                "plaintext_peers",
+                "a listener off loopback needs CURVE keys",
+                "set public_key and secret_key, or allow_plaintext = true",
+            )
+        )
+    if not is_loopback(admin["address"]) and "key_sha256" not in admin:
+        faults.append(
+            Fault(
+                "admin.address",
+                "open_admin",
+                "a listener off loopback needs a key",
+                "set admin.key_sha256 or bind to 127.0.0.1",
+            )
+        )
+    if tables["testing"] and not is_loopback(peers["address"]):
+        faults.append(
+            Fault(
+                "testing",
+                "testing_off_loopback",
+                "faults are injected on loopback only",
+                "remove the table",
+            )
+        )
+    return faults
+
+
+def _check_addresses(tables: dict[str, Any]) -> list[Fault]:
+    addresses = [(f"{name}.address", tables[name]["address"]) for name in _LISTENERS]
+    addresses += [("peers.seeds", seed) for seed in tables["peers"].get("seeds", [])]
+    faults = []
+    for path, address in addresses:
+        try:
+            host, port = split_address(address)
+            ipaddress.ip_address(host)
+        except ValueError:
+            port = -1
+        if not 0 < port < 65_536:
+            faults.append(
+                Fault(
+                    path,
+                    "wrong_address",
+                    f"{address!r} is not an IP number with a port",
+                    "write it as 10.0.0.1:7000",
+                )
+            )
+    return faults
+
+
+_LISTENERS = ("callers", "peers", "admin")
+
+
+def _assemble(tables: dict[str, Any]) -> RouterSettings:
+    callers, peers, admin = (tables[name] for name in _LISTENERS)
+    return RouterSettings(
+        host=tables["router"]["host"],
+        failure_domain=tables["router"]["failure_domain"],
+        callers_address=callers["address"],
+        body_limit=callers.get("body_limit", DEFAULT_BODY_LIMIT),
+        certificate=callers.get("certificate", ""),
+        private_key=callers.get("private_key", ""),
+        peers_address=peers["address"],
+        seeds=tuple(peers.get("seeds", ())),
+        public_key=peers.get("public_key", ""),
+        secret_key=peers.get("secret_key", ""),
+        admin_address=admin["address"],
+        admin_key_sha256=admin.get("key_sha256", ""),
+        platform_url=tables["platform"]["url"].rstrip("/"),
+        level=tables["telemetry"].get("level", "info"),
+        otlp_url=tables["telemetry"].get("otlp_url", ""),
+        drain_timeout=tables["shutdown"].get("drain_timeout", DEFAULT_DRAIN_TIMEOUT),
+        peer_faults=tables["testing"].get("peer_faults", ""),
+    )
--- /dev/null
+++ b/src/sycamorehaven/standins/booking.py
@@ -0,0 +1,108 @@
+"""
+A stand-in plain service that books slots.
+
+``POST /bookings`` books and must not be repeated; ``GET /bookings`` lists and
+may be. Each run is counted by the ``Idempotency-Key`` that came with it,
+which it does not check: that is the fleet's work.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections import Counter
+from typing import Annotated
+
+import typer
+from aiohttp import web
+
+from sycamorehaven.standins.faults import Faults
+from sycamorehaven.standins.serving import run_application
+
+
+class BookingStandin:
+    """
+    Books slots.
+
+    :param slots: requests that run at once.
+    :param service_time: seconds a call.
+    :param crash: ends the server at once; a real process exits.
+    """
+
+    def __init__(
+        self, slots: int = 4, service_time: float = 0.005, crash: object = None
+    ) -> None:
+        self._slots = slots
+        self._service_time = service_time
+        self._gate = asyncio.Semaphore(slots)
+        self._running = 0
+        self._faults = Faults(crash if callable(crash) else _exit_process)
+        self.runs: Counter[str] = Counter()
+        self.lookups = 0
+
+    @property
+    def faults(self) -> Faults:
+        """The faults that it shows."""
+        return self._faults
+
+    def build_application(self) -> web.Application:
+        """Return the HTTP application."""
+        application = web.Application(client_max_size=16_000_000)
+        application.router.add_post("/bookings", self._book)
+        application.router.add_get("/bookings", self._look_up)
+        application.router.add_get("/load", self._report_load)
+        application.router.add_get("/control/runs", self._list_runs)
+        application.router.add_put("/control/faults", self._faults.put)
+        return application
+
+    async def _book(self, request: web.Request) -> web.Response:
+        await self._faults.guard(request)
+        key = request.headers.get("Idempotency-Key", "")
+        self.runs[key] += 1
+        number = sum(self.runs.values())
+        body = (await request.read()).decode()
+        await self._work()
+        return web.json_response({"booking": number, "request": body}, status=201)
+
+    async def _look_up(self, request: web.Request) -> web.Response:
+        await self._faults.guard(request)
+        self.lookups += 1
+        await self._work()
+        return web.json_response({"bookings": sum(self.runs.values())})
+
+    async def _work(self) -> None:
+        async with self._gate:
+            self._running += 1
+            try:
+                await asyncio.sleep(self._service_time)
+            finally:
+                self._running -= 1
+
+    async def _report_load(self, _request: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                "running": self._running,
+                "capacity": self._slots,
+                "leaving": self._faults.leaving,
+            }
+        )
+
+    async def _list_runs(self, _request: web.Request) -> web.Response:
+        return web.json_response({"runs": self.runs, "lookups": self.lookups})
+
+
+def _exit_process() -> None:
+    os._exit(70)
+
+
+def serve(
+    address: Annotated[str, typer.Option(help="ip:port to listen on.")],
+    slots: Annotated[int, typer.Option(help="Requests that run at once.")] = 4,
+    service_time: Annotated[float, typer.Option(help="Seconds a call.")] = 0.005,
+) -> None:
+    """Run the stand-in booking service."""
+    run_application(BookingStandin(slots, service_time).build_application(), address)
+
+
+if __name__ == "__main__":
+    typer.run(serve)
--- /dev/null
+++ b/src/sycamorehaven/standins/engine.py
@@ -0,0 +1,177 @@
+"""
+A stand-in model engine.
+
+``POST /v1/completions`` with ``{"prompt": ..., "max_tokens": N}`` streams N
+server-sent events ``data: {"index": i, "token": ...}`` and then
+``data: [DONE]``. The tokens are a function of the prompt, so a resumed stream
+can be compared. ``Resume-From: n`` leaves the first n events out. It admits
+requests as they arrive and runs ``slots`` of them at a time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections import Counter, deque
+from typing import Annotated
+
+import msgspec
+import typer
+import xxhash
+from aiohttp import web
+
+from sycamorehaven.standins.faults import Faults
+from sycamorehaven.standins.serving import run_application
+
+REPORT_LAG = 0.2
+"""Seconds by which the load report is old."""
+
+
+class CompletionRequest(msgspec.Struct):
+    """
+    The body of a completion.
+
+    :ivar prompt: the text to complete.
+    :ivar max_tokens: how many tokens to stream.
+    """
+
+    prompt: str
+    max_tokens: int = 16
+
+
+def make_token(prompt: str, index: int) -> str:
+    """Return the token at an index of the answer to a prompt."""
+    return xxhash.xxh32_hexdigest(f"{prompt}\0{index}".encode())
+
+
+class EngineStandin:
+    """
+    Streams made-up tokens at a given speed.
+
+    :param slots: requests that run at once; more wait inside.
+    :param token_time: seconds a token.
+    :param prefill_time: seconds before the first token.
+    :param crash: ends the server at once; a real process exits.
+    """
+
+    def __init__(
+        self,
+        slots: int = 4,
+        token_time: float = 0.005,
+        prefill_time: float = 0.01,
+        crash: object = None,
+    ) -> None:
+        self._slots = slots
+        self._token_time = token_time
+        self._prefill_time = prefill_time
+        self._gate = asyncio.Semaphore(slots)
+        self._running = 0
+        self._history: deque[tuple[float, int]] = deque(maxlen=10_000)
+        self._faults = Faults(crash if callable(crash) else _exit_process)
+        self.started: Counter[str] = Counter()
+        self.finished: Counter[str] = Counter()
+        self.cancelled: Counter[str] = Counter()
+        self.busy_time = 0.0
+        self.tokens = 0
+
+    @property
+    def faults(self) -> Faults:
+        """The faults that it shows."""
+        return self._faults
+
+    def build_application(self) -> web.Application:
+        """Return the HTTP application."""
+        application = web.Application(client_max_size=16_000_000)
+        application.router.add_post("/v1/completions", self._complete)
+        application.router.add_get("/load", self._report_load)
+        application.router.add_get("/control/runs", self._list_runs)
+        application.router.add_put("/control/faults", self._faults.put)
+        return application
+
+    async def _complete(self, request: web.Request) -> web.StreamResponse:
+        await self._faults.guard(request)
+        try:
+            wanted = msgspec.json.decode(await request.read(), type=CompletionRequest)
+        except msgspec.MsgspecError as error:
+            raise web.HTTPBadRequest(text=str(error)) from error
+        self.started[wanted.prompt] += 1
+        try:
+            response = await self._stream(request, wanted)
+        except asyncio.CancelledError:
+            self.cancelled[wanted.prompt] += 1
+            raise
+        self.finished[wanted.prompt] += 1
+        return response
+
+    async def _stream(
+        self, request: web.Request, wanted: CompletionRequest
+    ) -> web.StreamResponse:
+        first = int(request.headers.get("Resume-From", "0"))
+        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        async with self._gate:
+            started = self._count(1)
+            try:
+                await asyncio.sleep(self._prefill_time)
+                await response.prepare(request)
+                for index in range(first, wanted.max_tokens):
+                    await asyncio.sleep(self._token_time)
+                    token = make_token(wanted.prompt, index)
+                    event = msgspec.json.encode({"index": index, "token": token})
+                    await response.write(b"data: " + event + b"\n\n")
+                    self.tokens += 1
+                await response.write(b"data: [DONE]\n\n")
+                await response.write_eof()
+            finally:
+                self.busy_time += self._count(-1) - started
+        return response
+
+    def _count(self, change: int) -> float:
+        now = asyncio.get_running_loop().time()
+        self._running += change
+        self._history.append((now, self._running))
+        return now
+
+    async def _report_load(self, _request: web.Request) -> web.Response:
+        seen = asyncio.get_running_loop().time() - REPORT_LAG
+        running = 0
+        for moment, count in self._history:
+            if moment > seen:
+                break
+            running = count
+        return web.json_response(
+            {
+                "running": running,
+                "capacity": self._slots,
+                "leaving": self._faults.leaving,
+            }
+        )
+
+    async def _list_runs(self, _request: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                "started": self.started,
+                "finished": self.finished,
+                "cancelled": self.cancelled,
+                "busy_time": self.busy_time,
+                "tokens": self.tokens,
+            }
+        )
+
+
+def _exit_process() -> None:
+    os._exit(70)
+
+
+def serve(
+    address: Annotated[str, typer.Option(help="ip:port to listen on.")],
+    slots: Annotated[int, typer.Option(help="Requests that run at once.")] = 4,
+    token_time: Annotated[float, typer.Option(help="Seconds a token.")] = 0.005,
+    prefill_time: Annotated[float, typer.Option(help="Seconds to start.")] = 0.01,
+) -> None:
+    """Run the stand-in engine."""
+    engine = EngineStandin(slots, token_time, prefill_time)
+    run_application(engine.build_application(), address)
+
+
+if __name__ == "__main__":
+    typer.run(serve)
--- /dev/null
+++ b/src/sycamorehaven/standins/faults.py
@@ -0,0 +1,54 @@
+"""Faults that a stand-in backend server can be told to show."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+Next = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class Faults:
+    """
+    Leaving, silence and crashes.
+
+    ``PUT /control/faults`` takes any of ``leaving`` (bool), ``silence``
+    (bool: connections that are open now never answer again, new ones do) and
+    ``crash_on`` (text: a request whose body holds it ends the server).
+
+    :param crash: ends the server at once.
+    """
+
+    def __init__(self, crash: Callable[[], None]) -> None:
+        self._crash = crash
+        self._crash_on = b""
+        self._open: set[asyncio.BaseTransport] = set()
+        self._silent: set[asyncio.BaseTransport] = set()
+        self.leaving = False
+        self.crashes = 0
+
+    async def put(self, request: web.Request) -> web.Response:
+        """Take new faults."""
+        wanted = await request.json()
+        self.leaving = wanted.get("leaving", self.leaving)
+        self._crash_on = wanted.get("crash_on", self._crash_on.decode()).encode()
+        if wanted.get("silence"):
+            self._silent |= self._open
+        return web.Response(status=204)
+
+    async def guard(self, request: web.Request) -> None:
+        """Show the faults that a request meets, if any."""
+        if request.transport is not None:
+            self._open.add(request.transport)
+            if request.transport in self._silent:
+                await asyncio.Event().wait()
+        if self.leaving:
+            raise web.HTTPServiceUnavailable(headers={"Connection": "close"})
+        if self._crash_on and self._crash_on in await request.read():
+            self.crashes += 1
+            self._crash()
+            if request.transport is not None:
+                request.transport.abort()
+            raise asyncio.CancelledError
--- /dev/null
+++ b/src/sycamorehaven/telemetry/__init__.py
@@ -0,0 +1,3 @@
+"""Logs, metrics and traces."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/sycamorehaven/transport/links.py
@@ -0,0 +1,48 @@
+"""The seam between controllers and the network to other routers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, Protocol
+
+if TYPE_CHECKING:
+    from sycamorehaven.transport.codec import Delivery
+
+Handler = Callable[["Delivery"], None]
+
+
+class PeerLink(Protocol):
+    """
+    One-way, unreliable messages to other routers.
+
+    Delivery may fail, double or reorder; every receiver copes. A handler runs
+    on the event loop and must not block.
+    """
+
+    def send(self, host: str, message: Any) -> bool:
+        """Send to a member; return whether its address is known."""
+        ...
+
+    def send_to(self, address: str, message: Any) -> None:
+        """Send to a peer address, member or not."""
+        ...
+
+    def subscribe(self, kind: type, handler: Handler) -> None:
+        """Call ``handler`` with every delivery of one kind of message."""
+        ...
+
+
+class PeerFilter(Protocol):
+    """Decides which messages pass; tests cut and lose messages here."""
+
+    def admits(self, sender: str, receiver: str) -> bool:
+        """Return whether a message between two peer addresses passes."""
+        ...
+
+
+class OpenFilter:
+    """Lets every message pass."""
+
+    def admits(self, sender: str, receiver: str) -> bool:  # noqa: ARG002
+        """Return ``True``."""
+        return True
--- /dev/null
+++ b/src/sycamorehaven/transport/messages.py
@@ -0,0 +1,457 @@
+"""
+Messages between routers.
+
+Each is a ``NamedTuple`` that msgpack carries as an array inside an
+``Envelope``. A decoder knows the kinds in ``MESSAGE_KINDS`` only; their order
+is part of the protocol and new kinds are appended.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import msgspec
+
+PROTOCOL_VERSION = 1
+LARGEST_MESSAGE = 2_097_152
+"""Largest encoded envelope, bytes: a relayed body and its headers."""
+
+
+class Envelope(NamedTuple):
+    """
+    What travels: a version, a kind, the sender and the encoded message.
+
+    :ivar version: protocol version.
+    :ivar kind: index into ``MESSAGE_KINDS``.
+    :ivar host: the sender's host.
+    :ivar incarnation: the sender's incarnation.
+    :ivar address: ``ip:port`` at which the sender takes messages.
+    :ivar body: the message, msgpack.
+    """
+
+    version: int
+    kind: int
+    host: str
+    incarnation: int
+    address: str
+    body: msgspec.Raw
+
+
+class MemberRecord(NamedTuple):
+    """
+    What one router says of another.
+
+    :ivar host: the member's host.
+    :ivar incarnation: incarnation of its process.
+    :ivar refutation: rises when the member refutes a suspicion.
+    :ivar address: its peer address.
+    :ivar failure_domain: where it stands.
+    :ivar state: ``"alive"``, ``"suspect"``, ``"leaving"`` or ``"dead"``.
+    """
+
+    host: str
+    incarnation: int
+    refutation: int
+    address: str
+    failure_domain: str
+    state: str
+
+
+class Probe(NamedTuple):
+    """
+    A heartbeat probe with piggybacked news.
+
+    :ivar sequence: echoed by the acknowledgement.
+    :ivar on_behalf_of: peer address that asked for it, or "".
+    :ivar revision: the sender's configuration revision, 0 for none.
+    :ivar digest: the sender's configuration digest.
+    :ivar news: member records.
+    """
+
+    sequence: int
+    on_behalf_of: str
+    revision: int
+    digest: str
+    news: list[MemberRecord]
+
+
+class ProbeAck(NamedTuple):
+    """The answer to ``Probe``; same fields."""
+
+    sequence: int
+    on_behalf_of: str
+    revision: int
+    digest: str
+    news: list[MemberRecord]
+
+
+class ProbeRequest(NamedTuple):
+    """
+    A request to probe a third router.
+
+    :ivar sequence: echoed to the requester when the target answers.
+    :ivar target_host: host to probe.
+    :ivar target_address: its peer address.
+    """
+
+    sequence: int
+    target_host: str
+    target_address: str
+
+
+class ConfigurationRequest(NamedTuple):
+    """
+    A request for a configuration newer than the sender's.
+
+    :ivar revision: the sender's revision, 0 for none.
+    """
+
+    revision: int
+
+
+class ConfigurationReply(NamedTuple):
+    """
+    An accepted configuration.
+
+    :ivar revision: its revision.
+    :ivar compressed: the text, zlib.
+    """
+
+    revision: int
+    compressed: bytes
+
+
+class DemandRow(NamedTuple):
+    """
+    Requests that wait at one edge.
+
+    :ivar workspace: whose they are.
+    :ivar priority: ``"interactive"`` or ``"batch"``.
+    :ivar waiting: how many wait.
+    :ivar oldest_age: age of the oldest, seconds.
+    :ivar cost: estimated cost of one, in the service's unit.
+    """
+
+    workspace: str
+    priority: str
+    waiting: int
+    oldest_age: float
+    cost: float
+
+
+class HeldPermit(NamedTuple):
+    """
+    A permit that an edge holds.
+
+    :ivar permit: its number, unique per scheduler incarnation.
+    :ivar incarnation: the granting scheduler's incarnation.
+    :ivar server: the backend server.
+    :ivar workspace: for whom.
+    :ivar priority: class of the bound request.
+    :ivar cost: cost so far, in the service's unit.
+    :ivar resumable: whether the bound request can be preempted.
+    """
+
+    permit: int
+    incarnation: int
+    server: str
+    workspace: str
+    priority: str
+    cost: float
+    resumable: bool
+
+
+class DemandReport(NamedTuple):
+    """
+    All that waits at an edge for one service; replaces its last report.
+
+    :ivar service: the service.
+    :ivar sequence: rises with every report of this edge.
+    :ivar rows: what waits.
+    :ivar held: permits held for servers that the receiver schedules.
+    """
+
+    service: str
+    sequence: int
+    rows: list[DemandRow]
+    held: list[HeldPermit]
+
+
+class PermitGrant(NamedTuple):
+    """
+    A lease of one slot of a backend server.
+
+    :ivar permit: number, unique per scheduler incarnation.
+    :ivar service: the service.
+    :ivar server: the backend server.
+    :ivar workspace: for whom.
+    :ivar priority: class that the scheduler chose.
+    :ivar lease: seconds after receipt in which a request must be bound.
+    :ivar runs: how many short calls it covers, one after the other.
+    """
+
+    permit: int
+    service: str
+    server: str
+    workspace: str
+    priority: str
+    lease: float
+    runs: int
+
+
+class PermitReturn(NamedTuple):
+    """
+    A permit given back.
+
+    :ivar permit: its number.
+    :ivar incarnation: the granting scheduler's incarnation.
+    :ivar server: the backend server.
+    :ivar cost: true cost of all that ran under it, in the service's unit.
+    :ivar runs: how many calls ran; 0 says that it was not used.
+    :ivar failed: whether the server was lost or silent under it.
+    """
+
+    permit: int
+    incarnation: int
+    server: str
+    cost: float
+    runs: int
+    failed: bool
+
+
+class Preemption(NamedTuple):
+    """
+    An order to cancel the resumable stream under a permit.
+
+    :ivar permit: its number.
+    :ivar server: the backend server.
+    """
+
+    permit: int
+    server: str
+
+
+class CounterRow(NamedTuple):
+    """
+    One scheduler's total of service given to a workspace; only grows.
+
+    :ivar host: the scheduler's host.
+    :ivar incarnation: its incarnation.
+    :ivar service: the service.
+    :ivar workspace: the workspace.
+    :ivar total: service given since the incarnation's start.
+    :ivar rate: service per second lately, for extrapolation.
+    """
+
+    host: str
+    incarnation: int
+    service: str
+    workspace: str
+    total: float
+    rate: float
+
+
+class CounterUpdate(NamedTuple):
+    """
+    Totals that the receiver merges by maximum.
+
+    :ivar sequence: rises with every update of this sender.
+    :ivar rows: totals.
+    """
+
+    sequence: int
+    rows: list[CounterRow]
+
+
+class CounterAck(NamedTuple):
+    """
+    The receiver merged an update.
+
+    :ivar sequence: the update's.
+    """
+
+    sequence: int
+
+
+class ServerNotice(NamedTuple):
+    """
+    News of a backend server, passed on once by every router.
+
+    :ivar server: the backend server.
+    :ivar state: ``"leaving"`` or ``"serving"``.
+    :ivar version: larger is newer: milliseconds since the epoch at the finder.
+    :ivar hops: how often it may still be passed on.
+    """
+
+    server: str
+    state: str
+    version: int
+    hops: int
+
+
+class RelayCall(NamedTuple):
+    """
+    A call with a token, sent to the router that minted the token.
+
+    :ivar relay: number, unique per sending incarnation.
+    :ivar owner: incarnation that must run it.
+    :ivar token: the idempotency token.
+    :ivar workspace: the authenticated workspace.
+    :ivar service: the service.
+    :ivar method: HTTP method.
+    :ivar path: path at the backend server, with the query.
+    :ivar headers: headers to pass on.
+    :ivar body: the request body.
+    :ivar priority: class.
+    :ivar timeout: seconds left for the answer.
+    """
+
+    relay: int
+    owner: int
+    token: str
+    workspace: str
+    service: str
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    priority: str
+    timeout: float
+
+
+class RelayReply(NamedTuple):
+    """
+    A part of the owner's answer to ``RelayCall``.
+
+    :ivar relay: the call's number.
+    :ivar part: counts the parts from 0.
+    :ivar last: whether it is the last part.
+    :ivar status: HTTP status.
+    :ivar headers: headers, in part 0 only.
+    :ivar body: this part of the body.
+    """
+
+    relay: int
+    part: int
+    last: bool
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+class Strike(NamedTuple):
+    """
+    A backend server was lost while it ran a request.
+
+    :ivar fingerprint: xxh3-128 of the request, 16 bytes.
+    :ivar strike: unique per loss, so that repeats count once.
+    :ivar age: seconds since the loss.
+    """
+
+    fingerprint: bytes
+    strike: int
+    age: float
+
+
+class SuspectRequest(NamedTuple):
+    """
+    A request to be the only one to run a suspect request.
+
+    :ivar fingerprint: of the request, 16 bytes.
+    :ivar number: echoed by the reply.
+    :ivar release: whether the run has ended.
+    """
+
+    fingerprint: bytes
+    number: int
+    release: bool
+
+
+class SuspectReply(NamedTuple):
+    """
+    The answer to ``SuspectRequest``.
+
+    :ivar fingerprint: of the request, 16 bytes.
+    :ivar number: the request's.
+    :ivar allowed: whether the run may start.
+    """
+
+    fingerprint: bytes
+    number: int
+    allowed: bool
+
+
+class TokenRecord(NamedTuple):
+    """
+    A finished token.
+
+    :ivar token: the token.
+    :ivar request: xxh3-128 of the request that used it, 16 bytes.
+    :ivar status: HTTP status of the recorded answer.
+    :ivar headers: its headers.
+    :ivar body: its body.
+    """
+
+    token: str
+    request: bytes
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+class TokenHandover(NamedTuple):
+    """
+    Finished tokens of a router that shuts down; never run by the receiver.
+
+    :ivar records: the tokens.
+    """
+
+    records: list[TokenRecord]
+
+
+class RetrySpend(NamedTuple):
+    """
+    A router's fresh requests and retries, for the fleet-wide budget.
+
+    :ivar fresh: requests per second lately.
+    :ivar retries: retries per second lately.
+    """
+
+    fresh: float
+    retries: float
+
+
+class IdleNotice(NamedTuple):
+    """
+    A scheduler has free slots and knows of no demand for them.
+
+    :ivar service: the service.
+    :ivar free: how many slots.
+    """
+
+    service: str
+    free: int
+
+
+MESSAGE_KINDS: tuple[type, ...] = (
+    Probe,
+    ProbeAck,
+    ProbeRequest,
+    ConfigurationRequest,
+    ConfigurationReply,
+    DemandReport,
+    PermitGrant,
+    PermitReturn,
+    Preemption,
+    CounterUpdate,
+    CounterAck,
+    ServerNotice,
+    RelayCall,
+    RelayReply,
+    Strike,
+    SuspectRequest,
+    SuspectReply,
+    TokenHandover,
+    RetrySpend,
+    IdleNotice,
+)
--- /dev/null
+++ b/tests/controllers/__init__.py
@@ -0,0 +1,3 @@
+"""Tests."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/support/doubles.py
@@ -0,0 +1,119 @@
+"""In-memory doubles of the network and the clock."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Any
+
+from sycamorehaven.blackboard.board import Blackboard
+from sycamorehaven.identity import RouterId
+from sycamorehaven.transport.codec import Delivery
+from tests.support.fixtures import fixture
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from sycamorehaven.transport.links import Handler
+
+
+class ManualClock:
+    """Monotonic seconds that only a test moves."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        """Return the time."""
+        return self.now
+
+    def advance(self, seconds: float) -> None:
+        """Move the time on."""
+        self.now += seconds
+
+
+class MemoryNetwork:
+    """
+    Carries messages between links when told to.
+
+    :param seed: of the random losses.
+    :param loss: part of the messages that is lost.
+    """
+
+    def __init__(self, seed: int = 1, loss: float = 0.0) -> None:
+        self._random = random.Random(seed)
+        self.loss = loss
+        self.cut: set[frozenset[str]] = set()
+        self.links: dict[str, MemoryLink] = {}
+        self.pending: list[tuple[str, Delivery]] = []
+
+    def deliver(self, rounds: int = 1_000) -> int:
+        """Deliver what is pending and what that causes; return the count."""
+        count = 0
+        while self.pending and count < rounds:
+            address, delivery = self.pending.pop(0)
+            link = self.links.get(address)
+            if link is not None and self._passes(delivery.address, address):
+                link.dispatch(delivery)
+                count += 1
+        return count
+
+    def _passes(self, sender: str, receiver: str) -> bool:
+        if sender == receiver:
+            return True
+        if frozenset({sender, receiver}) in self.cut:
+            return False
+        return self._random.random() >= self.loss
+
+
+class MemoryLink:
+    """A ``PeerLink`` of one board on a ``MemoryNetwork``."""
+
+    def __init__(self, board: Blackboard, network: MemoryNetwork) -> None:
+        self._board = board
+        self._network = network
+        self._address = board.members.own.address
+        self._handlers: dict[type, list[Handler]] = {}
+        self.sent: list[tuple[str, Any]] = []
+        network.links[self._address] = self
+
+    def send(self, host: str, message: Any) -> bool:
+        """Queue a message for a member."""
+        member = self._board.members.find(host)
+        if member is None:
+            return False
+        self.send_to(member.address, message)
+        return True
+
+    def send_to(self, address: str, message: Any) -> None:
+        """Queue a message for an address."""
+        self.sent.append((address, message))
+        delivery = Delivery(self._board.identity, self._address, message)
+        self._network.pending.append((address, delivery))
+
+    def subscribe(self, kind: type, handler: Handler) -> None:
+        """Call a handler with every delivery of a kind."""
+        self._handlers.setdefault(kind, []).append(handler)
+
+    def dispatch(self, delivery: Delivery) -> None:
+        """Hand a delivery to the handlers."""
+        for handler in self._handlers.get(type(delivery.message), []):
+            handler(delivery)
+
+
+def create_board(
+    host: str = "a1", domain: str = "a", incarnation: int = 1
+) -> Blackboard:
+    """Return the empty state of a router."""
+    return Blackboard(RouterId(host, incarnation), f"{host}:1", domain)
+
+
+@fixture
+def clock() -> Iterator[ManualClock]:
+    """Give a clock that only the test moves."""
+    yield ManualClock()
+
+
+@fixture
+def network() -> Iterator[MemoryNetwork]:
+    """Give a network without loss."""
+    yield MemoryNetwork()
--- /dev/null
+++ b/tests/support/fleet.py
@@ -0,0 +1,296 @@
+"""A fleet of real processes on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+import sys
+import tempfile
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import aiohttp
+
+from tests.support.fixtures import async_fixture
+from tests.support.loader import ROOT
+from tests.support.texts import ServerPlan, derive_key, write_configuration
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+START_TIMEOUT = 20.0
+"""Seconds in which a process must answer."""
+POLL = 0.05
+"""Seconds between two looks at a condition."""
+
+
+def find_port() -> int:
+    """Return a free port of the loopback interface."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def find_address() -> str:
+    """Return a free ``ip:port``."""
+    return f"127.0.0.1:{find_port()}"
+
+
+class RouterPlan(NamedTuple):
+    """
+    A router to start.
+
+    :ivar host: its host.
+    :ivar domain: its failure domain.
+    :ivar callers: address for callers.
+    :ivar peers: address for peers.
+    :ivar admin: address for operators.
+    """
+
+    host: str
+    domain: str
+    callers: str
+    peers: str
+    admin: str
+
+
+class Fleet:
+    """
+    Processes of one test and a client that talks to them.
+
+    :param folder: for settings and logs.
+    :param domains: failure domain of each router to start.
+    :param servers: stand-in backend servers to start.
+    """
+
+    def __init__(
+        self, folder: Path, domains: tuple[str, ...], servers: list[ServerPlan]
+    ) -> None:
+        self._folder = folder
+        self.platform = find_address()
+        self.servers = servers
+        self.routers = [
+            RouterPlan(
+                f"{domain}{number}",
+                domain,
+                find_address(),
+                find_address(),
+                find_address(),
+            )
+            for number, domain in enumerate(domains, start=1)
+        ]
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.faults_file = folder / "faults.toml"
+        self.faults_file.write_text("")
+
+    async def start(self, text: str | None = None) -> None:
+        """Start everything and wait until every router is ready."""
+        self.client = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True)
+        )
+        await self.run_module(
+            "platform", "sycamorehaven.standins.platform", "--address", self.platform
+        )
+        for server in self.servers:
+            await self.start_server(server)
+        await self.wait_for_port(self.platform)
+        await self.publish(text or write_configuration(self.servers))
+        for plan in self.routers:
+            await self.start_router(plan)
+        for plan in self.routers:
+            await self.wait_until_ready(plan)
+
+    async def stop(self) -> None:
+        """End every process that this fleet started."""
+        for process in self.processes.values():
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+        for process in self.processes.values():
+            await process.wait()
+        await self.client.close()
+
+    async def run_module(self, name: str, module: str, *arguments: str) -> None:
+        """Start a Python module as a process."""
+        log = (self._folder / f"{name}.log").open("ab")
+        self.processes[name] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            module,
+            *arguments,
+            cwd=ROOT,
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    async def start_server(self, plan: ServerPlan) -> None:
+        """Start a stand-in backend server."""
+        kind, pace = ("booking", "--service-time")
+        if plan.service == "assistant":
+            kind, pace = ("engine", "--token-time")
+        await self.run_module(
+            plan.name,
+            f"sycamorehaven.standins.{kind}",
+            "--address",
+            plan.address,
+            "--slots",
+            str(plan.slots),
+            pace,
+            str(plan.pace),
+        )
+        await self.wait_for_port(plan.address)
+
+    async def start_router(self, plan: RouterPlan, extra: str = "") -> None:
+        """Start a router, or start it again."""
+        path = self._folder / f"{plan.host}.toml"
+        path.write_text(self.write_settings(plan) + extra)
+        await self.run_module(
+            plan.host, "sycamorehaven.daemon", "--settings", str(path)
+        )
+
+    def write_settings(self, plan: RouterPlan) -> str:
+        """Return the settings of a router."""
+        seeds = [other.peers for other in self.routers if other != plan]
+        return (
+            f'[router]\nhost = "{plan.host}"\nfailure_domain = "{plan.domain}"\n'
+            f'[callers]\naddress = "{plan.callers}"\n'
+            f'[peers]\naddress = "{plan.peers}"\nseeds = {seeds}\n'
+            f'[admin]\naddress = "{plan.admin}"\n'
+            f'[platform]\nurl = "http://{self.platform}"\n'
+            f'[testing]\npeer_faults = "{self.faults_file}"\n'
+        )
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process of this fleet."""
+        os.kill(self.processes[name].pid, number)
+
+    async def kill(self, name: str) -> None:
+        """End a process with SIGKILL."""
+        self.signal(name, signal.SIGKILL)
+        await self.processes[name].wait()
+
+    async def publish(self, text: str, revision: int | None = None) -> int:
+        """Publish a configuration text; return its revision."""
+        query = {} if revision is None else {"revision": str(revision)}
+        url = f"http://{self.platform}/control/configuration"
+        async with self.client.put(url, data=text.encode(), params=query) as response:
+            return int((await response.json())["revision"])
+
+    async def set_platform(self, state: str) -> None:
+        """Make the platform ``up``, ``down`` or ``stale``."""
+        url = f"http://{self.platform}/control/state"
+        async with self.client.put(url, json={"state": state}):
+            pass
+
+    async def set_faults(self, server: str, **faults: Any) -> None:
+        """Tell a stand-in backend server to show faults."""
+        url = f"http://{self.find_server(server).address}/control/faults"
+        async with self.client.put(url, json=faults):
+            pass
+
+    async def list_runs(self, server: str) -> dict[str, Any]:
+        """Return what a stand-in backend server ran."""
+        url = f"http://{self.find_server(server).address}/control/runs"
+        async with self.client.get(url) as response:
+            runs: dict[str, Any] = await response.json()
+            return runs
+
+    def find_server(self, name: str) -> ServerPlan:
+        """Return the plan of a server."""
+        return next(plan for plan in self.servers if plan.name == name)
+
+    async def wait_for_port(self, address: str) -> None:
+        """Wait until something listens on ``ip:port``."""
+        host, _, port = address.rpartition(":")
+        async with asyncio.timeout(START_TIMEOUT):
+            while True:
+                try:
+                    _, writer = await asyncio.open_connection(host, int(port))
+                except OSError:
+                    await asyncio.sleep(POLL)
+                    continue
+                writer.close()
+                return
+
+    async def wait_until_ready(self, plan: RouterPlan) -> None:
+        """Wait until a router is ready by its admin interface."""
+        async with asyncio.timeout(START_TIMEOUT):
+            while True:
+                try:
+                    async with self.client.get(f"http://{plan.admin}/readyz") as got:
+                        if got.status == 200:
+                            return
+                except aiohttp.ClientError:
+                    pass
+                await asyncio.sleep(POLL)
+
+    def build_request(
+        self,
+        router: int,
+        path: str,
+        workspace: str = "oakcourt",
+        headers: dict[str, str] | None = None,
+    ) -> dict[str, Any]:
+        """Return the arguments of a request through a router."""
+        return {
+            "url": f"http://{self.routers[router].callers}{path}",
+            "headers": {
+                "Authorization": f"Bearer {derive_key(workspace)}",
+                **(headers or {}),
+            },
+        }
+
+    async def ask(
+        self,
+        router: int,
+        prompt: str,
+        tokens: int = 4,
+        workspace: str = "oakcourt",
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, bytes]:
+        """Ask the assistant; return the status and the whole answer."""
+        request = self.build_request(
+            router, "/v1/services/assistant/v1/completions", workspace, headers
+        )
+        body = {"prompt": prompt, "max_tokens": tokens}
+        async with self.client.post(json=body, **request) as response:
+            return response.status, await response.read()
+
+    def read_log(self, name: str) -> str:
+        """Return what a process has logged."""
+        return (self._folder / f"{name}.log").read_text()
+
+
+def plan_servers() -> list[ServerPlan]:
+    """Return two engines and one booking service."""
+    return [
+        ServerPlan("engine-1", "assistant", find_address()),
+        ServerPlan("engine-2", "assistant", find_address(), pace=0.01),
+        ServerPlan("booking-1", "bookings", find_address()),
+    ]
+
+
+@contextlib.asynccontextmanager
+async def run_fleet(
+    domains: tuple[str, ...] = ("a", "a", "b"),
+    servers: list[ServerPlan] | None = None,
+    text: str | None = None,
+) -> AsyncIterator[Fleet]:
+    """Run a fleet for the length of a block."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(Path(folder), domains, servers or plan_servers())
+        try:
+            await fleet.start(text)
+            yield fleet
+        finally:
+            await fleet.stop()
+
+
+@async_fixture
+async def fleet() -> AsyncIterator[Fleet]:
+    """Give three routers in two failure domains, two engines, one booking."""
+    async with run_fleet() as running:
+        yield running
--- /dev/null
+++ b/tests/support/loader.py
@@ -0,0 +1,84 @@
+"""Finds test functions and makes ``unittest`` cases of them."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import importlib
+import inspect
+import unittest
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from tests.support.fixtures import await_with_fixtures, call_with_fixtures
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+ROOT = Path(__file__).parents[2]
+TEST_TIMEOUT = 120.0
+"""Seconds after which an asynchronous test is ended as hung."""
+
+
+class NamedCase(unittest.FunctionTestCase):
+    """
+    A test function as a case.
+
+    :param name: dotted name, as ``tests.decisions.test_roles.test_x``.
+    :param function: the test.
+    """
+
+    def __init__(self, name: str, function: Callable[[], None]) -> None:
+        super().__init__(function)
+        self._name = name
+
+    def id(self) -> str:
+        """Return the dotted name."""
+        return self._name
+
+
+def list_modules(pattern: str) -> list[str]:
+    """Return the dotted names of test modules whose name holds a pattern."""
+    paths = sorted((ROOT / "tests").rglob("test_*.py"))
+    names = [".".join(p.relative_to(ROOT).with_suffix("").parts) for p in paths]
+    return [name for name in names if pattern in name or pattern.startswith(name)]
+
+
+def load_cases(pattern: str = "") -> list[NamedCase]:
+    """
+    Return the cases whose dotted name holds ``pattern``.
+
+    A module that does not import becomes a case that fails.
+    """
+    cases: list[NamedCase] = []
+    for name in list_modules(pattern):
+        try:
+            module = importlib.import_module(name)
+        except Exception as error:
+            cases.append(NamedCase(name, functools.partial(_fail_import, error)))
+            continue
+        cases += [
+            NamedCase(f"{name}.{key}", bind_fixtures(value))
+            for key, value in vars(module).items()
+            if key.startswith("test_") and inspect.isfunction(value)
+        ]
+    return [case for case in cases if pattern in case.id() or not pattern]
+
+
+def bind_fixtures(function: Callable[..., Any]) -> Callable[[], None]:
+    """Return a test that takes no arguments."""
+    if inspect.iscoroutinefunction(function):
+        return functools.partial(_run_async, function)
+    return functools.partial(call_with_fixtures, function)
+
+
+def _run_async(function: Callable[..., Any]) -> None:
+    async def run() -> None:
+        async with asyncio.timeout(TEST_TIMEOUT):
+            await await_with_fixtures(function)
+
+    asyncio.run(run())
+
+
+def _fail_import(error: Exception) -> None:
+    raise error
--- /dev/null
+++ b/tests/support/texts.py
@@ -0,0 +1,81 @@
+"""Configuration texts and workspace keys for tests."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import NamedTuple
+
+WORKSPACES = ("oakcourt", "elmplace")
+
+
+class ServerPlan(NamedTuple):
+    """
+    A stand-in backend server to configure and start.
+
+    :ivar name: its name.
+    :ivar service: ``"assistant"`` or ``"bookings"``.
+    :ivar address: ``ip:port``.
+    :ivar slots: concurrent requests.
+    :ivar domain: failure domain.
+    :ivar pace: seconds a token, or seconds a booking.
+    """
+
+    name: str
+    service: str
+    address: str
+    slots: int = 4
+    domain: str = "a"
+    pace: float = 0.005
+
+
+def derive_key(workspace: str) -> str:
+    """Return the bearer key of a workspace."""
+    return f"key-of-{workspace}"
+
+
+def write_configuration(
+    servers: list[ServerPlan],
+    workspaces: tuple[str, ...] = WORKSPACES,
+    weights: dict[str, float] | None = None,
+) -> str:
+    """Return a text with an assistant, a booking service and the servers."""
+    parts = []
+    for name in workspaces:
+        digest = hashlib.sha256(derive_key(name).encode()).hexdigest()
+        weight = (weights or {}).get(name, 1.0)
+        parts.append(
+            f'[workspaces.{name}]\nkey_sha256 = "{digest}"\nweight = {weight}\n'
+        )
+    parts.append(SERVICES)
+    parts += [
+        f'[servers.{plan.name}]\naddress = "{plan.address}"\n'
+        f'service = "{plan.service}"\nfailure_domain = "{plan.domain}"\n'
+        f"slots = {plan.slots}\n"
+        for plan in servers
+    ]
+    return "\n".join(parts)
+
+
+SERVICES = """
+[services.assistant]
+kind = "model"
+expected_cost = 16.0
+largest_cost = 2000.0
+[[services.assistant.calls]]
+method = "POST"
+path = "/v1/completions"
+idempotent = true
+resumable = true
+
+[services.bookings]
+kind = "plain"
+expected_cost = 0.01
+largest_cost = 1.0
+[[services.bookings.calls]]
+method = "POST"
+path = "/bookings"
+[[services.bookings.calls]]
+method = "GET"
+path = "/bookings"
+idempotent = true
+"""
