Inject cuts, loss and delay between routers from a file

Failure tests need partitions, lost and late messages between real processes without system tools. The file that [testing] peer_faults names is read at most every 50 ms; a sender loses, a receiver delays, so that a message is at risk of each once. Loss at both ends was ruled out: 20 % would have been 36 %.

--- a/src/sycamorehaven/router.py
+++ b/src/sycamorehaven/router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from mode import Service
@@ -16,6 +17,8 @@
 from sycamorehaven.transport.admin import AdminListener
 from sycamorehaven.transport.backends import HttpBackends
 from sycamorehaven.transport.callers import CallerListener
+from sycamorehaven.transport.faults import FileFilter
+from sycamorehaven.transport.links import OpenFilter
 from sycamorehaven.transport.peers import ZmqPeers
 from sycamorehaven.transport.platform import HttpPlatform
 
@@ -23,6 +26,14 @@
     from mode.types import ServiceT
 
     from sycamorehaven.settings import RouterSettings
+    from sycamorehaven.transport.links import PeerFilter
+
+
+def create_filter(settings: RouterSettings) -> PeerFilter:
+    """Return what decides which peer messages pass: all, but in tests."""
+    if not settings.peer_faults:
+        return OpenFilter()
+    return FileFilter(Path(settings.peer_faults), settings.peers_address)
 
 
 class Router(Service):
@@ -53,7 +64,7 @@
     def on_init_dependencies(self) -> list[ServiceT]:
         """Return the services, in the order in which they start."""
         board, settings = self._board, self._settings
-        peers = ZmqPeers(board, settings)
+        peers = ZmqPeers(board, settings, create_filter(settings))
         permits = PermitController(board, peers)
         calls = CallController(board, permits, self._backends)
         return [
--- /dev/null
+++ b/src/sycamorehaven/transport/faults.py
@@ -0,0 +1,118 @@
+"""
+Faults injected between routers, for tests on loopback.
+
+The file that ``[testing] peer_faults`` names is TOML and may change at any
+time. All keys are optional::
+
+    cuts = [["127.0.0.1:7001", "127.0.0.1:7002"]]
+    one_way = [["127.0.0.1:7001", "127.0.0.1:7003"]]
+    loss = 0.2
+    latest = 0.3
+    seed = 7
+
+``cuts`` are pairs that hear nothing of each other, ``one_way`` pairs of a
+sender and a receiver that does not hear it. ``loss`` is the part of messages
+that is lost, ``latest`` the longest delay of one, seconds.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import TYPE_CHECKING, Annotated, NamedTuple
+
+import msgspec
+from absl import logging
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from pathlib import Path
+
+POLL = 0.05
+"""Seconds between two looks at the file."""
+
+Part = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=60.0)]
+
+
+class PeerFaults(msgspec.Struct, forbid_unknown_fields=True):
+    """
+    What the file says.
+
+    :ivar cuts: pairs of addresses cut both ways.
+    :ivar one_way: pairs of a sender's and a receiver's address.
+    :ivar loss: part of the messages that is lost.
+    :ivar latest: longest delay of a message, seconds.
+    :ivar seed: of losses and delays.
+    """
+
+    cuts: list[tuple[str, str]] = []
+    one_way: list[tuple[str, str]] = []
+    loss: Part = 0.0
+    latest: Seconds = 0.0
+    seed: int = 1
+
+
+class _Version(NamedTuple):
+    modified: int
+    inode: int
+    size: int
+
+
+class FileFilter:
+    """
+    A ``PeerFilter`` that does what a file says.
+
+    A file that cannot be read keeps the faults that were in force.
+
+    :param path: the file.
+    :param address: this router's peer address; it loses what it sends, so
+        that a message is at risk once.
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(
+        self, path: Path, address: str, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._path = path
+        self._address = address
+        self._clock = clock
+        self._looked_at = float("-inf")
+        self._version: _Version | None = None
+        self._faults = PeerFaults()
+        self._closed: frozenset[tuple[str, str]] = frozenset()
+        self._random = random.Random(1)
+
+    def admits(self, sender: str, receiver: str) -> bool:
+        """Return whether a message between two addresses passes."""
+        self._look()
+        if (sender, receiver) in self._closed:
+            return False
+        if sender != self._address:
+            return True
+        return self._random.random() >= self._faults.loss
+
+    def choose_delay(self) -> float:
+        """Return how late the next message comes, seconds."""
+        return self._random.uniform(0.0, self._faults.latest)
+
+    def _look(self) -> None:
+        now = self._clock()
+        if now - self._looked_at < POLL:
+            return
+        self._looked_at = now
+        try:
+            status = self._path.stat()
+            version = _Version(status.st_mtime_ns, status.st_ino, status.st_size)
+            if version != self._version:
+                self._version = version
+                self._load()
+        except (OSError, UnicodeDecodeError, msgspec.MsgspecError) as error:
+            logging.error("faults of %s not taken over: %s", self._path, error)
+
+    def _load(self) -> None:
+        faults = msgspec.toml.decode(self._path.read_bytes(), type=PeerFaults)
+        both_ways = [*faults.cuts, *((b, a) for a, b in faults.cuts)]
+        self._closed = frozenset([*both_ways, *faults.one_way])
+        self._random = random.Random(f"{faults.seed} {self._address}")
+        self._faults = faults
--- a/src/sycamorehaven/transport/links.py
+++ b/src/sycamorehaven/transport/links.py
@@ -39,6 +39,10 @@
         """Return whether a message between two peer addresses passes."""
         ...
 
+    def choose_delay(self) -> float:
+        """Return how late a received message is handled, seconds."""
+        ...
+
 
 class OpenFilter:
     """Lets every message pass."""
@@ -46,3 +50,7 @@
     def admits(self, sender: str, receiver: str) -> bool:  # noqa: ARG002
         """Return ``True``."""
         return True
+
+    def choose_delay(self) -> float:
+        """Return 0."""
+        return 0.0
--- a/src/sycamorehaven/transport/peers.py
+++ b/src/sycamorehaven/transport/peers.py
@@ -139,7 +139,11 @@
             return
         kind = type(delivery.message).__name__
         self._board.traffic.count_received(kind, len(data))
-        self._dispatch(delivery)
+        delay = self._filter.choose_delay()
+        if delay:
+            asyncio.get_running_loop().call_later(delay, self._dispatch, delivery)
+        else:
+            self._dispatch(delivery)
 
     def _dispatch(self, delivery: Delivery) -> None:
         for handler in self._handlers.get(type(delivery.message), []):
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -19,7 +19,7 @@
 from tests.support.texts import ServerPlan, derive_key, write_configuration
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
 START_TIMEOUT = 20.0
 """Seconds in which a process must answer."""
@@ -39,6 +39,19 @@
     return f"127.0.0.1:{find_port()}"
 
 
+async def wait_for(
+    condition: Callable[[], Awaitable[bool]], timeout: float = START_TIMEOUT
+) -> None:
+    """
+    Wait until a condition holds.
+
+    :raises TimeoutError: if it does not within ``timeout`` seconds.
+    """
+    async with asyncio.timeout(timeout):
+        while not await condition():  # noqa: ASYNC110
+            await asyncio.sleep(POLL)
+
+
 class RouterPlan(NamedTuple):
     """
     A router to start.
@@ -84,7 +97,9 @@
         ]
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.faults_file = folder / "faults.toml"
-        self.faults_file.write_text("")
+        self._cuts: list[list[str]] = []
+        self._disturbance = ""
+        self._write_faults()
 
     async def start(self, text: str | None = None) -> None:
         """Start everything and wait until every router is ready."""
@@ -172,6 +187,61 @@
         self.signal(name, signal.SIGKILL)
         await self.processes[name].wait()
 
+    def cut(self, *groups: list[RouterPlan]) -> None:
+        """Cut groups of routers off from each other, until ``heal``."""
+        self._cuts = [
+            [one.peers, other.peers]
+            for number, group in enumerate(groups)
+            for rest in groups[number + 1 :]
+            for one in group
+            for other in rest
+        ]
+        self._write_faults()
+
+    def heal(self) -> None:
+        """End every cut; loss and delay stay."""
+        self._cuts = []
+        self._write_faults()
+
+    def disturb(self, loss: float, latest: float = 0.0, seed: int = 1) -> None:
+        """Lose a part of the peer messages and delay the others, seconds."""
+        self._disturbance = f"loss = {loss}\nlatest = {latest}\nseed = {seed}\n"
+        self._write_faults()
+
+    def _write_faults(self) -> None:
+        fresh = self.faults_file.with_suffix(".fresh")
+        fresh.write_text(f"cuts = {self._cuts}\n{self._disturbance}")
+        fresh.replace(self.faults_file)
+
+    def list_domain(self, domain: str) -> list[RouterPlan]:
+        """Return the routers of a failure domain."""
+        return [plan for plan in self.routers if plan.domain == domain]
+
+    async def admin(self, router: int, path: str) -> Any:
+        """Return a JSON document of a router's interface for operators."""
+        url = f"http://{self.routers[router].admin}{path}"
+        async with self.client.get(url) as response:
+            return await response.json()
+
+    async def metrics(self, router: int) -> dict[str, float]:
+        """Return a router's samples by ``name{labels}``."""
+        url = f"http://{self.routers[router].admin}/metrics"
+        async with self.client.get(url) as response:
+            lines = (await response.text()).splitlines()
+        samples = (line.rsplit(" ", 1) for line in lines if line[:1] not in ("#", ""))
+        return {name: float(value) for name, value in samples}
+
+    async def wait_for_members(self, counts: dict[int, int]) -> None:
+        """Wait until routers see so many live members, by router."""
+        for router, count in counts.items():
+
+            async def is_seen(router: int = router, count: int = count) -> bool:
+                members = (await self.admin(router, "/v1/members"))["members"]
+                states = [str(member["state"]) for member in members]
+                return states.count("alive") == count
+
+            await wait_for(is_seen)
+
     async def publish(self, text: str, revision: int | None = None) -> int:
         """Publish a configuration text; return its revision."""
         query = {} if revision is None else {"revision": str(revision)}
