Add sections for seeds and for pauses of the process

The host list's follower needs a place to put the addresses that it reads, and holders of leases need to hear that the process was paused. Both are small sections with one writer each; the membership probes the seeds of the section beside those of its settings. Checked with make lint types.

--- a/src/sycamorehaven/blackboard/board.py
+++ b/src/sycamorehaven/blackboard/board.py
@@ -9,8 +9,10 @@
 from sycamorehaven.blackboard.lifecycle import LifecycleSection
 from sycamorehaven.blackboard.members import Member, MembersSection
 from sycamorehaven.blackboard.outcomes import OutcomesSection
+from sycamorehaven.blackboard.pauses import PausesSection
 from sycamorehaven.blackboard.permits import PermitsSection
 from sycamorehaven.blackboard.queues import QueuesSection
+from sycamorehaven.blackboard.seeds import SeedsSection
 from sycamorehaven.blackboard.servers import ServersSection
 from sycamorehaven.blackboard.traffic import TrafficSection
 from sycamorehaven.identity import RouterId, create_incarnation
@@ -34,6 +36,8 @@
         )
         self._identity = identity
         self._members = MembersSection(own)
+        self._seeds = SeedsSection()
+        self._pauses = PausesSection()
         self._configuration = ConfigurationSection()
         self._lifecycle = LifecycleSection()
         self._traffic = TrafficSection()
@@ -59,6 +63,16 @@
         """Live routers."""
         return self._members
 
+    @property
+    def seeds(self) -> SeedsSection:
+        """Addresses to join through."""
+        return self._seeds
+
+    @property
+    def pauses(self) -> PausesSection:
+        """Pauses of this process."""
+        return self._pauses
+
     @property
     def configuration(self) -> ConfigurationSection:
         """The configuration in force."""
--- a/src/sycamorehaven/controllers/membership.py
+++ b/src/sycamorehaven/controllers/membership.py
@@ -62,7 +62,8 @@
     def _probe_all(self) -> None:
         self._sequence += 1
         own = self._board.members.own.address
-        addresses = {m.address for m in self._board.members.list()} | set(self._seeds)
+        addresses = {m.address for m in self._board.members.list()}
+        addresses.update(self._seeds, self._board.seeds.addresses)
         for address in sorted(addresses - {own}):
             self._link.send_to(address, Probe(*self._describe(self._sequence)))
 
