Split the call path and give it retries, resumption and suspects

A permit granted in the instant in which the wait timed out, or for an answer whose body was never read, was kept for ever: the generator that released it had not started.

--- a/src/sycamorehaven/blackboard/board.py
+++ b/src/sycamorehaven/blackboard/board.py
@@ -12,6 +12,7 @@
 from sycamorehaven.blackboard.permits import PermitsSection
 from sycamorehaven.blackboard.queues import QueuesSection
 from sycamorehaven.blackboard.servers import ServersSection
+from sycamorehaven.blackboard.suspects import SuspectsSection
 from sycamorehaven.blackboard.traffic import TrafficSection
 from sycamorehaven.identity import RouterId, create_incarnation
 
@@ -42,6 +43,7 @@
         self._permits = PermitsSection()
         self._servers = ServersSection()
         self._counters = CountersSection(identity)
+        self._suspects = SuspectsSection()
 
     @classmethod
     def from_settings(cls, settings: RouterSettings) -> Blackboard:
@@ -98,3 +100,8 @@
     def counters(self) -> CountersSection:
         """Service given, fleet-wide."""
         return self._counters
+
+    @property
+    def suspects(self) -> SuspectsSection:
+        """Requests suspected of crashing backend servers."""
+        return self._suspects
--- a/src/sycamorehaven/call.py
+++ b/src/sycamorehaven/call.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
-from typing import NamedTuple
+from typing import NamedTuple, Protocol, Self
 
 from sycamorehaven.configuration.model import CallRule, Service, Workspace
 
@@ -43,6 +42,22 @@
     token: str
 
 
+class Chunks(Protocol):
+    """A body as it comes; an async generator is one."""
+
+    def __aiter__(self) -> Self:
+        """Return itself."""
+        ...
+
+    async def __anext__(self) -> bytes:
+        """Return the next bytes; raise if the body breaks off."""
+        ...
+
+    async def aclose(self) -> None:
+        """Cancel what produces the body, if it has not ended."""
+        ...
+
+
 class Answer(NamedTuple):
     """
     What the caller gets.
@@ -50,9 +65,10 @@
     :ivar status: HTTP status.
     :ivar headers: headers to pass on.
     :ivar chunks: the body as it comes. It raises if the answer breaks off;
-        the caller's connection is then aborted, never ended cleanly.
+        the caller's connection is then aborted, never ended cleanly. Whoever
+        takes the answer closes the chunks.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
-    chunks: AsyncIterator[bytes]
+    chunks: Chunks
--- /dev/null
+++ b/src/sycamorehaven/controllers/admission.py
@@ -0,0 +1,123 @@
+"""Admits calls to the queues and waits for their permits."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol
+
+from opentelemetry import trace
+
+from sycamorehaven.blackboard.queues import QueueKey, Waiting
+from sycamorehaven.exceptions.refusals import (
+    DeadlineUnreachable,
+    DependencyUnavailable,
+    NoBackendServer,
+    NotReady,
+    QueueFull,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.blackboard.permits import Permit
+    from sycamorehaven.call import Call
+    from sycamorehaven.configuration.model import Configuration
+
+RETRY_AFTER = 1.0
+"""Seconds a refused caller is asked to wait if nothing better is known."""
+
+tracer = trace.get_tracer("sycamorehaven")
+
+
+class PermitHolder(Protocol):
+    """Takes permits back."""
+
+    def release(self, permit: Permit) -> None:
+        """Give a permit back to its scheduler."""
+        ...
+
+
+class Admission:
+    """
+    Refuses what cannot be served and queues the rest.
+
+    :param board: the state of this router.
+    :param permits: takes permits back.
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        permits: PermitHolder,
+        clock: Callable[[], float],
+    ) -> None:
+        self._board = board
+        self._permits = permits
+        self._clock = clock
+
+    def admit(self, call: Call) -> None:
+        """
+        Check that a call may be queued.
+
+        :raises Refusal: if it may not.
+        """
+        configuration = self._board.configuration.current
+        if configuration is None:
+            raise NotReady("no configuration yet", retry_after=RETRY_AFTER)
+        for name in call.service.depends_on:
+            if not self._is_served(name, configuration):
+                raise DependencyUnavailable(
+                    f"{name!r} has no serving backend server", retry_after=RETRY_AFTER
+                )
+        if not self._is_served(call.service.name, configuration):
+            raise NoBackendServer(
+                f"{call.service.name!r} has no serving backend server",
+                retry_after=RETRY_AFTER,
+            )
+        count = self._board.queues.count(call.service.name, call.workspace.name)
+        if count >= call.workspace.queue_limit:
+            raise QueueFull(f"{count} requests wait", retry_after=RETRY_AFTER)
+
+    async def wait_for_permit(self, call: Call, *, first: bool) -> Permit:
+        """
+        Queue a call and return the permit that it is bound to.
+
+        Whatever ends the wait, a permit that it does not return is released.
+
+        :param first: whether the call goes ahead of its queue.
+        :raises DeadlineUnreachable: if the call's deadline passes.
+        """
+        key = QueueKey(call.service.name, call.workspace.name, call.priority)
+        cost = call.cost_hint or call.service.expected_cost
+        waiting = Waiting(key, self._clock(), cost)
+        self._board.queues.push(waiting, first=first)
+        bound = False
+        try:
+            with tracer.start_as_current_span("queue wait"):
+                async with asyncio.timeout(call.deadline - self._clock()):
+                    permit = await asyncio.shield(waiting.permit)
+                    bound = True
+                    return permit
+        except TimeoutError as error:
+            raise DeadlineUnreachable(
+                "no permit before the deadline", retry_after=RETRY_AFTER
+            ) from error
+        finally:
+            self._board.queues.remove(waiting)
+            if not bound:
+                self._drop(waiting)
+
+    def _drop(self, waiting: Waiting) -> None:
+        if not waiting.permit.done():
+            waiting.permit.cancel()
+        elif not waiting.permit.cancelled():
+            self._permits.release(waiting.permit.result())
+
+    def _is_served(self, service: str, configuration: Configuration) -> bool:
+        now = self._clock()
+        return any(
+            self._board.servers.takes_work(server.name, now)
+            for server in configuration.list_servers(service)
+        )
--- /dev/null
+++ b/src/sycamorehaven/controllers/streams.py
@@ -0,0 +1,146 @@
+"""Relays answers to callers; a broken one never looks whole."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from sycamorehaven.decisions.streams import EventSplitter
+from sycamorehaven.exceptions.backends import AnswerInvalid, BackendError
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator, Iterable
+
+    from sycamorehaven.controllers.attempts import CallRun
+    from sycamorehaven.transport.backends import BackendAnswer
+
+EVENT_STREAM = "text/event-stream"
+
+
+class AnswerStream:
+    """
+    The body of an answer on its way to the caller.
+
+    Closing it ends the run also if nothing was read from it, which closing a
+    generator that has not started would not do.
+
+    :param run: the call.
+    :param chunks: the body.
+    """
+
+    def __init__(self, run: CallRun, chunks: AsyncGenerator[bytes, None]) -> None:
+        self._run = run
+        self._chunks = chunks
+
+    @classmethod
+    def from_answer(cls, run: CallRun, answer: BackendAnswer) -> AnswerStream:
+        """Return the stream for an answer; an event stream may resume."""
+        if can_resume(run, answer):
+            return cls(run, relay_events(run, answer))
+        return cls(run, relay_bytes(run, answer))
+
+    def __aiter__(self) -> AnswerStream:
+        return self
+
+    async def __anext__(self) -> bytes:
+        return await anext(self._chunks)
+
+    async def aclose(self) -> None:
+        """Cancel the run unless it has ended."""
+        try:
+            await self._chunks.aclose()
+        finally:
+            self._run.abandon()
+
+
+def is_event_stream(headers: Iterable[tuple[str, str]]) -> bool:
+    """Return whether headers announce server-sent events."""
+    return any(
+        name.lower() == "content-type" and value.lower().startswith(EVENT_STREAM)
+        for name, value in headers
+    )
+
+
+def can_resume(run: CallRun, answer: BackendAnswer) -> bool:
+    """Return whether an answer may go on at another server."""
+    rule = run.call.rule
+    return (
+        rule.idempotent
+        and rule.resumable
+        and answer.status == 200
+        and is_event_stream(answer.headers)
+    )
+
+
+async def relay_bytes(
+    run: CallRun, answer: BackendAnswer
+) -> AsyncGenerator[bytes, None]:
+    """
+    Yield the bytes of an answer as they come.
+
+    :raises BackendError: if the answer breaks off.
+    """
+    events = is_event_stream(answer.headers)
+    try:
+        async for chunk in answer.read_chunks():
+            run.charge(chunk.count(b"\n\n"), 0 if events else len(chunk))
+            yield chunk
+    except BackendError as error:
+        run.break_off(error)
+        raise
+    run.finish()
+
+
+async def relay_events(
+    run: CallRun, answer: BackendAnswer
+) -> AsyncGenerator[bytes, None]:
+    """
+    Yield whole events, each once, also if the stream changes servers.
+
+    :raises BackendError: if the stream cannot be resumed.
+    :raises Refusal: if no further attempt is made.
+    """
+    splitter = EventSplitter()
+    while True:
+        watching = asyncio.ensure_future(interrupt_when_preempted(run, answer))
+        try:
+            async for chunk in answer.read_chunks():
+                data, count = splitter.feed(chunk)
+                run.charge(count, 0)
+                if data:
+                    yield data
+            if rest := splitter.flush():
+                yield rest
+            run.finish()
+            return
+        except BackendError as error:
+            if not splitter.resumable:
+                run.break_off(error)
+                raise
+            splitter.drop_partial()
+            await run.take_failure(error)
+        finally:
+            watching.cancel()
+        answer = await resume(run, splitter.delivered)
+
+
+async def interrupt_when_preempted(run: CallRun, answer: BackendAnswer) -> None:
+    """Break a stream off when the scheduler wants its slot back."""
+    await run.wait_for_preemption()
+    answer.interrupt()
+
+
+async def resume(run: CallRun, delivered: int) -> BackendAnswer:
+    """
+    Return the rest of an event stream from another attempt.
+
+    :param delivered: events that the caller has.
+    :raises AnswerInvalid: if a server does not answer with the rest.
+    """
+    answer = await run.start(resume_from=delivered)
+    if not can_resume(run, answer):
+        error = AnswerInvalid(f"status {answer.status} for the rest", sent=True)
+        run.break_off(error)
+        raise error
+    run.count("resumption")
+    return answer
--- /dev/null
+++ b/src/sycamorehaven/controllers/suspects.py
@@ -0,0 +1,227 @@
+"""Spreads strikes, and gives and takes the leases on suspect runs."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import secrets
+import time
+from typing import TYPE_CHECKING
+
+from mode import Service
+
+from sycamorehaven.decisions.quarantine import LEASE_TIME, LeaseTable, Loss
+from sycamorehaven.decisions.rendezvous import choose_candidate
+from sycamorehaven.transport.messages import (
+    Acquittal,
+    Strike,
+    SuspectReply,
+    SuspectRequest,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.transport.codec import Delivery
+    from sycamorehaven.transport.links import PeerLink
+
+REPLY_TIMEOUT = 0.5
+"""Seconds to wait for the holder of a lease table."""
+PERIOD = 1.0
+"""Seconds between rounds that renew leases and repeat fresh strikes."""
+REPEAT_AGE = 3.0
+"""Seconds for which an own strike is repeated, against lost messages."""
+
+
+class Lease:
+    """
+    A lease on a suspect run.
+
+    :param key: what it is for, 16 bytes.
+    :param number: its number at this router.
+    """
+
+    def __init__(self, key: bytes, number: int) -> None:
+        self._key = key
+        self._number = number
+        self.ends_at = float("inf")
+
+    @property
+    def key(self) -> bytes:
+        """What it is for."""
+        return self._key
+
+    @property
+    def number(self) -> int:
+        """Its number at this router."""
+        return self._number
+
+
+class SuspectController(Service):
+    """
+    Keeps the section of suspect requests.
+
+    :param board: the state of this router.
+    :param link: connection to other routers.
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        link: PeerLink,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        super().__init__()
+        self._board = board
+        self._link = link
+        self._clock = clock
+        self._numbers = itertools.count(1)
+        self._table = LeaseTable()
+        self._held: dict[int, Lease] = {}
+        self._replies: dict[int, asyncio.Future[bool]] = {}
+        self._own: dict[int, tuple[bytes, float]] = {}
+        self._view: dict[str, int] = {}
+        link.subscribe(Strike, self._take_strike)
+        link.subscribe(Acquittal, self._take_acquittal)
+        link.subscribe(SuspectRequest, self._take_request)
+        link.subscribe(SuspectReply, self._take_reply)
+        board.members.changed.subscribe(self._follow_members)
+        self._follow_members()
+
+    def report_loss(
+        self, fingerprint: bytes, server: str, ran: float, *, alone: bool
+    ) -> None:
+        """Strike a request during whose run a server was lost."""
+        now = self._clock()
+        strike = secrets.randbits(63)
+        loss = Loss(server, now, ran, alone)
+        self._board.suspects.add(fingerprint, strike, loss, now)
+        self._own[strike] = fingerprint, now
+        self._broadcast(Strike(fingerprint, strike, 0.0, server, ran, alone))
+
+    def report_success(self, fingerprint: bytes) -> None:
+        """Clear a request that was answered whole, if it has strikes."""
+        if self._board.suspects.clear(fingerprint, self._clock()):
+            self._broadcast(Acquittal(fingerprint, 0.0))
+
+    async def acquire(self, key: bytes, probation: float | None = None) -> Lease | None:
+        """
+        Ask for a lease once.
+
+        :param probation: seconds after which it is given back by itself.
+        :returns: ``None`` if another run has it or nobody answered.
+        """
+        lease = Lease(key, next(self._numbers))
+        reply = asyncio.get_running_loop().create_future()
+        self._replies[lease.number] = reply
+        try:
+            self._ask(lease, release=False)
+            async with asyncio.timeout(REPLY_TIMEOUT):
+                allowed = await reply
+        except BaseException as error:
+            self._ask(lease, release=True)
+            if isinstance(error, TimeoutError):
+                return None
+            raise
+        finally:
+            del self._replies[lease.number]
+        if not allowed:
+            return None
+        if probation is not None:
+            lease.ends_at = self._clock() + probation
+        self._held[lease.number] = lease
+        return lease
+
+    def release(self, lease: Lease) -> None:
+        """Give a lease back."""
+        if self._held.pop(lease.number, None) is not None:
+            self._ask(lease, release=True)
+
+    @Service.task
+    async def _renew(self) -> None:
+        while not self.should_stop:
+            await self.sleep(PERIOD)
+            self.run_round()
+
+    def run_round(self) -> None:
+        """Renew leases, end those past probation, repeat fresh strikes."""
+        now = self._clock()
+        for lease in list(self._held.values()):
+            if now >= lease.ends_at:
+                self.release(lease)
+            else:
+                self._ask(lease, release=False)
+        for strike, (_, at) in list(self._own.items()):
+            if now - at > REPEAT_AGE:
+                del self._own[strike]
+        for fingerprint, strike, loss in self._board.suspects.list(now):
+            if strike in self._own:
+                self._broadcast(describe_strike(fingerprint, strike, loss, now))
+
+    def _ask(self, lease: Lease, *, release: bool) -> None:
+        request = SuspectRequest(lease.key, lease.number, release)
+        host = choose_candidate(lease.key.hex(), self._view)
+        self._link.send(host or self._board.identity.host, request)
+
+    def _broadcast(self, message: Strike | Acquittal) -> None:
+        for member in self._board.members.list():
+            if member.host != self._board.identity.host:
+                self._link.send(member.host, message)
+
+    def _follow_members(self) -> None:
+        view = {
+            member.host: member.incarnation
+            for member in self._board.members.list()
+            if member.state != "leaving"
+        }
+        if view == self._view:
+            return
+        joined = [host for host in view if view[host] != self._view.get(host)]
+        self._view = view
+        self._table.close_until(self._clock() + LEASE_TIME)
+        for host in joined:
+            self._tell_strikes(host)
+
+    def _tell_strikes(self, host: str) -> None:
+        own = self._board.identity.host
+        if host == own:
+            return
+        now = self._clock()
+        others = [name for name in self._view if name != host]
+        for fingerprint, strike, loss in self._board.suspects.list(now):
+            if choose_candidate(fingerprint.hex(), others) == own:
+                self._link.send(host, describe_strike(fingerprint, strike, loss, now))
+
+    def _take_strike(self, delivery: Delivery) -> None:
+        strike: Strike = delivery.message
+        now = self._clock()
+        loss = Loss(strike.server, now - max(strike.age, 0.0), strike.ran, strike.alone)
+        self._board.suspects.add(strike.fingerprint, strike.strike, loss, now)
+
+    def _take_acquittal(self, delivery: Delivery) -> None:
+        acquittal: Acquittal = delivery.message
+        at = self._clock() - max(acquittal.age, 0.0)
+        self._board.suspects.clear(acquittal.fingerprint, at)
+
+    def _take_request(self, delivery: Delivery) -> None:
+        request: SuspectRequest = delivery.message
+        asker = delivery.sender.format()
+        if request.release:
+            self._table.release(request.key, asker, request.number)
+            return
+        allowed = self._table.take(request.key, asker, request.number, self._clock())
+        reply = SuspectReply(request.key, request.number, allowed)
+        self._link.send(delivery.sender.host, reply)
+
+    def _take_reply(self, delivery: Delivery) -> None:
+        reply: SuspectReply = delivery.message
+        waiter = self._replies.get(reply.number)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(reply.allowed)
+
+
+def describe_strike(fingerprint: bytes, strike: int, loss: Loss, now: float) -> Strike:
+    """Return the message that tells of a loss."""
+    return Strike(fingerprint, strike, now - loss.at, loss.server, loss.ran, loss.alone)
--- a/src/sycamorehaven/exceptions/backends.py
+++ b/src/sycamorehaven/exceptions/backends.py
@@ -53,3 +53,27 @@
     """The backend server refused the call for lack of capacity."""
 
     code = "server_overloaded"
+
+
+class AnswerInvalid(BackendError):
+    """The answer is not valid HTTP, or a resumed one is of another kind."""
+
+    code = "answer_invalid"
+
+
+class PermitUnused(BackendError):
+    """The permit could not be used; nothing was sent."""
+
+    code = "permit_unused"
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail, sent=False)
+
+
+class RunPreempted(BackendError):
+    """The scheduler wants the slot of a resumable stream back."""
+
+    code = "run_preempted"
+
+    def __init__(self) -> None:
+        super().__init__("the scheduler wants the slot back", sent=True)
--- a/src/sycamorehaven/exceptions/refusals.py
+++ b/src/sycamorehaven/exceptions/refusals.py
@@ -80,6 +80,30 @@
     remedy = "use a service named in the operators' configuration"
 
 
+class UnknownPath(Refusal):
+    """The router serves no such path."""
+
+    code = "unknown_path"
+    status = 404
+    remedy = "call /v1/services/<service>/<path at the service>"
+
+
+class MethodNotAllowed(Refusal):
+    """The router does not take this method on this path."""
+
+    code = "method_not_allowed"
+    status = 405
+    remedy = "use a method named in the Allow header"
+
+
+class BodyTimeout(Refusal):
+    """The request body did not arrive in time."""
+
+    code = "body_timeout"
+    status = 408
+    remedy = "send the whole body without long pauses"
+
+
 class OutcomeUnknown(Refusal):
     """The router that owned the token is gone; the call never runs again."""
 
@@ -112,6 +136,14 @@
     remedy = "send a smaller body"
 
 
+class TargetTooLong(Refusal):
+    """The path and query pass the limit."""
+
+    code = "target_too_long"
+    status = 414
+    remedy = "send a shorter path and query"
+
+
 class RequestQuarantined(Refusal):
     """Backend servers were lost while they ran this request."""
 
@@ -136,6 +168,22 @@
     remedy = "send again after Retry-After seconds, or send less at once"
 
 
+class HeadersTooLarge(Refusal):
+    """The request headers pass the limit."""
+
+    code = "headers_too_large"
+    status = 431
+    remedy = "send fewer or shorter headers"
+
+
+class InternalError(Refusal):
+    """The router failed while it handled the request."""
+
+    code = "internal_error"
+    status = 500
+    remedy = "report the request id; an idempotent request may be sent again"
+
+
 class DeadlineUnreachable(Refusal):
     """The request cannot be served within its timeout."""
 
--- a/src/sycamorehaven/router.py
+++ b/src/sycamorehaven/router.py
@@ -13,6 +13,7 @@
 from sycamorehaven.controllers.permits import PermitController
 from sycamorehaven.controllers.scheduling import SchedulingController
 from sycamorehaven.controllers.servers import HttpLoadSource, ServerController
+from sycamorehaven.controllers.suspects import SuspectController
 from sycamorehaven.transport.admin import AdminListener
 from sycamorehaven.transport.backends import HttpBackends
 from sycamorehaven.transport.callers import CallerListener
@@ -55,7 +56,8 @@
         board, settings = self._board, self._settings
         peers = ZmqPeers(board, settings)
         permits = PermitController(board, peers)
-        calls = CallController(board, permits, self._backends)
+        suspects = SuspectController(board, peers)
+        calls = CallController(board, permits, self._backends, suspects)
         return [
             AdminListener(board, settings),
             peers,
@@ -64,6 +66,7 @@
             ServerController(board, self._loads),
             SchedulingController(board, peers),
             permits,
+            suspects,
             CallerListener(board, settings, calls),
         ]
 
--- a/src/sycamorehaven/standins/engine.py
+++ b/src/sycamorehaven/standins/engine.py
@@ -119,7 +119,8 @@
                     event = msgspec.json.encode({"index": index, "token": token})
                     await response.write(b"data: " + event + b"\n\n")
                     self.tokens += 1
-                await response.write(b"data: [DONE]\n\n")
+                if first <= wanted.max_tokens:
+                    await response.write(b"data: [DONE]\n\n")
                 await response.write_eof()
             finally:
                 self.busy_time += self._count(-1) - started
--- a/src/sycamorehaven/standins/faults.py
+++ b/src/sycamorehaven/standins/faults.py
@@ -45,7 +45,9 @@
             if request.transport in self._silent:
                 await asyncio.Event().wait()
         if self.leaving:
-            raise web.HTTPServiceUnavailable(headers={"Connection": "close"})
+            raise web.HTTPServiceUnavailable(
+                headers={"Connection": "close", "Was-Run": "no"}
+            )
         if self._crash_on and self._crash_on in await request.read():
             self.crashes += 1
             self._crash()
--- a/src/sycamorehaven/transport/backends.py
+++ b/src/sycamorehaven/transport/backends.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Protocol
+import functools
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 import aiohttp
+from opentelemetry import propagate
 from yarl import URL
 
 from sycamorehaven.exceptions.backends import (
+    AnswerInvalid,
+    BackendError,
     ConnectFailed,
+    RunPreempted,
     ServerLeaving,
     ServerLost,
     ServerOverloaded,
@@ -18,18 +23,38 @@
 from sycamorehaven.transport.headers import filter_answer
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from sycamorehaven.call import Call
     from sycamorehaven.configuration.model import BackendServer
     from sycamorehaven.transport.headers import Headers
 
-CONNECT_TIMEOUT = 1.0
-"""Seconds to open a connection."""
-FIRST_BYTE_TIMEOUT = 30.0
-"""Seconds to the answer's headers."""
-CHUNK_TIMEOUT = 5.0
-"""Seconds between two chunks of an answer."""
+WAS_RUN_HEADER = "Was-Run"
+"""Header by which a server that answers 503 says that the call did not run."""
+LARGEST_HEADER = 32_768
+"""Longest header of an answer, bytes."""
+
+BROKEN = (
+    aiohttp.ServerDisconnectedError,
+    aiohttp.ClientOSError,
+    aiohttp.ClientPayloadError,
+    OSError,
+)
+"""What aiohttp raises when a connection breaks."""
+
+
+class ProgressTimeouts(NamedTuple):
+    """
+    How long a phase of an attempt may make no progress.
+
+    :ivar connect: seconds to open a connection.
+    :ivar first_byte: seconds from the request to the answer's headers.
+    :ivar chunk: seconds between two chunks of the answer.
+    """
+
+    connect: float = 1.0
+    first_byte: float = 30.0
+    chunk: float = 10.0
 
 
 class BackendAnswer(Protocol):
@@ -49,6 +74,10 @@
         """Yield the body as it comes; raise ``BackendError`` if it breaks."""
         ...
 
+    def interrupt(self) -> None:
+        """Make the reader raise ``RunPreempted``."""
+        ...
+
     def close(self) -> None:
         """Give the connection up, or back if the body was read."""
         ...
@@ -69,11 +98,73 @@
         ...
 
 
+class Generation:
+    """
+    Connections to one server, opened since the last one went silent.
+
+    A retired generation opens and lends no connection; those in use end with
+    their answers.
+    """
+
+    def __init__(self, client: aiohttp.ClientSession) -> None:
+        self._client = client
+        self._users = 0
+        self._retired = False
+        self._closing: asyncio.Task[None] | None = None
+
+    @property
+    def client(self) -> aiohttp.ClientSession:
+        """Opens and lends its connections."""
+        return self._client
+
+    @property
+    def retired(self) -> bool:
+        """Whether no new call may use it."""
+        return self._retired
+
+    def enter(self) -> None:
+        """Count a call in."""
+        self._users += 1
+
+    def leave(self) -> None:
+        """Count a call out."""
+        self._users -= 1
+        self._close_if_idle()
+
+    def retire(self) -> None:
+        """Use the connections no more."""
+        self._retired = True
+        self._close_if_idle()
+
+    def _close_if_idle(self) -> None:
+        if self._retired and not self._users and self._closing is None:
+            self._closing = asyncio.ensure_future(self._client.close())
+
+
 class HttpAnswer:
-    """An answer over HTTP."""
+    """
+    An answer over HTTP.
+
+    :param response: headers read, body to come.
+    :param timeout: seconds between two chunks.
+    :param on_break: called if the connection breaks or goes silent.
+    :param on_close: called once, when the answer is done with.
+    """
 
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
+    def __init__(
+        self,
+        response: aiohttp.ClientResponse,
+        timeout: float,
+        on_break: Callable[[], None],
+        on_close: Callable[[], None],
+    ) -> None:
         self._response = response
+        self._timeout = timeout
+        self._on_break = on_break
+        self._on_close = on_close
+        self._scope: asyncio.Timeout | None = None
+        self._interrupted = False
+        self._closed = False
 
     @property
     def status(self) -> int:
@@ -87,99 +178,178 @@
 
     async def read_chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it comes; raise ``BackendError`` if it breaks."""
-        chunks = self._response.content.iter_any()
-        while True:
-            try:
-                async with asyncio.timeout(CHUNK_TIMEOUT):
-                    chunk = await anext(chunks)
-            except StopAsyncIteration:
-                return
-            except TimeoutError as error:
-                raise ServerSilent("no chunk in time", sent=True) from error
-            except (aiohttp.ClientError, OSError) as error:
-                raise ServerLost(repr(error), sent=True) from error
+        read = self._response.content.readany
+        while chunk := await self._read(read):
             yield chunk
 
+    def interrupt(self) -> None:
+        """Make the reader raise ``RunPreempted``."""
+        self._interrupted = True
+        if self._scope is not None:
+            self._scope.reschedule(asyncio.get_running_loop().time())
+
     def close(self) -> None:
         """Give the connection up, or back if the body was read."""
+        if self._closed:
+            return
+        self._closed = True
         self._response.close()
+        self._on_close()
+
+    async def _read(self, read: Callable[[], Awaitable[bytes]]) -> bytes:
+        if self._interrupted:
+            raise RunPreempted
+        try:
+            async with asyncio.timeout(self._timeout) as self._scope:
+                return await read()
+        except TimeoutError as error:
+            if self._interrupted:
+                raise RunPreempted from error
+            self._on_break()
+            raise ServerSilent("no chunk in time", sent=True) from error
+        except BROKEN as error:
+            self._on_break()
+            raise ServerLost(repr(error), sent=True) from error
+        except aiohttp.ClientError as error:
+            raise AnswerInvalid(repr(error), sent=True) from error
+        finally:
+            self._scope = None
 
 
 class HttpBackends:
     """
-    A pool of connections for each backend server.
+    A generation of pooled connections for each backend server.
 
     A call that is not idempotent gets a connection of its own: a pooled one
     may have gone silent.
+
+    :param timeouts: progress timeouts.
     """
 
-    def __init__(self) -> None:
-        self._clients: dict[str, aiohttp.ClientSession] = {}
+    def __init__(self, timeouts: ProgressTimeouts | None = None) -> None:
+        self._timeouts = timeouts or ProgressTimeouts()
+        self._generations: dict[str, Generation] = {}
+        self._single: Generation | None = None
 
     async def send(
         self, server: BackendServer, call: Call, *, resume_from: int = 0
     ) -> HttpAnswer:
         """Send a call and return the answer once its headers are read."""
-        client = self._find_client(server, fresh=not call.rule.idempotent)
-        headers = list(call.headers)
-        if resume_from:
-            headers.append(("Resume-From", str(resume_from)))
-        if call.token:
-            headers.append(("Idempotency-Key", call.token))
-        url = URL(f"http://{server.address}{call.path}", encoded=True)
+        generation = self._find_generation(server, fresh=not call.rule.idempotent)
+        generation.enter()
+        response: aiohttp.ClientResponse | None = None
         try:
-            async with asyncio.timeout(FIRST_BYTE_TIMEOUT):
-                response = await client.request(
+            response = await self._request(generation, server, call, resume_from)
+            check_refusal(response, idempotent=call.rule.idempotent)
+        except BaseException as error:
+            if response is not None:
+                response.close()
+            generation.leave()
+            if isinstance(error, (ServerSilent, ServerLost)):
+                self._retire(server, generation)
+            raise
+        on_break = functools.partial(self._retire, server, generation)
+        return HttpAnswer(response, self._timeouts.chunk, on_break, generation.leave)
+
+    async def close(self) -> None:
+        """Close every connection."""
+        generations = [*self._generations.values(), self._single]
+        for generation in generations:
+            if generation is not None:
+                await generation.client.close()
+
+    async def _request(
+        self, generation: Generation, server: BackendServer, call: Call, resume: int
+    ) -> aiohttp.ClientResponse:
+        try:
+            async with asyncio.timeout(self._timeouts.first_byte):
+                return await generation.client.request(
                     call.method,
-                    url,
-                    headers=headers,
+                    URL(f"http://{server.address}{call.path}", encoded=True),
+                    headers=build_headers(call, resume),
                     data=call.body or None,
                     allow_redirects=False,
                 )
-        except TimeoutError as error:
-            if isinstance(error, aiohttp.ConnectionTimeoutError):
-                raise ConnectFailed(repr(error), sent=False) from error
-            raise ServerSilent("no answer in time", sent=True) from error
-        except aiohttp.ClientConnectorError as error:
-            raise ConnectFailed(repr(error), sent=False) from error
-        except (aiohttp.ClientError, OSError) as error:
-            raise ServerLost(repr(error), sent=True) from error
-        finally:
-            if not call.rule.idempotent:
-                client.detach()
-        self._check_refusal(response)
-        return HttpAnswer(response)
+        except Exception as error:
+            raise classify(error) from error
 
-    async def close(self) -> None:
-        """Close every connection."""
-        for client in self._clients.values():
-            await client.close()
+    def _retire(self, server: BackendServer, broken: Generation) -> None:
+        current = self._generations.get(server.address)
+        if current is not None and broken in (current, self._single):
+            current.retire()
 
-    def _check_refusal(self, response: aiohttp.ClientResponse) -> None:
-        if response.status != 503:
-            return
-        leaving = response.headers.get("Connection", "").lower() == "close"
-        response.close()
-        if leaving:
-            raise ServerLeaving("the server is leaving", sent=False)
-        raise ServerOverloaded("the server is at capacity", sent=False)
-
-    def _find_client(
-        self, server: BackendServer, *, fresh: bool
-    ) -> aiohttp.ClientSession:
+    def _find_generation(self, server: BackendServer, *, fresh: bool) -> Generation:
         if fresh:
-            return self._create_client(force_close=True)
-        client = self._clients.get(server.address)
-        if client is None:
-            client = self._clients[server.address] = self._create_client()
-        return client
-
-    def _create_client(self, *, force_close: bool = False) -> aiohttp.ClientSession:
+            if self._single is None:
+                self._single = Generation(self._create_client(force_close=True))
+            return self._single
+        generation = self._generations.get(server.address)
+        if generation is None or generation.retired:
+            generation = Generation(self._create_client(force_close=False))
+            self._generations[server.address] = generation
+        return generation
+
+    def _create_client(self, *, force_close: bool) -> aiohttp.ClientSession:
         connector = aiohttp.TCPConnector(limit=0, force_close=force_close)
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT)
-        return aiohttp.ClientSession(
+        connect = self._timeouts.connect
+        client = aiohttp.ClientSession(
             connector=connector,
-            timeout=timeout,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent"),
+            max_field_size=LARGEST_HEADER,
+            max_line_size=LARGEST_HEADER,
         )
+        # A resend inside the library would escape the retry budget, and hide
+        # that the first attempt may have run.
+        client._retry_connection = False
+        return client
+
+
+def build_headers(call: Call, resume_from: int) -> list[tuple[str, str]]:
+    """Return the headers of a call as a backend server gets them."""
+    headers = list(call.headers)
+    headers.append(("Request-Id", call.request_id))
+    if resume_from:
+        headers.append(("Resume-From", str(resume_from)))
+    if call.token:
+        headers.append(("Idempotency-Key", call.token))
+    carrier: dict[str, str] = {}
+    propagate.inject(carrier)
+    headers.extend(carrier.items())
+    return headers
+
+
+def classify(error: Exception) -> Exception:
+    """Return the failure of an attempt that an exception stands for."""
+    if isinstance(error, aiohttp.ConnectionTimeoutError):
+        return ConnectFailed(repr(error), sent=False)
+    if isinstance(error, aiohttp.ClientConnectorError):
+        return ConnectFailed(repr(error), sent=False)
+    if isinstance(error, TimeoutError):
+        return ServerSilent("no answer in time", sent=True)
+    if isinstance(error, BROKEN):
+        return ServerLost(repr(error), sent=True)
+    if isinstance(error, aiohttp.ClientError):
+        return AnswerInvalid(repr(error), sent=True)
+    return error
+
+
+def check_refusal(response: aiohttp.ClientResponse, *, idempotent: bool) -> None:
+    """
+    Raise if a server refused a call that may be tried elsewhere.
+
+    Only the header ``Was-Run: no`` says that the call did not run. Without
+    it, the 503 of a call that is not idempotent is the answer.
+
+    :raises BackendError: if the call may be tried elsewhere.
+    """
+    if response.status != 503:
+        return
+    declared = response.headers.get(WAS_RUN_HEADER, "").lower() == "no"
+    if not idempotent and not declared:
+        return
+    leaving = response.headers.get("Connection", "").lower() == "close"
+    kind: type[BackendError] = ServerLeaving if leaving else ServerOverloaded
+    raise kind("the server answered 503", sent=not declared)
--- a/src/sycamorehaven/transport/callers.py
+++ b/src/sycamorehaven/transport/callers.py
@@ -2,39 +2,47 @@
 
 from __future__ import annotations
 
-import hashlib
-import hmac
+import asyncio
 import secrets
+import ssl
 import time
 from typing import TYPE_CHECKING, Protocol
 
+from absl import logging
 from aiohttp import web
 from mode import Service
+from opentelemetry import propagate, trace
 
-from sycamorehaven.call import BATCH, INTERACTIVE, Answer, Call
+from sycamorehaven.exceptions.base import SycamorehavenError
 from sycamorehaven.exceptions.refusals import (
-    BadRequest,
-    BodyTooLarge,
     Draining,
-    InvalidWorkspaceKey,
+    InternalError,
     NotReady,
     Refusal,
-    UnknownService,
 )
 from sycamorehaven.settings import split_address
-from sycamorehaven.transport.headers import filter_request
-from sycamorehaven.transport.problems import build_problem
+from sycamorehaven.transport.problems import (
+    PROTOCOL_OPTIONS,
+    ProblemProtocol,
+    answer_problems,
+    build_problem,
+    check_expectation,
+)
+from sycamorehaven.transport.requests import CallReader, authenticate, check_head
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from sycamorehaven.blackboard.board import Blackboard
-    from sycamorehaven.configuration.model import Configuration, Workspace
+    from sycamorehaven.call import Answer, Call
     from sycamorehaven.settings import RouterSettings
 
-DEFAULT_TIMEOUT = 600.0
-"""Seconds for a request that names no timeout."""
-LONGEST_TIMEOUT = 86_400.0
+METHODS = ("DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT")
+"""Methods that pass to backend servers."""
+BACKLOG = 1_024
+"""Connections that the kernel may hold before they are accepted."""
+
+tracer = trace.get_tracer("sycamorehaven")
 
 
 class CallHandler(Protocol):
@@ -67,36 +75,87 @@
         self._settings = settings
         self._handler = handler
         self._clock = clock
+        self._reader = CallReader(settings.body_limit)
 
     async def on_start(self) -> None:
         """Bind the listener."""
-        application = web.Application(client_max_size=self._settings.body_limit)
-        application.router.add_route(
-            "*", "/v1/services/{service}/{path:.*}", self._serve
+        application = web.Application(
+            client_max_size=self._settings.body_limit + 1,
+            middlewares=[answer_problems],
         )
+        for method in METHODS:
+            application.router.add_route(
+                method,
+                "/v1/services/{service}/{path:.*}",
+                self._serve,
+                expect_handler=check_expectation,
+            )
         self._runner = web.AppRunner(
             application, handler_cancellation=True, access_log=None
         )
         await self._runner.setup()
         host, port = split_address(self._settings.callers_address)
-        await web.TCPSite(self._runner, host, port).start()
+        self._listener = await asyncio.get_running_loop().create_server(
+            self._create_protocol,
+            host,
+            port,
+            backlog=BACKLOG,
+            ssl=self._create_tls(),
+        )
 
     async def on_stop(self) -> None:
         """Close the listener and its connections."""
+        self._listener.close()
         await self._runner.cleanup()
 
+    def _create_protocol(self) -> web.RequestHandler:
+        server = self._runner.server
+        assert server is not None
+        loop = asyncio.get_running_loop()
+        return ProblemProtocol(server, loop=loop, **PROTOCOL_OPTIONS)
+
+    def _create_tls(self) -> ssl.SSLContext | None:
+        if not self._settings.certificate:
+            return None
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        context.load_cert_chain(self._settings.certificate, self._settings.private_key)
+        return context
+
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         request_id = secrets.token_hex(8)
         self._board.lifecycle.enter()
         try:
+            with tracer.start_as_current_span(
+                "edge",
+                context=propagate.extract(request.headers),
+                kind=trace.SpanKind.SERVER,
+                attributes={"request.id": request_id},
+            ):
+                return await self._answer(request, request_id)
+        finally:
+            self._board.lifecycle.leave()
+
+    async def _answer(
+        self, request: web.Request, request_id: str
+    ) -> web.StreamResponse:
+        workspace, call = "", None
+        try:
+            check_head(request)
             call = await self._read_call(request, request_id)
+            workspace = call.workspace.name
             answer = await self._handler.answer(call)
         except Refusal as refusal:
+            self._board.outcomes.count_refusal(workspace, refusal.code)
             return build_problem(refusal, request_id)
-        else:
-            return await self._stream(request, answer, request_id)
-        finally:
-            self._board.lifecycle.leave()
+        except Exception:
+            logging.exception("request %s failed", request_id)
+            failure = InternalError(
+                "the router failed while it handled the request",
+                was_run="unknown" if call else "no",
+            )
+            self._board.outcomes.count_refusal(workspace, failure.code)
+            return build_problem(failure, request_id)
+        return await self._stream(request, answer, request_id)
 
     async def _stream(
         self, request: web.Request, answer: Answer, request_id: str
@@ -110,12 +169,14 @@
             async for chunk in answer.chunks:
                 await response.write(chunk)
             await response.write_eof()
+        except SycamorehavenError as error:
+            logging.warning("answer to request %s broke off: %s", request_id, error)
+            abort(request)
         except BaseException:
-            if request.transport is not None:
-                request.transport.abort()
+            abort(request)
             raise
         finally:
-            await answer.chunks.aclose()  # type: ignore[attr-defined]
+            await answer.chunks.aclose()
         return response
 
     async def _read_call(self, request: web.Request, request_id: str) -> Call:
@@ -125,84 +186,12 @@
         if configuration is None:
             raise NotReady("no configuration yet", retry_after=1.0)
         workspace = authenticate(request, configuration)
-        name = request.match_info["service"]
-        service = configuration.services.get(name)
-        if service is None:
-            raise UnknownService(f"no service {name!r}")
-        prefix = f"/v1/services/{name}"
-        path = request.raw_path.removeprefix(prefix)
-        rule = service.match_rule(request.method, request.path.removeprefix(prefix))
-        return Call(
-            request_id=request_id,
-            workspace=workspace,
-            service=service,
-            rule=rule,
-            method=request.method,
-            path=path,
-            headers=filter_request(request.headers.items()),
-            body=await self._read_body(request),
-            priority=read_priority(request),
-            deadline=self._clock()
-            + read_number(request, "Request-Timeout", DEFAULT_TIMEOUT, LONGEST_TIMEOUT),
-            cost_hint=read_number(request, "Cost-Hint", 0.0, service.largest_cost),
-            token=request.headers.get("Idempotency-Token", ""),
+        return await self._reader.read(
+            request, request_id, workspace, configuration, self._clock()
         )
 
-    async def _read_body(self, request: web.Request) -> bytes:
-        try:
-            return await request.read()
-        except web.HTTPRequestEntityTooLarge as error:
-            raise BodyTooLarge(
-                f"the limit is {self._settings.body_limit} bytes"
-            ) from error
-
-
-def authenticate(request: web.Request, configuration: Configuration) -> Workspace:
-    """
-    Return the workspace whose key the request bears.
-
-    Every key is compared, in constant time, so that timing tells nothing.
-
-    :raises InvalidWorkspaceKey: if there is none.
-    """
-    kind, _, key = request.headers.get("Authorization", "").partition(" ")
-    digest = hashlib.sha256(key.strip().encode()).hexdigest()
-    found = None
-    for workspace in configuration.workspaces.values():
-        if hmac.compare_digest(digest, workspace.key_sha256):
-            found = workspace
-    if kind.lower() != "bearer" or found is None:
-        raise InvalidWorkspaceKey("the key belongs to no workspace")
-    return found
-
-
-def read_priority(request: web.Request) -> str:
-    """
-    Return the request's class, interactive unless it says batch.
 
-    :raises BadRequest: for any other class.
-    """
-    priority = request.headers.get("Priority-Class", INTERACTIVE)
-    if priority not in (INTERACTIVE, BATCH):
-        raise BadRequest(f"Priority-Class {priority!r} is not interactive or batch")
-    return priority
-
-
-def read_number(
-    request: web.Request, header: str, default: float, largest: float
-) -> float:
-    """
-    Return a positive number from a header, at most ``largest``.
-
-    :raises BadRequest: if it is not one.
-    """
-    text = request.headers.get(header)
-    if text is None:
-        return default
-    try:
-        number = float(text)
-    except ValueError:
-        number = 0.0
-    if not 0.0 < number < float("inf"):
-        raise BadRequest(f"{header} {text!r} is not a positive number")
-    return min(number, largest)
+def abort(request: web.Request) -> None:
+    """Break the connection, so that no answer looks whole."""
+    if request.transport is not None:
+        request.transport.abort()
--- a/src/sycamorehaven/transport/messages.py
+++ b/src/sycamorehaven/transport/messages.py
@@ -346,23 +346,29 @@
     :ivar fingerprint: xxh3-128 of the request, 16 bytes.
     :ivar strike: unique per loss, so that repeats count once.
     :ivar age: seconds since the loss.
+    :ivar server: the backend server.
+    :ivar ran: seconds that the request had run.
+    :ivar alone: whether no other suspect was on the server.
     """
 
     fingerprint: bytes
     strike: int
     age: float
+    server: str
+    ran: float
+    alone: bool
 
 
 class SuspectRequest(NamedTuple):
     """
-    A request to be the only one to run a suspect request.
+    A request for the lease on a suspect run, or on a server for one.
 
-    :ivar fingerprint: of the request, 16 bytes.
-    :ivar number: echoed by the reply.
-    :ivar release: whether the run has ended.
+    :ivar key: fingerprint of the request or of the server, 16 bytes.
+    :ivar number: of the lease at the asker; the same number renews it.
+    :ivar release: whether the lease ends.
     """
 
-    fingerprint: bytes
+    key: bytes
     number: int
     release: bool
 
@@ -371,16 +377,28 @@
     """
     The answer to ``SuspectRequest``.
 
-    :ivar fingerprint: of the request, 16 bytes.
+    :ivar key: the request's.
     :ivar number: the request's.
-    :ivar allowed: whether the run may start.
+    :ivar allowed: whether the asker holds the lease.
     """
 
-    fingerprint: bytes
+    key: bytes
     number: int
     allowed: bool
 
 
+class Acquittal(NamedTuple):
+    """
+    A suspect request was answered whole; earlier strikes are forgotten.
+
+    :ivar fingerprint: xxh3-128 of the request, 16 bytes.
+    :ivar age: seconds since the end of the answer.
+    """
+
+    fingerprint: bytes
+    age: float
+
+
 class TokenRecord(NamedTuple):
     """
     A finished token.
@@ -454,4 +472,5 @@
     TokenHandover,
     RetrySpend,
     IdleNotice,
+    Acquittal,
 )
--- a/src/sycamorehaven/transport/problems.py
+++ b/src/sycamorehaven/transport/problems.py
@@ -3,14 +3,38 @@
 from __future__ import annotations
 
 import math
+import secrets
 from http import HTTPStatus
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import msgspec
+from absl import logging
 from aiohttp import web
+from aiohttp.http_exceptions import LineTooLong
+
+from sycamorehaven.exceptions.refusals import (
+    BadRequest,
+    BodyTooLarge,
+    HeadersTooLarge,
+    InternalError,
+    MethodNotAllowed,
+    Refusal,
+    UnknownPath,
+)
 
 if TYPE_CHECKING:
-    from sycamorehaven.exceptions.refusals import Refusal
+    from collections.abc import Awaitable, Callable
+
+    from aiohttp.web_request import BaseRequest
+
+PROTOCOL_OPTIONS: dict[str, Any] = {
+    "access_log": None,
+    "auto_decompress": False,
+    "max_field_size": 32_768,
+    "max_line_size": 16_384,
+    "max_headers": 128,
+}
+"""Limits of the HTTP parser, bytes and counts; bodies pass undecoded."""
 
 
 def build_problem(refusal: Refusal, request_id: str) -> web.Response:
@@ -36,3 +60,79 @@
         headers=headers,
         content_type="application/problem+json",
     )
+
+
+@web.middleware
+async def answer_problems(
+    request: web.Request,
+    handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+) -> web.StreamResponse:
+    """Answer what no route takes, and what a route fails to, as a problem."""
+    request_id = secrets.token_hex(8)
+    try:
+        return await handler(request)
+    except web.HTTPMethodNotAllowed as error:
+        allowed = ", ".join(sorted(error.allowed_methods))
+        response = build_problem(
+            MethodNotAllowed(f"the path takes {allowed}"), request_id
+        )
+        response.headers["Allow"] = allowed
+        return response
+    except web.HTTPException as error:
+        return build_problem(describe_status(error.status), request_id)
+    except Refusal as refusal:
+        return build_problem(refusal, request_id)
+    except Exception:
+        logging.exception("request %s failed", request_id)
+        failure = InternalError("the router failed", was_run="unknown")
+        return build_problem(failure, request_id)
+
+
+def describe_status(status: int) -> Refusal:
+    """Return the refusal for a status that the HTTP library chose."""
+    if status == HTTPStatus.NOT_FOUND:
+        return UnknownPath("the router serves no such path")
+    if status == HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
+        return BodyTooLarge("the body passes the limit")
+    return BadRequest(f"the request cannot be served: {HTTPStatus(status).phrase}")
+
+
+async def check_expectation(request: web.Request) -> web.StreamResponse | None:
+    """Let a caller send the body it announces, or refuse it beforehand."""
+    limit = request.client_max_size
+    refusal: Refusal | None = None
+    if request.headers.get("Expect", "").lower() != "100-continue":
+        refusal = BadRequest("the only known Expect is 100-continue")
+    elif (request.content_length or 0) >= limit:
+        refusal = BodyTooLarge(f"the limit is {limit - 1} bytes")
+    if refusal is not None:
+        return build_problem(refusal, secrets.token_hex(8))
+    await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    request.writer.output_size = 0
+    return None
+
+
+class ProblemProtocol(web.RequestHandler):
+    """Answers also what is not valid HTTP with a problem document."""
+
+    def handle_error(
+        self,
+        request: BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,  # noqa: ARG002
+    ) -> web.StreamResponse:
+        """Return the answer to a request that could not be read or served."""
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer has begun")
+        refusal: Refusal
+        if isinstance(exc, LineTooLong):
+            refusal = HeadersTooLarge("a line of the request is too long")
+        elif status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            refusal = BadRequest("the request is not valid HTTP")
+        else:
+            logging.error("a request failed", exc_info=exc)
+            refusal = InternalError("the router failed", was_run="unknown")
+        response = build_problem(refusal, secrets.token_hex(8))
+        response.force_close()
+        return response
