Show a router to operators and add the basic commands

Operators could see a router's members and readiness only. The interface on its own listener now gives status, queues, service received with the fairness gap, finished spans, metrics and the configuration without key hashes; with an admin key set every path but the probes needs it, compared by digest in constant time. The command-line tool reads these, checks both texts and makes keys.

The gap starts level for a workspace that becomes backlogged, as the scheduler's lift does; the plain difference of totals was ruled out because idleness from before would show as a gap.

--- a/src/sycamorehaven/console/application.py
+++ b/src/sycamorehaven/console/application.py
@@ -4,10 +4,29 @@
 
 import typer
 
+from sycamorehaven.console.commands.configuration import configuration_commands
+from sycamorehaven.console.commands.keys import keys_commands
+from sycamorehaven.console.commands.members import show_members
+from sycamorehaven.console.commands.queues import show_queues
 from sycamorehaven.console.commands.settings import settings_commands
+from sycamorehaven.console.commands.status import show_status
+from sycamorehaven.console.commands.traces import show_traces
+from sycamorehaven.console.commands.workspaces import show_workspaces
 
-application = typer.Typer(no_args_is_help=True, add_completion=False)
+application = typer.Typer(
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_show_locals=False,
+    help="Look at a fleet, check its texts, make keys, drive load.",
+)
 application.add_typer(settings_commands, name="settings")
+application.add_typer(configuration_commands, name="configuration")
+application.add_typer(keys_commands, name="keys")
+application.command("status")(show_status)
+application.command("members")(show_members)
+application.command("queues")(show_queues)
+application.command("workspaces")(show_workspaces)
+application.command("traces")(show_traces)
 
 
 def main() -> None:
--- /dev/null
+++ b/src/sycamorehaven/console/client.py
@@ -0,0 +1,68 @@
+"""Reads a router's interface for operators."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from sycamorehaven.exceptions.console import (
+    AdminAnswerMalformed,
+    AdminRejected,
+    AdminUnreachable,
+)
+
+TIMEOUT = 5.0
+"""Seconds for one answer."""
+
+
+class AdminClient:
+    """
+    Reads documents of one router.
+
+    :param address: URL or ``ip:port`` of the ``[admin]`` listener.
+    :param key: the admin key, or "".
+    """
+
+    def __init__(self, address: str, key: str = "") -> None:
+        self._url = address if "://" in address else f"http://{address}"
+        self._key = key
+
+    def read(self, path: str, **query: str) -> dict[str, Any]:
+        """
+        Return a document.
+
+        :raises ConsoleError: if there is none.
+        """
+        status, body = asyncio.run(self._fetch(path, query))
+        try:
+            document = msgspec.json.decode(body, type=dict[str, Any])
+        except msgspec.MsgspecError as error:
+            raise AdminAnswerMalformed(f"{self._url} sent no JSON object") from error
+        if status != 200:
+            raise _describe_rejection(status, document)
+        return document
+
+    async def _fetch(self, path: str, query: dict[str, str]) -> tuple[int, bytes]:
+        headers = {"Authorization": f"Bearer {self._key}"} if self._key else {}
+        timeout = aiohttp.ClientTimeout(total=TIMEOUT)
+        try:
+            async with (
+                aiohttp.ClientSession(headers=headers, timeout=timeout) as client,
+                client.get(self._url.rstrip("/") + path, params=query) as response,
+            ):
+                return response.status, await response.read()
+        except aiohttp.InvalidURL as error:
+            raise AdminUnreachable(f"{self._url!r} is not an address") from error
+        except TimeoutError as error:
+            raise AdminUnreachable(f"no answer from {self._url} in time") from error
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise AdminUnreachable(f"{self._url}: {error}") from error
+
+
+def _describe_rejection(status: int, document: dict[str, Any]) -> AdminRejected:
+    detail = str(document.get("detail", f"status {status}"))
+    remedy = document.get("remedy")
+    return AdminRejected(detail, remedy=str(remedy) if remedy else None)
--- /dev/null
+++ b/src/sycamorehaven/console/commands/configuration.py
@@ -0,0 +1,53 @@
+"""``sycamorehaven configuration``: checks the operators' text."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from sycamorehaven.configuration.acceptance import accept_text
+from sycamorehaven.console.options import JsonOption
+from sycamorehaven.console.output import EXIT_INVALID, print_json
+from sycamorehaven.exceptions.faults import ConfigurationError, Fault
+
+configuration_commands = typer.Typer(
+    no_args_is_help=True, help="The operators' configuration text."
+)
+CHECKED_REVISION = 1
+"""The revision does not matter to a check."""
+
+
+@configuration_commands.callback()
+def describe() -> None:
+    """Work with the operators' configuration text."""
+
+
+@configuration_commands.command("check")
+def check_configuration(
+    file: Annotated[Path, typer.Argument(help="TOML file with the text.")],
+    json: JsonOption = False,
+) -> None:
+    """Check a text as every router would; exit 0 if it is right, 2 if not."""
+    faults = find_faults(file)
+    if json:
+        print_json({"valid": not faults, "faults": [f._asdict() for f in faults]})
+    else:
+        for fault in faults:
+            typer.echo(fault.format(), err=True)
+    if faults:
+        raise typer.Exit(EXIT_INVALID)
+    if not json:
+        typer.echo("the configuration is valid")
+
+
+def find_faults(file: Path) -> list[Fault]:
+    """Return every fault of the text in a file."""
+    try:
+        accept_text(file.read_bytes(), CHECKED_REVISION)
+    except OSError as error:
+        return [Fault(str(file), "unreadable", str(error), "name a readable file")]
+    except ConfigurationError as error:
+        return error.faults
+    return []
--- /dev/null
+++ b/src/sycamorehaven/console/commands/queues.py
@@ -0,0 +1,27 @@
+"""``sycamorehaven queues``: what waits at one router."""
+
+from __future__ import annotations
+
+from sycamorehaven.console.client import AdminClient
+from sycamorehaven.console.options import (
+    DEFAULT_ADMIN,
+    AdminOption,
+    JsonOption,
+    KeyOption,
+)
+from sycamorehaven.console.output import print_json, print_table, report_errors
+
+COLUMNS = ("service", "workspace", "priority", "waiting", "oldest_age", "permits")
+
+
+def show_queues(
+    admin: AdminOption = DEFAULT_ADMIN, key: KeyOption = "", json: JsonOption = False
+) -> None:
+    """Show a router's queues, the oldest ages in seconds, and its permits."""
+    with report_errors():
+        document = AdminClient(admin, key).read("/v1/queues")
+        if json:
+            print_json(document)
+            return
+        rows = [[row[name] for name in COLUMNS] for row in document["queues"]]
+        print_table("Queues", COLUMNS, rows)
--- a/src/sycamorehaven/console/commands/settings.py
+++ b/src/sycamorehaven/console/commands/settings.py
@@ -7,7 +7,9 @@
 
 import typer
 
-from sycamorehaven.exceptions.faults import SettingsError
+from sycamorehaven.console.options import JsonOption
+from sycamorehaven.console.output import EXIT_INVALID, print_json
+from sycamorehaven.exceptions.faults import Fault, SettingsError
 from sycamorehaven.settings import RouterSettings
 
 settings_commands = typer.Typer(no_args_is_help=True, help="Settings of a router.")
@@ -21,12 +23,25 @@
 @settings_commands.command("check")
 def check_settings(
     file: Annotated[Path, typer.Argument(help="TOML file with the settings.")],
+    json: JsonOption = False,
 ) -> None:
     """Check a settings file; exit 0 if it is right, 2 if not."""
+    faults = find_faults(file)
+    if json:
+        print_json({"valid": not faults, "faults": [f._asdict() for f in faults]})
+    else:
+        for fault in faults:
+            typer.echo(fault.format(), err=True)
+    if faults:
+        raise typer.Exit(EXIT_INVALID)
+    if not json:
+        typer.echo("the settings are valid")
+
+
+def find_faults(file: Path) -> list[Fault]:
+    """Return every fault of the settings in a file."""
     try:
         RouterSettings.from_file(file)
     except SettingsError as error:
-        for fault in error.faults:
-            typer.echo(fault.format(), err=True)
-        raise typer.Exit(2) from error
-    typer.echo("the settings are valid")
+        return error.faults
+    return []
--- /dev/null
+++ b/src/sycamorehaven/console/commands/traces.py
@@ -0,0 +1,47 @@
+"""``sycamorehaven traces``: finished spans of one router."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import typer
+
+from sycamorehaven.console.client import AdminClient
+from sycamorehaven.console.options import (
+    DEFAULT_ADMIN,
+    AdminOption,
+    JsonOption,
+    KeyOption,
+)
+from sycamorehaven.console.output import print_json, print_table, report_errors
+
+MILLISECONDS = 1_000
+"""Milliseconds in a second."""
+
+
+def show_traces(
+    admin: AdminOption = DEFAULT_ADMIN,
+    key: KeyOption = "",
+    json: JsonOption = False,
+    trace: Annotated[str, typer.Option(help="Show this trace only.")] = "",
+    limit: Annotated[int, typer.Option(min=1, max=2_000, help="Spans to show.")] = 100,
+) -> None:
+    """Show the last finished spans of a router."""
+    with report_errors():
+        query = {"trace_id": trace, "limit": str(limit)}
+        document = AdminClient(admin, key).read("/v1/traces", **query)
+        if json:
+            print_json(document)
+            return
+        rows = [
+            (
+                span["trace_id"],
+                span["parent_id"] or "-",
+                span["span_id"],
+                span["name"],
+                f"{span['duration'] * MILLISECONDS:.2f}",
+                span["status"],
+            )
+            for span in document["spans"]
+        ]
+        print_table("Spans", ("trace", "parent", "span", "hop", "ms", "status"), rows)
--- /dev/null
+++ b/src/sycamorehaven/console/output.py
@@ -0,0 +1,67 @@
+"""Prints results for people and for programs."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import typer
+from rich.console import Console
+from rich.table import Table
+
+from sycamorehaven.exceptions.base import SycamorehavenError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator, Sequence
+
+EXIT_FAILED = 1
+EXIT_INVALID = 2
+PIPE_WIDTH = 120
+"""Columns of a table that is not printed on a terminal."""
+
+
+def print_json(document: Any) -> None:
+    """Print a document as indented JSON."""
+    encoded = msgspec.json.format(msgspec.json.encode(document), indent=2)
+    typer.echo(encoded.decode())
+
+
+def print_table(
+    title: str, columns: Sequence[str], rows: Iterable[Sequence[Any]]
+) -> None:
+    """Print a table; numbers stand to the right."""
+    table = Table(title=title, title_justify="left")
+    lines = [[format_cell(cell) for cell in row] for row in rows]
+    for index, column in enumerate(columns):
+        numeric = bool(lines) and all(_is_number(line[index]) for line in lines)
+        table.add_column(column, justify="right" if numeric else "left")
+    for line in lines:
+        table.add_row(*line)
+    console = Console()
+    if not console.is_terminal:
+        console = Console(width=PIPE_WIDTH)
+    console.print(table, markup=False)
+
+
+def format_cell(value: Any) -> str:
+    """Return a value as the text of a cell."""
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:.3f}"
+    return str(value)
+
+
+@contextlib.contextmanager
+def report_errors() -> Iterator[None]:
+    """Turn an error of the project into one line and exit status 1."""
+    try:
+        yield
+    except SycamorehavenError as error:
+        typer.echo(f"error: {error}", err=True)
+        raise typer.Exit(EXIT_FAILED) from error
+
+
+def _is_number(text: str) -> bool:
+    return text.replace(".", "", 1).replace("-", "", 1).isdigit()
--- a/src/sycamorehaven/daemon.py
+++ b/src/sycamorehaven/daemon.py
@@ -15,13 +15,16 @@
 from sycamorehaven.router import Router
 from sycamorehaven.settings import RouterSettings
 from sycamorehaven.telemetry.logs import configure_logs
+from sycamorehaven.telemetry.traces import Tracing
 
 EXIT_USAGE = 2
 
 
 async def run_router(settings: RouterSettings) -> None:
     """Run a router until SIGTERM or SIGINT, then drain it."""
-    router = Router.from_settings(settings)
+    tracing = Tracing.from_settings(settings)
+    tracing.install()
+    router = Router.from_settings(settings, tracing.buffer)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -36,6 +39,7 @@
     ):
         pass
     await router.stop()
+    await tracing.close()
     logging.info("router %s stopped", router.board.identity.format())
 
 
--- a/src/sycamorehaven/router.py
+++ b/src/sycamorehaven/router.py
@@ -13,6 +13,8 @@
 from sycamorehaven.controllers.permits import PermitController
 from sycamorehaven.controllers.scheduling import SchedulingController
 from sycamorehaven.controllers.servers import HttpLoadSource, ServerController
+from sycamorehaven.telemetry.monitor import Monitor
+from sycamorehaven.telemetry.traces import SpanBuffer
 from sycamorehaven.transport.admin import AdminListener
 from sycamorehaven.transport.backends import HttpBackends
 from sycamorehaven.transport.callers import CallerListener
@@ -30,10 +32,14 @@
     All services of one router.
 
     :param settings: settings of this process.
+    :param spans: finished spans to show to operators.
     """
 
-    def __init__(self, settings: RouterSettings) -> None:
+    def __init__(
+        self, settings: RouterSettings, spans: SpanBuffer | None = None
+    ) -> None:
         super().__init__()
+        self._spans = spans or SpanBuffer()
         self._settings = settings
         self._board = Blackboard.from_settings(settings)
         self._platform = HttpPlatform.from_settings(settings)
@@ -41,9 +47,11 @@
         self._backends = HttpBackends()
 
     @classmethod
-    def from_settings(cls, settings: RouterSettings) -> Router:
+    def from_settings(
+        cls, settings: RouterSettings, spans: SpanBuffer | None = None
+    ) -> Router:
         """Return a router that has not started."""
-        return cls(settings)
+        return cls(settings, spans)
 
     @property
     def board(self) -> Blackboard:
@@ -56,8 +64,10 @@
         peers = ZmqPeers(board, settings)
         permits = PermitController(board, peers)
         calls = CallController(board, permits, self._backends)
+        monitor = Monitor(board)
         return [
-            AdminListener(board, settings),
+            monitor,
+            AdminListener(board, settings, monitor, self._spans),
             peers,
             MembershipController(board, peers, settings),
             ConfigurationController(board, peers, self._platform),
--- a/src/sycamorehaven/settings.py
+++ b/src/sycamorehaven/settings.py
@@ -23,6 +23,8 @@
 """Largest request body, bytes."""
 DEFAULT_DRAIN_TIMEOUT = 600.0
 """Longest graceful shutdown, seconds."""
+DEFAULT_TRACE_RATIO = 0.1
+"""Part of the requests without a ``traceparent`` that are traced."""
 
 
 class RouterTable(TypedDict):
@@ -65,10 +67,11 @@
 
 
 class TelemetryTable(TypedDict):
-    """The ``[telemetry]`` table: log level and trace collector."""
+    """The ``[telemetry]`` table: log level, trace collector and sampling."""
 
     level: NotRequired[Annotated[str, Meta(pattern="^(debug|info|warning|error)$")]]
     otlp_url: NotRequired[Url]
+    trace_ratio: NotRequired[Annotated[float, Meta(ge=0, le=1)]]
 
 
 class ShutdownTable(TypedDict):
@@ -104,6 +107,7 @@
     :ivar otlp_url: OTLP trace collector, or "".
     :ivar drain_timeout: longest graceful shutdown, seconds.
     :ivar peer_faults: path of a file of faults to inject, for tests, or "".
+    :ivar trace_ratio: part of the requests without a parent that are traced.
     """
 
     host: str
@@ -123,6 +127,7 @@
     otlp_url: str
     drain_timeout: float
     peer_faults: str
+    trace_ratio: float = DEFAULT_TRACE_RATIO
 
     @classmethod
     def from_file(cls, path: Path) -> RouterSettings:
@@ -284,6 +289,7 @@
         platform_url=tables["platform"]["url"].rstrip("/"),
         level=tables["telemetry"].get("level", "info"),
         otlp_url=tables["telemetry"].get("otlp_url", ""),
+        trace_ratio=tables["telemetry"].get("trace_ratio", DEFAULT_TRACE_RATIO),
         drain_timeout=tables["shutdown"].get("drain_timeout", DEFAULT_DRAIN_TIMEOUT),
         peer_faults=tables["testing"].get("peer_faults", ""),
     )
--- /dev/null
+++ b/src/sycamorehaven/telemetry/documents.py
@@ -0,0 +1,220 @@
+"""What operators are shown of a router, as plain JSON-able documents."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any, TypedDict
+
+from sycamorehaven import __version__
+
+if TYPE_CHECKING:
+    from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.configuration.model import Configuration, Service
+    from sycamorehaven.telemetry.monitor import Monitor
+
+UNITS = {"model": "tokens", "plain": "slot seconds"}
+"""Unit of service by kind of service."""
+
+
+class QueueDocument(TypedDict):
+    """Requests of one queue at this router; ages in seconds."""
+
+    service: str
+    workspace: str
+    priority: str
+    waiting: int
+    oldest_age: float
+    permits: int
+
+
+class ShareDocument(TypedDict):
+    """
+    One workspace's part of a service.
+
+    ``received`` is fleet-wide, in the service's unit; ``share`` is its part
+    of what all received, ``entitled`` its weight's part of all weights.
+    """
+
+    workspace: str
+    weight: float
+    received: float
+    share: float
+    entitled: float
+    waiting: int
+
+
+class ServiceDocument(TypedDict):
+    """
+    One service.
+
+    ``gap`` is the present fairness gap in units per weight,
+    ``gap_in_requests`` the same in units of the largest request.
+    """
+
+    service: str
+    unit: str
+    gap: float
+    gap_in_requests: float
+    largest_gap: float
+    backlogged: list[str]
+    workspaces: list[ShareDocument]
+
+
+def list_reasons(board: Blackboard) -> list[str]:
+    """Return why the router is not ready; nothing if it is."""
+    reasons = []
+    if board.configuration.current is None:
+        reasons.append("no configuration yet")
+    if board.lifecycle.draining:
+        reasons.append("shutting down")
+    return reasons
+
+
+def build_status(board: Blackboard, monitor: Monitor) -> dict[str, Any]:
+    """Return who the router is and how it does."""
+    reasons = list_reasons(board)
+    configuration = board.configuration.current
+    return {
+        "host": board.identity.host,
+        "incarnation": board.identity.incarnation,
+        "version": __version__,
+        "failure_domain": board.members.own.failure_domain,
+        "uptime": round(monitor.uptime, 3),
+        "ready": not reasons,
+        "reasons": reasons,
+        "draining": board.lifecycle.draining,
+        "in_progress": board.lifecycle.in_progress,
+        "waiting": sum(len(queue) for _, queue in board.queues.list()),
+        "permits": len(board.permits.list()),
+        "members": len(board.members.list()),
+        "configuration_revision": board.configuration.revision,
+        "configuration_digest": configuration.digest if configuration else "",
+        "configuration_refused": build_refused(board),
+        "refusals": _sum_refusals(board),
+        "events": dict(board.outcomes.events),
+    }
+
+
+def build_refused(board: Blackboard) -> dict[str, Any] | None:
+    """Return the newest refused text's revision and faults, if any."""
+    if board.configuration.refused is None:
+        return None
+    revision, error = board.configuration.refused
+    return {"revision": revision, "faults": [f._asdict() for f in error.faults]}
+
+
+def build_members(board: Blackboard) -> dict[str, Any]:
+    """Return the live routers."""
+    return {"members": [member._asdict() for member in board.members.list()]}
+
+
+def build_queues(board: Blackboard) -> dict[str, Any]:
+    """Return this router's queues and the permits held for each."""
+    now = time.monotonic()
+    rows: dict[tuple[str, str, str], QueueDocument] = {}
+    for key, queue in board.queues.list():
+        oldest = now - min((waiting.since for waiting in queue), default=now)
+        rows[key] = QueueDocument(
+            service=key.service,
+            workspace=key.workspace,
+            priority=key.priority,
+            waiting=len(queue),
+            oldest_age=round(oldest, 3),
+            permits=0,
+        )
+    for permit in board.permits.list():
+        place = (permit.service, permit.workspace, permit.priority)
+        row = rows.setdefault(place, _create_empty_queue(*place))
+        row["permits"] += 1
+    return {"queues": [rows[place] for place in sorted(rows)]}
+
+
+def build_workspaces(board: Blackboard, monitor: Monitor) -> dict[str, Any]:
+    """Return the service that each workspace received, and the gaps."""
+    configuration = board.configuration.current
+    if configuration is None:
+        return {"services": []}
+    monitor.observe()
+    return {
+        "services": [
+            _build_service(board, monitor, configuration, service)
+            for service in configuration.services.values()
+        ]
+    }
+
+
+def build_configuration(board: Blackboard) -> dict[str, Any]:
+    """Return the configuration in force without the workspaces' keys."""
+    current = board.configuration.current
+    document: dict[str, Any] = {
+        "revision": board.configuration.revision,
+        "refused": build_refused(board),
+    }
+    if current is None:
+        return document
+    document["digest"] = current.digest
+    document["workspaces"] = {
+        name: {k: v for k, v in row._asdict().items() if k != "key_sha256"}
+        for name, row in current.workspaces.items()
+    }
+    document["services"] = {
+        name: {**row._asdict(), "calls": [rule._asdict() for rule in row.calls]}
+        for name, row in current.services.items()
+    }
+    document["servers"] = {n: row._asdict() for n, row in current.servers.items()}
+    return document
+
+
+def _sum_refusals(board: Blackboard) -> dict[str, int]:
+    totals: dict[str, int] = {}
+    for (_, code), count in board.outcomes.refusals.items():
+        totals[code] = totals.get(code, 0) + count
+    return totals
+
+
+def _create_empty_queue(service: str, workspace: str, priority: str) -> QueueDocument:
+    return QueueDocument(
+        service=service,
+        workspace=workspace,
+        priority=priority,
+        waiting=0,
+        oldest_age=0.0,
+        permits=0,
+    )
+
+
+def _build_service(
+    board: Blackboard, monitor: Monitor, configuration: Configuration, service: Service
+) -> ServiceDocument:
+    tracker = monitor.find_gap(service.name)
+    return ServiceDocument(
+        service=service.name,
+        unit=UNITS[service.kind],
+        gap=round(tracker.gap, 6),
+        gap_in_requests=round(tracker.gap / service.largest_cost, 6),
+        largest_gap=round(tracker.largest, 6),
+        backlogged=sorted(monitor.list_backlogged(service.name)),
+        workspaces=_build_shares(board, configuration, service.name),
+    )
+
+
+def _build_shares(
+    board: Blackboard, configuration: Configuration, service: str
+) -> list[ShareDocument]:
+    received = {
+        name: board.counters.sum_service(service, name)
+        for name in configuration.workspaces
+    }
+    total = sum(received.values()) or 1.0
+    weights = sum(row.weight for row in configuration.workspaces.values())
+    return [
+        ShareDocument(
+            workspace=name,
+            weight=row.weight,
+            received=round(received[name], 6),
+            share=round(received[name] / total, 6),
+            entitled=round(row.weight / weights, 6),
+            waiting=board.queues.count(service, name),
+        )
+        for name, row in sorted(configuration.workspaces.items())
+    ]
--- a/src/sycamorehaven/telemetry/logs.py
+++ b/src/sycamorehaven/telemetry/logs.py
@@ -9,14 +9,22 @@
 import msgspec
 from absl import logging
 
+from sycamorehaven.telemetry.context import get_request_id, get_trace_id
+
 if TYPE_CHECKING:
     from sycamorehaven.settings import RouterSettings
 
+QUIET_LIBRARIES = ("mode", "aiohttp", "asyncio", "opentelemetry", "urllib3")
+"""Loggers of libraries whose lines below a warning are left out."""
+
 
 class JsonFormatter(standard_logging.Formatter):
     """
     Formats a record as one line of JSON.
 
+    A line that belongs to a request bears its ``request_id`` and, if it is
+    traced, its ``trace_id``.
+
     :param host: the router's host.
     """
 
@@ -30,13 +38,25 @@
             "time": round(record.created, 6),
             "level": record.levelname.lower(),
             "host": self._host,
+            "logger": record.name,
             "module": record.module,
             "message": record.getMessage(),
         }
-        if record.exc_info:
-            line["exception"] = self.formatException(record.exc_info)
+        if request_id := get_request_id():
+            line["request_id"] = request_id
+        if trace_id := get_trace_id():
+            line["trace_id"] = trace_id
+        if record.exc_info and record.exc_info[1] is not None:
+            line["exception"] = self._describe(record.exc_info[1])
+            line["traceback"] = self.formatException(record.exc_info)
         return msgspec.json.encode(line).decode()
 
+    def _describe(self, error: BaseException) -> dict[str, str]:
+        fields = {"type": type(error).__name__, "message": str(error)}
+        if code := getattr(error, "code", ""):
+            fields["code"] = str(code)
+        return fields
+
 
 def configure_logs(settings: RouterSettings) -> None:
     """Send every log record to standard error as JSON lines."""
@@ -45,3 +65,5 @@
     handler.python_handler.stream = sys.stderr
     logging.use_absl_handler()
     logging.set_verbosity(settings.level)
+    for name in QUIET_LIBRARIES:
+        standard_logging.getLogger(name).setLevel(standard_logging.WARNING)
--- /dev/null
+++ b/src/sycamorehaven/telemetry/metrics.py
@@ -0,0 +1,212 @@
+"""
+Metrics of one router, read from its blackboard when they are scraped.
+
+No metric is labelled by workspace: at a thousand workspaces that would be
+most of the scrape. ``/v1/workspaces`` gives those figures.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, Protocol
+
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.registry import Collector
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Mapping
+
+    from prometheus_client.core import Metric
+
+    from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.telemetry.fairness import GapTracker
+
+PREFIX = "sycamorehaven_"
+
+
+class GapSource(Protocol):
+    """Knows the fairness gap of each service."""
+
+    def find_gap(self, service: str) -> GapTracker:
+        """Return the tracker of a service."""
+        ...
+
+
+def build_counter(
+    name: str,
+    help_text: str,
+    labels: tuple[str, ...],
+    values: Mapping[tuple[str, ...], float],
+) -> Metric:
+    """Return a counter with one sample for each tuple of label values."""
+    family = CounterMetricFamily(PREFIX + name, help_text, labels=labels)
+    for key, value in sorted(values.items()):
+        family.add_metric(key, value)
+    return family
+
+
+def build_gauge(
+    name: str,
+    help_text: str,
+    labels: tuple[str, ...],
+    values: Mapping[tuple[str, ...], float],
+) -> Metric:
+    """Return a gauge with one sample for each tuple of label values."""
+    family = GaugeMetricFamily(PREFIX + name, help_text, labels=labels)
+    for key, value in sorted(values.items()):
+        family.add_metric(key, value)
+    return family
+
+
+def _tuple_keys(counts: Mapping[str, float]) -> dict[tuple[str, ...], float]:
+    return {(name,): value for name, value in counts.items()}
+
+
+class BoardCollector(Collector):
+    """
+    Turns the blackboard's sections into metrics.
+
+    :param board: the state of this router.
+    :param gaps: knows the fairness gaps.
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(
+        self, board: Blackboard, gaps: GapSource, clock: Callable[[], float]
+    ) -> None:
+        self._board = board
+        self._gaps = gaps
+        self._clock = clock
+
+    def collect(self) -> Iterable[Metric]:
+        """Yield every metric."""
+        yield from self._collect_router()
+        yield from self._collect_outcomes()
+        yield from self._collect_queues()
+        yield from self._collect_service()
+        yield from self._collect_traffic()
+
+    def _collect_router(self) -> Iterable[Metric]:
+        board = self._board
+        ready = board.configuration.current is not None and not board.lifecycle.draining
+        states: Counter[tuple[str, ...]] = Counter(
+            (member.state,) for member in board.members.list()
+        )
+        yield build_gauge("ready", "Whether requests are taken.", (), {(): ready})
+        yield build_gauge(
+            "requests_in_progress",
+            "Requests that are not answered yet.",
+            (),
+            {(): board.lifecycle.in_progress},
+        )
+        yield build_gauge("members", "Routers by state.", ("state",), states)
+        yield build_gauge(
+            "configuration_revision",
+            "Revision in force.",
+            (),
+            {(): board.configuration.revision},
+        )
+        refused = board.configuration.refused
+        yield build_gauge(
+            "configuration_refused_revision",
+            "Revision of the newest text refused since, 0 for none.",
+            (),
+            {(): refused[0] if refused else 0},
+        )
+
+    def _collect_outcomes(self) -> Iterable[Metric]:
+        outcomes = self._board.outcomes
+        answers: Counter[tuple[str, ...]] = Counter()
+        for (service, _, status), count in outcomes.answers.items():
+            answers[service, str(status)] += count
+        refusals: Counter[tuple[str, ...]] = Counter()
+        for (_, code), count in outcomes.refusals.items():
+            refusals[(code,)] += count
+        yield build_counter(
+            "answers", "Answers relayed whole.", ("service", "status"), answers
+        )
+        yield build_counter("refusals", "Refusals by code.", ("code",), refusals)
+        yield build_counter(
+            "events",
+            "Retries, resumptions, preemptions and the like.",
+            ("event",),
+            _tuple_keys(outcomes.events),
+        )
+
+    def _collect_queues(self) -> Iterable[Metric]:
+        now = self._clock()
+        lengths: Counter[tuple[str, ...]] = Counter()
+        ages: dict[tuple[str, ...], float] = {}
+        for key, queue in self._board.queues.list():
+            place = (key.service, key.priority)
+            lengths[place] += len(queue)
+            oldest = now - min((w.since for w in queue), default=now)
+            ages[place] = max(ages.get(place, 0.0), oldest)
+        labels = ("service", "priority")
+        yield build_gauge("queue_length", "Requests that wait.", labels, lengths)
+        yield build_gauge(
+            "queue_oldest_age_seconds", "Age of the oldest of them.", labels, ages
+        )
+        permits: Counter[tuple[str, ...]] = Counter(
+            (permit.service, permit.priority) for permit in self._board.permits.list()
+        )
+        yield build_gauge("permits_held", "Permits held.", labels, permits)
+
+    def _collect_service(self) -> Iterable[Metric]:
+        configuration = self._board.configuration.current
+        if configuration is None:
+            return
+        gaps: dict[tuple[str, ...], float] = {}
+        ratios: dict[tuple[str, ...], float] = {}
+        for name, service in configuration.services.items():
+            gaps[(name,)] = self._gaps.find_gap(name).gap
+            ratios[(name,)] = gaps[(name,)] / service.largest_cost
+        yield build_gauge(
+            "fairness_gap_units",
+            "Most less least service per weight of workspaces that wait here.",
+            ("service",),
+            gaps,
+        )
+        yield build_gauge(
+            "fairness_gap_requests",
+            "The same, in units of the largest request.",
+            ("service",),
+            ratios,
+        )
+        yield from self._collect_servers()
+
+    def _collect_servers(self) -> Iterable[Metric]:
+        configuration = self._board.configuration.current
+        running: Counter[tuple[str, ...]] = Counter()
+        capacity: Counter[tuple[str, ...]] = Counter()
+        for server in configuration.servers.values() if configuration else ():
+            status = self._board.servers.get(server.name)
+            if status.reported_at:
+                running[(server.service,)] += status.running
+                capacity[(server.service,)] += status.capacity
+        labels = ("service",)
+        yield build_gauge(
+            "server_running", "Requests that servers report.", labels, running
+        )
+        yield build_gauge(
+            "server_capacity", "Slots that servers report.", labels, capacity
+        )
+        busy = {place: running[place] / capacity[place] for place in +capacity}
+        yield build_gauge("utilisation_ratio", "Part of slots busy.", labels, busy)
+
+    def _collect_traffic(self) -> Iterable[Metric]:
+        traffic = self._board.traffic
+        rows = (
+            ("control_sent_messages", "Peer messages sent.", traffic.sent),
+            ("control_sent_bytes", "Bytes of them.", traffic.sent_bytes),
+            ("control_received_messages", "Peer messages received.", traffic.received),
+            ("control_received_bytes", "Bytes of them.", traffic.received_bytes),
+        )
+        for name, help_text, counts in rows:
+            yield build_counter(name, help_text, ("kind",), _tuple_keys(counts))
+        yield build_counter(
+            "control_dropped_messages",
+            "Peer messages dropped by cause.",
+            ("cause",),
+            _tuple_keys(traffic.dropped),
+        )
--- /dev/null
+++ b/src/sycamorehaven/telemetry/monitor.py
@@ -0,0 +1,96 @@
+"""Watches a router: fairness gap, event loop lag and metrics registry."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from mode import Service
+from prometheus_client import CollectorRegistry, Histogram, generate_latest
+from prometheus_client.gc_collector import GCCollector
+from prometheus_client.process_collector import ProcessCollector
+
+from sycamorehaven.telemetry.fairness import GapTracker
+from sycamorehaven.telemetry.metrics import BoardCollector
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sycamorehaven.blackboard.board import Blackboard
+
+PERIOD = 0.5
+"""Seconds between two observations."""
+LAG_BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 5.0)
+"""Upper bounds of the event loop lag's histogram, seconds."""
+
+
+class Monitor(Service):
+    """
+    Observes the blackboard at a fixed period.
+
+    :param board: the state of this router.
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(
+        self, board: Blackboard, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        super().__init__()
+        self._board = board
+        self._clock = clock
+        self._started_at = clock()
+        self._trackers: dict[str, GapTracker] = {}
+        self._registry = CollectorRegistry()
+        self._lag = Histogram(
+            "sycamorehaven_event_loop_lag_seconds",
+            "Time by which the event loop woke a sleeper late.",
+            buckets=LAG_BUCKETS,
+            registry=self._registry,
+        )
+        self._registry.register(BoardCollector(board, self, clock))
+        ProcessCollector(registry=self._registry)
+        GCCollector(registry=self._registry)
+
+    @property
+    def uptime(self) -> float:
+        """Seconds since the start of the router."""
+        return self._clock() - self._started_at
+
+    def find_gap(self, service: str) -> GapTracker:
+        """Return the tracker of a service."""
+        return self._trackers.setdefault(service, GapTracker())
+
+    def list_backlogged(self, service: str) -> set[str]:
+        """Return the workspaces whose requests wait at this router."""
+        return {
+            key.workspace
+            for key, queue in self._board.queues.list()
+            if key.service == service and queue
+        }
+
+    def render_metrics(self) -> bytes:
+        """Return every metric in the text format of Prometheus."""
+        self.observe()
+        return generate_latest(self._registry)
+
+    def observe(self) -> None:
+        """Bring the gaps up to date."""
+        configuration = self._board.configuration.current
+        if configuration is None:
+            return
+        for service in configuration.services:
+            received = {
+                name: self._board.counters.sum_service(service, name)
+                / configuration.workspaces[name].weight
+                for name in self.list_backlogged(service)
+                if name in configuration.workspaces
+            }
+            self.find_gap(service).observe(received)
+
+    @Service.task
+    async def _watch(self) -> None:
+        while not self.should_stop:
+            before = self._clock()
+            await self.sleep(PERIOD)
+            self._lag.observe(max(self._clock() - before - PERIOD, 0.0))
+            self.observe()
--- a/src/sycamorehaven/transport/admin.py
+++ b/src/sycamorehaven/transport/admin.py
@@ -2,16 +2,41 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import hashlib
+import hmac
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
 
+import msgspec
+from absl import logging
 from aiohttp import web
 from mode import Service
 
+from sycamorehaven.exceptions.admin import (
+    AdminRefusal,
+    InvalidAdminKey,
+    InvalidAdminQuery,
+    ReadOnlyInterface,
+    UnknownAdminPath,
+)
 from sycamorehaven.settings import split_address
+from sycamorehaven.telemetry import documents
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.settings import RouterSettings
+    from sycamorehaven.telemetry.monitor import Monitor
+    from sycamorehaven.telemetry.traces import SpanBuffer
+
+    Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+OPEN_PATHS = frozenset({"/livez", "/readyz"})
+"""Paths that need no key, for balancers."""
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+MOST_SPANS = 2_000
+"""Spans that one request may ask for."""
 
 
 class AdminListener(Service):
@@ -20,20 +45,26 @@
 
     :param board: the state of this router.
     :param settings: settings of this process.
+    :param monitor: fairness gaps and metrics.
+    :param spans: finished spans.
     """
 
-    def __init__(self, board: Blackboard, settings: RouterSettings) -> None:
+    def __init__(
+        self,
+        board: Blackboard,
+        settings: RouterSettings,
+        monitor: Monitor,
+        spans: SpanBuffer,
+    ) -> None:
         super().__init__()
         self._board = board
         self._settings = settings
+        self._monitor = monitor
+        self._spans = spans
 
     async def on_start(self) -> None:
         """Bind the listener."""
-        application = web.Application()
-        application.router.add_get("/livez", self._show_live)
-        application.router.add_get("/readyz", self._show_ready)
-        application.router.add_get("/v1/members", self._show_members)
-        self._runner = web.AppRunner(application, access_log=None)
+        self._runner = web.AppRunner(self.build_application(), access_log=None)
         await self._runner.setup()
         host, port = split_address(self._settings.admin_address)
         await web.TCPSite(self._runner, host, port).start()
@@ -42,20 +73,122 @@
         """Close the listener."""
         await self._runner.cleanup()
 
+    def build_application(self) -> web.Application:
+        """Return the HTTP application."""
+        application = web.Application(middlewares=[self._guard])
+        routes = {
+            "/livez": self._show_live,
+            "/readyz": self._show_ready,
+            "/metrics": self._show_metrics,
+            "/v1/status": self._show_status,
+            "/v1/members": self._show_members,
+            "/v1/queues": self._show_queues,
+            "/v1/workspaces": self._show_workspaces,
+            "/v1/traces": self._show_traces,
+            "/v1/configuration": self._show_configuration,
+        }
+        for path, handler in routes.items():
+            application.router.add_get(path, handler)
+        return application
+
+    @web.middleware
+    async def _guard(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        try:
+            self._authorize(request)
+            return await handler(request)
+        except AdminRefusal as refusal:
+            return build_admin_problem(refusal)
+        except web.HTTPMethodNotAllowed:
+            return build_admin_problem(
+                ReadOnlyInterface(f"{request.method} is not answered")
+            )
+        except web.HTTPNotFound:
+            return build_admin_problem(UnknownAdminPath(f"no path {request.path!r}"))
+        except Exception:
+            logging.exception("the request for %s failed", request.path)
+            return build_admin_problem(AdminRefusal("the request failed"))
+
+    def _authorize(self, request: web.Request) -> None:
+        wanted = self._settings.admin_key_sha256
+        if not wanted or request.path in OPEN_PATHS:
+            return
+        kind, _, key = request.headers.get("Authorization", "").partition(" ")
+        digest = hashlib.sha256(key.strip().encode("utf-8", "replace")).hexdigest()
+        if not hmac.compare_digest(digest, wanted) or kind.lower() != "bearer":
+            raise InvalidAdminKey("the key is missing or wrong")
+
     async def _show_live(self, _request: web.Request) -> web.Response:
-        return web.json_response({"live": True})
+        return build_document({"live": True})
 
     async def _show_ready(self, _request: web.Request) -> web.Response:
-        reasons = []
-        if self._board.configuration.current is None:
-            reasons.append("no configuration yet")
-        if self._board.lifecycle.draining:
-            reasons.append("shutting down")
-        status = 503 if reasons else 200
-        return web.json_response(
-            {"ready": not reasons, "reasons": reasons}, status=status
-        )
+        reasons = documents.list_reasons(self._board)
+        status = HTTPStatus.SERVICE_UNAVAILABLE if reasons else HTTPStatus.OK
+        return build_document({"ready": not reasons, "reasons": reasons}, status)
+
+    async def _show_metrics(self, _request: web.Request) -> web.Response:
+        body = self._monitor.render_metrics()
+        return web.Response(body=body, headers={"Content-Type": METRICS_TYPE})
+
+    async def _show_status(self, _request: web.Request) -> web.Response:
+        return build_document(documents.build_status(self._board, self._monitor))
 
     async def _show_members(self, _request: web.Request) -> web.Response:
-        members = [member._asdict() for member in self._board.members.list()]
-        return web.json_response({"members": members})
+        return build_document(documents.build_members(self._board))
+
+    async def _show_queues(self, _request: web.Request) -> web.Response:
+        return build_document(documents.build_queues(self._board))
+
+    async def _show_workspaces(self, _request: web.Request) -> web.Response:
+        return build_document(documents.build_workspaces(self._board, self._monitor))
+
+    async def _show_traces(self, request: web.Request) -> web.Response:
+        limit = read_limit(request)
+        spans = self._spans.list(request.query.get("trace_id", ""), limit)
+        return build_document({"spans": spans})
+
+    async def _show_configuration(self, _request: web.Request) -> web.Response:
+        return build_document(documents.build_configuration(self._board))
+
+
+def read_limit(request: web.Request) -> int:
+    """
+    Return the ``limit`` parameter of a request.
+
+    :raises InvalidAdminQuery: if it is not a number of spans.
+    """
+    text = request.query.get("limit", str(MOST_SPANS))
+    if not text.isascii() or not text.isdigit() or not 0 < int(text) <= MOST_SPANS:
+        raise InvalidAdminQuery(f"limit {text!r} is not between 1 and {MOST_SPANS}")
+    return int(text)
+
+
+def build_document(document: dict[str, Any], status: int = 200) -> web.Response:
+    """Return a document as a JSON answer."""
+    return web.Response(
+        status=status,
+        body=msgspec.json.encode(document),
+        content_type="application/json",
+    )
+
+
+def build_admin_problem(refusal: AdminRefusal) -> web.Response:
+    """Return a refusal as ``application/problem+json`` (RFC 9457)."""
+    headers = {"WWW-Authenticate": "Bearer"} if refusal.status == 401 else {}
+    if refusal.status == 405:
+        headers["Allow"] = "GET, HEAD"
+    document = {
+        "type": "about:blank",
+        "title": HTTPStatus(refusal.status).phrase,
+        "status": refusal.status,
+        "detail": refusal.detail,
+        "code": refusal.code,
+        "remedy": refusal.advice,
+    }
+    return web.Response(
+        status=refusal.status,
+        body=msgspec.json.encode(document),
+        headers=headers,
+        content_type="application/problem+json",
+    )
--- /dev/null
+++ b/tests/console/test_commands.py
@@ -0,0 +1,139 @@
+"""The command-line tool: checks, keys and what a router shows."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import sys
+import tempfile
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import zmq
+from typer.testing import CliRunner
+
+from sycamorehaven.console.application import application
+from tests.support.fixtures import fixture
+from tests.support.fleet import Fleet, find_address
+from tests.support.texts import ServerPlan, write_configuration
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+WRONG_SETTINGS = """
+[router]
+host = "a1"
+failure_domain = "a"
+[callers]
+address = "localhost:1"
+colour = "red"
+[peers]
+address = "127.0.0.1:7002"
+[admin]
+address = "0.0.0.0:7003"
+"""
+
+
+@fixture
+def text_file() -> Iterator[Path]:
+    """Give a path to write a text to."""
+    with tempfile.TemporaryDirectory() as folder:
+        yield Path(folder) / "text.toml"
+
+
+def test_configuration_check_lists_every_fault(text_file: Path) -> None:
+    text = write_configuration([ServerPlan("engine-1", "missing", "127.0.0.1:1")])
+    text += "\n[workspaces.third]\nkey_sha256 = 'x'\nweight = -1\n"
+    text_file.write_text(text)
+    result = CliRunner().invoke(
+        application, ["configuration", "check", str(text_file), "--json"]
+    )
+    assert result.exit_code == 2
+    faults = json.loads(result.stdout)["faults"]
+    paths = {fault["path"] for fault in faults}
+    assert "servers.engine-1.service" in paths
+    assert any(path.startswith("workspaces.third") for path in paths)
+    assert all(fault["code"] and fault["remedy"] for fault in faults)
+
+
+def test_configuration_check_accepts_a_valid_text(text_file: Path) -> None:
+    plan = ServerPlan("engine-1", "assistant", "127.0.0.1:1")
+    text_file.write_text(write_configuration([plan]))
+    result = CliRunner().invoke(application, ["configuration", "check", str(text_file)])
+    assert result.exit_code == 0
+    assert "valid" in result.stdout
+
+
+def test_settings_check_names_key_code_and_remedy(text_file: Path) -> None:
+    text_file.write_text(WRONG_SETTINGS)
+    result = CliRunner().invoke(application, ["settings", "check", str(text_file)])
+    assert result.exit_code == 2
+    assert "callers.colour" in result.stderr
+    assert "[unknown_key]" in result.stderr
+    assert "platform: the table is missing [missing_table]" in result.stderr
+    assert "remedy:" in result.stderr
+
+
+async def test_daemon_ends_with_two_and_no_traceback(text_file: Path) -> None:
+    text_file.write_text(WRONG_SETTINGS)
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "sycamorehaven.daemon",
+        "--settings",
+        str(text_file),
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    _, stderr = await process.communicate()
+    assert process.returncode == 2
+    assert b"callers.colour" in stderr
+    assert b"remedy:" in stderr
+    assert b"Traceback" not in stderr
+
+
+def test_unreachable_router_is_one_line_with_code_and_remedy() -> None:
+    for command in ("status", "members", "queues", "workspaces", "traces"):
+        result = CliRunner().invoke(application, [command, "--admin", find_address()])
+        assert result.exit_code == 1
+        assert "[admin_unreachable]" in result.stderr
+        assert "remedy:" in result.stderr
+        assert len(result.stderr.strip().splitlines()) == 1
+
+
+def test_keys_are_a_pair_and_a_digest() -> None:
+    runner = CliRunner()
+    bearer = json.loads(runner.invoke(application, ["keys", "bearer", "--json"]).stdout)
+    digest = hashlib.sha256(bearer["key"].encode()).hexdigest()
+    assert bearer["key_sha256"] == digest
+    peers = json.loads(runner.invoke(application, ["keys", "peers", "--json"]).stdout)
+    assert zmq.curve_public(peers["secret_key"].encode()) == (
+        peers["public_key"].encode()
+    )
+
+
+async def test_commands_show_a_running_router(fleet: Fleet) -> None:
+    status, _ = await fleet.ask(0, "hello", tokens=7)
+    assert status == 200
+    admin = fleet.routers[0].admin
+
+    async def show(command: str, *options: str) -> str:
+        arguments = [command, "--admin", admin, *options]
+        result = await asyncio.to_thread(CliRunner().invoke, application, arguments)
+        assert result.exit_code == 0, result.output
+        return str(result.stdout)
+
+    document = json.loads(await show("status", "--json"))
+    assert document["ready"]
+    assert document["configuration_revision"] == 1
+    members = json.loads(await show("members", "--json"))["members"]
+    assert [row["host"] for row in members] == ["a1", "a2", "b3"]
+    for command, heading in (
+        ("status", "Router"),
+        ("members", "Members"),
+        ("queues", "Queues"),
+        ("workspaces", "assistant (tokens)"),
+        ("traces", "Spans"),
+    ):
+        assert heading in await show(command)
