Drive open-loop load from the command line

Load was driven by test code only. A seeded plan (TOML or options) now gives each workload's rate, class, sizes and kind; requests start at their drawn time whatever the answers do, and latencies count from that time, so a slow fleet does not hide its queue (a closed loop was ruled out for that reason). Runs are bounded in requests, seconds and requests in flight; what the bound leaves out is counted as not sent. Log lines of a request bear its id.

--- a/src/sycamorehaven/console/application.py
+++ b/src/sycamorehaven/console/application.py
@@ -6,6 +6,7 @@
 
 from sycamorehaven.console.commands.configuration import configuration_commands
 from sycamorehaven.console.commands.keys import keys_commands
+from sycamorehaven.console.commands.load import drive_load
 from sycamorehaven.console.commands.members import show_members
 from sycamorehaven.console.commands.queues import show_queues
 from sycamorehaven.console.commands.settings import settings_commands
@@ -27,8 +28,13 @@
 application.command("queues")(show_queues)
 application.command("workspaces")(show_workspaces)
 application.command("traces")(show_traces)
+application.command("load")(drive_load)
 
 
 def main() -> None:
     """Run the command line."""
     application()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/sycamorehaven/exceptions/load.py
@@ -0,0 +1,19 @@
+"""Errors of the load generator."""
+
+from __future__ import annotations
+
+from sycamorehaven.exceptions.console import ConsoleError
+from sycamorehaven.exceptions.faults import TextError
+
+
+class LoadPlanError(TextError):
+    """A load plan is wrong."""
+
+    code = "invalid_load_plan"
+
+
+class NothingAnswered(ConsoleError):
+    """No request of a run was answered."""
+
+    code = "nothing_answered"
+    remedy = "check --target, the workspace keys and that the routers are ready"
--- /dev/null
+++ b/src/sycamorehaven/load/client.py
@@ -0,0 +1,139 @@
+"""Sends one request of a load run and measures its answer."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import aiohttp
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sycamorehaven.load.arrivals import Arrival
+    from sycamorehaven.load.plan import Workload
+
+TOKEN_PATH = "/v1/idempotency-tokens"
+
+
+class Sample(NamedTuple):
+    """
+    What became of a request.
+
+    :ivar workload: index of its workload.
+    :ivar status: HTTP status, 0 if there was no answer.
+    :ivar code: code of the refusal or failure, "" if it was answered whole.
+    :ivar first_byte: seconds from its due time to the answer's first byte.
+    :ivar total: seconds from its due time to the answer's end.
+    :ivar events: server-sent events of the answer, 0 without any.
+    """
+
+    workload: int
+    status: int
+    code: str
+    first_byte: float
+    total: float
+    events: int
+
+
+class LoadClient:
+    """
+    Sends requests to routers.
+
+    :param session: connections to the routers.
+    :param timeout: seconds after which a request is given up.
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        timeout: float,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._session = session
+        self._timeout = timeout
+        self._clock = clock
+
+    async def send(self, arrival: Arrival, workload: Workload, due: float) -> Sample:
+        """
+        Send a request and read its whole answer.
+
+        :param due: when it should have started; latencies count from then.
+        """
+        try:
+            async with asyncio.timeout(self._timeout):
+                return await self._exchange(arrival, workload, due)
+        except TimeoutError:
+            return self._fail(arrival, "client_timeout", due)
+        except (aiohttp.ClientPayloadError, aiohttp.ServerDisconnectedError):
+            return self._fail(arrival, "answer_broken", due)
+        except (aiohttp.ClientError, OSError):
+            return self._fail(arrival, "connection_failed", due)
+
+    async def _exchange(
+        self, arrival: Arrival, workload: Workload, due: float
+    ) -> Sample:
+        headers = {
+            "Authorization": f"Bearer {workload.key}",
+            "Priority-Class": workload.priority,
+        }
+        if workload.kind == "booking":
+            headers["Idempotency-Token"] = await self._mint(arrival.target, headers)
+        url = f"{arrival.target}/v1/services/{workload.service}{workload.path}"
+        method = "GET" if workload.kind == "lookup" else "POST"
+        async with self._session.request(
+            method, url, headers=headers, json=_build_body(arrival, workload)
+        ) as response:
+            return await self._read(response, arrival, due)
+
+    async def _mint(self, target: str, headers: dict[str, str]) -> str:
+        async with self._session.post(target + TOKEN_PATH, headers=headers) as response:
+            document = await response.read()
+        try:
+            return str(msgspec.json.decode(document)["token"])
+        except (msgspec.MsgspecError, KeyError, TypeError):
+            return ""
+
+    async def _read(
+        self, response: aiohttp.ClientResponse, arrival: Arrival, due: float
+    ) -> Sample:
+        body = await response.content.readany()
+        first_byte = self._clock() - due
+        events = body.count(b"\n\n")
+        async for chunk in response.content.iter_any():
+            events += chunk.count(b"\n\n")
+            body = (body + chunk)[-_KEPT_BYTES:]
+        streamed = response.content_type == "text/event-stream"
+        return Sample(
+            workload=arrival.workload,
+            status=response.status,
+            code="" if response.ok else _read_code(response.status, body),
+            first_byte=first_byte,
+            total=self._clock() - due,
+            events=events if streamed else 0,
+        )
+
+    def _fail(self, arrival: Arrival, code: str, due: float) -> Sample:
+        elapsed = self._clock() - due
+        return Sample(arrival.workload, 0, code, elapsed, elapsed, 0)
+
+
+_KEPT_BYTES = 65_536
+
+
+def _build_body(arrival: Arrival, workload: Workload) -> dict[str, Any] | None:
+    if workload.kind == "lookup":
+        return None
+    if workload.kind == "booking":
+        return {"slot": arrival.prompt}
+    return {"prompt": arrival.prompt, "max_tokens": arrival.tokens}
+
+
+def _read_code(status: int, body: bytes) -> str:
+    try:
+        return str(msgspec.json.decode(body)["code"])
+    except (msgspec.MsgspecError, KeyError, TypeError):
+        return f"status_{status}"
--- a/src/sycamorehaven/transport/callers.py
+++ b/src/sycamorehaven/transport/callers.py
@@ -22,6 +22,7 @@
     UnknownService,
 )
 from sycamorehaven.settings import split_address
+from sycamorehaven.telemetry.context import bind_request
 from sycamorehaven.transport.headers import filter_request
 from sycamorehaven.transport.problems import build_problem
 
@@ -87,6 +88,7 @@
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         request_id = secrets.token_hex(8)
+        bind_request(request_id)
         self._board.lifecycle.enter()
         try:
             call = await self._read_call(request, request_id)
--- a/tests/console/test_commands.py
+++ b/tests/console/test_commands.py
@@ -16,7 +16,7 @@
 from sycamorehaven.console.application import application
 from tests.support.fixtures import fixture
 from tests.support.fleet import Fleet, find_address
-from tests.support.texts import ServerPlan, write_configuration
+from tests.support.texts import ServerPlan, derive_key, write_configuration
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -137,3 +137,16 @@
         ("traces", "Spans"),
     ):
         assert heading in await show(command)
+
+
+async def test_load_reports_shares_and_latencies(fleet: Fleet) -> None:
+    targets = [f"--target=http://{plan.callers}" for plan in fleet.routers]
+    arguments = ["load", "--key", derive_key("oakcourt"), "--requests", "20"]
+    arguments += ["--rate", "100", "--tokens", "3", "--json", *targets]
+    result = await asyncio.to_thread(CliRunner().invoke, application, arguments)
+    assert result.exit_code == 0, result.output
+    document = json.loads(result.stdout)
+    assert document["sent"] == document["answered"] == 20
+    row = document["workloads"][0]
+    assert row["tokens"] == 60
+    assert 0 < row["first_byte"]["p50"] <= row["total"]["p50"] <= row["total"]["p99"]
--- /dev/null
+++ b/tests/load/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the load generator."""
+
+from __future__ import annotations
