--- a/src/sycamorehaven/transport/callers.py
+++ b/src/sycamorehaven/transport/callers.py
@@ -21,6 +21,7 @@
     Refusal,
 )
 from sycamorehaven.settings import split_address
+from sycamorehaven.telemetry.context import bind_request
 from sycamorehaven.transport.problems import (
     PROTOCOL_OPTIONS,
     ProblemProtocol,
@@ -123,6 +124,7 @@
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         request_id = secrets.token_hex(8)
+        bind_request(request_id)
         self._board.lifecycle.enter()
         try:
             with tracer.start_as_current_span(
