Follow the configuration through few readers and send only its changes

Every router watched the service, peers learned of a change with the next probe only, and each fetched the whole text.

Now two routers of each failure domain watch, others read when peers are silent; a new text is announced to 6 members in two rounds and fetched as a difference by digests of its tables; tables are parsed once and kept by their text; texts over 64 KB are accepted on a thread; a new router asks its peers before it believes the service; one revision with two texts is decided by the larger digest and reported; acceptance lists every fault.

Ruled out: deltas computed against a peer's text held whole (memory), and whole texts with a larger period between announcements (8 s bound).

--- a/src/sycamorehaven/blackboard/configuration.py
+++ b/src/sycamorehaven/blackboard/configuration.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sycamorehaven.blackboard.signal import Signal
+from sycamorehaven.configuration.model import Version
 
 if TYPE_CHECKING:
     from sycamorehaven.configuration.model import Configuration
@@ -17,6 +18,8 @@
     def __init__(self) -> None:
         self._current: Configuration | None = None
         self._refused: tuple[int, ConfigurationError] | None = None
+        self._conflicts = 0
+        self._reason = "no configuration yet"
         self._changed = Signal()
 
     @property
@@ -29,6 +32,21 @@
         """Its revision, 0 before the first."""
         return self._current.revision if self._current else 0
 
+    @property
+    def version(self) -> Version:
+        """Its revision and digest."""
+        return self._current.version if self._current else Version(0, "")
+
+    @property
+    def conflicts(self) -> int:
+        """Times that one revision was seen to stand for two texts."""
+        return self._conflicts
+
+    @property
+    def reason(self) -> str:
+        """Why there is no configuration in force, "" if there is one."""
+        return "" if self._current else self._reason
+
     @property
     def refused(self) -> tuple[int, ConfigurationError] | None:
         """Revision and faults of the newest text that was refused."""
@@ -41,7 +59,7 @@
 
     def replace(self, configuration: Configuration) -> bool:
         """Put a newer configuration in force; an older one is ignored."""
-        if configuration.revision <= self.revision:
+        if configuration.version <= self.version:
             return False
         self._current = configuration
         if self._refused and self._refused[0] <= configuration.revision:
@@ -49,6 +67,14 @@
         self._changed.notify()
         return True
 
+    def count_conflict(self) -> None:
+        """Count a revision that stands for two texts."""
+        self._conflicts += 1
+
+    def explain(self, reason: str) -> None:
+        """Note why there is no configuration in force."""
+        self._reason = reason
+
     def refuse(self, revision: int, error: ConfigurationError) -> None:
         """Keep the faults of a refused text for operators."""
         if revision > self.revision:
--- a/src/sycamorehaven/checking.py
+++ b/src/sycamorehaven/checking.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from typing import Any, TypeVar
+import functools
+import math
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple, NotRequired, TypeVar, cast, get_args, get_origin
+from typing import get_type_hints as read_hints
 
 import msgspec
 
@@ -13,6 +16,18 @@
 Table = Mapping[str, Any]
 
 
+class KeyRule(NamedTuple):
+    """
+    What one key of a table must be.
+
+    :ivar kind: type of the value, with its ``msgspec.Meta``.
+    :ivar required: whether the key must be there.
+    """
+
+    kind: Any
+    required: bool
+
+
 def join_path(path: str, key: str) -> str:
     """Return the dotted path of ``key`` below ``path``."""
     return f"{path}.{key}" if path else key
@@ -34,24 +49,70 @@
 
 def convert_table(path: str, table: object, kind: type[T]) -> T | list[Fault]:
     """
-    Return ``table`` as the ``TypedDict`` ``kind``, or the faults found.
+    Return ``table`` as the ``TypedDict`` ``kind``, or every fault found.
 
     :param path: dotted path of the table, for the faults.
     :param kind: a ``TypedDict`` whose annotations may carry ``msgspec.Meta``.
     """
     if not isinstance(table, Mapping):
         return [Fault(path, "not_a_table", "a table is expected", "write a table")]
-    faults = find_unknown_keys(path, table, set(kind.__annotations__))
+    rules = _read_rules(cast("Any", kind))
+    value = _convert_sound(table, kind, rules)
+    if value is not None:
+        return value
+    faults = find_unknown_keys(path, table, set(rules))
+    for key, rule in rules.items():
+        place = join_path(path, key)
+        if key in table:
+            faults += _check_value(place, table[key], rule.kind)
+        elif rule.required:
+            faults.append(
+                Fault(place, "missing_key", "the key is missing", "add the key")
+            )
+    return faults or msgspec.convert(table, kind, strict=True)
+
+
+def _convert_sound(
+    table: Table, kind: type[T], rules: Mapping[str, KeyRule]
+) -> T | None:
+    """Return a sound table, ``None`` if its faults are to be listed."""
+    if not all(key in rules for key in table) or not _are_finite(table.values()):
+        return None
     try:
-        value = msgspec.convert(table, kind, strict=True)
-    except msgspec.ValidationError as error:
-        faults.append(_describe(path, error))
-        return faults
-    return faults or value
-
-
-def _describe(path: str, error: msgspec.ValidationError) -> Fault:
-    detail, _, place = str(error).partition(" - at `$")
-    key = place.rstrip("`").lstrip(".").removeprefix("[...]")
-    full = join_path(path, key) if key else path
-    return Fault(full, "wrong_value", detail, "write a value of this kind")
+        return msgspec.convert(table, kind, strict=True)
+    except (msgspec.ValidationError, OverflowError):
+        return None
+
+
+def _are_finite(values: Iterable[object]) -> bool:
+    return all(math.isfinite(v) for v in values if isinstance(v, float))
+
+
+@functools.cache
+def _read_rules(kind: Any) -> dict[str, KeyRule]:
+    rules: dict[str, KeyRule] = {}
+    for key, hint in read_hints(kind, include_extras=True).items():
+        optional = get_origin(hint) is NotRequired
+        rules[key] = KeyRule(get_args(hint)[0] if optional else hint, not optional)
+    return rules
+
+
+def _check_value(path: str, value: object, kind: Any) -> list[Fault]:
+    if get_origin(kind) is list and isinstance(value, list):
+        (element,) = get_args(kind)
+        return [
+            fault
+            for index, item in enumerate(value)
+            for fault in _check_value(f"{path}[{index}]", item, element)
+        ]
+    if isinstance(value, float) and not math.isfinite(value):
+        return [_describe(path, f"{value} is not a finite number")]
+    try:
+        msgspec.convert(value, kind, strict=True)
+    except (msgspec.ValidationError, OverflowError) as error:
+        return [_describe(path, str(error))]
+    return []
+
+
+def _describe(path: str, detail: str) -> Fault:
+    return Fault(path, "wrong_value", detail, "write a value of this kind")
--- a/src/sycamorehaven/configuration/model.py
+++ b/src/sycamorehaven/configuration/model.py
@@ -96,6 +96,18 @@
     checks_fencing: bool
 
 
+class Version(NamedTuple):
+    """
+    What identifies an accepted text; the larger one is in force.
+
+    :ivar revision: the configuration service's revision, 0 for none.
+    :ivar digest: xxh3-128 of the text, hex, "" for none.
+    """
+
+    revision: int
+    digest: str
+
+
 class Configuration(NamedTuple):
     """
     One accepted text.
@@ -115,6 +127,11 @@
     services: dict[str, Service]
     servers: dict[str, BackendServer]
 
+    @property
+    def version(self) -> Version:
+        """What identifies it."""
+        return Version(self.revision, self.digest)
+
     def list_servers(self, service: str) -> list[BackendServer]:
         """Return the backend servers of a service, by name."""
         return [
--- a/src/sycamorehaven/controllers/configuration.py
+++ b/src/sycamorehaven/controllers/configuration.py
@@ -2,32 +2,40 @@
 
 from __future__ import annotations
 
-import zlib
+import asyncio
+import random as standard_random
+import time
 from typing import TYPE_CHECKING
 
 from absl import logging
 from mode import Service
 
-from sycamorehaven.configuration.acceptance import LARGEST_TEXT, accept_text
-from sycamorehaven.exceptions.faults import ConfigurationError
-from sycamorehaven.transport.messages import (
-    ConfigurationReply,
-    ConfigurationRequest,
-    Probe,
-    ProbeAck,
+from sycamorehaven.configuration.acceptance import accept_text
+from sycamorehaven.configuration.model import Version
+from sycamorehaven.controllers.texts import TextExchange
+from sycamorehaven.decisions.revisions import (
+    ColdStart,
+    ReadState,
+    may_believe,
+    plan_read,
 )
+from sycamorehaven.decisions.roles import choose_readers
+from sycamorehaven.exceptions.faults import ConfigurationError
 from sycamorehaven.transport.platform import PlatformUnavailable
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+    from random import Random
+
     from sycamorehaven.blackboard.board import Blackboard
-    from sycamorehaven.transport.codec import Delivery
+    from sycamorehaven.configuration.model import Configuration
     from sycamorehaven.transport.links import PeerLink
-    from sycamorehaven.transport.platform import ConfigurationSource
+    from sycamorehaven.transport.platform import ConfigurationSource, ConfigurationText
 
-WATCH = 20.0
-"""Seconds that one watch waits for a change."""
-RETRY_DELAY = 0.5
-"""Seconds between reads while the service is down."""
+TICK = 0.1
+"""Seconds between looks at what has become due."""
+INLINE_SIZE = 65_536
+"""Largest text, bytes, that is accepted on the event loop."""
 
 
 class ConfigurationController(Service):
@@ -37,69 +45,145 @@
     :param board: the state of this router.
     :param link: connection to other routers.
     :param source: the configuration service.
+    :param seeds: peer addresses of the settings.
+    :param clock: monotonic seconds.
+    :param random: draws delays and the members that are told.
     """
 
     def __init__(
-        self, board: Blackboard, link: PeerLink, source: ConfigurationSource
+        self,
+        board: Blackboard,
+        link: PeerLink,
+        source: ConfigurationSource,
+        seeds: Iterable[str] = (),
+        clock: Callable[[], float] = time.monotonic,
+        random: Random | None = None,
     ) -> None:
         super().__init__()
         self._board = board
-        self._link = link
         self._source = source
-        link.subscribe(Probe, self._compare)
-        link.subscribe(ProbeAck, self._compare)
-        link.subscribe(ConfigurationRequest, self._answer)
-        link.subscribe(ConfigurationReply, self._take_reply)
+        self._seeds = set(seeds)
+        self._clock = clock
+        self._random = random or standard_random.Random(board.identity.incarnation)
+        self._reads = ReadState(clock(), jitter=self._random.random())
+        self._exchange = TextExchange(board, link, self, clock, self._random)
+        self._accepting: dict[Version, asyncio.Task[None]] = {}
+        board.configuration.explain("no peer has answered yet")
+
+    def submit(self, raw: bytes, version: Version) -> None:
+        """Accept a text and put it in force, if it is valid and newer."""
+        if version in self._accepting:
+            return
+        if len(raw) <= INLINE_SIZE:
+            self._conclude(self._accept(raw, version.revision), version)
+            return
+        task = asyncio.create_task(self._accept_aside(raw, version))
+        self._accepting[version] = task
+        task.add_done_callback(lambda _: self._accepting.pop(version, None))
+
+    @Service.task
+    async def _exchange_texts(self) -> None:
+        while not self.should_stop:
+            self._exchange.tick()
+            await self.sleep(TICK)
 
     @Service.task
     async def _follow(self) -> None:
         while not self.should_stop:
-            try:
-                revision = self._find_newest()
-                text = await self._source.watch(revision, WATCH)
-                if text is not None and text.revision > revision:
-                    self._accept(text.raw, text.revision)
-                elif text is not None:
-                    await self.sleep(RETRY_DELAY)
-            except PlatformUnavailable as error:
-                logging.log_every_n_seconds(logging.WARNING, "%s", 10, error)
-                await self.sleep(RETRY_DELAY)
+            state = self._reads._replace(heard_at=self._exchange.heard_at)
+            plan = plan_read(state, is_reader=self._is_reader(), now=self._clock())
+            if plan.due:
+                await self._read(plan.wait)
+            else:
+                await self.sleep(plan.delay)
+
+    def _is_reader(self) -> bool:
+        own = self._board.identity.host
+        domains = self._board.members.map_domains()
+        domain = self._board.members.own.failure_domain
+        near = [h for h, other in domains.items() if other == domain or h == own]
+        return own in choose_readers(domain, near)
+
+    async def _read(self, wait: float) -> None:
+        self._reads = self._reads._replace(
+            read_at=self._clock(), jitter=self._random.random()
+        )
+        revision = self._find_newest()
+        try:
+            text = await self._source.watch(revision, wait)
+        except PlatformUnavailable as error:
+            self._note_failure(error)
+            return
+        self._reads = self._reads._replace(failures=0)
+        if text is not None and text.revision > revision:
+            await self._take_text(text)
+        elif text is not None:
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                "the configuration service answers with revision %d, %d is known; "
+                "it is ignored [stale_configuration]",
+                10,
+                text.revision,
+                revision,
+            )
+
+    async def _take_text(self, text: ConfigurationText) -> None:
+        while self._board.configuration.current is None and not self._may_believe(
+            text.revision
+        ):
+            await self.sleep(TICK)
+        if text.revision > self._board.configuration.revision:
+            await self._accept_aside(text.raw, Version(text.revision, ""))
+
+    def _may_believe(self, revision: int) -> bool:
+        own = self._board.members.own.address
+        known = {member.address for member in self._board.members.list()}
+        known |= self._seeds | set(self._board.seeds.addresses)
+        start = ColdStart(
+            self._reads.started_at,
+            len(known - {own}),
+            len(self._exchange.heard),
+            self._exchange.newest.revision,
+        )
+        return may_believe(start, revision, self._clock())
+
+    def _note_failure(self, error: PlatformUnavailable) -> None:
+        failures = self._reads.failures + 1
+        self._reads = self._reads._replace(failures=failures)
+        self._board.configuration.explain(
+            f"no peer holds a configuration and the service fails: {error}"
+        )
+        if self._board.configuration.current is None:
+            logging.log_every_n_seconds(
+                logging.WARNING, "not ready: %s", 5, self._board.configuration.reason
+            )
+        else:
+            logging.log_every_n_seconds(logging.WARNING, "%s", 10, error)
 
     def _find_newest(self) -> int:
         refused = self._board.configuration.refused
         return max(self._board.configuration.revision, refused[0] if refused else 0)
 
-    def _accept(self, raw: bytes, revision: int) -> None:
+    async def _accept_aside(self, raw: bytes, version: Version) -> None:
+        if len(raw) <= INLINE_SIZE:
+            accepted = self._accept(raw, version.revision)
+        else:
+            accepted = await asyncio.to_thread(self._accept, raw, version.revision)
+        self._conclude(accepted, version)
+
+    def _accept(self, raw: bytes, revision: int) -> Configuration | ConfigurationError:
         try:
-            configuration = accept_text(raw, revision)
+            return accept_text(raw, revision)
         except ConfigurationError as error:
-            self._board.configuration.refuse(revision, error)
-            logging.error("configuration %d refused: %s", revision, error)
-            return
-        if self._board.configuration.replace(configuration):
-            logging.info("configuration %d in force", revision)
-
-    def _compare(self, delivery: Delivery) -> None:
-        own = self._board.configuration.revision
-        if delivery.message.revision > own:
-            self._link.send_to(delivery.address, ConfigurationRequest(own))
-
-    def _answer(self, delivery: Delivery) -> None:
-        current = self._board.configuration.current
-        if current is None or current.revision <= delivery.message.revision:
-            return
-        compressed = zlib.compress(current.text.encode())
-        reply = ConfigurationReply(current.revision, compressed)
-        self._link.send_to(delivery.address, reply)
+            return error
 
-    def _take_reply(self, delivery: Delivery) -> None:
-        reply: ConfigurationReply = delivery.message
-        if reply.revision <= self._board.configuration.revision:
-            return
-        inflater = zlib.decompressobj()
-        try:
-            raw = inflater.decompress(reply.compressed, LARGEST_TEXT + 1)
-        except zlib.error:
-            self._board.traffic.count_dropped("malformed")
-            return
-        self._accept(raw, reply.revision)
+    def _conclude(
+        self, accepted: Configuration | ConfigurationError, version: Version
+    ) -> None:
+        if isinstance(accepted, ConfigurationError):
+            self._board.configuration.refuse(version.revision, accepted)
+            self._exchange.reject(version)
+            logging.error("configuration %d refused: %s", version.revision, accepted)
+        elif self._board.configuration.replace(accepted):
+            logging.info("configuration %d in force", accepted.revision)
+            self._exchange.announce(accepted)
--- a/src/sycamorehaven/router.py
+++ b/src/sycamorehaven/router.py
@@ -60,7 +60,7 @@
             AdminListener(board, settings),
             peers,
             MembershipController(board, peers, settings),
-            ConfigurationController(board, peers, self._platform),
+            ConfigurationController(board, peers, self._platform, settings.seeds),
             ServerController(board, self._loads),
             SchedulingController(board, peers),
             permits,
--- a/src/sycamorehaven/settings.py
+++ b/src/sycamorehaven/settings.py
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[\w.-]+$")]
-Address = Annotated[str, Meta(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d+$")]
+Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[\w.-]+\Z")]
+Address = Annotated[str, Meta(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d+\Z")]
 Url = Annotated[str, Meta(pattern=r"^https?://")]
 CurveKey = Annotated[str, Meta(min_length=40, max_length=40)]
 
--- a/src/sycamorehaven/transport/messages.py
+++ b/src/sycamorehaven/transport/messages.py
@@ -104,9 +104,13 @@
     A request for a configuration newer than the sender's.
 
     :ivar revision: the sender's revision, 0 for none.
+    :ivar digest: the sender's digest, "" for none.
+    :ivar whole: whether the whole text is wanted, not a difference.
     """
 
     revision: int
+    digest: str
+    whole: bool
 
 
 class ConfigurationReply(NamedTuple):
@@ -114,10 +118,15 @@
     An accepted configuration.
 
     :ivar revision: its revision.
-    :ivar compressed: the text, zlib.
+    :ivar digest: its digest.
+    :ivar base: digest of the text that the difference applies to, "" for a
+        whole text.
+    :ivar compressed: the text or the difference, zlib.
     """
 
     revision: int
+    digest: str
+    base: str
     compressed: bytes
 
 
@@ -433,6 +442,18 @@
     free: int
 
 
+class ConfigurationNotice(NamedTuple):
+    """
+    The sender has put a configuration in force.
+
+    :ivar revision: its revision.
+    :ivar digest: its digest.
+    """
+
+    revision: int
+    digest: str
+
+
 MESSAGE_KINDS: tuple[type, ...] = (
     Probe,
     ProbeAck,
@@ -454,4 +475,5 @@
     TokenHandover,
     RetrySpend,
     IdleNotice,
+    ConfigurationNotice,
 )
--- a/src/sycamorehaven/transport/platform.py
+++ b/src/sycamorehaven/transport/platform.py
@@ -12,8 +12,10 @@
 if TYPE_CHECKING:
     from sycamorehaven.settings import RouterSettings
 
-READ_TIMEOUT = 5.0
-"""Seconds for a read that does not wait."""
+READ_TIMEOUT = 1.5
+"""Seconds for a read that does not wait, and beyond the wait of a watch."""
+LARGEST_ANSWER = 4_000_000
+"""Largest body that is read, bytes."""
 REVISION_HEADER = "Configuration-Revision"
 
 
@@ -130,16 +132,28 @@
         self, path: str, query: dict[str, str], timeout: float
     ) -> tuple[int, str, bytes]:
         if self._client is None:
-            self._client = aiohttp.ClientSession()
+            # A connection that was lost track of would hide changes, so each
+            # call opens its own.
+            connector = aiohttp.TCPConnector(force_close=True)
+            self._client = aiohttp.ClientSession(connector=connector)
         limit = aiohttp.ClientTimeout(total=timeout)
         try:
             async with self._client.get(
                 self._url + path, params=query, timeout=limit
             ) as response:
-                body = await response.read()
+                body = await _read_body(response)
                 if response.status not in (200, 204):
                     raise PlatformUnavailable(f"{path} answered {response.status}")
                 revision = response.headers.get(REVISION_HEADER, "")
                 return response.status, revision, body
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise PlatformUnavailable(f"{path}: {error!r}") from error
+
+
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > LARGEST_ANSWER:
+            raise PlatformUnavailable(f"an answer of more than {LARGEST_ANSWER} bytes")
+    return bytes(body)
--- /dev/null
+++ b/tests/support/large_texts.py
@@ -0,0 +1,43 @@
+"""Configuration texts of the target's size for tests and benchmarks."""
+
+from __future__ import annotations
+
+import hashlib
+
+WORKSPACES = 1_400
+SERVERS = 800
+MODELS = 17
+
+
+def write_large_configuration(
+    workspaces: int = WORKSPACES, servers: int = SERVERS, services: int = MODELS
+) -> str:
+    """Return a text with so many workspaces, servers and services."""
+    parts = [write_workspace(number) for number in range(workspaces)]
+    for number in range(services):
+        parts.append(
+            f'[services.model-{number}]\nkind = "model"\n'
+            f'[[services.model-{number}.calls]]\nmethod = "POST"\n'
+            'path = "/v1/completions"\nidempotent = true\nresumable = true\n'
+        )
+    parts += [write_server(number, number % services) for number in range(servers)]
+    return "\n".join(parts)
+
+
+def write_workspace(number: int, weight: float = 1.0) -> str:
+    """Return the table of one workspace."""
+    digest = hashlib.sha256(str(number).encode()).hexdigest()
+    return (
+        f'[workspaces.workspace-{number}]\nkey_sha256 = "{digest}"\n'
+        f"weight = {weight}\nqueue_limit = 1000\n"
+    )
+
+
+def write_server(number: int, service: int, slots: int = 16) -> str:
+    """Return the table of one backend server."""
+    return (
+        f"[servers.server-{number}]\n"
+        f'address = "10.{number // 250}.{number % 250}.7:8000"\n'
+        f'service = "model-{service}"\nfailure_domain = "domain-{number % 6}"\n'
+        f'slots = {slots}\nslots_ceiling = 64\nmodels = ["model-{service}"]\n'
+    )
