--- /dev/null
+++ b/tests/decisions/test_estimates.py
@@ -0,0 +1,93 @@
+"""Learned cost estimates."""
+
+from __future__ import annotations
+
+import math
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sycamorehaven.decisions.estimates import CostBounds, CostEstimates, CostKey
+
+BOUNDS = CostBounds(expected=200.0, largest=4_000.0)
+KEY = CostKey("assistant", "oakcourt", "interactive")
+
+
+def learn(scale: float, noise: float, seed: int) -> tuple[float, float]:
+    """Return mean log errors of the raw hints and of what was estimated."""
+    rng = random.Random(seed)
+    estimates = CostEstimates()
+    raw, learned = [], []
+    for number in range(300):
+        cost = min(rng.lognormvariate(5.0, 1.2), BOUNDS.largest)
+        hint = cost * scale * math.exp(rng.gauss(0.0, noise))
+        estimate = estimates.estimate(KEY, hint, BOUNDS)
+        estimates.observe(KEY, hint, cost, BOUNDS)
+        if number >= 10:
+            raw.append(abs(math.log(hint / cost)))
+            learned.append(abs(math.log(estimate / cost)))
+    return sum(raw) / len(raw), sum(learned) / len(learned)
+
+
+def test_hints_wrong_by_ten_are_corrected_within_ten_requests() -> None:
+    for scale in (0.1, 10.0):
+        raw, learned = learn(scale, 0.2, seed=1)
+        assert raw > math.log(8.0)
+        assert learned < math.log(2.0), scale
+
+
+def test_hints_that_tell_nothing_do_no_worse_than_the_mean() -> None:
+    raw, learned = learn(1.0, 3.0, seed=2)
+    _, without = learn(1e-12, 30.0, seed=2)
+    assert learned <= 1.2 * without
+    assert learned < raw / 1.5
+
+
+def test_expected_cost_before_any_is_known() -> None:
+    estimates = CostEstimates()
+    assert estimates.estimate(KEY, 0.0, BOUNDS) == 200.0
+    assert estimates.estimate(KEY, 50.0, BOUNDS) == 50.0
+    assert estimates.estimate(KEY, 50_000.0, BOUNDS) == 4_000.0
+
+
+def test_one_heavy_request_moves_the_estimate_by_a_bounded_factor() -> None:
+    estimates = CostEstimates()
+    for _ in range(50):
+        estimates.observe(KEY, 0.0, 10.0, BOUNDS)
+    estimates.observe(KEY, 0.0, 4_000.0, BOUNDS)
+    assert estimates.estimate(KEY, 0.0, BOUNDS) < 14.0
+
+
+def test_lasting_change_is_followed() -> None:
+    estimates = CostEstimates()
+    for _ in range(50):
+        estimates.observe(KEY, 0.0, 10.0, BOUNDS)
+    for _ in range(50):
+        estimates.observe(KEY, 0.0, 1_000.0, BOUNDS)
+    assert estimates.estimate(KEY, 0.0, BOUNDS) > 500.0
+
+
+def test_memory_is_bounded() -> None:
+    estimates = CostEstimates(most_keys=10)
+    for number in range(100):
+        estimates.observe(KEY._replace(workspace=f"w{number}"), 1.0, 5.0, BOUNDS)
+    assert len(estimates) == 10
+    assert estimates.estimate(KEY._replace(workspace="w99"), 0.0, BOUNDS) == 5.0
+    assert estimates.estimate(KEY._replace(workspace="w1"), 0.0, BOUNDS) == 200.0
+
+
+@settings(derandomize=True, deadline=None, max_examples=100)
+@given(
+    st.lists(st.tuples(st.floats(0.0, 1e7), st.floats(0.0, 1e9)), max_size=60),
+    st.floats(0.0, 1e7),
+)
+def test_estimate_stays_within_the_bounds(
+    runs: list[tuple[float, float]], hint: float
+) -> None:
+    estimates = CostEstimates()
+    for given_hint, cost in runs:
+        estimates.observe(KEY, given_hint, cost, BOUNDS)
+    estimate = estimates.estimate(KEY, hint, BOUNDS)
+    assert 0.0 < estimate <= BOUNDS.largest
+    assert math.isfinite(estimate)
