Stop new work to leaving servers by list, report, refusal and peers

Only the scheduler's own load poll said that a server leaves; a refusal, the host list and peers' word were not used, and a paused router sent on with what it knew before. Now two registers a server (host list, the server itself) with versions are spread by gossip in two rounds, repeated while they matter, asked for at the start and after a pause; a server serves again only when neither says leaving. A list or a report that lags ends no leaving. A poller that cannot read a load asks two others before it avoids a server, for at most 8 s; broken connections count once per avoidance.

make test ARGS=tests.controllers.test_notices: 420 routers, 20 % loss, a trip of 0.25 s: no router takes new work for the server after 3 s, from each of the three sources; at most 60 messages a router.

Ruled out: one register for both sources (a lagging report ended the list's leaving); one round of gossip (at 20 % loss some of 420 still took work after 3 s).

--- a/src/sycamorehaven/blackboard/board.py
+++ b/src/sycamorehaven/blackboard/board.py
@@ -6,6 +6,7 @@
 
 from sycamorehaven.blackboard.configuration import ConfigurationSection
 from sycamorehaven.blackboard.counters import CountersSection
+from sycamorehaven.blackboard.leaving import LeavingSection
 from sycamorehaven.blackboard.lifecycle import LifecycleSection
 from sycamorehaven.blackboard.members import Member, MembersSection
 from sycamorehaven.blackboard.outcomes import OutcomesSection
@@ -45,7 +46,8 @@
         self._outcomes = OutcomesSection()
         self._queues = QueuesSection()
         self._permits = PermitsSection()
-        self._servers = ServersSection()
+        self._leaving = LeavingSection()
+        self._servers = ServersSection(self._leaving)
         self._counters = CountersSection(identity)
         self._suspects = SuspectsSection()
 
@@ -105,6 +107,11 @@
         """Permits that this edge holds."""
         return self._permits
 
+    @property
+    def leaving(self) -> LeavingSection:
+        """Which backend servers are leaving."""
+        return self._leaving
+
     @property
     def servers(self) -> ServersSection:
         """What is known of backend servers."""
--- /dev/null
+++ b/src/sycamorehaven/blackboard/leaving.py
@@ -0,0 +1,86 @@
+"""Which backend servers are leaving; written by the notice controller."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sycamorehaven.blackboard.signal import Signal
+from sycamorehaven.decisions.leaving import LEAVING, Register
+
+if TYPE_CHECKING:
+    from collections.abc import Container
+
+LONGEST_GAP = 2.0
+"""Seconds without an update after which what is known counts as old."""
+
+
+class LeavingSection:
+    """
+    Registers by server and source.
+
+    What is known is old while the process has been paused, until peers have
+    been asked again.
+    """
+
+    def __init__(self) -> None:
+        self._registers: dict[str, dict[str, Register]] = {}
+        self._updated_at: float | None = None
+        self._suspended = False
+        self._changed = Signal()
+
+    @property
+    def changed(self) -> Signal:
+        """Raised when a register changes, and when what is known gets old."""
+        return self._changed
+
+    def find(self, server: str, source: str) -> Register | None:
+        """Return what a source last said of a server, ``None`` for nothing."""
+        return self._registers.get(server, {}).get(source)
+
+    def list(self) -> list[tuple[str, str, Register]]:
+        """Return server, source and register of everything that was said."""
+        return [
+            (server, source, register)
+            for server, registers in self._registers.items()
+            for source, register in registers.items()
+        ]
+
+    def put(self, server: str, source: str, register: Register) -> None:
+        """Replace a register."""
+        self._registers.setdefault(server, {})[source] = register
+        self._changed.notify()
+
+    def retain(self, servers: Container[str]) -> None:
+        """Drop the registers of servers that are gone."""
+        for server in [name for name in self._registers if name not in servers]:
+            del self._registers[server]
+
+    def is_leaving(self, server: str) -> bool:
+        """Return whether any source says that a server is leaving."""
+        registers = self._registers.get(server)
+        if registers is None:
+            return False
+        return any(register.state == LEAVING for register in registers.values())
+
+    def find_version(self, server: str) -> int:
+        """Return the largest version of what is known of a server, or 0."""
+        registers = self._registers.get(server, {})
+        return max((register.version for register in registers.values()), default=0)
+
+    def update(self, now: float) -> None:
+        """Note that what is known is up to date."""
+        was_suspended, self._suspended = self._suspended, False
+        self._updated_at = now
+        if was_suspended:
+            self._changed.notify()
+
+    def suspend(self) -> None:
+        """Note that what is known is old until the next update."""
+        self._suspended = True
+        self._changed.notify()
+
+    def is_old(self, now: float) -> bool:
+        """Return whether news may have been missed, as after a pause."""
+        if self._updated_at is None or self._suspended:
+            return self._suspended
+        return now - self._updated_at > LONGEST_GAP
--- a/src/sycamorehaven/blackboard/servers.py
+++ b/src/sycamorehaven/blackboard/servers.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from sycamorehaven.blackboard.leaving import LeavingSection
 from sycamorehaven.blackboard.signal import Signal
 
 
@@ -11,7 +12,8 @@
     """
     A backend server as this router sees it.
 
-    :ivar leaving: whether it takes no new work.
+    :ivar leaving: whether it takes no new work; read only, it comes from
+        the leaving section.
     :ivar version: version of that news, milliseconds since the epoch.
     :ivar running: requests that it last reported as running.
     :ivar capacity: slots that it last reported, 0 if unknown.
@@ -31,11 +33,17 @@
 
 
 class ServersSection:
-    """Statuses by backend server name."""
+    """
+    Statuses by backend server name.
+
+    :param leaving: which servers are leaving.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, leaving: LeavingSection | None = None) -> None:
+        self._leaving = leaving or LeavingSection()
         self._statuses: dict[str, ServerStatus] = {}
         self._changed = Signal()
+        self._leaving.changed.subscribe(self._changed.notify)
 
     @property
     def changed(self) -> Signal:
@@ -44,7 +52,11 @@
 
     def get(self, server: str) -> ServerStatus:
         """Return the status of a server, the default if nothing is known."""
-        return self._statuses.get(server, UNKNOWN)
+        status = self._statuses.get(server, UNKNOWN)
+        if not self._leaving.is_leaving(server):
+            return status
+        version = self._leaving.find_version(server)
+        return status._replace(leaving=True, version=version)
 
     def put(self, server: str, status: ServerStatus) -> None:
         """Replace the status of a server."""
@@ -56,4 +68,6 @@
     def takes_work(self, server: str, now: float) -> bool:
         """Return whether new work may be sent to a server."""
         status = self.get(server)
-        return not status.leaving and status.down_until <= now
+        if status.leaving or self._leaving.is_old(now):
+            return False
+        return status.down_until <= now
--- a/src/sycamorehaven/controllers/configuration.py
+++ b/src/sycamorehaven/controllers/configuration.py
@@ -19,7 +19,7 @@
     may_believe,
     plan_read,
 )
-from sycamorehaven.decisions.roles import choose_readers
+from sycamorehaven.decisions.roles import is_reader
 from sycamorehaven.exceptions.faults import ConfigurationError
 from sycamorehaven.transport.platform import PlatformUnavailable
 
@@ -91,19 +91,14 @@
     async def _follow(self) -> None:
         while not self.should_stop:
             state = self._reads._replace(heard_at=self._exchange.heard_at)
-            plan = plan_read(state, is_reader=self._is_reader(), now=self._clock())
+            members = self._board.members
+            reads = is_reader(members.own, members.map_domains())
+            plan = plan_read(state, is_reader=reads, now=self._clock())
             if plan.due:
                 await self._read(plan.wait)
             else:
                 await self.sleep(plan.delay)
 
-    def _is_reader(self) -> bool:
-        own = self._board.identity.host
-        domains = self._board.members.map_domains()
-        domain = self._board.members.own.failure_domain
-        near = [h for h, other in domains.items() if other == domain or h == own]
-        return own in choose_readers(domain, near)
-
     async def _read(self, wait: float) -> None:
         self._reads = self._reads._replace(
             read_at=self._clock(), jitter=self._random.random()
--- a/src/sycamorehaven/decisions/revisions.py
+++ b/src/sycamorehaven/decisions/revisions.py
@@ -27,6 +27,10 @@
 """Seconds to the first try after a failed read; doubles with each."""
 LONGEST_RETRY = 4.0
 """Seconds between tries while the service stays down."""
+LISTING_GAP = 1.0
+"""Seconds between a reader's reads of the host list, which cannot wait."""
+LONELY_LISTING_GAP = 2.0
+"""Seconds between reads of the host list while no peer is heard."""
 COLD_START_WAIT = 2.0
 """Seconds in which a new router asks peers before it believes the service."""
 PEERS_ASKED = 3
@@ -77,6 +81,22 @@
     return ReadPlan(True, WATCH if watches else 0.0, 0.0)
 
 
+def plan_listing(state: ReadState, *, is_reader: bool, now: float) -> ReadPlan:
+    """Return whether to read the host list now."""
+    silent = now - max(state.heard_at, state.started_at) > PEER_SILENCE
+    gap = SLOW_READ * (0.5 + state.jitter)
+    if is_reader:
+        gap = LISTING_GAP
+    elif silent:
+        gap = LONELY_LISTING_GAP * (0.5 + state.jitter)
+    due = state.started_at if state.read_at is None else state.read_at + gap
+    if state.failures:
+        due = max(due, _find_due(state, watches=True))
+    if now < due:
+        return ReadPlan(False, 0.0, min(due - now, FIRST_RETRY))
+    return ReadPlan(True, 0.0, 0.0)
+
+
 def _find_due(state: ReadState, *, watches: bool) -> float:
     spread = 0.5 + state.jitter
     if state.read_at is None:
--- a/src/sycamorehaven/decisions/roles.py
+++ b/src/sycamorehaven/decisions/roles.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
+    from sycamorehaven.blackboard.members import Member
     from sycamorehaven.configuration.model import BackendServer
 
 READERS_PER_DOMAIN = 2
@@ -30,6 +31,16 @@
     return rank_candidates(f"reader/{domain}", hosts)[:READERS_PER_DOMAIN]
 
 
+def is_reader(own: Member, domains: Mapping[str, str]) -> bool:
+    """
+    Return whether a router reads the platform for its failure domain.
+
+    :param domains: failure domain of each live host.
+    """
+    near = {host for host, domain in domains.items() if domain == own.failure_domain}
+    return own.host in choose_readers(own.failure_domain, near | {own.host})
+
+
 def choose_aggregator(domain: str, hosts: Iterable[str]) -> str | None:
     """Return the host that sums a failure domain's counters."""
     return choose_candidate(f"aggregator/{domain}", hosts)
--- a/src/sycamorehaven/router.py
+++ b/src/sycamorehaven/router.py
@@ -10,7 +10,9 @@
 from sycamorehaven.blackboard.board import Blackboard
 from sycamorehaven.controllers.calls import CallController
 from sycamorehaven.controllers.configuration import ConfigurationController
+from sycamorehaven.controllers.hosts import HostController
 from sycamorehaven.controllers.membership import MembershipController
+from sycamorehaven.controllers.notices import NoticeController
 from sycamorehaven.controllers.permits import PermitController
 from sycamorehaven.controllers.scheduling import SchedulingController
 from sycamorehaven.controllers.servers import HttpLoadSource, ServerController
@@ -74,9 +76,11 @@
         """Return the services, in the order in which they start."""
         board, settings = self._board, self._settings
         peers = ZmqPeers(board, settings, create_filter(settings))
+        notices = NoticeController(board, peers)
+        servers = ServerController(board, self._loads, peers, notices)
         permits = PermitController(board, peers)
         suspects = SuspectController(board, peers)
-        calls = CallController(board, permits, self._backends, suspects)
+        calls = CallController(board, permits, self._backends, suspects, servers)
         monitor = Monitor(board)
         return [
             monitor,
@@ -84,7 +88,9 @@
             peers,
             MembershipController(board, peers, settings),
             ConfigurationController(board, peers, self._platform, settings.seeds),
-            ServerController(board, self._loads),
+            HostController(board, self._platform, notices),
+            notices,
+            servers,
             SchedulingController(board, peers),
             permits,
             suspects,
--- a/src/sycamorehaven/telemetry/documents.py
+++ b/src/sycamorehaven/telemetry/documents.py
@@ -64,7 +64,7 @@
     """Return why the router is not ready; nothing if it is."""
     reasons = []
     if board.configuration.current is None:
-        reasons.append("no configuration yet")
+        reasons.append(board.configuration.reason)
     if board.lifecycle.draining:
         reasons.append("shutting down")
     return reasons
--- /dev/null
+++ b/tests/controllers/test_notices.py
@@ -0,0 +1,206 @@
+"""News of leaving servers reaches every router."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sycamorehaven.configuration.acceptance import accept_text
+from sycamorehaven.controllers.hosts import HostController
+from sycamorehaven.controllers.notices import NoticeController
+from sycamorehaven.transport.messages import ServerNews, ServerNotice
+from sycamorehaven.transport.platform import ListedHost
+from tests.support.doubles import ManualClock, MemoryLink, MemoryNetwork, create_board
+from tests.support.texts import ServerPlan, write_configuration
+
+if TYPE_CHECKING:
+    from sycamorehaven.blackboard.board import Blackboard
+
+SERVERS = [
+    ServerPlan("engine-1", "assistant", "127.0.0.1:9001"),
+    ServerPlan("engine-2", "assistant", "127.0.0.1:9002"),
+]
+LEAVE_TIME = 3.0
+"""Seconds after which a leaving server takes no new work."""
+
+
+class Routers:
+    """Notice controllers of a fleet on a memory network."""
+
+    def __init__(self, count: int, network: MemoryNetwork, clock: ManualClock) -> None:
+        self.network, self.clock = network, clock
+        self.boards: list[Blackboard] = []
+        self.controllers: list[NoticeController] = []
+        self.links: list[MemoryLink] = []
+        for number in range(count):
+            board = create_board(f"r{number}", f"d{number % 6}", number + 1)
+            self.boards.append(board)
+            self.links.append(MemoryLink(board, network))
+        members = {b.identity.host: b.members.own for b in self.boards}
+        configuration = accept_text(write_configuration(SERVERS).encode(), 1)
+        for board, link in zip(self.boards, self.links, strict=True):
+            board.members.replace(members)
+            self.controllers.append(NoticeController(board, link, clock, clock))
+            board.configuration.replace(configuration)
+        self.settle(1.0)
+
+    def settle(self, seconds: float, step: float = 0.25) -> None:
+        """Move the clock on; one step is one trip of a message."""
+        for _ in range(round(seconds / step)):
+            pending, self.network.pending = self.network.pending, []
+            batch, self.network.pending = self.network.pending, pending
+            self.network.deliver(len(pending))
+            self.network.pending += batch
+            self.clock.advance(step)
+            for controller in self.controllers:
+                controller.tick()
+
+    def count_serving(self, server: str) -> int:
+        """Return how many routers would send new work to a server."""
+        now = self.clock()
+        return sum(board.servers.takes_work(server, now) for board in self.boards)
+
+
+def test_each_source_stops_new_work_everywhere_in_time(clock: ManualClock) -> None:
+    for source in ("refusal", "report", "list"):
+        network = MemoryNetwork(seed=2, loss=0.2)
+        routers = Routers(420, network, clock)
+        assert routers.count_serving("engine-1") == 420
+        first = routers.controllers[7]
+        if source == "refusal":
+            first.note_refusal("engine-1")
+        elif source == "report":
+            first.note_report("engine-1", leaving=True)
+        else:
+            first.note_listed({"engine-1": True, "engine-2": False})
+        routers.settle(LEAVE_TIME)
+        assert routers.count_serving("engine-1") == 0, source
+        assert routers.count_serving("engine-2") == 420
+        assert max(len(link.sent) for link in routers.links) < 60
+
+
+def test_a_server_that_comes_back_serves_again(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    routers = Routers(12, network, clock)
+    poller, lister, lagging = routers.controllers[:3]
+    lister.note_listed({"engine-1": False})
+    lagging.note_listed({"engine-1": False})
+    poller.note_report("engine-1", leaving=True)
+    lister.note_listed({"engine-1": True})
+    routers.settle(1.0)
+    lagging.note_listed({"engine-1": False})
+    poller.note_report("engine-1", leaving=False)
+    routers.settle(1.0)
+    assert routers.count_serving("engine-1") == 0
+    routers.settle(6.0)
+    poller.note_report("engine-1", leaving=False)
+    routers.settle(1.0)
+    assert routers.count_serving("engine-1") == 0
+    lister.note_listed({"engine-1": False})
+    routers.settle(1.0)
+    assert routers.count_serving("engine-1") == 12
+
+
+def test_lost_notices_are_made_up_for(clock: ManualClock) -> None:
+    network = MemoryNetwork(seed=5, loss=0.6)
+    routers = Routers(60, network, clock)
+    network.cut = {frozenset({"r0:1", f"r{n}:1"}) for n in range(1, 60)}
+    routers.controllers[1].note_refusal("engine-1")
+    routers.settle(8.0)
+    assert routers.count_serving("engine-1") == 1
+    network.cut, network.loss = set(), 0.0
+    routers.settle(3.0)
+    assert routers.count_serving("engine-1") == 0
+
+
+def test_a_new_router_asks_before_it_sends(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    routers = Routers(4, network, clock)
+    routers.controllers[1].note_refusal("engine-1")
+    routers.settle(1.0)
+    board = create_board("new", "a", 99)
+    link = MemoryLink(board, network)
+    board.members.replace({b.identity.host: b.members.own for b in routers.boards})
+    controller = NoticeController(board, link, clock, clock)
+    assert board.servers.takes_work("engine-2", clock())
+    board.configuration.replace(accept_text(write_configuration(SERVERS).encode(), 1))
+    assert not board.servers.takes_work("engine-2", clock())
+    network.deliver()
+    controller.tick()
+    assert board.servers.takes_work("engine-2", clock())
+    assert not board.servers.takes_work("engine-1", clock())
+
+
+def test_a_paused_router_asks_before_it_sends(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    routers = Routers(4, network, clock)
+    sleeper = routers.controllers.pop(0)
+    board = routers.boards[0]
+    network.cut = {frozenset({"r0:1", f"r{n}:1"}) for n in range(1, 4)}
+    routers.controllers[1].note_refusal("engine-1")
+    routers.settle(5.0)
+    assert not board.servers.takes_work("engine-1", clock())
+    assert not board.servers.takes_work("engine-2", clock())
+    network.cut = set()
+    sleeper.tick()
+    assert not board.servers.takes_work("engine-2", clock())
+    network.deliver()
+    sleeper.tick()
+    assert board.servers.takes_work("engine-2", clock())
+    assert not board.servers.takes_work("engine-1", clock())
+
+
+def test_a_router_that_gets_no_answer_goes_on(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    routers = Routers(3, network, clock)
+    network.loss = 1.0
+    clock.advance(10.0)
+    controller, board = routers.controllers[0], routers.boards[0]
+    for _ in range(4):
+        controller.tick()
+        clock.advance(0.25)
+    assert board.servers.takes_work("engine-1", clock())
+
+
+def test_news_of_unknown_servers_is_dropped(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    routers = Routers(2, network, clock)
+    row = ServerNews("nobody", "list", "leaving", 1)
+    routers.links[1].send("r0", ServerNotice(9, [row]))
+    routers.settle(1.0)
+    assert routers.boards[0].leaving.list() == []
+
+
+class FixedHosts:
+    """A host list that a test sets."""
+
+    def __init__(self, hosts: list[ListedHost]) -> None:
+        self.hosts = hosts
+
+    async def list_hosts(self) -> list[ListedHost]:
+        """Return the hosts."""
+        return self.hosts
+
+
+async def test_the_host_list_gives_seeds_and_leaving_servers(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    routers = Routers(2, network, clock)
+    board = routers.boards[0]
+    hosts = [
+        ListedHost("r1", "10.0.0.1:1", "a", "live", "router"),
+        ListedHost("r2", "10.0.0.2:1", "a", "leaving", "router"),
+        ListedHost("r0", "r0:1", "a", "live", "router"),
+        ListedHost("rack-4", SERVERS[0].address, "a", "leaving", "server"),
+        ListedHost("engine-2", "10.9.9.9:1", "a", "live", "server"),
+    ]
+    controller = HostController(board, FixedHosts(hosts), routers.controllers[0], clock)
+    await controller.read()
+    assert board.seeds.addresses == ("10.0.0.1:1",)
+    routers.settle(1.0)
+    assert routers.count_serving("engine-1") == 0
+    assert routers.count_serving("engine-2") == 2
--- /dev/null
+++ b/tests/controllers/test_servers.py
@@ -0,0 +1,143 @@
+"""One router polls a server; failures are bounded and checked by others."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from sycamorehaven.configuration.acceptance import accept_text
+from sycamorehaven.controllers.notices import NoticeController
+from sycamorehaven.controllers.servers import LoadReport, ServerController
+from sycamorehaven.decisions.reachability import LONGEST_AVOIDANCE
+from tests.support.doubles import ManualClock, MemoryLink, MemoryNetwork, create_board
+from tests.support.texts import ServerPlan, write_configuration
+
+if TYPE_CHECKING:
+    from sycamorehaven.configuration.model import BackendServer
+
+SERVERS = [
+    ServerPlan(f"engine-{n}", "assistant", f"127.0.0.1:{n}") for n in range(1, 9)
+]
+
+
+class Loads:
+    """Loads that a test sets, as one router can read them."""
+
+    def __init__(self) -> None:
+        self.reports: dict[str, LoadReport | None] = {}
+        self.reads: list[str] = []
+
+    async def read_load(self, server: BackendServer) -> LoadReport | None:
+        """Return the load that was set."""
+        self.reads.append(server.name)
+        return self.reports.get(server.name, LoadReport(3, 4, False))
+
+
+class Routers:
+    """Server controllers of three routers, which all believe alike."""
+
+    def __init__(self, network: MemoryNetwork, clock: ManualClock) -> None:
+        self.network = network
+        self.boards = [create_board(f"r{n}", "a", n + 1) for n in range(3)]
+        members = {b.identity.host: b.members.own for b in self.boards}
+        configuration = accept_text(write_configuration(SERVERS).encode(), 1)
+        self.loads = [Loads() for _ in self.boards]
+        self.controllers = []
+        for board, loads in zip(self.boards, self.loads, strict=True):
+            board.members.replace(members)
+            board.configuration.replace(configuration)
+            link = MemoryLink(board, network)
+            notices = NoticeController(board, link, clock, clock)
+            self.controllers.append(
+                ServerController(board, loads, link, notices, clock)
+            )
+
+    async def poll(self, rounds: int = 1) -> None:
+        """Let every router poll, and carry what that causes."""
+        for _ in range(rounds):
+            for controller in self.controllers:
+                await controller.poll()
+            while self.network.deliver():
+                await asyncio.sleep(0)
+                await asyncio.sleep(0)
+
+    def find_poller(self, server: str) -> int:
+        """Return which router polls a server."""
+        return next(n for n, load in enumerate(self.loads) if server in load.reads)
+
+
+async def test_one_router_polls_each_server(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    routers = Routers(network, clock)
+    await routers.poll()
+    reads = [name for load in routers.loads for name in load.reads]
+    assert sorted(reads) == [plan.name for plan in SERVERS]
+    poller = routers.find_poller("engine-1")
+    assert routers.boards[poller].servers.get("engine-1").running == 3
+
+
+async def test_a_dead_server_is_avoided_for_a_bounded_time(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    routers = Routers(network, clock)
+    await routers.poll()
+    poller = routers.find_poller("engine-1")
+    servers = routers.boards[poller].servers
+    for load in routers.loads:
+        load.reports["engine-1"] = None
+    await routers.poll(2)
+    assert servers.takes_work("engine-1", clock())
+    await routers.poll(10)
+    assert not servers.takes_work("engine-1", clock())
+    assert servers.takes_work("engine-1", clock() + LONGEST_AVOIDANCE)
+    for load in routers.loads:
+        del load.reports["engine-1"]
+    await routers.poll()
+    assert servers.takes_work("engine-1", clock())
+
+
+async def test_a_poller_that_is_cut_off_is_not_the_only_judge(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    routers = Routers(network, clock)
+    await routers.poll()
+    poller = routers.find_poller("engine-1")
+    routers.loads[poller].reports["engine-1"] = None
+    for number, load in enumerate(routers.loads):
+        if number != poller:
+            load.reports["engine-1"] = LoadReport(1, 4, False)
+    await routers.poll(10)
+    status = routers.boards[poller].servers.get("engine-1")
+    assert status.running == 1
+    assert routers.boards[poller].servers.takes_work("engine-1", clock())
+
+
+async def test_lost_connections_are_counted_once_per_avoidance(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    routers = Routers(network, clock)
+    edge, servers = routers.controllers[0], routers.boards[0].servers
+    for _ in range(50):
+        edge.report_lost("engine-1")
+    assert not servers.takes_work("engine-1", clock())
+    assert servers.takes_work("engine-1", clock() + 0.5)
+    for _ in range(20):
+        clock.advance(LONGEST_AVOIDANCE)
+        edge.report_lost("engine-1")
+    assert servers.takes_work("engine-1", clock() + LONGEST_AVOIDANCE)
+
+
+async def test_a_leaving_server_that_is_polled_stays_a_server(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    routers = Routers(network, clock)
+    edge, board = routers.controllers[0], routers.boards[0]
+    edge.report_leaving("engine-1")
+    await routers.poll()
+    assert not board.servers.takes_work("engine-1", clock())
+    assert board.servers.get("engine-1").leaving
+    clock.advance(6.0)
+    await routers.poll()
+    for other in routers.boards:
+        assert other.servers.takes_work("engine-1", clock())
