--- a/src/sycamorehaven/blackboard/permits.py
+++ b/src/sycamorehaven/blackboard/permits.py
@@ -7,6 +7,9 @@
 
 from sycamorehaven.identity import RouterId
 
+MOST_SETTLEMENTS = 4_096
+"""Returned permits kept until they are acknowledged."""
+
 
 class PermitKey(NamedTuple):
     """
@@ -98,11 +101,24 @@
         return self._preempted
 
 
+class Settlement(NamedTuple):
+    """
+    A permit that was given back and whose return is not acknowledged.
+
+    :ivar permit: the permit.
+    :ivar settled_at: when, seconds of the monotonic clock.
+    """
+
+    permit: Permit
+    settled_at: float
+
+
 class PermitsSection:
-    """Permits held, by key."""
+    """Permits held, by key, and those whose return is not acknowledged."""
 
     def __init__(self) -> None:
         self._permits: dict[PermitKey, Permit] = {}
+        self._settlements: dict[PermitKey, Settlement] = {}
 
     def add(self, permit: Permit) -> None:
         """Hold a permit."""
@@ -112,6 +128,16 @@
         """Hold a permit no longer; return it if it was held."""
         return self._permits.pop(key, None)
 
+    def settle(self, permit: Permit, now: float) -> None:
+        """Keep a permit that was given back until that is acknowledged."""
+        self._settlements[permit.key] = Settlement(permit, now)
+        if len(self._settlements) > MOST_SETTLEMENTS:
+            del self._settlements[next(iter(self._settlements))]
+
+    def acknowledge(self, key: PermitKey) -> None:
+        """Forget a permit that was given back."""
+        self._settlements.pop(key, None)
+
     def find(self, key: PermitKey) -> Permit | None:
         """Return a permit that is held, or ``None``."""
         return self._permits.get(key)
@@ -119,3 +145,7 @@
     def list(self) -> list[Permit]:
         """Return every permit held."""
         return list(self._permits.values())
+
+    def list_settlements(self) -> list[Settlement]:
+        """Return the permits whose return is not acknowledged, oldest first."""
+        return list(self._settlements.values())
--- a/src/sycamorehaven/controllers/permits.py
+++ b/src/sycamorehaven/controllers/permits.py
@@ -3,20 +3,19 @@
 from __future__ import annotations
 
 import time
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 from mode import Service
 
 from sycamorehaven.blackboard.permits import Permit, PermitKey
 from sycamorehaven.blackboard.queues import QueueKey
+from sycamorehaven.controllers.reports import ReportWriter
+from sycamorehaven.decisions.demand import DemandKey, DemandPlanner, Queue
+from sycamorehaven.decisions.rendezvous import rank_candidates
 from sycamorehaven.decisions.roles import choose_scheduler
-from sycamorehaven.transport.messages import (
-    DemandReport,
-    DemandRow,
-    HeldPermit,
-    PermitGrant,
-    PermitReturn,
-)
+from sycamorehaven.identity import RouterId
+from sycamorehaven.transport.messages import PermitAck, PermitGrant
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,10 +25,14 @@
     from sycamorehaven.transport.codec import Delivery
     from sycamorehaven.transport.links import PeerLink
 
-REFRESH = 0.5
-"""Seconds between refreshes of demand."""
+LONGEST_SLEEP = 0.5
+"""Seconds after which demand is looked at in any case."""
 COALESCE = 0.002
 """Seconds in which changes of demand are gathered into one report."""
+SEQUENCE_LIFETIME = 10.0
+"""Seconds for which the time of a report is remembered."""
+MOST_TAKEN = 4_096
+"""Grants remembered, so that one which comes twice is taken once."""
 PRIORITIES = ("interactive", "batch")
 
 
@@ -53,88 +56,137 @@
         self._link = link
         self._clock = clock
         self._sequence = 0
+        self._sent_at: OrderedDict[int, float] = OrderedDict()
+        self._taken: OrderedDict[PermitKey, None] = OrderedDict()
+        self._planners: dict[str, DemandPlanner] = {}
+        self._schedulers: dict[str, list[str]] = {}
+        self._incarnations: dict[str, int] = {}
+        self._writer = ReportWriter(board)
         link.subscribe(PermitGrant, self._take_grant)
+        link.subscribe(PermitAck, self._take_ack)
+        board.members.changed.subscribe(self._assign)
+        board.configuration.changed.subscribe(self._assign)
 
     def release(self, permit: Permit) -> None:
-        """Give a permit back to its scheduler."""
-        if self._board.permits.remove(permit.key) is None:
+        """Bind a permit to the next call that it covers, or give it back."""
+        if self._board.permits.find(permit.key) is None or self._rebind(permit):
             return
-        message = PermitReturn(
-            permit=permit.key.number,
-            incarnation=permit.key.scheduler.incarnation,
-            server=permit.server,
-            cost=permit.cost,
-            runs=permit.used_runs,
-            failed=permit.failed,
-        )
-        self._link.send(permit.key.scheduler.host, message)
+        self._board.permits.remove(permit.key)
+        self._board.permits.settle(permit, self._clock())
+        for host in self._writer.list_parties(permit):
+            message = self._writer.write_return(permit, host)
+            planner = self._find_planner(permit.service)
+            planner.note_return(host, permit.workspace, message.waiting)
+            self._link.send(host, message)
+
+    def report(self) -> float:
+        """Send the reports that are due; return when the next may be."""
+        now = self._clock()
+        self._sequence += 1
+        self._sent_at[self._sequence] = now
+        while now - next(iter(self._sent_at.values())) > SEQUENCE_LIFETIME:
+            self._sent_at.popitem(last=False)
+        due = [self._report(service, now) for service in self._schedulers]
+        return min(due, default=now + LONGEST_SLEEP)
 
     @Service.task
     async def _post(self) -> None:
+        self._assign()
+        sleep = LONGEST_SLEEP
         while not self.should_stop:
-            await self._board.queues.changed.wait(REFRESH)
+            await self._board.queues.changed.wait(sleep)
             await self.sleep(COALESCE)
-            self._report()
+            sleep = min(self.report() - self._clock(), LONGEST_SLEEP)
+            sleep = max(sleep, COALESCE)
 
-    def _report(self) -> None:
+    def _assign(self) -> None:
         configuration = self._board.configuration.current
         if configuration is None:
             return
         domains = self._board.members.map_domains()
-        now = self._clock()
-        self._sequence += 1
+        places = {
+            server.name: choose_scheduler(server, domains)
+            for server in configuration.servers.values()
+        }
+        self._writer.place(places)
+        self._forget_predecessors()
+        self._schedulers = {}
         for service in configuration.services:
-            rows = self._list_rows(service, now)
-            hosts = {
-                choose_scheduler(server, domains)
-                for server in configuration.list_servers(service)
-            }
-            for host in sorted(host for host in hosts if host):
-                held = self._list_held(host)
-                report = DemandReport(service, self._sequence, rows, held)
-                self._link.send(host, report)
-
-    def _list_rows(self, service: str, now: float) -> list[DemandRow]:
-        return [
-            DemandRow(
-                key.workspace,
-                key.priority,
-                len(queue),
-                now - queue[0].since,
-                queue[0].cost,
-            )
+            names = {places[s.name] for s in configuration.list_servers(service)}
+            key = f"demand/{self._board.identity.host}/{service}"
+            self._schedulers[service] = rank_candidates(key, filter(None, names))
+
+    def _forget_predecessors(self) -> None:
+        live = {m.host: m.incarnation for m in self._board.members.list()}
+        for host, incarnation in self._incarnations.items():
+            if live.get(host) != incarnation:
+                for planner in self._planners.values():
+                    planner.forget(host)
+        self._incarnations = live
+
+    def _find_planner(self, service: str) -> DemandPlanner:
+        return self._planners.setdefault(service, DemandPlanner())
+
+    def _report(self, service: str, now: float) -> float:
+        planner = self._find_planner(service)
+        schedulers = self._schedulers[service]
+        queues = {
+            DemandKey(key.workspace, key.priority): Queue(len(queue), queue[0].since)
             for key, queue in self._board.queues.list()
-            if key.service == service
-        ]
-
-    def _list_held(self, host: str) -> list[HeldPermit]:
-        return [
-            HeldPermit(
-                permit.key.number,
-                permit.key.scheduler.incarnation,
-                permit.server,
-                permit.workspace,
-                permit.priority,
-                permit.cost,
-                permit.resumable,
+            if key.service == service and queue
+        }
+        holders = self._writer.list_holders(service, now)
+        for host in planner.choose(queues, schedulers, holders, now):
+            report = self._writer.write_report(
+                service, host, self._sequence, planner.lifetime, now
             )
-            for permit in self._board.permits.list()
-            if permit.key.scheduler.host == host
-        ]
+            self._link.send(host, report)
+        return planner.find_next(queues, len(schedulers), now)
+
+    def _rebind(self, permit: Permit) -> bool:
+        now = self._clock()
+        if not 0 < permit.used_runs < permit.runs or permit.failed:
+            return False
+        if now >= permit.expires_at or permit.preempted.is_set():
+            return False
+        if not self._board.servers.takes_work(permit.server, now):
+            return False
+        waiting = self._take_waiting(permit.service, permit.workspace, permit.priority)
+        if waiting is None:
+            return False
+        waiting.permit.set_result(permit)
+        return True
+
+    def _take_ack(self, delivery: Delivery) -> None:
+        ack: PermitAck = delivery.message
+        scheduler = RouterId(ack.scheduler, ack.incarnation)
+        for number in ack.permits:
+            self._board.permits.acknowledge(PermitKey(scheduler, number))
 
     def _take_grant(self, delivery: Delivery) -> None:
         grant: PermitGrant = delivery.message
         key = PermitKey(delivery.sender, grant.permit)
-        if self._board.permits.find(key) is not None:
+        if key in self._taken:
             return
-        waiting = self._take_waiting(grant)
+        self._taken[key] = None
+        if len(self._taken) > MOST_TAKEN:
+            self._taken.popitem(last=False)
+        demand = DemandKey(grant.workspace, grant.priority)
+        self._find_planner(grant.service).note_grant(delivery.sender.host, demand)
+        self._bind(grant, key)
+
+    def _bind(self, grant: PermitGrant, key: PermitKey) -> None:
+        expires_at = self._measure_expiry(grant)
+        waiting = None
+        if self._clock() < expires_at:
+            waiting = self._take_waiting(grant.service, grant.workspace, grant.priority)
         permit = Permit(
             key=key,
             service=grant.service,
             server=grant.server,
             workspace=grant.workspace,
             priority=waiting.key.priority if waiting else grant.priority,
-            expires_at=self._clock() + grant.lease,
+            expires_at=expires_at,
             runs=grant.runs,
         )
         self._board.permits.add(permit)
@@ -143,10 +195,16 @@
         else:
             waiting.permit.set_result(permit)
 
-    def _take_waiting(self, grant: PermitGrant) -> Waiting | None:
-        other = [name for name in PRIORITIES if name != grant.priority]
-        for priority in [grant.priority, *other]:
-            key = QueueKey(grant.service, grant.workspace, priority)
+    def _measure_expiry(self, grant: PermitGrant) -> float:
+        sent_at = self._sent_at.get(grant.sequence)
+        return 0.0 if sent_at is None else sent_at + grant.elapsed + grant.lease
+
+    def _take_waiting(
+        self, service: str, workspace: str, preferred: str
+    ) -> Waiting | None:
+        other = [name for name in PRIORITIES if name != preferred]
+        for priority in [preferred, *other]:
+            key = QueueKey(service, workspace, priority)
             while (waiting := self._board.queues.pop(key)) is not None:
                 if not waiting.permit.done():
                     return waiting
--- /dev/null
+++ b/src/sycamorehaven/controllers/reports.py
@@ -0,0 +1,134 @@
+"""Writes what an edge tells schedulers of its demand and its permits."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sycamorehaven.transport.messages import (
+    DemandReport,
+    DemandRow,
+    HeldPermit,
+    PermitReturn,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.blackboard.permits import Permit
+
+REPEAT_AFTER = 0.75
+"""Seconds without an acknowledgement after which a return is repeated."""
+SETTLEMENT_LIFETIME = 60.0
+"""Seconds for which an unacknowledged return is repeated."""
+
+
+class ReportWriter:
+    """
+    Reads the edge's sections and fills in messages.
+
+    A permit's cost is charged by the router that granted it while that
+    incarnation lives, else by the scheduler of its server. The other of the
+    two learns only that the slot is taken.
+
+    :param board: the state of this router.
+    """
+
+    def __init__(self, board: Blackboard) -> None:
+        self._board = board
+        self._places: Mapping[str, str | None] = {}
+
+    def place(self, places: Mapping[str, str | None]) -> None:
+        """Take over which host schedules each backend server."""
+        self._places = places
+
+    def find_accountant(self, permit: Permit) -> str | None:
+        """Return the host that charges a permit's cost."""
+        member = self._board.members.find(permit.key.scheduler.host)
+        if member and member.incarnation == permit.key.scheduler.incarnation:
+            return member.host
+        return self._places.get(permit.server)
+
+    def list_parties(self, permit: Permit) -> list[str]:
+        """Return the hosts that must know of a permit."""
+        hosts = {self.find_accountant(permit), self._places.get(permit.server)}
+        return sorted(host for host in hosts if host)
+
+    def list_holders(self, service: str, now: float) -> set[str]:
+        """Return the hosts that must be told of permits of a service."""
+        permits = [p for p in self._board.permits.list() if p.service == service]
+        hosts = {host for permit in permits for host in self.list_parties(permit)}
+        for permit in self._list_unacknowledged(service, now):
+            host = self.find_accountant(permit)
+            if host:
+                hosts.add(host)
+        return hosts
+
+    def write_report(
+        self, service: str, host: str, sequence: int, lifetime: float, now: float
+    ) -> DemandReport:
+        """Return the report of a service for one scheduler."""
+        held = [
+            self._write_held(permit, host)
+            for permit in self._board.permits.list()
+            if permit.service == service and host in self.list_parties(permit)
+        ]
+        settled = [
+            self.write_return(permit, host)
+            for permit in self._list_unacknowledged(service, now)
+            if self.find_accountant(permit) == host
+        ]
+        rows = self._list_rows(service, now)
+        return DemandReport(service, sequence, lifetime, rows, held, settled)
+
+    def write_return(self, permit: Permit, host: str) -> PermitReturn:
+        """Return the message by which a permit is given back."""
+        return PermitReturn(
+            scheduler=permit.key.scheduler.host,
+            incarnation=permit.key.scheduler.incarnation,
+            permit=permit.key.number,
+            service=permit.service,
+            server=permit.server,
+            workspace=permit.workspace,
+            cost=permit.cost,
+            runs=permit.used_runs,
+            failed=permit.failed,
+            accounted=self.find_accountant(permit) == host,
+            waiting=self._board.queues.count(permit.service, permit.workspace),
+        )
+
+    def _list_unacknowledged(self, service: str, now: float) -> list[Permit]:
+        unacknowledged = []
+        for settlement in self._board.permits.list_settlements():
+            age = now - settlement.settled_at
+            if age > SETTLEMENT_LIFETIME:
+                self._board.permits.acknowledge(settlement.permit.key)
+            elif age > REPEAT_AFTER and settlement.permit.service == service:
+                unacknowledged.append(settlement.permit)
+        return unacknowledged
+
+    def _list_rows(self, service: str, now: float) -> list[DemandRow]:
+        return [
+            DemandRow(
+                key.workspace,
+                key.priority,
+                len(queue),
+                now - queue[0].since,
+                queue[0].cost,
+            )
+            for key, queue in self._board.queues.list()
+            if key.service == service and queue
+        ]
+
+    def _write_held(self, permit: Permit, host: str) -> HeldPermit:
+        return HeldPermit(
+            scheduler=permit.key.scheduler.host,
+            incarnation=permit.key.scheduler.incarnation,
+            permit=permit.key.number,
+            server=permit.server,
+            workspace=permit.workspace,
+            priority=permit.priority,
+            cost=permit.cost,
+            resumable=permit.resumable,
+            accounted=self.find_accountant(permit) == host,
+        )
--- a/src/sycamorehaven/controllers/scheduling.py
+++ b/src/sycamorehaven/controllers/scheduling.py
@@ -8,18 +8,32 @@
 from mode import Service
 
 from sycamorehaven.decisions.roles import choose_scheduler
-from sycamorehaven.decisions.scheduler import LEASE, ServiceScheduler
-from sycamorehaven.transport.messages import DemandReport, PermitGrant, PermitReturn
+from sycamorehaven.decisions.scheduler import (
+    LEASE,
+    Charge,
+    Grant,
+    ServiceScheduler,
+    ServiceTerms,
+)
+from sycamorehaven.transport.messages import (
+    DemandReport,
+    PermitAck,
+    PermitGrant,
+    PermitReturn,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.configuration.model import BackendServer
     from sycamorehaven.transport.codec import Delivery
     from sycamorehaven.transport.links import PeerLink
 
 TICK = 0.25
 """Seconds between rounds that expire what was not refreshed."""
+ACKNOWLEDGED_AT_ONCE = 32
+"""Returns of one edge that are acknowledged without waiting for a round."""
 
 
 class SchedulingController(Service):
@@ -42,73 +56,143 @@
         self._link = link
         self._clock = clock
         self._schedulers: dict[str, ServiceScheduler] = {}
+        self._own_servers: dict[str, list[BackendServer]] = {}
+        self._acks: dict[tuple[str, str, int], list[int]] = {}
         link.subscribe(DemandReport, self._take_report)
         link.subscribe(PermitReturn, self._take_return)
         board.members.changed.subscribe(self._assign)
         board.configuration.changed.subscribe(self._assign)
-        board.servers.changed.subscribe(self._assign)
+        board.servers.changed.subscribe(self._grant_all)
 
     @property
     def schedulers(self) -> dict[str, ServiceScheduler]:
         """Schedulers by service."""
         return self._schedulers
 
+    def run_round(self) -> None:
+        """Expire what was not refreshed, grant and acknowledge."""
+        now = self._clock()
+        for scheduler in self._schedulers.values():
+            scheduler.expire(now)
+        self._grant_all()
+        for key in list(self._acks):
+            self._acknowledge(key)
+
     @Service.task
     async def _tick(self) -> None:
         while not self.should_stop:
             await self.sleep(TICK)
-            self._assign()
+            self.run_round()
 
     def _assign(self) -> None:
         configuration = self._board.configuration.current
         if configuration is None:
             return
         domains = self._board.members.map_domains()
+        own = self._board.identity.host
         weights = {w.name: w.weight for w in configuration.workspaces.values()}
-        now = self._clock()
-        for service in configuration.services:
-            slots = {
-                server.name: server.slots
-                for server in configuration.list_servers(service)
-                if choose_scheduler(server, domains) == self._board.identity.host
-                and self._board.servers.takes_work(server.name, now)
-            }
-            scheduler = self._find_scheduler(service)
-            scheduler.set_servers(slots)
+        for name, service in configuration.services.items():
+            self._own_servers[name] = [
+                server
+                for server in configuration.list_servers(name)
+                if choose_scheduler(server, domains) == own
+            ]
+            scheduler = self._find_scheduler(name)
             scheduler.set_weights(weights)
+            scheduler.set_terms(
+                ServiceTerms(service.largest_cost, service.kind != "model")
+            )
+        for scheduler in self._schedulers.values():
+            scheduler.retain_edges(self._is_live, self._clock())
+        self._grant_all()
+
+    def _is_live(self, host: str) -> bool:
+        return self._board.members.find(host) is not None
+
+    def _grant_all(self) -> None:
+        for service in self._own_servers:
+            self._place_slots(service)
             self._grant(service)
 
+    def _place_slots(self, service: str) -> None:
+        now = self._clock()
+        scheduler = self._find_scheduler(service)
+        servers = [
+            server
+            for server in self._own_servers[service]
+            if self._board.servers.takes_work(server.name, now)
+        ]
+        scheduler.set_servers({server.name: server.slots for server in servers}, now)
+        for server in servers:
+            status = self._board.servers.get(server.name)
+            if status.reported_at > 0.0:
+                scheduler.learn_load(
+                    server.name, status.running, status.reported_at, now
+                )
+
     def _find_scheduler(self, service: str) -> ServiceScheduler:
         if service not in self._schedulers:
-            self._schedulers[service] = ServiceScheduler(service, self._board.counters)
+            self._schedulers[service] = ServiceScheduler(
+                self._board.identity, service, self._board.counters
+            )
         return self._schedulers[service]
 
     def _take_report(self, delivery: Delivery) -> None:
         report: DemandReport = delivery.message
         scheduler = self._find_scheduler(report.service)
-        scheduler.take_report(delivery.sender, report, self._clock())
+        charges = scheduler.take_report(delivery.sender, report, self._clock())
+        self._charge(report.service, charges)
+        for message in report.settled:
+            self._note_ack(delivery, message)
         self._grant(report.service)
 
     def _take_return(self, delivery: Delivery) -> None:
         message: PermitReturn = delivery.message
-        if message.incarnation != self._board.identity.incarnation:
+        scheduler = self._find_scheduler(message.service)
+        charge = scheduler.take_return(delivery.sender, message, self._clock())
+        if charge is not None:
+            self._charge(message.service, [charge])
+        self._note_ack(delivery, message)
+        self._grant(message.service)
+
+    def _charge(self, service: str, charges: Iterable[Charge]) -> None:
+        for charge in charges:
+            self._board.counters.charge(service, charge.workspace, charge.cost)
+
+    def _note_ack(self, delivery: Delivery, message: PermitReturn) -> None:
+        if not message.accounted:
             return
-        for service, scheduler in self._schedulers.items():
-            charge = scheduler.take_return(message.permit, message.cost)
-            if charge is not None:
-                self._board.counters.charge(service, charge.workspace, charge.cost)
-                self._grant(service)
-                return
+        key = delivery.sender.host, message.scheduler, message.incarnation
+        numbers = self._acks.setdefault(key, [])
+        numbers.append(message.permit)
+        if len(numbers) >= ACKNOWLEDGED_AT_ONCE:
+            self._acknowledge(key)
+
+    def _acknowledge(self, key: tuple[str, str, int]) -> None:
+        edge, scheduler, incarnation = key
+        self._link.send(edge, PermitAck(scheduler, incarnation, self._acks.pop(key)))
 
     def _grant(self, service: str) -> None:
-        for grant in self._schedulers[service].grant(self._clock()):
-            message = PermitGrant(
-                permit=grant.number,
-                service=service,
-                server=grant.server,
-                workspace=grant.workspace,
-                priority=grant.priority,
-                lease=LEASE,
-                runs=1,
-            )
-            self._link.send(grant.edge.host, message)
+        scheduler = self._schedulers[service]
+        now = self._clock()
+        grants = scheduler.grant(now)
+        if not grants:
+            return
+        free = scheduler.count_free(now)
+        for grant in grants:
+            self._link.send(grant.edge.host, _write_grant(service, grant, free))
+
+
+def _write_grant(service: str, grant: Grant, free: int) -> PermitGrant:
+    return PermitGrant(
+        permit=grant.number,
+        service=service,
+        server=grant.server,
+        workspace=grant.workspace,
+        priority=grant.priority,
+        sequence=grant.sequence,
+        elapsed=grant.elapsed,
+        lease=LEASE,
+        runs=grant.runs,
+        free=free,
+    )
