--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,381 @@
+"""Routers' real controllers on a given clock, before fake servers."""
+
+from __future__ import annotations
+
+import functools
+import random
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from benchmarks.events import EventQueue
+from benchmarks.meter import Figures, Meter
+from benchmarks.network import Link, Network
+from benchmarks.workload import Flow, Request, Server
+from sycamorehaven.blackboard.board import Blackboard
+from sycamorehaven.blackboard.members import Member
+from sycamorehaven.blackboard.queues import QueueKey, Waiting
+from sycamorehaven.configuration.model import (
+    BackendServer,
+    Configuration,
+    Service,
+    Workspace,
+)
+from sycamorehaven.controllers.permits import COALESCE, PermitController
+from sycamorehaven.controllers.scheduling import TICK, SchedulingController
+from sycamorehaven.identity import RouterId
+from sycamorehaven.transport.messages import CounterRow, CounterUpdate
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sycamorehaven.blackboard.permits import Permit
+    from sycamorehaven.transport.codec import Delivery
+
+SERVICE = "assistant"
+LOAD_PERIOD = 0.5
+"""Seconds between two reads of a server's load."""
+DETECTION = 3.0
+"""Seconds after which the death of a router is noticed."""
+
+
+class Plan(NamedTuple):
+    """
+    A fleet to build.
+
+    :ivar routers: how many.
+    :ivar domains: failure domains.
+    :ivar speeds: units per second of a request, by server.
+    :ivar slots: of each server.
+    :ivar kind: of the service.
+    :ivar largest: the largest single request, units.
+    :ivar expected: expected cost, units.
+    :ivar loss: part of the messages that is lost.
+    :ivar doubling: part of the messages that comes twice.
+    :ivar sharing: seconds between two updates of counters.
+    :ivar seed: of all that is drawn.
+    """
+
+    routers: int = 6
+    domains: int = 4
+    speeds: tuple[float, ...] = (20.0, 30.0, 40.0, 60.0, 80.0)
+    slots: int = 8
+    kind: str = "model"
+    largest: float = 1_000.0
+    expected: float = 80.0
+    loss: float = 0.0
+    doubling: float = 0.0
+    sharing: float = 1.0
+    seed: int = 1
+
+
+class Outcome:
+    """What a waiting request is bound through, without an event loop."""
+
+    def __init__(self, bind: Callable[[Permit], None]) -> None:
+        self._bind = bind
+        self._done = False
+
+    def done(self) -> bool:
+        """Return whether the request is bound."""
+        return self._done
+
+    def set_result(self, permit: Permit) -> None:
+        """Bind the request."""
+        self._done = True
+        self._bind(permit)
+
+
+class QueuedRequest(Waiting):
+    """A request in a router's queue."""
+
+    def __init__(self, request: Request, bind: Callable[[Permit], None]) -> None:
+        self._key = QueueKey(SERVICE, request.workspace, "interactive")
+        self._since = request.since
+        self._cost = request.hint
+        self._outcome: Any = Outcome(bind)
+
+    @property
+    def permit(self) -> Any:
+        """What binds it."""
+        return self._outcome
+
+
+class Router:
+    """
+    One router: its blackboard, the two controllers and a counter exchange.
+
+    :param identity: which router.
+    :param domain: its failure domain.
+    :param fleet: the fleet that it is part of.
+    """
+
+    def __init__(self, identity: RouterId, domain: str, fleet: Fleet) -> None:
+        self.board = Blackboard(identity, f"{identity.host}:1", domain)
+        self._fleet = fleet
+        self._events = fleet.events
+        self.alive = True
+        self.link = Link(self.board, fleet.network, self._events)
+        self._permits = PermitController(self.board, self.link, self._events.clock)
+        self._scheduling = SchedulingController(
+            self.board, self.link, self._events.clock
+        )
+        self.link.subscribe(CounterUpdate, self._merge)
+        self._running: dict[Permit, Request] = {}
+        self._report_at = float("inf")
+        self.board.queues.changed.subscribe(self._plan_soon)
+        self._events.repeat(TICK, self._run_round)
+        self._events.repeat(fleet.plan.sharing, self._share)
+        self._events.repeat(LOAD_PERIOD, self._read_loads)
+        self._plan(0.0)
+
+    def push(self, request: Request, bound: Callable[[], None]) -> None:
+        """Queue a request that came in here."""
+
+        def bind(permit: Permit) -> None:
+            self._fleet.meter.bind(request)
+            self._run(request, permit)
+            bound()
+
+        self._fleet.meter.join(request)
+        self.board.queues.push(QueuedRequest(request, bind))
+
+    def _run(self, request: Request, permit: Permit) -> None:
+        permit.used_runs += 1
+        self._running[permit] = request
+        base = permit.cost
+        finish = functools.partial(self._finish, request, permit, base)
+        self._fleet.servers[permit.server].admit(request, finish)
+
+    def _finish(self, request: Request, permit: Permit, base: float) -> None:
+        if not self.alive:
+            return
+        self._fleet.meter.finish(request)
+        del self._running[permit]
+        permit.cost = base + self._fleet.charge(request)
+        self._permits.release(permit)
+
+    def _plan_soon(self) -> None:
+        self._plan(self._events.now + COALESCE)
+
+    def _plan(self, when: float) -> None:
+        if when < self._report_at:
+            self._report_at = when
+            self._events.call_at(when, functools.partial(self._report, when))
+
+    def _report(self, when: float) -> None:
+        if when != self._report_at or not self.alive:
+            return
+        if self._fleet.plan.kind == "model":
+            for permit, request in self._running.items():
+                permit.cost = request.measure(self._events.now)
+        self._report_at = float("inf")
+        due = self._permits.report()
+        self._plan(min(max(due, self._events.now + COALESCE), self._events.now + 0.5))
+
+    def _run_round(self) -> None:
+        if self.alive:
+            self._scheduling.run_round()
+
+    def _read_loads(self) -> None:
+        now = self._events.now
+        for server in self._fleet.servers.values():
+            status = self.board.servers.get(server.name)._replace(
+                running=server.load, capacity=server.slots, reported_at=now
+            )
+            self.board.servers.put(server.name, status)
+
+    def _share(self) -> None:
+        own = self.board.identity
+        rows = [
+            CounterRow(
+                own.host, own.incarnation, key.service, key.workspace, total, 0.0
+            )
+            for key, total in self.board.counters.totals.items()
+            if key.scheduler == own
+        ]
+        if not rows or not self.alive:
+            return
+        for member in self.board.members.list():
+            if member.host != own.host:
+                self.link.send(member.host, CounterUpdate(0, rows))
+
+    def _merge(self, delivery: Delivery) -> None:
+        for row in delivery.message.rows:
+            self._fleet.merge(self.board, row)
+
+
+class Fleet:
+    """
+    Routers, servers and flows of one run.
+
+    :param plan: what to build.
+    :param flows: what workspaces ask for.
+    """
+
+    def __init__(self, plan: Plan, flows: list[Flow]) -> None:
+        self.plan = plan
+        self.events = EventQueue()
+        self.start = self.events.now
+        self.network = Network(
+            self.events, plan.seed, loss=plan.loss, doubling=plan.doubling
+        )
+        self._random = random.Random(plan.seed)
+        self.servers = {
+            f"engine-{index}": Server(f"engine-{index}", plan.slots, speed, self.events)
+            for index, speed in enumerate(plan.speeds)
+        }
+        weights = {flow.workspace: flow.weight for flow in flows}
+        self.meter = Meter(
+            self.events,
+            list(self.servers.values()),
+            weights,
+            plan.largest,
+            plan.largest / min(plan.speeds),
+        )
+        self._flows = flows
+        self._requests: list[Request] = []
+        self.routers = [self._create_router(index, 1) for index in range(plan.routers)]
+        configuration = self._configure(weights)
+        self.update_members()
+        for router in self.routers:
+            router.board.configuration.replace(configuration)
+        for flow in flows:
+            self.events.call_at(
+                self.start + flow.start, functools.partial(self._begin, flow)
+            )
+
+    def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        self.events.run_until(self.events.now + seconds)
+
+    def charge(self, request: Request) -> float:
+        """Return what a finished request cost, in the service's unit."""
+        return request.cost
+
+    def merge(self, board: Blackboard, row: CounterRow) -> None:
+        """Merge a total of another router into a board."""
+        key = next(iter(board.counters.totals), None)
+        kind = type(key) if key is not None else None
+        if kind is None:
+            from sycamorehaven.blackboard.counters import CounterKey
+
+            kind = CounterKey
+        name = RouterId(row.host, row.incarnation)
+        board.counters.merge(kind(name, row.service, row.workspace), row.total)
+
+    def kill(self, index: int, restart_after: float | None = None) -> None:
+        """End a router; its requests run on at their servers, unheard."""
+        router = self.routers[index]
+        router.alive = False
+        del self.network.links[router.board.identity.host]
+        self.events.call_after(DETECTION, self.update_members)
+        if restart_after is not None:
+            self.events.call_after(
+                restart_after, functools.partial(self._restart, index)
+            )
+
+    def cut(self, domains: set[str]) -> None:
+        """Separate failure domains from the others."""
+        for router in self.routers:
+            own = router.board.members.own
+            self.network.sides[own.host] = int(own.failure_domain in domains)
+        self.events.call_after(DETECTION, self.update_members)
+
+    def heal(self) -> None:
+        """Join the failure domains again."""
+        self.network.sides.clear()
+        self.events.call_after(0.5, self.update_members)
+
+    def update_members(self) -> None:
+        """Give each router its view of the live routers."""
+        sides = self.network.sides
+        for router in self.routers:
+            own = router.board.identity.host
+            view = {
+                other.board.identity.host: Member(
+                    other.board.identity.host,
+                    other.board.identity.incarnation,
+                    other.board.members.own.address,
+                    other.board.members.own.failure_domain,
+                    "alive",
+                )
+                for other in self.routers
+                if other.alive
+                and sides.get(other.board.identity.host, 0) == sides.get(own, 0)
+            }
+            router.board.members.replace(view)
+
+    def summarise(self, since: float = 0.0) -> Figures:
+        """Return the figures of the run so far."""
+        self.meter.integrate()
+        elapsed = self.events.now - self.start - since
+        waits = sorted(self.meter.waits[self._flows[-1].workspace])
+        return Figures(
+            self.meter.gap,
+            self.meter.utilisation,
+            max(self.network.sent.values(), default=0) / elapsed,
+            sum(self.network.messages.values()) / elapsed / len(self.routers),
+            self.meter.count,
+            waits[int(len(waits) * 0.99)] if waits else 0.0,
+            sum(request.runs > 1 for request in self._requests),
+        )
+
+    def _create_router(self, index: int, incarnation: int) -> Router:
+        domain = f"domain-{index % self.plan.domains}"
+        return Router(RouterId(f"router-{index}", incarnation), domain, self)
+
+    def _restart(self, index: int) -> None:
+        incarnation = self.routers[index].board.identity.incarnation + 1
+        configuration = self.routers[index].board.configuration.current
+        self.routers[index] = self._create_router(index, incarnation)
+        self.update_members()
+        if configuration is not None:
+            self.routers[index].board.configuration.replace(configuration)
+
+    def _configure(self, weights: dict[str, float]) -> Configuration:
+        service = Service(
+            SERVICE, self.plan.kind, (), (), self.plan.expected, self.plan.largest, 0.2
+        )
+        servers = {
+            server.name: BackendServer(
+                server.name,
+                "127.0.0.1:1",
+                SERVICE,
+                f"domain-{index % self.plan.domains}",
+                server.slots,
+                server.slots,
+                (),
+                (),
+                "",
+                "",
+                False,
+            )
+            for index, server in enumerate(self.servers.values())
+        }
+        workspaces = {
+            name: Workspace(name, "", weight, 1_000_000)
+            for name, weight in weights.items()
+        }
+        return Configuration(1, "", "", workspaces, {SERVICE: service}, servers)
+
+    def _begin(self, flow: Flow) -> None:
+        for index in flow.routers:
+            for _ in range(flow.depth):
+                self._push(flow, index)
+            if not flow.depth:
+                self._arrive(flow, index)
+
+    def _arrive(self, flow: Flow, index: int) -> None:
+        self._push(flow, index)
+        gap = self._random.expovariate(flow.rate)
+        self.events.call_after(gap, functools.partial(self._arrive, flow, index))
+
+    def _push(self, flow: Flow, index: int) -> None:
+        router = self.routers[index]
+        now = self.events.now
+        if now - self.start > flow.stop or not router.alive:
+            return
+        cost = flow.draw_cost(self._random)
+        request = Request(flow.workspace, cost, cost * flow.hint, now)
+        self._requests.append(request)
+        follow = functools.partial(self._push, flow, index)
+        router.push(request, follow if flow.depth else lambda: None)
--- /dev/null
+++ b/benchmarks/network.py
@@ -0,0 +1,110 @@
+"""Messages between routers with a delay, losses, cuts and true sizes."""
+
+from __future__ import annotations
+
+import functools
+import random
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+from sycamorehaven.transport.codec import Codec, Delivery
+
+if TYPE_CHECKING:
+    from benchmarks.events import EventQueue
+    from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.transport.links import Handler
+
+
+class Network:
+    """
+    Carries messages between routers.
+
+    :param events: the clock.
+    :param seed: of delays and losses.
+    :param delay: one way, seconds; each message takes half to one and a half.
+    :param loss: part of the messages that is lost.
+    :param doubling: part of the messages that comes twice.
+    """
+
+    def __init__(
+        self,
+        events: EventQueue,
+        seed: int = 1,
+        delay: float = 0.0005,
+        loss: float = 0.0,
+        doubling: float = 0.0,
+    ) -> None:
+        self._events = events
+        self._random = random.Random(seed)
+        self._delay = delay
+        self.loss = loss
+        self.doubling = doubling
+        self.sides: dict[str, int] = {}
+        self.links: dict[str, Link] = {}
+        self.messages: Counter[str] = Counter()
+        self.sizes: Counter[str] = Counter()
+        self.sent: Counter[str] = Counter()
+
+    def carry(self, host: str, delivery: Delivery, size: int) -> None:
+        """Count a message and deliver it later, twice or never."""
+        kind = type(delivery.message).__name__
+        self.messages[kind] += 1
+        self.sizes[kind] += size
+        self.sent[delivery.sender.host] += size
+        if self.sides.get(host, 0) != self.sides.get(delivery.sender.host, 0):
+            return
+        if self._random.random() < self.loss:
+            return
+        copies = 2 if self._random.random() < self.doubling else 1
+        for _ in range(copies):
+            delay = self._delay * (0.5 + self._random.random())
+            deliver = functools.partial(self._deliver, host, delivery)
+            self._events.call_after(delay, deliver)
+
+    def _deliver(self, host: str, delivery: Delivery) -> None:
+        link = self.links.get(host)
+        if link is not None:
+            link.dispatch(delivery)
+
+
+class Link:
+    """
+    A ``PeerLink`` of one router.
+
+    :param board: its state.
+    :param network: carries its messages.
+    :param events: the clock.
+    """
+
+    def __init__(self, board: Blackboard, network: Network, events: EventQueue) -> None:
+        self._board = board
+        self._network = network
+        self._events = events
+        self._address = board.members.own.address
+        self._codec = Codec(board.identity, self._address)
+        self._handlers: dict[type, list[Handler]] = {}
+        network.links[board.identity.host] = self
+
+    def send(self, host: str, message: Any) -> bool:
+        """Send to a member."""
+        delivery = Delivery(self._board.identity, self._address, message)
+        if host == self._board.identity.host:
+            self._events.call_after(0.0, functools.partial(self.dispatch, delivery))
+            return True
+        if self._board.members.find(host) is None:
+            return False
+        self._network.carry(host, delivery, len(self._codec.encode(message)))
+        return True
+
+    def send_to(self, address: str, message: Any) -> None:
+        """Send to an address; hosts are named by theirs."""
+        self.send(address.partition(":")[0], message)
+
+    def subscribe(self, kind: type, handler: Handler) -> None:
+        """Call a handler with every delivery of a kind."""
+        self._handlers.setdefault(kind, []).append(handler)
+
+    def dispatch(self, delivery: Delivery) -> None:
+        """Hand a delivery to the handlers."""
+        for handler in self._handlers.get(type(delivery.message), []):
+            handler(delivery)
--- a/src/sycamorehaven/blackboard/permits.py
+++ b/src/sycamorehaven/blackboard/permits.py
@@ -147,5 +147,5 @@
         return list(self._permits.values())
 
     def list_settlements(self) -> list[Settlement]:
-        """Return the permits whose return is not acknowledged, oldest first."""
+        """Return the permits whose return is not acknowledged."""
         return list(self._settlements.values())
