--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -11,6 +11,7 @@
 from benchmarks.network import Link, Network
 from benchmarks.workload import Flow, Request, Server
 from sycamorehaven.blackboard.board import Blackboard
+from sycamorehaven.blackboard.counters import CounterKey
 from sycamorehaven.blackboard.members import Member
 from sycamorehaven.blackboard.queues import QueueKey, Waiting
 from sycamorehaven.configuration.model import (
@@ -253,14 +254,9 @@
 
     def merge(self, board: Blackboard, row: CounterRow) -> None:
         """Merge a total of another router into a board."""
-        key = next(iter(board.counters.totals), None)
-        kind = type(key) if key is not None else None
-        if kind is None:
-            from sycamorehaven.blackboard.counters import CounterKey
-
-            kind = CounterKey
         name = RouterId(row.host, row.incarnation)
-        board.counters.merge(kind(name, row.service, row.workspace), row.total)
+        key = CounterKey(name, row.service, row.workspace)
+        board.counters.merge(key, row.total)
 
     def kill(self, index: int, restart_after: float | None = None) -> None:
         """End a router; its requests run on at their servers, unheard."""
--- a/benchmarks/workload.py
+++ b/benchmarks/workload.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import functools
-import random
 from collections import deque
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Callable
 
     from benchmarks.events import EventQueue
@@ -88,9 +88,7 @@
     :param events: the clock.
     """
 
-    def __init__(
-        self, name: str, slots: int, speed: float, events: EventQueue
-    ) -> None:
+    def __init__(self, name: str, slots: int, speed: float, events: EventQueue) -> None:
         self.name = name
         self.slots = slots
         self.speed = speed
--- a/src/sycamorehaven/blackboard/permits.py
+++ b/src/sycamorehaven/blackboard/permits.py
@@ -142,10 +142,10 @@
         """Return a permit that is held, or ``None``."""
         return self._permits.get(key)
 
-    def list(self) -> list[Permit]:
-        """Return every permit held."""
-        return list(self._permits.values())
-
     def list_settlements(self) -> list[Settlement]:
         """Return the permits whose return is not acknowledged."""
         return list(self._settlements.values())
+
+    def list(self) -> list[Permit]:
+        """Return every permit held."""
+        return list(self._permits.values())
--- a/src/sycamorehaven/decisions/scheduler.py
+++ b/src/sycamorehaven/decisions/scheduler.py
@@ -265,10 +265,6 @@
         self._notice_pause(now)
         for edge in self._backlog.list_expired(now):
             self.drop_edge(edge, now)
-        for holding in list(self._holdings.all.values()):
-            unseen = not holding.confirmed or self._backlog.find(holding.edge) is None
-            if unseen and now - holding.granted_at > LEASE + UNSEEN_GRACE:
-                self._abandon(holding, now)
         self._share.rebuild(now, LAG_LIMIT * self._terms.largest_cost)
         self._occupancy.offer_all(now)
 
