--- a/src/sycamorehaven/controllers/servers.py
+++ b/src/sycamorehaven/controllers/servers.py
@@ -6,7 +6,7 @@
 import random as standard_random
 import time
 from collections import Counter
-from typing import TYPE_CHECKING, NamedTuple, Protocol
+from typing import TYPE_CHECKING, NamedTuple, Protocol, TypedDict
 
 import aiohttp
 import msgspec
@@ -54,6 +54,14 @@
     leaving: bool
 
 
+class LoadBody(TypedDict):
+    """The JSON object that a server answers; other members are ignored."""
+
+    running: int
+    capacity: int
+    leaving: bool
+
+
 class LoadSource(Protocol):
     """Reads the load of backend servers."""
 
@@ -78,7 +86,7 @@
                 if response.status != 200:
                     return None
                 body = await response.content.read(LARGEST_REPORT)
-                return msgspec.convert(msgspec.json.decode(body), LoadReport)
+                return LoadReport(**msgspec.json.decode(body, type=LoadBody))
         except (TimeoutError, aiohttp.ClientError, OSError, msgspec.MsgspecError):
             return None
 
--- a/tests/controllers/test_servers.py
+++ b/tests/controllers/test_servers.py
@@ -7,9 +7,16 @@
 
 from sycamorehaven.configuration.acceptance import accept_text
 from sycamorehaven.controllers.notices import NoticeController
-from sycamorehaven.controllers.servers import LoadReport, ServerController
+from sycamorehaven.controllers.servers import (
+    HttpLoadSource,
+    LoadReport,
+    ServerController,
+)
 from sycamorehaven.decisions.reachability import LONGEST_AVOIDANCE
+from sycamorehaven.standins.engine import EngineStandin
+from sycamorehaven.standins.serving import start_application
 from tests.support.doubles import ManualClock, MemoryLink, MemoryNetwork, create_board
+from tests.support.fleet import find_address
 from tests.support.texts import ServerPlan, write_configuration
 
 if TYPE_CHECKING:
@@ -66,6 +73,25 @@
         return next(n for n, load in enumerate(self.loads) if server in load.reads)
 
 
+async def test_a_load_is_read_over_http() -> None:
+    address = find_address()
+    engine = EngineStandin(slots=6)
+    runner = await start_application(engine.build_application(), address)
+    source = HttpLoadSource()
+    server = accept_text(
+        write_configuration([ServerPlan("e", "assistant", address)]).encode(), 1
+    ).servers["e"]
+    try:
+        assert await source.read_load(server) == LoadReport(0, 6, False)
+        engine.faults.leaving = True
+        assert await source.read_load(server) == LoadReport(0, 6, True)
+        await runner.cleanup()
+        assert await source.read_load(server) is None
+    finally:
+        await source.close()
+        await runner.cleanup()
+
+
 async def test_one_router_polls_each_server(
     network: MemoryNetwork, clock: ManualClock
 ) -> None:
