Replace the probe of everybody by a SWIM membership

Every router probed every other twice a second and dropped whoever was silent for 3 s: messages grew with the square of the fleet, one lost exchange could drop a live member, and a paused router believed its old view.

Records of a host form a total order (incarnation, refutation, state), so repeats and reordering do no harm. A claim that a live member is dead is checked by a probe that carries it, so hearsay alone kills nobody when a healed partition exchanges tombstones. Views are compared by 32 bucket digests every 10 s; tombstones (24 h, at most 1,024) and seeds are probed slowly, so that a healed cut joins again. A gap of 1 s between ticks is a pause: it is put on the blackboard and the view is refreshed before it counts as recovered.

--- /dev/null
+++ b/src/sycamorehaven/decisions/records.py
@@ -0,0 +1,64 @@
+"""
+Order and bounds of member records.
+
+Records of one host form a total order: incarnation, then refutation, then
+state. The view keeps the greatest, so repeats and reordering do no harm.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sycamorehaven.transport.messages import MemberRecord
+
+STATE_RANKS = {"alive": 0, "suspect": 1, "leaving": 2, "dead": 3}
+"""Which state wins between records of equal incarnation and refutation."""
+LARGEST_INCARNATION = 2**63 - 1
+LARGEST_REFUTATION = 1_000_000_000
+"""Refutations accepted from others; a member can always go one higher."""
+LONGEST_NAME = 64
+"""Characters of a host, a failure domain or an address."""
+FIXED_RECORD_BYTES = 17
+"""Encoded bytes of a record besides its four texts."""
+
+
+def rank_record(record: MemberRecord) -> tuple[int, int, int]:
+    """Return the record's place in the order of its host's records."""
+    return record.incarnation, record.refutation, STATE_RANKS[record.state]
+
+
+def is_newer(record: MemberRecord, known: MemberRecord | None) -> bool:
+    """Return whether a record replaces the one that is known."""
+    return known is None or rank_record(record) > rank_record(known)
+
+
+def is_valid(record: MemberRecord) -> bool:
+    """Return whether a record from a peer is within bounds."""
+    texts = (record.host, record.failure_domain, record.address)
+    return (
+        all(0 < len(text) <= LONGEST_NAME for text in texts)
+        and record.state in STATE_RANKS
+        and 0 < record.incarnation <= LARGEST_INCARNATION
+        and 0 <= record.refutation <= LARGEST_REFUTATION
+        and is_address(record.address)
+    )
+
+
+def is_address(address: str) -> bool:
+    """Return whether a text is ``ip:port`` or, in tests, ``name:port``."""
+    host, _, port = address.rpartition(":")
+    if not (port.isascii() and port.isdigit() and len(port) <= 5 and int(port) > 0):
+        return False
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return host.isascii() and host.isalnum()
+    return int(port) < 65_536
+
+
+def measure_record(record: MemberRecord) -> int:
+    """Return an upper bound of a record's encoded size, bytes."""
+    texts = record.host, record.address, record.failure_domain, record.state
+    return FIXED_RECORD_BYTES + sum(2 + len(text.encode()) for text in texts)
--- a/src/sycamorehaven/transport/messages.py
+++ b/src/sycamorehaven/transport/messages.py
@@ -61,7 +61,7 @@
     """
     A heartbeat probe with piggybacked news.
 
-    :ivar sequence: echoed by the acknowledgement.
+    :ivar sequence: echoed by the acknowledgement; 0 carries news only.
     :ivar on_behalf_of: peer address that asked for it, or "".
     :ivar revision: the sender's configuration revision, 0 for none.
     :ivar digest: the sender's configuration digest.
@@ -76,7 +76,7 @@
 
 
 class ProbeAck(NamedTuple):
-    """The answer to ``Probe``; same fields."""
+    """The answer to ``Probe``; same fields. A sequence of 0 answers none."""
 
     sequence: int
     on_behalf_of: str
@@ -433,6 +433,36 @@
     free: int
 
 
+class ViewDigest(NamedTuple):
+    """
+    A request to compare views; answered with ``ViewRecords``.
+
+    :ivar sequence: echoed by the answer.
+    :ivar digests: a 32-bit digest a bucket of hosts.
+    """
+
+    sequence: int
+    digests: list[int]
+
+
+class ViewRecords(NamedTuple):
+    """
+    Records of a bucket of hosts whose digests differ.
+
+    :ivar sequence: the request's.
+    :ivar bucket: the bucket, -1 if the views are equal.
+    :ivar remaining: messages that follow this one.
+    :ivar final: whether the receiver is not to answer with newer records.
+    :ivar records: the sender's records.
+    """
+
+    sequence: int
+    bucket: int
+    remaining: int
+    final: bool
+    records: list[MemberRecord]
+
+
 MESSAGE_KINDS: tuple[type, ...] = (
     Probe,
     ProbeAck,
@@ -454,4 +484,6 @@
     TokenHandover,
     RetrySpend,
     IdleNotice,
+    ViewDigest,
+    ViewRecords,
 )
--- /dev/null
+++ b/tests/failures/test_membership.py
@@ -0,0 +1,58 @@
+"""Membership of real processes that are killed, stopped and started."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from tests.support.fleet import Fleet
+
+LIMIT = 30.0
+"""Seconds after which a view that does not settle fails the test."""
+
+
+async def read_members(fleet: Fleet, router: int) -> dict[str, dict[str, Any]]:
+    url = f"http://{fleet.routers[router].admin}/v1/members"
+    async with fleet.client.get(url) as response:
+        members = (await response.json())["members"]
+    return {member["host"]: member for member in members}
+
+
+async def wait_for_view(fleet: Fleet, router: int, hosts: set[str]) -> None:
+    async with asyncio.timeout(LIMIT):
+        while True:
+            members = await read_members(fleet, router)
+            calm = all(m["state"] == "alive" for m in members.values())
+            if set(members) == hosts and calm:
+                return
+            await asyncio.sleep(0.05)
+
+
+async def test_view_follows_kill_cold_start_and_pause(fleet: Fleet) -> None:
+    plans = fleet.routers
+    hosts = {plan.host for plan in plans}
+    victim = plans[2]
+    for router in range(3):
+        await wait_for_view(fleet, router, hosts)
+    before = (await read_members(fleet, 0))[victim.host]["incarnation"]
+
+    await fleet.kill(victim.host)
+    for router in range(2):
+        await wait_for_view(fleet, router, hosts - {victim.host})
+    await fleet.start_router(victim)
+    await fleet.wait_until_ready(victim)
+    for router in range(3):
+        await wait_for_view(fleet, router, hosts)
+    after = (await read_members(fleet, 0))[victim.host]["incarnation"]
+    assert after > before
+
+    fleet.signal(victim.host, signal.SIGSTOP)
+    for router in range(2):
+        await wait_for_view(fleet, router, hosts - {victim.host})
+    fleet.signal(victim.host, signal.SIGCONT)
+    for router in range(3):
+        await wait_for_view(fleet, router, hosts)
+    assert (await read_members(fleet, 0))[victim.host]["incarnation"] == after
+    assert "the process was paused" in fleet.read_log(victim.host)
--- /dev/null
+++ b/tests/support/members.py
@@ -0,0 +1,146 @@
+"""Membership controllers on a network in memory and a given clock."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from sycamorehaven.controllers.membership import TICK, MembershipController
+from sycamorehaven.settings import RouterSettings
+from tests.support.doubles import ManualClock, MemoryLink, MemoryNetwork, create_board
+
+if TYPE_CHECKING:
+    from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.transport.codec import Delivery
+
+DOMAINS = ("a", "b", "c", "d")
+
+
+def create_settings(host: str, domain: str, seeds: tuple[str, ...]) -> RouterSettings:
+    """Return the settings of a router whose peer address is ``host:1``."""
+    values = dict.fromkeys(RouterSettings._fields, "")
+    settings = RouterSettings(**values)  # type: ignore[arg-type]
+    return settings._replace(host=host, failure_domain=domain, seeds=seeds)
+
+
+class Node:
+    """
+    One router's membership.
+
+    :param swarm: the fleet that it is part of.
+    :param host: its host.
+    :param incarnation: its incarnation.
+    """
+
+    def __init__(self, swarm: Swarm, host: str, incarnation: int) -> None:
+        domain = DOMAINS[int(host[1:]) % len(DOMAINS)]
+        self.board: Blackboard = create_board(host, domain, incarnation)
+        self.link = MemoryLink(self.board, swarm.network)
+        settings = create_settings(host, domain, swarm.seeds)
+        self.controller = MembershipController(
+            self.board,
+            self.link,
+            settings,
+            swarm.clock,
+            random.Random(f"{host}/{incarnation}"),
+        )
+
+    def list_hosts(self) -> list[str]:
+        """Return the hosts in its view."""
+        return [member.host for member in self.board.members.list()]
+
+
+class Swarm:
+    """
+    A fleet of nodes ``m0``, ``m1``, and so on.
+
+    :param size: how many there are.
+    :param loss: part of the messages that is lost.
+    """
+
+    def __init__(self, size: int, loss: float = 0.0, seeds: int = 3) -> None:
+        self.clock = ManualClock()
+        self.network = MemoryNetwork(seed=7, loss=loss)
+        self.seeds = tuple(f"m{number}:1" for number in range(seeds))
+        self.nodes: dict[str, Node] = {}
+        self.paused: dict[str, list[tuple[str, Delivery]]] = {}
+        for number in range(size):
+            self.start(f"m{number}")
+
+    def start(self, host: str, incarnation: int = 1) -> Node:
+        """Start a process on a host."""
+        self.nodes[host] = Node(self, host, incarnation)
+        return self.nodes[host]
+
+    def kill(self, host: str) -> None:
+        """End a process without a word."""
+        del self.nodes[host]
+        self.network.links.pop(f"{host}:1")
+
+    def pause(self, host: str) -> None:
+        """Stop a process; what is sent to it waits in its sockets."""
+        self.paused[host] = []
+
+    def wake(self, host: str) -> None:
+        """Continue a paused process."""
+        self.network.pending += self.paused.pop(host)
+
+    def cut(self, side: set[str]) -> None:
+        """Cut some hosts off from all others."""
+        self.network.cut = {
+            frozenset({f"{inner}:1", f"{outer}:1"})
+            for inner in side
+            for outer in self.nodes.keys() - side
+        }
+
+    def heal(self) -> None:
+        """End the cut."""
+        self.network.cut = set()
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(round(seconds / TICK)):
+            self.step()
+
+    def step(self) -> None:
+        """Let one tick pass."""
+        self.clock.advance(TICK)
+        for host, node in list(self.nodes.items()):
+            if host not in self.paused:
+                node.controller.tick()
+        self._deliver()
+
+    def _deliver(self) -> None:
+        while self.network.pending:
+            batch, self.network.pending = self.network.pending, []
+            for address, delivery in batch:
+                held = self.paused.get(address.rpartition(":")[0])
+                target = self.network.pending if held is None else held
+                target.append((address, delivery))
+            if not self.network.pending:
+                return
+            self.network.deliver(len(self.network.pending))
+
+    def run_until_agreed(self, hosts: set[str], limit: float) -> float:
+        """
+        Let time pass until the views of all running hosts are ``hosts``.
+
+        :returns: seconds that it took.
+        :raises AssertionError: after ``limit`` seconds.
+        """
+        started = self.clock.now
+        while not self.has_agreed(hosts):
+            passed = self.clock.now - started
+            views = {host: node.list_hosts() for host, node in self.nodes.items()}
+            assert passed < limit, views
+            self.step()
+        return self.clock.now - started
+
+    def has_agreed(self, hosts: set[str]) -> bool:
+        """Return whether all views are ``hosts``, with nobody suspect."""
+        return all(
+            set(node.list_hosts()) == hosts
+            and all(m.state != "suspect" for m in node.board.members.list())
+            for host, node in self.nodes.items()
+            if host in hosts and host not in self.paused
+        )
