--- a/src/sycamorehaven/decisions/estimates.py
+++ b/src/sycamorehaven/decisions/estimates.py
@@ -22,6 +22,8 @@
 """Bound of the learned ratio of cost to hint, and of its inverse."""
 SMALLEST_COST = 1e-6
 """Least cost that is learned from, in units; keeps logarithms finite."""
+LARGEST_HINT = 1e12
+"""Largest hint that is learned from, in units."""
 MOST_KEYS = 4096
 """Keys that are remembered; the one unused for longest is dropped."""
 
@@ -90,6 +92,11 @@
     return hint * min(max(ratio, 1.0 / LARGEST_FACTOR), LARGEST_FACTOR)
 
 
+def bound_hint(hint: float) -> float:
+    """Return a hint that keeps sums and logarithms finite."""
+    return min(max(hint, SMALLEST_COST), LARGEST_HINT)
+
+
 def estimate_cost(record: CostRecord, hint: float, bounds: CostBounds) -> float:
     """
     Return the estimated cost of a request, in units.
@@ -97,7 +104,7 @@
     :param hint: cost that the caller expects, 0 for none.
     """
     mean = predict_mean(record, bounds)
-    scaled = predict_hinted(record, hint) if hint > 0.0 else mean
+    scaled = predict_hinted(record, bound_hint(hint)) if hint > 0.0 else mean
     trusted = hint > 0.0 and record.hint_error <= record.mean_error
     cost = scaled if trusted else mean
     return min(max(cost, SMALLEST_COST), bounds.largest)
@@ -124,6 +131,7 @@
     faded = faded._replace(weight=faded.weight + 1.0, cost=faded.cost + learned)
     if hint <= 0.0:
         return faded
+    hint = bound_hint(hint)
     scaled = predict_hinted(record, hint)
     learned = min(cost, scaled * LARGEST_SURPRISE) if record.hints else cost
     return faded._replace(
--- a/tests/decisions/test_estimates.py
+++ b/tests/decisions/test_estimates.py
@@ -79,8 +79,10 @@
 
 @settings(derandomize=True, deadline=None, max_examples=100)
 @given(
-    st.lists(st.tuples(st.floats(0.0, 1e7), st.floats(0.0, 1e9)), max_size=60),
-    st.floats(0.0, 1e7),
+    st.lists(
+        st.tuples(st.floats(0.0, allow_nan=False), st.floats(0.0, 1e9)), max_size=60
+    ),
+    st.floats(0.0, allow_nan=False),
 )
 def test_estimate_stays_within_the_bounds(
     runs: list[tuple[float, float]], hint: float
