Give slots up to other schedulers by a slow integral

Cause: foreign load was subtracted whole from the late report. Ruled out: a first report alone that counts at once; it let a scheduler which has been alone admit 4 beside 3 foreign ones.

--- a/src/sycamorehaven/decisions/occupancy.py
+++ b/src/sycamorehaven/decisions/occupancy.py
@@ -11,11 +11,11 @@
 import heapq
 from typing import TYPE_CHECKING
 
+from sycamorehaven.decisions.foreign_load import ForeignLoad
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-LOAD_LAG = 1.0
-"""Seconds by which a reported load may lag."""
 LOAD_LIFETIME = 5.0
 """Seconds after which a reported load is no longer believed."""
 LEARNING = 2.5
@@ -32,27 +32,21 @@
     def __init__(self, since: float) -> None:
         self.limit = 0
         self.busy = 0
-        self.foreign = 0
+        self.foreign = ForeignLoad()
         self.learning_until = since + LEARNING
         self.since = since
         self._reported_at = since
-        self._peak = 0
-        self._last_peak = 0
-        self._window_started = since
 
     def free(self, now: float) -> int:
         """Return how many requests may be admitted."""
         if now < self.learning_until:
             return 0
         known = now - self._reported_at <= LOAD_LIFETIME
-        return self.limit - self.busy - (self.foreign if known else 0)
+        return self.limit - self.busy - (self.foreign.slots if known else 0)
 
     def note_busy(self, now: float) -> None:
-        """Keep the most permits of the last ``LOAD_LAG`` seconds or more."""
-        if now - self._window_started > LOAD_LAG:
-            self._last_peak, self._peak = self._peak, self.busy
-            self._window_started = now
-        self._peak = max(self._peak, self.busy)
+        """Note how many permits are out."""
+        self.foreign.note_busy(self.busy, now)
 
     def learn_load(self, running: int, reported_at: float, now: float) -> None:
         """Take a load report; what it shows beyond own permits is foreign."""
@@ -60,7 +54,7 @@
             return
         self._reported_at = reported_at
         self.note_busy(now)
-        self.foreign = max(0, running - max(self._peak, self._last_peak))
+        self.foreign.take_report(running, self.limit, now)
         self.learning_until = min(self.learning_until, now)
 
 
@@ -94,6 +88,7 @@
         """Admit nothing until each server's load is known afresh."""
         for slots in self._servers.values():
             slots.since = now
+            slots.foreign.forget()
             slots.learning_until = now + LEARNING
 
     def occupy(self, server: str, now: float, *, adopted: bool = False) -> None:
@@ -101,8 +96,8 @@
         slots = self._find(server)
         slots.busy += 1
         slots.note_busy(now)
-        if adopted and slots.foreign > 0:
-            slots.foreign -= 1
+        if adopted:
+            slots.foreign.adopt()
         self.offer(server, now)
 
     def vacate(self, server: str, now: float) -> None:
--- a/src/sycamorehaven/decisions/slots.py
+++ b/src/sycamorehaven/decisions/slots.py
@@ -7,19 +7,16 @@
 requests granted after the last change are looked at, so a change is judged
 by its own effect, whatever the lag. If cuts do not shorten the time, load is
 not the cause: the cuts are undone and the baseline is raised.
-
-The server's own report comes late. It is used for what others have admitted:
-what it shows beyond the most that was out from here lately is others' work.
-Slots are given up to them and taken back by a slow integral of the excess,
-which is stable under the lag, with a leak that evens out who gave up how much.
 """
 
 from __future__ import annotations
 
 import math
-from collections import deque
 from statistics import median
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
 
 CUT_RATIO = 2.0
 """Ratio of the time per unit to the baseline past which the limit is cut."""
@@ -33,18 +30,12 @@
 """Part of the limit that it grows by, at least one slot."""
 FIRST_GROWTH = 0.5
 """The same until the first time that it does not grow."""
-YIELD_RATE = 0.25
-"""Part of the excess of load that is given up in a second."""
-LEAK_RATE = 0.05
-"""Part of the slots given up that is taken back in a second."""
 FEWEST_SAMPLES = 16
 """Ended requests that a change is based on, or two for each slot if more."""
 LEAST_EFFECT = 0.3
 """Part of the expected effect without which cuts count as ineffective."""
 TRIAL_DEPTH = 0.65
 """Part of the limit to which it is cut before the effect is judged."""
-REPORT_LAG = 2.5
-"""Seconds by which a server's report of its load may be late."""
 MOST_SIZES = 24
 """Classes of like size: powers of four of the cost."""
 
@@ -63,47 +54,6 @@
     units: float
 
 
-class Load(NamedTuple):
-    """
-    What is known of the load of a server.
-
-    :ivar busy: permits that are out from here.
-    :ivar waiting: whether work waits for a slot.
-    :ivar reported: requests that the server reported as running.
-    :ivar reported_at: when the report came, monotonic seconds; 0 for none.
-    """
-
-    busy: int
-    waiting: bool
-    reported: int = 0
-    reported_at: float = 0.0
-
-
-class RecentPeak:
-    """
-    The largest value of the last seconds.
-
-    :param span: seconds.
-    """
-
-    def __init__(self, span: float) -> None:
-        self._span = span
-        self._values: deque[tuple[float, int]] = deque()
-
-    def push(self, value: int, now: float) -> None:
-        """Note the value from ``now`` on."""
-        since = now
-        while self._values and self._values[-1][1] <= value:
-            since, _ = self._values.pop()
-        self._values.append((since, value))
-
-    def find(self, now: float) -> int:
-        """Return the largest value within the span, 0 for none."""
-        while len(self._values) > 1 and self._values[1][0] <= now - self._span:
-            self._values.popleft()
-        return self._values[0][1] if self._values else 0
-
-
 class Trial(NamedTuple):
     """
     A series of cuts whose effect is not known yet.
@@ -132,52 +82,21 @@
         self._trial: Trial | None = None
         self._samples: list[tuple[int, float]] = []
         self._baselines: dict[int, float] = {}
-        self._peak = RecentPeak(REPORT_LAG)
         self._growth = FIRST_GROWTH
-        self._yielded: float | None = None
-        self._loaded_at = 0.0
 
     @property
     def limit(self) -> int:
         """Requests that the server may have at a time."""
         return max(min(math.floor(self._limit), self._ceiling), 1)
 
-    @property
-    def yielded(self) -> float:
-        """Slots given up to what other schedulers have admitted."""
-        return self._yielded or 0.0
-
-    @property
-    def available(self) -> int:
-        """Slots that this scheduler may have out at a time, at least 1."""
-        return max(self.limit - round(self.yielded), 1)
-
     def set_ceiling(self, ceiling: int) -> None:
         """Replace the ceiling."""
         self._ceiling = max(ceiling, 1)
         self._limit = min(self._limit, float(self._ceiling))
 
-    def take_load(self, load: Load, now: float) -> None:
-        """Note the load; give slots up to what others have admitted."""
-        self._peak.push(load.busy, now)
-        self._yield_slots(load, now)
-        self._loaded_at = now
-        if load.waiting and load.busy >= self.available:
-            self._saturated = True
-
-    def _yield_slots(self, load: Load, now: float) -> None:
-        if load.reported_at <= 0.0 or now - load.reported_at > REPORT_LAG:
-            self._yielded = 0.0 if self._yielded is not None else None
-            return
-        others = max(load.reported - self._peak.find(now), 0)
-        if self._yielded is None:
-            self._yielded = float(min(others, self.limit))
-            return
-        passed = min(now - self._loaded_at, 1.0)
-        excess = min(load.reported - self.limit, others)
-        change = YIELD_RATE * excess - LEAK_RATE * self._yielded
-        yielded = self._yielded + change * passed
-        self._yielded = min(max(yielded, 0.0), float(self.limit))
+    def note_saturation(self) -> None:
+        """Note that work waits and no slot is free."""
+        self._saturated = True
 
     def take_finish(self, run: FinishedRun) -> None:
         """Learn from a request that has ended well."""
@@ -268,3 +187,43 @@
     """Return the class of like size of a cost: a power of four."""
     size = math.floor(math.log(units, 4.0))
     return max(min(size, MOST_SIZES // 2), -MOST_SIZES // 2)
+
+
+class ServerLimits:
+    """The limits of the servers of one service at one scheduler."""
+
+    def __init__(self) -> None:
+        self._limits: dict[str, SlotLimit] = {}
+
+    def replace(
+        self, starts: Mapping[str, int], ceilings: Mapping[str, int]
+    ) -> dict[str, int]:
+        """
+        Take over the servers that are scheduled here.
+
+        :param starts: limits to start with, by server.
+        :param ceilings: the most slots of each; the start if not named.
+        :returns: the limits in force, by server.
+        """
+        self._limits = {
+            name: self._limits.get(name) or SlotLimit(start, ceilings.get(name, start))
+            for name, start in starts.items()
+        }
+        for name, start in starts.items():
+            self._limits[name].set_ceiling(ceilings.get(name, start))
+        return {name: limit.limit for name, limit in self._limits.items()}
+
+    def note_saturation(self) -> None:
+        """Note that work waits and no server has a free slot."""
+        for limit in self._limits.values():
+            limit.note_saturation()
+
+    def take_finish(self, server: str, run: FinishedRun) -> None:
+        """Learn from a request that has ended well."""
+        if server in self._limits:
+            self._limits[server].take_finish(run)
+
+    def take_failure(self, server: str, granted_at: float, now: float) -> None:
+        """Learn from a refusal for overload or a loss."""
+        if server in self._limits:
+            self._limits[server].take_failure(granted_at, now)
--- a/src/sycamorehaven/transport/messages.py
+++ b/src/sycamorehaven/transport/messages.py
@@ -501,6 +501,8 @@
     scheduler: str
     incarnation: int
     permits: list[int]
+
+
 class ConfigurationNotice(NamedTuple):
     """
     The sender has put a configuration in force.
