Take classes, estimates, slots and preemption into the scheduler

Cause: the scheduler served batch only without interactive demand, believed the hints, kept the configured slots and never took a slot back. It now asks ClassShares, ServiceEstimates, ServerLimits and Reclaimer; the placeholders InteractiveFirst and HintedCost go. Preemption names the granting scheduler, since an adopted permit is known by it; HeldPermit's class replaces the granted one, which the edge may not have had.

--- a/src/sycamorehaven/controllers/permits.py
+++ b/src/sycamorehaven/controllers/permits.py
@@ -15,7 +15,7 @@
 from sycamorehaven.decisions.rendezvous import rank_candidates
 from sycamorehaven.decisions.roles import choose_scheduler
 from sycamorehaven.identity import RouterId
-from sycamorehaven.transport.messages import PermitAck, PermitGrant
+from sycamorehaven.transport.messages import PermitAck, PermitGrant, Preemption
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -64,6 +64,7 @@
         self._writer = ReportWriter(board)
         link.subscribe(PermitGrant, self._take_grant)
         link.subscribe(PermitAck, self._take_ack)
+        link.subscribe(Preemption, self._take_preemption)
         board.members.changed.subscribe(self._assign)
         board.configuration.changed.subscribe(self._assign)
 
@@ -163,6 +164,13 @@
         for number in ack.permits:
             self._board.permits.acknowledge(PermitKey(scheduler, number))
 
+    def _take_preemption(self, delivery: Delivery) -> None:
+        order: Preemption = delivery.message
+        scheduler = RouterId(order.scheduler, order.incarnation)
+        permit = self._board.permits.find(PermitKey(scheduler, order.permit))
+        if permit is not None and permit.resumable:
+            permit.preempted.set()
+
     def _take_grant(self, delivery: Delivery) -> None:
         grant: PermitGrant = delivery.message
         key = PermitKey(delivery.sender, grant.permit)
--- a/src/sycamorehaven/controllers/scheduling.py
+++ b/src/sycamorehaven/controllers/scheduling.py
@@ -7,6 +7,7 @@
 
 from mode import Service
 
+from sycamorehaven.decisions.rendezvous import rank_candidates
 from sycamorehaven.decisions.roles import choose_scheduler
 from sycamorehaven.decisions.scheduler import (
     LEASE,
@@ -20,6 +21,7 @@
     PermitAck,
     PermitGrant,
     PermitReturn,
+    Preemption,
 )
 
 if TYPE_CHECKING:
@@ -27,6 +29,7 @@
 
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.configuration.model import BackendServer
+    from sycamorehaven.configuration.model import Service as ServiceConfiguration
     from sycamorehaven.transport.codec import Delivery
     from sycamorehaven.transport.links import PeerLink
 
@@ -57,6 +60,7 @@
         self._clock = clock
         self._schedulers: dict[str, ServiceScheduler] = {}
         self._own_servers: dict[str, list[BackendServer]] = {}
+        self._turns: dict[str, int] = {}
         self._acks: dict[tuple[str, str, int], list[int]] = {}
         link.subscribe(DemandReport, self._take_report)
         link.subscribe(PermitReturn, self._take_return)
@@ -92,16 +96,14 @@
         own = self._board.identity.host
         weights = {w.name: w.weight for w in configuration.workspaces.values()}
         for name, service in configuration.services.items():
-            self._own_servers[name] = [
-                server
-                for server in configuration.list_servers(name)
-                if choose_scheduler(server, domains) == own
-            ]
+            servers = configuration.list_servers(name)
+            places = {s.name: choose_scheduler(s, domains) for s in servers}
+            self._own_servers[name] = [s for s in servers if places[s.name] == own]
+            hosts = rank_candidates(f"turn/{name}", {h for h in places.values() if h})
+            self._turns[name] = hosts.index(own) if own in hosts else len(hosts)
             scheduler = self._find_scheduler(name)
             scheduler.set_weights(weights)
-            scheduler.set_terms(
-                ServiceTerms(service.largest_cost, service.kind != "model")
-            )
+            scheduler.set_terms(_write_terms(service, len(hosts)))
         for scheduler in self._schedulers.values():
             scheduler.retain_edges(self._is_live, self._clock())
         self._grant_all()
@@ -122,7 +124,11 @@
             for server in self._own_servers[service]
             if self._board.servers.takes_work(server.name, now)
         ]
-        scheduler.set_servers({server.name: server.slots for server in servers}, now)
+        scheduler.set_servers(
+            {server.name: server.slots for server in servers},
+            now,
+            {server.name: server.slots_ceiling for server in servers},
+        )
         for server in servers:
             status = self._board.servers.get(server.name)
             if status.reported_at > 0.0:
@@ -176,11 +182,23 @@
         scheduler = self._schedulers[service]
         now = self._clock()
         grants = scheduler.grant(now)
-        if not grants:
-            return
-        free = scheduler.count_free(now)
+        free = scheduler.count_free(now) if grants else 0
         for grant in grants:
             self._link.send(grant.edge.host, _write_grant(service, grant, free))
+        for holding in scheduler.preempt(now, self._turns.get(service, 0)):
+            granter, number = holding.name
+            order = Preemption(granter.host, granter.incarnation, number)
+            self._link.send(holding.edge.host, order)
+
+
+def _write_terms(service: ServiceConfiguration, schedulers: int) -> ServiceTerms:
+    return ServiceTerms(
+        largest_cost=service.largest_cost,
+        in_seconds=service.kind != "model",
+        expected_cost=service.expected_cost,
+        batch_fraction=service.batch_fraction,
+        schedulers=schedulers,
+    )
 
 
 def _write_grant(service: str, grant: Grant, free: int) -> PermitGrant:
--- a/src/sycamorehaven/decisions/backlog.py
+++ b/src/sycamorehaven/decisions/backlog.py
@@ -5,12 +5,15 @@
 import heapq
 from typing import TYPE_CHECKING, NamedTuple
 
+from sycamorehaven.call import BATCH, INTERACTIVE
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from sycamorehaven.identity import RouterId
     from sycamorehaven.transport.messages import DemandReport
 
+CLASSES = (INTERACTIVE, BATCH)
 SPARE_ENTRIES = 16
 """Outdated heap entries kept per queue before it is compacted."""
 
@@ -73,9 +76,14 @@
         """Return how many requests of a workspace wait."""
         return sum(self._classes.get(workspace, {}).values())
 
-    def list_classes(self, workspace: str) -> list[str]:
-        """Return the classes in which a workspace waits."""
-        return [name for name, n in self._classes.get(workspace, {}).items() if n > 0]
+    def count_class(self, workspace: str, priority: str) -> int:
+        """Return how many requests of a class wait."""
+        return self._classes.get(workspace, {}).get(priority, 0)
+
+    def list_costs(self, workspace: str) -> dict[str, float]:
+        """Return the cost of the next request of each class that waits."""
+        rows = {name: self.peek(workspace, name) for name in CLASSES}
+        return {name: row.cost for name, row in rows.items() if row is not None}
 
     def replace(self, edge: RouterId, report: DemandReport, now: float) -> set[str]:
         """Take over a report; return the workspaces that it touches."""
@@ -120,20 +128,33 @@
                 self._count(key, waiting - row.waiting)
                 row.waiting = waiting
 
+    def peek(self, workspace: str, priority: str) -> Row | None:
+        """Return the row of the oldest request of a class, or ``None``."""
+        found = self._find_oldest((workspace, priority))
+        return found[1] if found else None
+
     def take(self, workspace: str, priority: str) -> tuple[RouterId, Row] | None:
         """Count out the oldest request of a class; return where it waits."""
         key = workspace, priority
+        found = self._find_oldest(key)
+        if found is None:
+            return None
+        edge, row = found
+        heapq.heappop(self._queues[key])
+        row.take()
+        self._count(key, -1)
+        self._push(key, edge, row)
+        return edge, row
+
+    def _find_oldest(self, key: tuple[str, str]) -> tuple[RouterId, Row] | None:
         queue = self._queues.get(key, [])
         while queue:
-            since, edge = heapq.heappop(queue)
+            since, edge = queue[0]
             demand = self._edges.get(edge)
             row = demand.rows.get(key) if demand else None
-            if row is None or row.waiting <= 0 or row.since != since:
-                continue
-            row.take()
-            self._count(key, -1)
-            self._push(key, edge, row)
-            return edge, row
+            if row is not None and row.waiting > 0 and row.since == since:
+                return edge, row
+            heapq.heappop(queue)
         return None
 
     def list_expired(self, now: float) -> list[RouterId]:
--- a/src/sycamorehaven/decisions/estimates.py
+++ b/src/sycamorehaven/decisions/estimates.py
@@ -169,3 +169,30 @@
         self._records.move_to_end(key)
         if len(self._records) > self._most_keys:
             self._records.popitem(last=False)
+
+
+class ServiceEstimates:
+    """
+    Estimates of one service.
+
+    :param service: the service.
+    """
+
+    def __init__(self, service: str) -> None:
+        self._service = service
+        self._bounds = CostBounds(SMALLEST_COST, math.inf)
+        self._estimates = CostEstimates()
+
+    def configure(self, bounds: CostBounds) -> None:
+        """Replace what the configuration says of costs."""
+        self._bounds = bounds
+
+    def estimate(self, workspace: str, priority: str, hint: float) -> float:
+        """Return the estimated cost of a request with a hint, in units."""
+        key = CostKey(self._service, workspace, priority)
+        return self._estimates.estimate(key, hint, self._bounds)
+
+    def learn(self, workspace: str, priority: str, hint: float, cost: float) -> None:
+        """Learn from a request that has ended."""
+        key = CostKey(self._service, workspace, priority)
+        self._estimates.observe(key, hint, cost, self._bounds)
--- a/src/sycamorehaven/decisions/holdings.py
+++ b/src/sycamorehaven/decisions/holdings.py
@@ -136,6 +136,7 @@
         newer = holding._replace(
             counted=cost,
             cost=max(holding.cost, cost),
+            priority=held.priority,
             confirmed=True,
             resumable=held.resumable,
             accounted=held.accounted,
--- a/src/sycamorehaven/decisions/preemption.py
+++ b/src/sycamorehaven/decisions/preemption.py
@@ -12,12 +12,18 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from sycamorehaven.call import BATCH, INTERACTIVE
+from sycamorehaven.decisions.holdings import PermitName
+
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Container, Iterable, Sequence
 
     from sycamorehaven.configuration.model import CallRule
+    from sycamorehaven.decisions.backlog import Backlog
+    from sycamorehaven.decisions.fair_share import FairShare
+    from sycamorehaven.decisions.holdings import Holdings
 
-MOST_PREEMPTIONS = 2
+MOST_PREEMPTIONS = 3
 """Times that one request is preempted; after that it runs to its end."""
 SHORTEST_RUN = 1.0
 """Seconds that a stream runs before it may be preempted."""
@@ -25,7 +31,7 @@
 """Seconds that an interactive request waits before a stream is preempted."""
 ORDER_TIMEOUT = 2.0
 """Seconds after which a preemption that freed no slot counts no longer."""
-CONTROL_SHARE = 8
+LAST_TURN = 8
 """Schedulers that wait for each other's preemption in turn."""
 
 
@@ -51,7 +57,7 @@
     """
     A permit under which a batch stream runs.
 
-    :ivar number: the permit's number.
+    :ivar permit: the permit's name.
     :ivar workspace: whose stream.
     :ivar virtual_time: of that workspace, units per weight.
     :ivar granted_at: monotonic seconds.
@@ -59,7 +65,7 @@
     :ivar guaranteed: whether it was granted by batch's guaranteed fraction.
     """
 
-    number: int
+    permit: PermitName
     workspace: str
     virtual_time: float
     granted_at: float
@@ -71,11 +77,11 @@
     """
     A stream to preempt.
 
-    :ivar number: the permit's number.
+    :ivar permit: its permit's name.
     :ivar workspace: in whose favour.
     """
 
-    number: int
+    permit: PermitName
     workspace: str
 
 
@@ -93,7 +99,7 @@
 ) -> Candidate | None:
     """Return the newest stream that may make way, or ``None``."""
     allowed = [c for c in candidates if may_preempt(claimant, c, now)]
-    return max(allowed, key=lambda c: (c.granted_at, c.number), default=None)
+    return max(allowed, key=lambda c: (c.granted_at, c.permit), default=None)
 
 
 def may_preempt(claimant: Claimant, candidate: Candidate, now: float) -> bool:
@@ -115,16 +121,16 @@
     """Chooses streams to preempt and remembers those that were told to."""
 
     def __init__(self) -> None:
-        self._orders: dict[int, tuple[str, float]] = {}
+        self._orders: dict[PermitName, tuple[str, float]] = {}
 
     @property
     def outstanding(self) -> int:
         """Preemptions that have not freed their slot yet."""
         return len(self._orders)
 
-    def forget(self, number: int) -> None:
+    def forget(self, permit: PermitName) -> None:
         """Note that a permit has come back."""
-        self._orders.pop(number, None)
+        self._orders.pop(permit, None)
 
     def choose(
         self,
@@ -143,9 +149,9 @@
             at every scheduler.
         """
         self._expire(now)
-        patience = PATIENCE * (1 + min(turn, CONTROL_SHARE))
+        patience = PATIENCE * (1 + min(turn, LAST_TURN))
         orders: list[PreemptionOrder] = []
-        left = [c for c in candidates if c.number not in self._orders]
+        left = [c for c in candidates if c.permit not in self._orders]
         for claimant in claimants:
             room = claimant.waiting - self._count(claimant.workspace)
             if claimant.oldest_age < patience:
@@ -162,8 +168,8 @@
             if victim is None:
                 break
             left.remove(victim)
-            self._orders[victim.number] = (claimant.workspace, now)
-            orders.append(PreemptionOrder(victim.number, claimant.workspace))
+            self._orders[victim.permit] = (claimant.workspace, now)
+            orders.append(PreemptionOrder(victim.permit, claimant.workspace))
             gained = claimant.virtual_time + claimant.cost
             claimant = claimant._replace(virtual_time=gained)
         return orders
@@ -173,7 +179,67 @@
 
     def _expire(self, now: float) -> None:
         self._orders = {
-            number: (workspace, since)
-            for number, (workspace, since) in self._orders.items()
+            permit: (workspace, since)
+            for permit, (workspace, since) in self._orders.items()
             if now - since <= ORDER_TIMEOUT
         }
+
+
+class Reclaimer:
+    """
+    Preempts streams for the workspace that is due.
+
+    :param share: virtual times.
+    :param backlog: what waits.
+    :param holdings: permits that are out.
+    """
+
+    def __init__(self, share: FairShare, backlog: Backlog, holdings: Holdings) -> None:
+        self._share = share
+        self._backlog = backlog
+        self._holdings = holdings
+        self._preemptor = Preemptor()
+
+    def forget(self, permit: PermitName) -> None:
+        """Note that a permit has come back."""
+        self._preemptor.forget(permit)
+
+    def choose(
+        self, cost: float, guaranteed: Container[PermitName], now: float, turn: int
+    ) -> list[PreemptionOrder]:
+        """
+        Return the streams to preempt now; call it when no slot is free.
+
+        :param cost: estimated cost per weight of the request that is due.
+        :param guaranteed: permits granted by batch's guaranteed fraction.
+        :param turn: rank of this scheduler among those of the service.
+        """
+        workspace = self._share.choose()
+        if workspace is None:
+            return []
+        row = self._backlog.peek(workspace, INTERACTIVE)
+        if row is None or now - row.since < PATIENCE:
+            return []
+        claimant = Claimant(
+            workspace,
+            self._share.measure(workspace),
+            cost,
+            self._backlog.count_class(workspace, INTERACTIVE),
+            now - row.since,
+        )
+        candidates = self._list_candidates(guaranteed)
+        return self._preemptor.choose([claimant], candidates, now, turn)
+
+    def _list_candidates(self, guaranteed: Container[PermitName]) -> list[Candidate]:
+        return [
+            Candidate(
+                name,
+                holding.workspace,
+                self._share.measure(holding.workspace),
+                holding.granted_at,
+                holding.resumable,
+                name in guaranteed,
+            )
+            for name, holding in self._holdings.all.items()
+            if holding.priority == BATCH
+        ]
--- a/src/sycamorehaven/decisions/scheduler.py
+++ b/src/sycamorehaven/decisions/scheduler.py
@@ -10,10 +10,15 @@
 import math
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
+from sycamorehaven.call import INTERACTIVE
 from sycamorehaven.decisions.backlog import Backlog
+from sycamorehaven.decisions.classes import ClassChoice, ClassShares
+from sycamorehaven.decisions.estimates import CostBounds, ServiceEstimates
 from sycamorehaven.decisions.fair_share import FairShare
 from sycamorehaven.decisions.holdings import Holding, Holdings, PermitName
 from sycamorehaven.decisions.occupancy import Occupancy
+from sycamorehaven.decisions.preemption import Reclaimer
+from sycamorehaven.decisions.slots import FinishedRun, ServerLimits
 from sycamorehaven.identity import RouterId
 
 if TYPE_CHECKING:
@@ -49,50 +54,16 @@
         ...
 
 
-class ClassOrder(Protocol):
-    """Chooses the class to serve inside a workspace's share."""
-
-    def choose(self, workspace: str, waiting: list[str]) -> str:
-        """Return one of the classes that wait."""
-        ...
-
-    def charge(self, workspace: str, priority: str, cost: float) -> None:
-        """Note a grant to a class, in the service's unit."""
-        ...
-
-
-class CostEstimator(Protocol):
-    """Learns what requests cost from what they did cost."""
-
-    def estimate(self, workspace: str, hint: float) -> float:
-        """Return the expected cost of a request with a hint."""
-        ...
-
-    def learn(self, workspace: str, hint: float, cost: float) -> None:
-        """Take a true cost."""
-        ...
-
-
-class InteractiveFirst:
-    """Serves interactive requests before any other."""
-
-    def choose(self, workspace: str, waiting: list[str]) -> str:  # noqa: ARG002
-        """Return one of the classes that wait."""
-        return "interactive" if "interactive" in waiting else waiting[0]
-
-    def charge(self, workspace: str, priority: str, cost: float) -> None:
-        """Ignore it."""
-
-
-class HintedCost:
-    """Believes the hint."""
+class Issue(NamedTuple):
+    """
+    What a permit was granted on.
 
-    def estimate(self, workspace: str, hint: float) -> float:  # noqa: ARG002
-        """Return the hint."""
-        return hint
+    :ivar hint: cost of one request as the edge gave it, units.
+    :ivar choice: the class and why it was chosen.
+    """
 
-    def learn(self, workspace: str, hint: float, cost: float) -> None:
-        """Ignore it."""
+    hint: float
+    choice: ClassChoice
 
 
 class Grant(NamedTuple):
@@ -139,10 +110,16 @@
 
     :ivar largest_cost: the most that one request is charged ahead, units.
     :ivar in_seconds: whether its unit is a second of a slot.
+    :ivar expected_cost: cost of a request before any is known, units.
+    :ivar batch_fraction: guaranteed part of a workspace's share for batch.
+    :ivar schedulers: routers that schedule servers of the service.
     """
 
     largest_cost: float = math.inf
     in_seconds: bool = False
+    expected_cost: float = 1.0
+    batch_fraction: float = 0.2
+    schedulers: int = 1
 
 
 class ServiceScheduler:
@@ -152,30 +129,23 @@
     :param own: this router.
     :param service: the service.
     :param ledger: service received, fleet-wide.
-    :param classes: chooses the class inside a workspace's share.
-    :param estimator: estimates costs.
     """
 
-    def __init__(
-        self,
-        own: RouterId,
-        service: str,
-        ledger: Ledger,
-        classes: ClassOrder | None = None,
-        estimator: CostEstimator | None = None,
-    ) -> None:
+    def __init__(self, own: RouterId, service: str, ledger: Ledger) -> None:
         self._own = own
         self._service = service
         self._ledger = ledger
-        self._classes = classes or InteractiveFirst()
-        self._estimator = estimator or HintedCost()
         self._terms = ServiceTerms()
+        self._classes = ClassShares(self._terms.batch_fraction)
+        self._estimates = ServiceEstimates(service)
+        self._limits = ServerLimits()
         self._weights: Mapping[str, float] = {}
         self._share = FairShare(self._measure_received)
         self._backlog = Backlog()
         self._holdings = Holdings(own)
         self._occupancy = Occupancy()
-        self._hints: dict[PermitName, float] = {}
+        self._reclaimer = Reclaimer(self._share, self._backlog, self._holdings)
+        self._issues: dict[PermitName, Issue] = {}
         self._last_number = 0
         self._last_round: float | None = None
 
@@ -194,17 +164,31 @@
         """Workspaces that wait."""
         return self._share.waiting
 
-    def set_servers(self, slots: Mapping[str, int], now: float) -> None:
-        """Replace the servers that are scheduled here and their slots."""
-        self._occupancy.replace(slots, now)
+    def set_servers(
+        self,
+        slots: Mapping[str, int],
+        now: float,
+        ceilings: Mapping[str, int] | None = None,
+    ) -> None:
+        """
+        Replace the servers that are scheduled here.
+
+        :param slots: slots to start with, by server.
+        :param ceilings: the most slots of each; those to start with if not
+            named.
+        """
+        self._occupancy.replace(self._limits.replace(slots, ceilings or {}), now)
 
     def set_weights(self, weights: Mapping[str, float]) -> None:
         """Replace the workspaces' weights."""
         self._weights = weights
+        self._classes.retain(weights)
 
     def set_terms(self, terms: ServiceTerms) -> None:
         """Replace what the configuration says of the service."""
         self._terms = terms
+        self._classes.configure(terms.batch_fraction, terms.schedulers)
+        self._estimates.configure(CostBounds(terms.expected_cost, terms.largest_cost))
 
     def learn_load(
         self, server: str, running: int, reported_at: float, now: float
@@ -242,7 +226,7 @@
         holding, cost = self._holdings.settle(message)
         if holding is not None:
             self._occupancy.vacate(holding.server, now)
-            self._learn(holding, message)
+            self._learn(holding, message, now)
         self._backlog.correct(edge, message.workspace, message.waiting)
         self._update_waiting([message.workspace], now)
         self._share.touch(message.workspace)
@@ -279,16 +263,34 @@
         while (workspace := self._share.choose()) is not None:
             server = self._occupancy.find_free(now)
             if server is None:
+                self._limits.note_saturation()
                 break
             grant = self._grant_one(workspace, server, now)
             if grant is not None:
                 grants.append(grant)
         return grants
 
+    def preempt(self, now: float, turn: int) -> list[Holding]:
+        """
+        Return the permits whose streams make way now.
+
+        :param turn: rank of this scheduler among those of the service.
+        """
+        workspace = self._share.choose()
+        if workspace is None or self._occupancy.find_free(now) is not None:
+            return []
+        costs = self._list_costs(workspace)
+        if INTERACTIVE not in costs:
+            return []
+        cost = costs[INTERACTIVE] / self._weights.get(workspace, 1.0)
+        guaranteed = {n for n, issue in self._issues.items() if issue.choice.guaranteed}
+        orders = self._reclaimer.choose(cost, guaranteed, now, turn)
+        return [self._holdings.all[order.permit] for order in orders]
+
     def _grant_one(self, workspace: str, server: str, now: float) -> Grant | None:
-        priority = self._classes.choose(
-            workspace, self._backlog.list_classes(workspace)
-        )
+        costs = self._list_costs(workspace)
+        choice = self._classes.choose(workspace, costs)
+        priority = choice.priority
         found = self._backlog.take(workspace, priority)
         if found is None:
             self._share.leave(workspace, now)
@@ -297,9 +299,7 @@
         edge, row = found
         report = self._backlog.find(edge)
         assert report is not None
-        estimate = min(
-            self._estimator.estimate(workspace, row.cost), self._terms.largest_cost
-        )
+        estimate = costs[priority]
         runs = self._count_runs(estimate)
         self._last_number += 1
         name = PermitName(self._own, self._last_number)
@@ -318,9 +318,9 @@
         )
         self._share.note_grant(workspace)
         self._holdings.add(holding)
-        self._hints[name] = row.cost
+        self._issues[name] = Issue(row.cost, choice)
         self._occupancy.occupy(server, now)
-        self._classes.charge(workspace, priority, holding.cost)
+        self._classes.charge(workspace, choice, holding.cost, contended=len(costs) > 1)
         return Grant(
             name.number,
             edge,
@@ -333,6 +333,12 @@
             runs,
         )
 
+    def _list_costs(self, workspace: str) -> dict[str, float]:
+        return {
+            priority: self._estimates.estimate(workspace, priority, hint)
+            for priority, hint in self._backlog.list_costs(workspace).items()
+        }
+
     def _count_runs(self, estimate: float) -> int:
         if not self._terms.in_seconds:
             return 1
@@ -382,15 +388,29 @@
 
     def _abandon(self, holding: Holding, now: float) -> None:
         self._holdings.abandon(holding)
-        self._hints.pop(holding.name, None)
+        self._issues.pop(holding.name, None)
+        self._reclaimer.forget(holding.name)
         self._occupancy.vacate(holding.server, now)
         self._share.touch(holding.workspace)
 
-    def _learn(self, holding: Holding, message: PermitReturn) -> None:
-        hint = self._hints.pop(holding.name, None)
-        if hint is not None and message.runs > 0 and not message.failed:
-            cost = message.cost / message.runs
-            self._estimator.learn(holding.workspace, hint, cost)
+    def _learn(self, holding: Holding, message: PermitReturn, now: float) -> None:
+        self._reclaimer.forget(holding.name)
+        issue = self._issues.pop(holding.name, None)
+        if message.failed:
+            self._limits.take_failure(holding.server, holding.granted_at, now)
+        elif issue is not None and message.runs > 0:
+            self._learn_run(holding, message, issue, now)
+        elif issue is not None:
+            self._classes.refund(holding.workspace, issue.choice, holding.cost)
+
+    def _learn_run(
+        self, holding: Holding, message: PermitReturn, issue: Issue, now: float
+    ) -> None:
+        cost = message.cost / message.runs
+        self._estimates.learn(holding.workspace, holding.priority, issue.hint, cost)
+        units = float(message.runs) if self._terms.in_seconds else message.cost
+        run = FinishedRun(holding.granted_at, now, units)
+        self._limits.take_finish(holding.server, run)
 
     def _drop_predecessors(self, edge: RouterId, now: float) -> None:
         for other in self._backlog.list_edges():
--- a/src/sycamorehaven/decisions/slots.py
+++ b/src/sycamorehaven/decisions/slots.py
@@ -75,8 +75,9 @@
     """
 
     def __init__(self, start: int, ceiling: int) -> None:
+        self._start = start
         self._limit = float(start)
-        self._ceiling = max(ceiling, 1)
+        self._ceiling = ceiling
         self._changed_at = -math.inf
         self._saturated = False
         self._trial: Trial | None = None
@@ -87,11 +88,16 @@
     @property
     def limit(self) -> int:
         """Requests that the server may have at a time."""
-        return max(min(math.floor(self._limit), self._ceiling), 1)
+        return min(max(math.floor(self._limit), 1), self._ceiling)
+
+    @property
+    def start(self) -> int:
+        """The limit that it started with."""
+        return self._start
 
     def set_ceiling(self, ceiling: int) -> None:
         """Replace the ceiling."""
-        self._ceiling = max(ceiling, 1)
+        self._ceiling = ceiling
         self._limit = min(self._limit, float(self._ceiling))
 
     def note_saturation(self) -> None:
@@ -201,16 +207,20 @@
         """
         Take over the servers that are scheduled here.
 
+        A server whose start value has changed begins anew.
+
         :param starts: limits to start with, by server.
         :param ceilings: the most slots of each; the start if not named.
         :returns: the limits in force, by server.
         """
-        self._limits = {
-            name: self._limits.get(name) or SlotLimit(start, ceilings.get(name, start))
-            for name, start in starts.items()
-        }
+        known, self._limits = self._limits, {}
         for name, start in starts.items():
-            self._limits[name].set_ceiling(ceilings.get(name, start))
+            limit = known.get(name)
+            ceiling = ceilings.get(name, start)
+            if limit is None or limit.start != start:
+                limit = SlotLimit(start, ceiling)
+            limit.set_ceiling(ceiling)
+            self._limits[name] = limit
         return {name: limit.limit for name, limit in self._limits.items()}
 
     def note_saturation(self) -> None:
--- a/src/sycamorehaven/transport/messages.py
+++ b/src/sycamorehaven/transport/messages.py
@@ -261,12 +261,14 @@
     """
     An order to cancel the resumable stream under a permit.
 
+    :ivar scheduler: host of the router that granted the permit.
+    :ivar incarnation: that router's incarnation.
     :ivar permit: its number.
-    :ivar server: the backend server.
     """
 
+    scheduler: str
+    incarnation: int
     permit: int
-    server: str
 
 
 class CounterRow(NamedTuple):
--- a/tests/decisions/test_preemption.py
+++ b/tests/decisions/test_preemption.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from sycamorehaven.configuration.model import CallRule
+from sycamorehaven.decisions.holdings import PermitName
 from sycamorehaven.decisions.preemption import (
     MOST_PREEMPTIONS,
     PATIENCE,
@@ -15,21 +16,29 @@
     Preemptor,
     is_preemptible,
 )
+from sycamorehaven.identity import RouterId
 
 NOW = 1000.0
+
+
+def name(number: int) -> PermitName:
+    """Return a permit's name."""
+    return PermitName(RouterId("s1", 1), number)
+
+
 CLAIMANT = Claimant("elmplace", 0.0, 10.0, 1, 1.0)
-STREAM = Candidate(1, "oakcourt", 100.0, NOW - 60.0, True, False)
+STREAM = Candidate(name(1), "oakcourt", 100.0, NOW - 60.0, True, False)
 
 
 def choose(claimant: Claimant, *candidates: Candidate, turn: int = 0) -> list[int]:
     """Return the permits that a new preemptor would take."""
     orders = Preemptor().choose([claimant], candidates, NOW, turn)
-    return [order.number for order in orders]
+    return [order.permit.number for order in orders]
 
 
 def test_newest_stream_makes_way() -> None:
-    older = STREAM._replace(number=2, granted_at=NOW - 90.0)
-    newer = STREAM._replace(number=3, granted_at=NOW - 30.0)
+    older = STREAM._replace(permit=name(2), granted_at=NOW - 90.0)
+    newer = STREAM._replace(permit=name(3), granted_at=NOW - 30.0)
     assert choose(CLAIMANT, older, newer, STREAM) == [3]
 
 
@@ -64,13 +73,13 @@
 
 def test_one_outstanding_preemption_for_a_waiting_request() -> None:
     preemptor = Preemptor()
-    streams = [STREAM._replace(number=number) for number in range(4)]
+    streams = [STREAM._replace(permit=name(number)) for number in range(4)]
     assert len(preemptor.choose([CLAIMANT], streams, NOW)) == 1
     assert preemptor.choose([CLAIMANT], streams, NOW + 0.5) == []
     two = CLAIMANT._replace(waiting=2)
     assert len(preemptor.choose([two], streams, NOW + 0.6)) == 1
-    preemptor.forget(3)
-    preemptor.forget(2)
+    preemptor.forget(name(3))
+    preemptor.forget(name(2))
     assert preemptor.outstanding == 0
 
 
@@ -102,7 +111,7 @@
     st.lists(
         st.builds(
             Candidate,
-            st.integers(0, 20),
+            st.builds(name, st.integers(0, 20)),
             WORKSPACES,
             st.floats(0.0, 200.0),
             st.floats(NOW - 3.0, NOW),
@@ -110,7 +119,7 @@
             st.booleans(),
         ),
         max_size=20,
-        unique_by=lambda candidate: candidate.number,
+        unique_by=lambda candidate: candidate.permit,
     ),
 )
 def test_no_order_breaks_a_bound(
@@ -119,13 +128,13 @@
     preemptor = Preemptor()
     orders = preemptor.choose(claimants, candidates, NOW)
     orders += preemptor.choose(claimants, candidates, NOW + 0.1)
-    streams = {candidate.number: candidate for candidate in candidates}
-    assert len({order.number for order in orders}) == len(orders)
+    streams = {candidate.permit: candidate for candidate in candidates}
+    assert len({order.permit for order in orders}) == len(orders)
     for claimant in claimants:
         mine = [o for o in orders if o.workspace == claimant.workspace]
         assert len(mine) <= claimant.waiting
         for order in mine:
-            victim = streams[order.number]
+            victim = streams[order.permit]
             assert victim.resumable
             if victim.workspace == claimant.workspace:
                 assert not victim.guaranteed
