--- a/src/sycamorehaven/transport/messages.py
+++ b/src/sycamorehaven/transport/messages.py
@@ -491,6 +491,18 @@
     free: int
 
 
+class ConfigurationNotice(NamedTuple):
+    """
+    The sender has put a configuration in force.
+
+    :ivar revision: its revision.
+    :ivar digest: its digest.
+    """
+
+    revision: int
+    digest: str
+
+
 class PermitAck(NamedTuple):
     """
     The receiver of returns has taken them.
@@ -505,18 +517,6 @@
     permits: list[int]
 
 
-class ConfigurationNotice(NamedTuple):
-    """
-    The sender has put a configuration in force.
-
-    :ivar revision: its revision.
-    :ivar digest: its digest.
-    """
-
-    revision: int
-    digest: str
-
-
 MESSAGE_KINDS: tuple[type, ...] = (
     Probe,
     ProbeAck,
@@ -538,7 +538,7 @@
     TokenHandover,
     RetrySpend,
     IdleNotice,
-    PermitAck,
     Acquittal,
     ConfigurationNotice,
+    PermitAck,
 )
