--- a/src/sycamorehaven/standins/booking.py
+++ b/src/sycamorehaven/standins/booking.py
@@ -17,6 +17,7 @@
 from aiohttp import web
 
 from sycamorehaven.standins.faults import Faults
+from sycamorehaven.standins.journal import Journal, JournalOption
 from sycamorehaven.standins.serving import run_application
 
 
@@ -27,11 +28,17 @@
     :param slots: requests that run at once.
     :param service_time: seconds a call.
     :param crash: ends the server at once; a real process exits.
+    :param journal: notes the body of each booking.
     """
 
     def __init__(
-        self, slots: int = 4, service_time: float = 0.005, crash: object = None
+        self,
+        slots: int = 4,
+        service_time: float = 0.005,
+        crash: object = None,
+        journal: Journal | None = None,
     ) -> None:
+        self._journal = journal or Journal()
         self._slots = slots
         self._service_time = service_time
         self._gate = asyncio.Semaphore(slots)
@@ -58,10 +65,13 @@
     async def _book(self, request: web.Request) -> web.Response:
         await self._faults.guard(request)
         key = request.headers.get("Idempotency-Key", "")
+        body = (await request.read()).decode()
+        self._journal.add(body)
         self.runs[key] += 1
         number = sum(self.runs.values())
-        body = (await request.read()).decode()
         await self._work()
+        if self._faults.refuse_late:
+            raise web.HTTPServiceUnavailable
         return web.json_response({"booking": number, "request": body}, status=201)
 
     async def _look_up(self, request: web.Request) -> web.Response:
@@ -99,9 +109,11 @@
     address: Annotated[str, typer.Option(help="ip:port to listen on.")],
     slots: Annotated[int, typer.Option(help="Requests that run at once.")] = 4,
     service_time: Annotated[float, typer.Option(help="Seconds a call.")] = 0.005,
+    journal: JournalOption = None,
 ) -> None:
     """Run the stand-in booking service."""
-    run_application(BookingStandin(slots, service_time).build_application(), address)
+    booking = BookingStandin(slots, service_time, journal=Journal(journal))
+    run_application(booking.build_application(), address)
 
 
 if __name__ == "__main__":
--- a/src/sycamorehaven/standins/engine.py
+++ b/src/sycamorehaven/standins/engine.py
@@ -5,7 +5,8 @@
 server-sent events ``data: {"index": i, "token": ...}`` and then
 ``data: [DONE]``. The tokens are a function of the prompt, so a resumed stream
 can be compared. ``Resume-From: n`` leaves the first n events out. It admits
-requests as they arrive and runs ``slots`` of them at a time.
+requests as they arrive and runs ``slots`` of them at a time. It counts tokens
+by the prompt's part before the first colon, too.
 """
 
 from __future__ import annotations
@@ -21,6 +22,7 @@
 from aiohttp import web
 
 from sycamorehaven.standins.faults import Faults
+from sycamorehaven.standins.journal import Journal, JournalOption
 from sycamorehaven.standins.serving import run_application
 
 REPORT_LAG = 0.2
@@ -52,6 +54,7 @@
     :param token_time: seconds a token.
     :param prefill_time: seconds before the first token.
     :param crash: ends the server at once; a real process exits.
+    :param journal: notes the prompt of each run.
     """
 
     def __init__(
@@ -60,7 +63,9 @@
         token_time: float = 0.005,
         prefill_time: float = 0.01,
         crash: object = None,
+        journal: Journal | None = None,
     ) -> None:
+        self._journal = journal or Journal()
         self._slots = slots
         self._token_time = token_time
         self._prefill_time = prefill_time
@@ -73,6 +78,7 @@
         self.cancelled: Counter[str] = Counter()
         self.busy_time = 0.0
         self.tokens = 0
+        self.tokens_by_prefix: Counter[str] = Counter()
 
     @property
     def faults(self) -> Faults:
@@ -94,6 +100,7 @@
             wanted = msgspec.json.decode(await request.read(), type=CompletionRequest)
         except msgspec.MsgspecError as error:
             raise web.HTTPBadRequest(text=str(error)) from error
+        self._journal.add(wanted.prompt)
         self.started[wanted.prompt] += 1
         try:
             response = await self._stream(request, wanted)
@@ -106,6 +113,7 @@
     async def _stream(
         self, request: web.Request, wanted: CompletionRequest
     ) -> web.StreamResponse:
+        prefix = wanted.prompt.partition(":")[0]
         first = int(request.headers.get("Resume-From", "0"))
         response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
         async with self._gate:
@@ -119,6 +127,7 @@
                     event = msgspec.json.encode({"index": index, "token": token})
                     await response.write(b"data: " + event + b"\n\n")
                     self.tokens += 1
+                    self.tokens_by_prefix[prefix] += 1
                 await response.write(b"data: [DONE]\n\n")
                 await response.write_eof()
             finally:
@@ -154,6 +163,7 @@
                 "cancelled": self.cancelled,
                 "busy_time": self.busy_time,
                 "tokens": self.tokens,
+                "tokens_by_prefix": self.tokens_by_prefix,
             }
         )
 
@@ -167,9 +177,10 @@
     slots: Annotated[int, typer.Option(help="Requests that run at once.")] = 4,
     token_time: Annotated[float, typer.Option(help="Seconds a token.")] = 0.005,
     prefill_time: Annotated[float, typer.Option(help="Seconds to start.")] = 0.01,
+    journal: JournalOption = None,
 ) -> None:
     """Run the stand-in engine."""
-    engine = EngineStandin(slots, token_time, prefill_time)
+    engine = EngineStandin(slots, token_time, prefill_time, journal=Journal(journal))
     run_application(engine.build_application(), address)
 
 
--- a/src/sycamorehaven/standins/faults.py
+++ b/src/sycamorehaven/standins/faults.py
@@ -15,7 +15,8 @@
     Leaving, silence and crashes.
 
     ``PUT /control/faults`` takes any of ``leaving`` (bool), ``silence``
-    (bool: connections that are open now never answer again, new ones do) and
+    (bool: connections that are open now never answer again, new ones do),
+    ``refuse_late`` (bool: a booking runs and is then answered with 503) and
     ``crash_on`` (text: a request whose body holds it ends the server).
 
     :param crash: ends the server at once.
@@ -27,12 +28,14 @@
         self._open: set[asyncio.BaseTransport] = set()
         self._silent: set[asyncio.BaseTransport] = set()
         self.leaving = False
+        self.refuse_late = False
         self.crashes = 0
 
     async def put(self, request: web.Request) -> web.Response:
         """Take new faults."""
         wanted = await request.json()
         self.leaving = wanted.get("leaving", self.leaving)
+        self.refuse_late = wanted.get("refuse_late", self.refuse_late)
         self._crash_on = wanted.get("crash_on", self._crash_on.decode()).encode()
         if wanted.get("silence"):
             self._silent |= self._open
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -9,11 +9,13 @@
 import socket
 import sys
 import tempfile
+from collections import Counter
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import aiohttp
 
+from sycamorehaven.standins.journal import read_journal
 from tests.support.fixtures import async_fixture
 from tests.support.loader import ROOT
 from tests.support.texts import ServerPlan, derive_key, write_configuration
@@ -155,6 +157,8 @@
             str(plan.slots),
             pace,
             str(plan.pace),
+            "--journal",
+            str(self._folder / f"{plan.name}.runs"),
         )
         await self.wait_for_port(plan.address)
 
@@ -268,6 +272,17 @@
             runs: dict[str, Any] = await response.json()
             return runs
 
+    def count_runs(self) -> Counter[str]:
+        """
+        Return how often each prompt or booking ran, over every server.
+
+        The journals hold also what ran on servers that were killed since.
+        """
+        runs: Counter[str] = Counter()
+        for plan in self.servers:
+            runs.update(read_journal(self._folder / f"{plan.name}.runs"))
+        return runs
+
     def find_server(self, name: str) -> ServerPlan:
         """Return the plan of a server."""
         return next(plan for plan in self.servers if plan.name == name)
