Test cuts and overlapping failures on real processes

A cut reaches the platform and backend servers too, by wrappers that ask the same filter before each call; lossy messages stay between routers only.

--- a/src/sycamorehaven/router.py
+++ b/src/sycamorehaven/router.py
@@ -18,6 +18,11 @@
 from sycamorehaven.transport.backends import HttpBackends
 from sycamorehaven.transport.callers import CallerListener
 from sycamorehaven.transport.faults import FileFilter
+from sycamorehaven.transport.filters import (
+    FilteredBackends,
+    FilteredLoads,
+    FilteredPlatform,
+)
 from sycamorehaven.transport.links import OpenFilter
 from sycamorehaven.transport.peers import ZmqPeers
 from sycamorehaven.transport.platform import HttpPlatform
@@ -30,7 +35,7 @@
 
 
 def create_filter(settings: RouterSettings) -> PeerFilter:
-    """Return what decides which peer messages pass: all, but in tests."""
+    """Return what decides what passes: everything, but in tests."""
     if not settings.peer_faults:
         return OpenFilter()
     return FileFilter(Path(settings.peer_faults), settings.peers_address)
@@ -50,6 +55,7 @@
         self._platform = HttpPlatform.from_settings(settings)
         self._loads = HttpLoadSource()
         self._backends = HttpBackends()
+        self._filter = create_filter(settings)
 
     @classmethod
     def from_settings(cls, settings: RouterSettings) -> Router:
@@ -63,16 +69,19 @@
 
     def on_init_dependencies(self) -> list[ServiceT]:
         """Return the services, in the order in which they start."""
-        board, settings = self._board, self._settings
-        peers = ZmqPeers(board, settings, create_filter(settings))
+        board, settings, own = self._board, self._settings, self._board.members.own
+        platform = FilteredPlatform(self._platform, self._filter, settings)
+        backends = FilteredBackends(self._backends, self._filter, own.address)
+        loads = FilteredLoads(self._loads, self._filter, own.address)
+        peers = ZmqPeers(board, settings, self._filter)
         permits = PermitController(board, peers)
-        calls = CallController(board, permits, self._backends)
+        calls = CallController(board, permits, backends)
         return [
             AdminListener(board, settings),
             peers,
             MembershipController(board, peers, settings),
-            ConfigurationController(board, peers, self._platform),
-            ServerController(board, self._loads),
+            ConfigurationController(board, peers, platform),
+            ServerController(board, loads),
             SchedulingController(board, peers),
             permits,
             CallerListener(board, settings, calls),
--- a/src/sycamorehaven/transport/faults.py
+++ b/src/sycamorehaven/transport/faults.py
@@ -11,8 +11,9 @@
     seed = 7
 
 ``cuts`` are pairs that hear nothing of each other, ``one_way`` pairs of a
-sender and a receiver that does not hear it. ``loss`` is the part of messages
-that is lost, ``latest`` the longest delay of one, seconds.
+sender and a receiver that does not hear it; the platform and backend servers
+may be receivers. ``loss`` is the part of the peer messages that is lost,
+``latest`` the longest delay of one, seconds.
 """
 
 from __future__ import annotations
@@ -83,10 +84,14 @@
         self._closed: frozenset[tuple[str, str]] = frozenset()
         self._random = random.Random(1)
 
-    def admits(self, sender: str, receiver: str) -> bool:
-        """Return whether a message between two addresses passes."""
+    def reaches(self, sender: str, receiver: str) -> bool:
+        """Return whether a sender is not cut off from a receiver."""
         self._look()
-        if (sender, receiver) in self._closed:
+        return (sender, receiver) not in self._closed
+
+    def admits(self, sender: str, receiver: str) -> bool:
+        """Return whether a message between two peer addresses passes."""
+        if not self.reaches(sender, receiver):
             return False
         if sender != self._address:
             return True
--- a/src/sycamorehaven/transport/links.py
+++ b/src/sycamorehaven/transport/links.py
@@ -33,7 +33,11 @@
 
 
 class PeerFilter(Protocol):
-    """Decides which messages pass; tests cut and lose messages here."""
+    """Decides what passes; tests cut connections and lose messages here."""
+
+    def reaches(self, sender: str, receiver: str) -> bool:
+        """Return whether a sender is not cut off from a receiver."""
+        ...
 
     def admits(self, sender: str, receiver: str) -> bool:
         """Return whether a message between two peer addresses passes."""
@@ -45,7 +49,11 @@
 
 
 class OpenFilter:
-    """Lets every message pass."""
+    """Lets everything pass."""
+
+    def reaches(self, sender: str, receiver: str) -> bool:  # noqa: ARG002
+        """Return ``True``."""
+        return True
 
     def admits(self, sender: str, receiver: str) -> bool:  # noqa: ARG002
         """Return ``True``."""
--- a/tests/failures/test_fairness.py
+++ b/tests/failures/test_fairness.py
@@ -58,7 +58,7 @@
 
 
 def check_gap(samples: list[Sample], bound: int = BOUND, weight: float = 1.0) -> None:
-    """Assert that both were served and that the gap kept its bound; print it."""
+    """Assert that both were served and the gap kept its bound; print it."""
     gap = measure_gap(samples, FLOODING, SMALL, weight)
     counts = {name: count_service(samples, name) for name in (FLOODING, SMALL)}
     figures = f"gap {gap:.0f} of {bound} tokens, served {counts}"
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -193,7 +193,7 @@
 
     def cut(self, *groups: list[RouterPlan]) -> None:
         """Cut groups of routers off from each other, until ``heal``."""
-        self._cuts = [
+        self._cuts += [
             [one.peers, other.peers]
             for number, group in enumerate(groups)
             for rest in groups[number + 1 :]
@@ -202,6 +202,26 @@
         ]
         self._write_faults()
 
+    def isolate(self, group: list[RouterPlan], *addresses: str) -> None:
+        """Cut routers off from the platform or servers, until ``heal``."""
+        self._cuts += [[plan.peers, other] for plan in group for other in addresses]
+        self._write_faults()
+
+    def cut_domain(self, domain: str) -> None:
+        """
+        Cut a failure domain off from all others and from the platform.
+
+        Its routers reach its own backend servers only, others reach those no
+        more.
+        """
+        inside = self.list_domain(domain)
+        outside = [plan for plan in self.routers if plan.domain != domain]
+        self.cut(inside, outside)
+        for plan in self.servers:
+            far = outside if plan.domain == domain else inside
+            self.isolate(far, plan.address)
+        self.isolate(inside, self.platform)
+
     def heal(self) -> None:
         """End every cut; loss and delay stay."""
         self._cuts = []
