--- a/src/sycamorehaven/router.py
+++ b/src/sycamorehaven/router.py
@@ -14,6 +14,9 @@
 from sycamorehaven.controllers.permits import PermitController
 from sycamorehaven.controllers.scheduling import SchedulingController
 from sycamorehaven.controllers.servers import HttpLoadSource, ServerController
+from sycamorehaven.controllers.suspects import SuspectController
+from sycamorehaven.telemetry.monitor import Monitor
+from sycamorehaven.telemetry.traces import SpanBuffer
 from sycamorehaven.transport.admin import AdminListener
 from sycamorehaven.transport.backends import HttpBackends
 from sycamorehaven.transport.callers import CallerListener
@@ -46,10 +49,14 @@
     All services of one router.
 
     :param settings: settings of this process.
+    :param spans: finished spans to show to operators.
     """
 
-    def __init__(self, settings: RouterSettings) -> None:
+    def __init__(
+        self, settings: RouterSettings, spans: SpanBuffer | None = None
+    ) -> None:
         super().__init__()
+        self._spans = spans or SpanBuffer()
         self._settings = settings
         self._board = Blackboard.from_settings(settings)
         self._platform = HttpPlatform.from_settings(settings)
@@ -58,9 +65,11 @@
         self._filter = create_filter(settings)
 
     @classmethod
-    def from_settings(cls, settings: RouterSettings) -> Router:
+    def from_settings(
+        cls, settings: RouterSettings, spans: SpanBuffer | None = None
+    ) -> Router:
         """Return a router that has not started."""
-        return cls(settings)
+        return cls(settings, spans)
 
     @property
     def board(self) -> Blackboard:
@@ -75,15 +84,19 @@
         loads = FilteredLoads(self._loads, self._filter, own.address)
         peers = ZmqPeers(board, settings, self._filter)
         permits = PermitController(board, peers)
-        calls = CallController(board, permits, backends)
+        suspects = SuspectController(board, peers)
+        calls = CallController(board, permits, backends, suspects)
+        monitor = Monitor(board)
         return [
-            AdminListener(board, settings),
+            monitor,
+            AdminListener(board, settings, monitor, self._spans),
             peers,
             MembershipController(board, peers, settings),
-            ConfigurationController(board, peers, platform),
+            ConfigurationController(board, peers, platform, settings.seeds),
             ServerController(board, loads),
             SchedulingController(board, peers),
             permits,
+            suspects,
             CallerListener(board, settings, calls),
         ]
 
--- a/src/sycamorehaven/standins/engine.py
+++ b/src/sycamorehaven/standins/engine.py
@@ -128,7 +128,8 @@
                     await response.write(b"data: " + event + b"\n\n")
                     self.tokens += 1
                     self.tokens_by_prefix[prefix] += 1
-                await response.write(b"data: [DONE]\n\n")
+                if first <= wanted.max_tokens:
+                    await response.write(b"data: [DONE]\n\n")
                 await response.write_eof()
             finally:
                 self.busy_time += self._count(-1) - started
