Add a demo fleet in one process

A newcomer had no fleet to try. The demo runs the stand-in platform, two engines of unequal speed, a booking service and three routers in one process; one workspace floods while another asks now and then, and one booking is sent twice through two routers with one token.

--- /dev/null
+++ b/src/sycamorehaven/console/commands/demo.py
@@ -0,0 +1,77 @@
+"""``sycamorehaven demo``: a small fleet in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import TYPE_CHECKING, Annotated
+
+import aiohttp
+import typer
+
+from sycamorehaven.console.commands.load import show_summary
+from sycamorehaven.console.options import JsonOption
+from sycamorehaven.console.output import EXIT_FAILED, print_json, report_errors
+from sycamorehaven.demo.fleet import DemoFleet
+from sycamorehaven.demo.guide import write_guide
+from sycamorehaven.demo.plan import DemoPlan, find_free_addresses, list_fixed_addresses
+from sycamorehaven.demo.scenario import Scenario
+
+if TYPE_CHECKING:
+    from sycamorehaven.demo.scenario import DemoResult
+
+ServeOption = Annotated[
+    bool, typer.Option("--serve", help="Stay up and print curl lines to try.")
+]
+
+
+def run_demo(serve: ServeOption = False, json: JsonOption = False) -> None:
+    """
+    Run three routers with stand-ins, ask, flood, book twice, and check.
+
+    The exit status is 1 if anything was not as it should be.
+    """
+    with report_errors():
+        if serve:
+            asyncio.run(stay_up())
+            return
+        result = asyncio.run(run_scenario())
+    if json:
+        print_json(result)
+    else:
+        print_result(result)
+    if result.faults:
+        raise typer.Exit(EXIT_FAILED)
+
+
+async def run_scenario() -> DemoResult:
+    """Return what the demo saw."""
+    fleet = DemoFleet(DemoPlan.from_addresses(find_free_addresses()))
+    async with fleet.run(), aiohttp.ClientSession() as http:
+        return await Scenario(fleet, http).run()
+
+
+async def stay_up() -> None:
+    """Serve until SIGINT or SIGTERM."""
+    stop = asyncio.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    fleet = DemoFleet(DemoPlan.from_addresses(list_fixed_addresses()))
+    async with fleet.run():
+        typer.echo(write_guide(fleet.plan))
+        typer.echo("Ctrl-C ends the demo.")
+        await stop.wait()
+    typer.echo("ended")
+
+
+def print_result(result: DemoResult) -> None:
+    """Print the figures and the verdict."""
+    show_summary(result.load, json=False)
+    statuses = ", ".join(str(answer.status) for answer in result.bookings)
+    typer.echo(
+        f"one booking sent through two routers with one token: answered {statuses}, "
+        f"run {result.runs} time(s)"
+    )
+    for fault in result.faults:
+        typer.echo(f"wrong: {fault}", err=True)
+    typer.echo("demo failed" if result.faults else "demo passed")
--- /dev/null
+++ b/src/sycamorehaven/demo/fleet.py
@@ -0,0 +1,115 @@
+"""Starts and stops the demo's fleet inside one process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+from sycamorehaven.demo.plan import ENGINE_SLOTS, TOKEN_TIMES
+from sycamorehaven.exceptions.console import ConsoleError
+from sycamorehaven.router import Router
+from sycamorehaven.standins.booking import BookingStandin
+from sycamorehaven.standins.engine import EngineStandin
+from sycamorehaven.standins.platform import PlatformStandin
+from sycamorehaven.standins.serving import start_application
+from sycamorehaven.telemetry.logs import configure_logs
+from sycamorehaven.telemetry.traces import Tracing
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from aiohttp import web
+
+    from sycamorehaven.demo.plan import DemoPlan
+
+START_TIMEOUT = 10.0
+"""Seconds in which every router must be ready and know the others."""
+POLL = 0.02
+"""Seconds between two looks."""
+
+
+class DemoNotReady(ConsoleError):
+    """The demo's fleet did not become ready."""
+
+    code = "demo_not_ready"
+    remedy = "end what uses the ports, or the machine's load, and run it again"
+
+
+class DemoFleet:
+    """
+    Stand-in platform, backend servers and routers.
+
+    :param plan: who listens where.
+    """
+
+    def __init__(self, plan: DemoPlan) -> None:
+        self._plan = plan
+        self._platform = PlatformStandin()
+        self._booking = BookingStandin(ENGINE_SLOTS)
+        self._engines = {
+            name: EngineStandin(ENGINE_SLOTS, token_time)
+            for name, token_time in TOKEN_TIMES.items()
+        }
+        settings = [plan.create_settings(router) for router in plan.routers]
+        configure_logs(settings[0])
+        self._tracing = Tracing.from_settings(settings[0])
+        self._tracing.install()
+        self._routers = [
+            Router.from_settings(each, self._tracing.buffer) for each in settings
+        ]
+
+    @property
+    def plan(self) -> DemoPlan:
+        """Who listens where."""
+        return self._plan
+
+    @property
+    def booking(self) -> BookingStandin:
+        """The booking service."""
+        return self._booking
+
+    @property
+    def routers(self) -> list[Router]:
+        """The routers."""
+        return self._routers
+
+    @contextlib.asynccontextmanager
+    async def run(self) -> AsyncIterator[DemoFleet]:
+        """Run everything for the length of a block."""
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(self._tracing.close)
+            await self._start_standins(stack)
+            for router in self._routers:
+                stack.push_async_callback(router.stop)
+                await router.start()
+            await self._wait_until_ready()
+            yield self
+
+    async def _start_standins(self, stack: contextlib.AsyncExitStack) -> None:
+        self._platform.publish(self._plan.write_configuration().encode())
+        applications: dict[str, web.Application] = {
+            self._plan.platform: self._platform.build_application(),
+            self._plan.servers["booking-1"]: self._booking.build_application(),
+        }
+        for name, engine in self._engines.items():
+            applications[self._plan.servers[name]] = engine.build_application()
+        for address, application in applications.items():
+            try:
+                runner = await start_application(application, address)
+            except OSError as error:
+                raise DemoNotReady(f"{address}: {error.strerror}") from error
+            stack.push_async_callback(runner.cleanup)
+
+    async def _wait_until_ready(self) -> None:
+        try:
+            async with asyncio.timeout(START_TIMEOUT):
+                for router in self._routers:
+                    while not self._is_ready(router):
+                        await router.board.members.changed.wait(POLL)
+        except TimeoutError as error:
+            raise DemoNotReady("the routers did not find each other") from error
+
+    def _is_ready(self, router: Router) -> bool:
+        known = len(router.board.members.list())
+        return router.board.configuration.revision > 0 and known == len(self._routers)
--- /dev/null
+++ b/src/sycamorehaven/demo/guide.py
@@ -0,0 +1,50 @@
+"""Lines to paste while the demo stays up."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sycamorehaven.demo.plan import derive_key
+
+if TYPE_CHECKING:
+    from sycamorehaven.demo.plan import DemoPlan
+
+GUIDE = """\
+Ask the assistant:
+  curl -sN {first}/v1/services/assistant/v1/completions \\
+    -H 'Authorization: Bearer {oakcourt}' \\
+    -d '{{"prompt": "Is washer 3 free?", "max_tokens": 8}}'
+
+Mint a token, book, and send the same booking again through another router:
+  TOKEN=$(curl -s -X POST {first}/v1/idempotency-tokens \\
+    -H 'Authorization: Bearer {elmplace}' \\
+    | python3 -c 'import json, sys; print(json.load(sys.stdin)["token"])')
+  curl -s {first}/v1/services/bookings/bookings \\
+    -H 'Authorization: Bearer {elmplace}' \\
+    -H "Idempotency-Token: $TOKEN" -d '{{"machine": "washer 3"}}'; echo
+  curl -s {second}/v1/services/bookings/bookings \\
+    -H 'Authorization: Bearer {elmplace}' \\
+    -H "Idempotency-Token: $TOKEN" -d '{{"machine": "washer 3"}}'; echo
+
+See what the stand-in booking service ran:
+  curl -s http://{booking}/control/runs; echo
+
+Look at a router, and drive load:
+  .venv/bin/sycamorehaven status --admin {admin}
+  .venv/bin/sycamorehaven workspaces --admin {admin}
+  .venv/bin/sycamorehaven traces --admin {admin} --limit 20
+  curl -s http://{admin}/metrics | grep sycamorehaven_
+  SYCAMOREHAVEN_KEY={oakcourt} .venv/bin/sycamorehaven load --target {first}
+"""
+
+
+def write_guide(plan: DemoPlan) -> str:
+    """Return the lines for a running demo."""
+    return GUIDE.format(
+        first=f"http://{plan.routers[0].callers}",
+        second=f"http://{plan.routers[1].callers}",
+        admin=plan.routers[0].admin,
+        booking=plan.servers["booking-1"],
+        oakcourt=derive_key("oakcourt"),
+        elmplace=derive_key("elmplace"),
+    )
--- /dev/null
+++ b/tests/demo/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the demo."""
+
+from __future__ import annotations
