--- a/src/sycamorehaven/telemetry/logs.py
+++ b/src/sycamorehaven/telemetry/logs.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from absl import logging
+from absl import flags, logging
 
 from sycamorehaven.telemetry.context import get_request_id, get_trace_id
 
@@ -60,6 +60,7 @@
 
 def configure_logs(settings: RouterSettings) -> None:
     """Send every log record to standard error as JSON lines."""
+    flags.FLAGS.mark_as_parsed()
     handler = logging.get_absl_handler()
     handler.setFormatter(JsonFormatter(settings.host))
     handler.python_handler.stream = sys.stderr
