--- /dev/null
+++ b/tests/docs/test_pages.py
@@ -0,0 +1,136 @@
+"""The pages name what the code has: codes, keys, commands, metrics."""
+
+from __future__ import annotations
+
+import ast
+import importlib
+import pkgutil
+import re
+from typing import Any
+
+import sycamorehaven
+from sycamorehaven import settings
+from sycamorehaven.configuration import tables
+from sycamorehaven.console.application import application
+from sycamorehaven.exceptions.base import SycamorehavenError
+from sycamorehaven.load import plan
+from sycamorehaven.telemetry.monitor import Monitor
+from tests.support.doubles import create_board
+from tests.support.loader import ROOT
+
+DOCS = ROOT / "docs"
+LINK = re.compile(r"\]\(([^)#]+)(#[^)]*)?\)")
+
+
+def read_operators_page() -> str:
+    return (DOCS / "operators.md").read_text()
+
+
+def read_rows(page: str) -> dict[str, list[str]]:
+    """Return the cells of each table row that begins with a code span."""
+    rows = {}
+    for line in page.splitlines():
+        cells = [cell.strip() for cell in line.strip("|").split(" | ")]
+        if line.startswith("| `"):
+            rows[cells[0].strip("` ")] = cells
+    return rows
+
+
+def list_kinds() -> list[type[SycamorehavenError]]:
+    for module in pkgutil.walk_packages(sycamorehaven.__path__, "sycamorehaven."):
+        if not module.name.endswith("__main__"):
+            importlib.import_module(module.name)
+    pending, kinds = [SycamorehavenError], []
+    while pending:
+        kind = pending.pop()
+        kinds.append(kind)
+        pending += kind.__subclasses__()
+    return [kind for kind in kinds if kind.__module__.startswith("sycamorehaven.")]
+
+
+def list_fault_codes() -> set[str]:
+    codes = set()
+    for path in (ROOT / "src").rglob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            named = isinstance(node, ast.Call) and isinstance(node.func, ast.Name)
+            if named and node.func.id == "Fault" and len(node.args) > 1:
+                code = node.args[1]
+                assert isinstance(code, ast.Constant), f"{path}: write the code out"
+                codes.add(str(code.value))
+    return codes
+
+
+def test_every_code_has_its_row_with_the_remedy() -> None:
+    rows = read_rows(read_operators_page())
+    kinds = {kind.code: kind for kind in list_kinds()}
+    missing = [code for code in kinds if code not in rows]
+    assert not missing, missing
+    wrong = [
+        code for code, kind in kinds.items() if kind.remedy not in " ".join(rows[code])
+    ]
+    assert not wrong, wrong
+
+
+def test_every_fault_code_has_its_row() -> None:
+    rows = read_rows(read_operators_page())
+    missing = [code for code in sorted(list_fault_codes()) if code not in rows]
+    assert not missing, missing
+
+
+def test_page_for_callers_names_each_refusal() -> None:
+    rows = read_rows((DOCS / "callers.md").read_text())
+    refusals = [k for k in list_kinds() if "refusals" in k.__module__ and k.code]
+    wrong = [
+        kind.code
+        for kind in refusals
+        if kind.__name__ != "Refusal"
+        and str(getattr(kind, "status", "")) not in rows.get(kind.code, [])
+    ]
+    assert not wrong, wrong
+
+
+def test_every_key_of_the_texts_is_explained() -> None:
+    page = read_operators_page()
+    kinds: list[Any] = [
+        value
+        for module in (settings, tables, plan)
+        for name, value in vars(module).items()
+        if name.endswith("Table") and isinstance(value, type)
+    ]
+    assert len(kinds) >= 12
+    keys = {key for kind in kinds for key in kind.__annotations__}
+    missing = [key for key in sorted(keys) if f"`{key}`" not in page]
+    assert not missing, missing
+
+
+def test_every_metric_is_explained() -> None:
+    page = read_operators_page()
+    rendered = Monitor(create_board()).render_metrics().decode()
+    names = re.findall(r"^# TYPE (sycamorehaven_\w+)", rendered, re.MULTILINE)
+    assert len(names) > 15
+    missing = [name for name in names if f"`{name}`" not in page]
+    assert not missing, missing
+
+
+def test_links_lead_somewhere() -> None:
+    pages = [ROOT / "README.md", *DOCS.rglob("*.md")]
+    broken = [
+        f"{page.name}: {target}"
+        for page in pages
+        for target, _ in LINK.findall(page.read_text())
+        if "://" not in target and not (page.parent / target).exists()
+    ]
+    assert not broken, broken
+
+
+def test_readme_leads_to_each_page() -> None:
+    readme = (ROOT / "README.md").read_text()
+    pages = [page.name for page in DOCS.glob("*.md")]
+    assert not [name for name in pages if f"docs/{name}" not in readme]
+
+
+def test_readme_names_each_command() -> None:
+    readme = (ROOT / "README.md").read_text()
+    names = [command.name for command in application.registered_commands]
+    names += [group.name for group in application.registered_groups]
+    assert not [name for name in names if f"`{name}" not in readme]
