--- a/src/sycamorehaven/demo/guide.py
+++ b/src/sycamorehaven/demo/guide.py
@@ -18,7 +18,7 @@
 Mint a token, book, and send the same booking again through another router:
   TOKEN=$(curl -s -X POST {first}/v1/idempotency-tokens \\
     -H 'Authorization: Bearer {elmplace}' \\
-    | python3 -c 'import json, sys; print(json.load(sys.stdin)["token"])')
+    | python3 -c 'import json, sys; print(json.load(sys.stdin)["idempotency_token"])')
   curl -s {first}/v1/services/bookings/bookings \\
     -H 'Authorization: Bearer {elmplace}' \\
     -H "Idempotency-Token: $TOKEN" -d '{{"machine": "washer 3"}}'; echo
--- a/src/sycamorehaven/demo/scenario.py
+++ b/src/sycamorehaven/demo/scenario.py
@@ -122,7 +122,7 @@
 def read_token(answer: Answer) -> str:
     """Return the idempotency token of an answer, "" if it has none."""
     try:
-        return str(msgspec.json.decode(answer.body)["token"])
+        return str(msgspec.json.decode(answer.body)["idempotency_token"])
     except (msgspec.MsgspecError, KeyError, TypeError):
         return ""
 
--- a/src/sycamorehaven/load/client.py
+++ b/src/sycamorehaven/load/client.py
@@ -93,7 +93,7 @@
         async with self._session.post(target + TOKEN_PATH, headers=headers) as response:
             document = await response.read()
         try:
-            return str(msgspec.json.decode(document)["token"])
+            return str(msgspec.json.decode(document)["idempotency_token"])
         except (msgspec.MsgspecError, KeyError, TypeError):
             return ""
 
