--- /dev/null
+++ b/benchmarks/memory.py
@@ -0,0 +1,69 @@
+"""
+Memory of a router process: ``python -m benchmarks.memory``.
+
+Starts one real router before one engine that is busy, queues requests, and
+reads the resident memory from the router's metrics.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import json
+
+from tests.support.fleet import Fleet, find_address, run_fleet, wait_for
+from tests.support.texts import ServerPlan, write_configuration
+
+STEPS = (0, 1_000, 2_000, 4_000)
+"""Requests queued when the memory is read."""
+QUEUE_LIMIT = 10_000
+BODY = {"prompt": "x" * 200, "max_tokens": 10_000}
+MEBIBYTE = 1_048_576
+"""Bytes in a mebibyte."""
+
+
+async def read_memory(fleet: Fleet) -> float:
+    """Return the resident memory of the first router, bytes."""
+    return (await fleet.metrics(0))["process_resident_memory_bytes"]
+
+
+async def ask(fleet: Fleet) -> None:
+    """Send a request that waits until it is cancelled."""
+    request = fleet.build_request(0, "/v1/services/assistant/v1/completions")
+    async with fleet.client.post(json=BODY, **request) as response:
+        await response.read()
+
+
+async def count_waiting(fleet: Fleet) -> int:
+    """Return how many requests the first router queues."""
+    return int((await fleet.admin(0, "/v1/status"))["waiting"])
+
+
+async def measure() -> dict[str, float]:
+    """Return the memory at each step and the slope, in mebibytes."""
+    servers = [ServerPlan("engine-1", "assistant", find_address(), 1, pace=1.0)]
+    text = write_configuration(servers).replace(
+        "weight = 1.0\n", f"weight = 1.0\nqueue_limit = {QUEUE_LIMIT}\n"
+    )
+    figures: dict[str, float] = {}
+    async with run_fleet(("a",), servers, text) as fleet:
+        tasks = [asyncio.create_task(ask(fleet))]
+        for step in STEPS:
+            missing = step + 1 - len(tasks)
+            tasks += [asyncio.create_task(ask(fleet)) for _ in range(missing)]
+            await wait_for(functools.partial(_has_waiting, fleet, step))
+            figures[f"queued {step}"] = await read_memory(fleet) / MEBIBYTE
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+    first, last = (figures[f"queued {STEPS[i]}"] for i in (1, -1))
+    figures["per 1000 queued"] = (last - first) / (STEPS[-1] - STEPS[1]) * 1_000
+    return figures
+
+
+async def _has_waiting(fleet: Fleet, count: int) -> bool:
+    return await count_waiting(fleet) >= count
+
+
+if __name__ == "__main__":
+    print(json.dumps(asyncio.run(measure()), indent=2))
--- a/src/sycamorehaven/telemetry/traces.py
+++ b/src/sycamorehaven/telemetry/traces.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING, TypedDict
 
 from opentelemetry import trace
-from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
 from opentelemetry.sdk.resources import Resource
 from opentelemetry.sdk.trace import TracerProvider
 from opentelemetry.sdk.trace.export import (
@@ -119,6 +118,11 @@
 
 
 def _create_batches(otlp_url: str) -> BatchSpanProcessor:
+    # Only a process with a collector pays for the exporter's libraries.
+    from opentelemetry.exporter.otlp.proto.http.trace_exporter import (
+        OTLPSpanExporter,
+    )
+
     exporter = OTLPSpanExporter(endpoint=otlp_url, timeout=EXPORT_TIMEOUT)
     return BatchSpanProcessor(
         exporter,
