--- /dev/null
+++ b/tests/telemetry/test_traces.py
@@ -0,0 +1,113 @@
+"""Finished spans, the collector, and the spans of a request."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from sycamorehaven.standins.serving import start_application
+from sycamorehaven.telemetry.traces import KEPT_SPANS, Tracing
+from tests.support.fleet import find_address, wait_for
+from tests.support.texts import ServerPlan, write_configuration
+
+if TYPE_CHECKING:
+    from typing import Any
+
+    from tests.support.fleet import Fleet
+
+TRACE = "0af7651916cd43dd8448eb211c80319c"
+PARENT = "b7ad6b7169203331"
+
+
+def test_buffer_is_bounded_and_found_by_trace() -> None:
+    tracing = Tracing("a1", 1.0)
+    tracer = tracing.provider.get_tracer("test")
+    for _ in range(KEPT_SPANS + 10):
+        with tracer.start_as_current_span("edge"), tracer.start_as_current_span("x"):
+            pass
+    spans = tracing.buffer.list()
+    assert len(spans) == KEPT_SPANS
+    last = tracing.buffer.list(spans[-1]["trace_id"])
+    assert [span["name"] for span in last] == ["x", "edge"]
+    assert last[0]["parent_id"] == last[1]["span_id"]
+    assert len(tracing.buffer.list(limit=3)) == 3
+
+
+def test_ratio_of_zero_traces_nothing() -> None:
+    tracing = Tracing("a1", 0.0)
+    with tracing.provider.get_tracer("test").start_as_current_span("edge"):
+        pass
+    assert tracing.buffer.list() == []
+
+
+async def test_silent_collector_delays_nothing() -> None:
+    accepted = asyncio.Event()
+
+    async def stay_silent(
+        reader: asyncio.StreamReader, _writer: asyncio.StreamWriter
+    ) -> None:
+        accepted.set()
+        with contextlib.suppress(asyncio.CancelledError):
+            await reader.read()
+
+    address = find_address()
+    host, _, port = address.rpartition(":")
+    server = await asyncio.start_server(stay_silent, host, int(port))
+    tracing = Tracing("a1", 1.0, f"http://{address}/v1/traces")
+    tracer = tracing.provider.get_tracer("test")
+    for _ in range(2_500):
+        with tracer.start_as_current_span("edge"):
+            pass
+    assert len(tracing.buffer.list()) == KEPT_SPANS
+    async with asyncio.timeout(20):
+        await accepted.wait()
+        await tracing.close()
+    server.close()
+
+
+async def test_request_has_a_span_for_each_hop(fleet: Fleet) -> None:
+    seen = await trace_through_recorder(fleet)
+    spans: dict[str, dict[str, Any]] = {}
+
+    async def is_finished() -> bool:
+        rows = (await fleet.admin(0, f"/v1/traces?trace_id={TRACE}"))["spans"]
+        spans.update((row["name"], row) for row in rows)
+        return "edge" in spans
+
+    await wait_for(is_finished)
+    edge, permit = spans["edge"], spans["permit"]
+    assert edge["parent_id"] == PARENT
+    assert spans["queue wait"]["parent_id"] == edge["span_id"]
+    assert permit["parent_id"] == edge["span_id"]
+    attempt = spans["backend attempt"]
+    assert attempt["parent_id"] == permit["span_id"]
+    assert seen == [f"00-{TRACE}-{attempt['span_id']}-01"]
+
+
+async def trace_through_recorder(fleet: Fleet) -> list[str]:
+    """Return the ``traceparent`` headers that a backend server got."""
+    seen: list[str] = []
+
+    async def answer(request: web.Request) -> web.Response:
+        seen.append(request.headers.get("traceparent", ""))
+        return web.Response(text="whole")
+
+    application = web.Application()
+    application.router.add_post("/v1/completions", answer)
+    plan = ServerPlan("recorder", "assistant", find_address())
+    runner = await start_application(application, plan.address)
+    revision = await fleet.publish(write_configuration([plan]))
+
+    async def is_in_force() -> bool:
+        status = await fleet.admin(0, "/v1/status")
+        return bool(status["configuration_revision"] >= revision)
+
+    await wait_for(is_in_force)
+    headers = {"traceparent": f"00-{TRACE}-{PARENT}-01"}
+    status, body = await fleet.ask(0, "traced", headers=headers)
+    await runner.cleanup()
+    assert (status, body) == (200, b"whole")
+    return seen
