Try a server again whose load cannot be read

Each failed poll put the end of the avoidance off, so a server that was never read was never tried and requests waited for it until their deadline: with every server killed, test_server_killed_between_connect_and_send hung for its 120 s. An avoidance is now followed by 1 s in which grants go out; the edges' failed connects then answer those who wait. Seen: the test's tried count is 0 without the trial.

--- a/src/sycamorehaven/controllers/servers.py
+++ b/src/sycamorehaven/controllers/servers.py
@@ -15,6 +15,7 @@
 from sycamorehaven.decisions.reachability import (
     LONGEST_AVOIDANCE,
     MOST_FAILED_POLLS,
+    TRIAL,
     choose_helpers,
     compute_avoidance,
 )
@@ -147,6 +148,7 @@
         self._clock = clock
         self._random = standard_random.Random(board.identity.incarnation)
         self._failed_polls: Counter[str] = Counter()
+        self._avoidances: Counter[str] = Counter()
         self._losses: dict[str, Losses] = {}
         self._helping: set[asyncio.Task[None]] = set()
         link.subscribe(LoadRequest, self._take_request)
@@ -196,12 +198,20 @@
         self._failed_polls[server.name] += 1
         failures = self._failed_polls[server.name]
         if failures >= MOST_FAILED_POLLS:
-            self._avoid(server.name, failures - MOST_FAILED_POLLS + 1)
+            self._avoid_unread(server.name)
         if failures >= MOST_FAILED_POLLS - 1:
             self._ask_helpers(server)
 
+    def _avoid_unread(self, server: str) -> None:
+        """Avoid a server again only after it has been tried for a while."""
+        tried_from = self._board.servers.get(server).down_until
+        if self._clock() >= tried_from + TRIAL:
+            self._avoidances[server] += 1
+            self._avoid(server, self._avoidances[server])
+
     def _take_report(self, server: str, report: LoadReport) -> None:
         if self._failed_polls.pop(server, 0):
+            self._avoidances.pop(server, None)
             self._trust(server)
         status = self._find_status(server)._replace(
             running=report.running,
--- a/src/sycamorehaven/decisions/reachability.py
+++ b/src/sycamorehaven/decisions/reachability.py
@@ -14,6 +14,8 @@
 """Seconds for which a server is avoided at first; doubles each time."""
 LONGEST_AVOIDANCE = 8.0
 """Seconds after which an avoided server is tried again at the latest."""
+TRIAL = 1.0
+"""Seconds for which a server whose load can't be read is tried again."""
 HELPERS = 2
 """Routers asked to read a load that this one can't."""
 
--- a/tests/controllers/test_servers.py
+++ b/tests/controllers/test_servers.py
@@ -116,7 +116,13 @@
     assert servers.takes_work("engine-1", clock())
     await routers.poll(10)
     assert not servers.takes_work("engine-1", clock())
+    tried = 0
+    for _ in range(120):
+        clock.advance(0.5)
+        await routers.poll()
+        tried += servers.takes_work("engine-1", clock())
     assert servers.takes_work("engine-1", clock() + LONGEST_AVOIDANCE)
+    assert 120 / 20 < tried < 120 / 4
     for load in routers.loads:
         del load.reports["engine-1"]
     await routers.poll()
