--- /dev/null
+++ b/benchmarks/messages.py
@@ -0,0 +1,112 @@
+"""
+Bytes and processor time of each kind of message between routers.
+
+``python -m benchmarks.messages`` prints them for names of production length.
+"""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple, get_args, get_origin, get_type_hints
+
+from benchmarks.measuring import measure_time
+from sycamorehaven.identity import RouterId, create_incarnation
+from sycamorehaven.transport import messages
+from sycamorehaven.transport.codec import Codec
+
+REPEATS = 2_000
+HOST = "router-euw1-b-000123"
+ADDRESS = "10.123.145.167:7000"
+WORKSPACE = "workspace-of-a-team"
+SERVER = "engine-euw1-b-000123"
+SERVICE = "assistant-large"
+DIGEST = "d" * 32
+BODY = b"x" * 300
+HEADERS = [("Content-Type", "application/json")]
+_BY_NAME: dict[str, Any] = {
+    "host": HOST,
+    "scheduler": HOST,
+    "target_host": HOST,
+    "workspace": WORKSPACE,
+    "server": SERVER,
+    "service": SERVICE,
+    "digest": DIGEST,
+    "incarnation": create_incarnation(),
+    "body": BODY,
+}
+
+
+class MessageCost(NamedTuple):
+    """
+    What one message costs.
+
+    :ivar size: bytes.
+    :ivar sending: processor seconds to encode it.
+    :ivar receiving: processor seconds to decode it.
+    """
+
+    size: int
+    sending: float
+    receiving: float
+
+
+_VALUES: dict[type, Any] = {
+    str: "interactive",
+    bytes: b"f" * 16,
+    float: 123.456,
+    bool: True,
+    int: 12_345,
+}
+
+
+def fill_in(kind: type) -> Any:
+    """Return a message of a kind with fields of production length."""
+    hints = get_type_hints(kind)
+    return kind(*(_choose_value(name, hint) for name, hint in hints.items()))
+
+
+def _choose_value(name: str, hint: Any) -> Any:
+    if get_origin(hint) is list:
+        return _choose_list(get_args(hint)[0])
+    if name in _BY_NAME:
+        return _BY_NAME[name]
+    if "address" in name or name == "on_behalf_of":
+        return ADDRESS
+    return _VALUES[hint]
+
+
+def _choose_list(entry: Any) -> list[Any]:
+    if entry is int:
+        return [123_456] * 4
+    if get_origin(entry) is tuple:
+        return list(HEADERS)
+    return [fill_in(entry)]
+
+
+def measure_message(message: Any) -> MessageCost:
+    """Return what a message costs."""
+    codec = Codec(RouterId(HOST, create_incarnation()), ADDRESS)
+    data = codec.encode(message)
+    return MessageCost(
+        len(data),
+        measure_time(lambda: codec.encode(message), REPEATS),
+        measure_time(lambda: codec.decode(data), REPEATS),
+    )
+
+
+def measure_kinds() -> dict[str, MessageCost]:
+    """Return what a message of each kind costs, with one row in each list."""
+    return {
+        kind.__name__: measure_message(fill_in(kind)) for kind in messages.MESSAGE_KINDS
+    }
+
+
+def main() -> None:
+    """Print a row for each kind."""
+    print(f"{'message':24}{'bytes':>8}{'encode us':>12}{'decode us':>12}")
+    for name, cost in measure_kinds().items():
+        times = f"{cost.sending * 1e6:12.1f}{cost.receiving * 1e6:12.1f}"
+        print(f"{name:24}{cost.size:8}{times}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/roles.py
@@ -0,0 +1,249 @@
+"""
+Processor time and memory of the roles inside a router at the target's size.
+
+``python -m benchmarks.roles`` prints them.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, NamedTuple
+
+from benchmarks.edge import CountingLink, build_board
+from benchmarks.events import EventQueue
+from benchmarks.measuring import measure_memory, measure_time
+from benchmarks.target import BACKLOGGED_PART, TARGET, WAIT
+from sycamorehaven.blackboard.counters import CounterKey, CountersSection
+from sycamorehaven.configuration.acceptance import accept_text
+from sycamorehaven.controllers.permits import PermitController
+from sycamorehaven.controllers.scheduling import TICK, SchedulingController
+from sycamorehaven.decisions.roles import choose_scheduler
+from sycamorehaven.identity import RouterId
+from sycamorehaven.transport.codec import Delivery
+from sycamorehaven.transport.messages import (
+    DemandReport,
+    DemandRow,
+    PermitGrant,
+    PermitReturn,
+)
+from tests.support.large_texts import write_large_configuration
+
+if TYPE_CHECKING:
+    from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.configuration.model import BackendServer
+
+WAITING_EDGES = 190
+"""Edges at which a request for one service waits, of the target's."""
+ROWS = 1
+"""Rows of one report: the workspaces of one service that wait at one edge."""
+SAMPLE = 10_000
+LEARNING_ROUNDS = 12
+"""Rounds until a server whose load is not known gets grants."""
+
+
+class SchedulerCost(NamedTuple):
+    """
+    What the scheduler of one service costs with the target's backlog.
+
+    :ivar report: processor seconds to take a report.
+    :ivar grant: processor seconds to take a return and grant the slot again.
+    :ivar round: processor seconds of one periodic round.
+    :ivar row: bytes kept for a reported row.
+    """
+
+    report: float
+    grant: float
+    round: float
+    row: float
+
+
+class MemberCost(NamedTuple):
+    """
+    What the view of the members and the servers' places cost.
+
+    :ivar place: processor seconds to place every server once.
+    :ivar edge: processor seconds of an edge when the view changes.
+    :ivar scheduling: processor seconds of a scheduler when the view changes.
+    """
+
+    place: float
+    edge: float
+    scheduling: float
+
+
+class MemoryCost(NamedTuple):
+    """
+    Bytes that one item keeps allocated.
+
+    :ivar workspace: of the configuration.
+    :ivar server: of the configuration.
+    :ivar member: of the view.
+    :ivar total: of service received, by scheduler and workspace.
+    """
+
+    workspace: float
+    server: float
+    member: float
+    total: float
+
+
+def list_waiting_rows(number: int) -> list[DemandRow]:
+    """Return what one edge reports of one service."""
+    rows = random.Random(number)
+    return [
+        DemandRow(
+            f"workspace-{rows.randrange(TARGET.backlogged)}",
+            "interactive",
+            1,
+            WAIT * rows.random(),
+            300.0,
+        )
+        for _ in range(ROWS)
+    ]
+
+
+class Scheduling:
+    """The real scheduling controller with a backlog from many edges."""
+
+    def __init__(self) -> None:
+        self.board = build_board(self._find_busy_router())
+        self.link = CountingLink(self.board)
+        self.grants: list[PermitGrant] = []
+        self.events = EventQueue()
+        self.controller = SchedulingController(self.board, self.link, self.events.clock)
+        self.board.members.changed.notify()
+        self.service = self._find_service()
+        self._sequence = 0
+        for _ in range(LEARNING_ROUNDS):
+            self.events.run_until(self.events.now + TICK)
+            self.controller.run_round()
+
+    def report(self, edge: int) -> None:
+        """Take a report of an edge."""
+        self._sequence += 1
+        report = DemandReport(
+            self.service, self._sequence, 60.0, list_waiting_rows(edge), [], []
+        )
+        sender = RouterId(f"router-euw1-{edge:08}", 1 << 60)
+        self.link.dispatch(Delivery(sender, "", report))
+
+    def turn_over(self) -> None:
+        """Take the return of a permit that is out; its slot is granted."""
+        scheduler = self.controller.schedulers[self.service]
+        name, holding = next(iter(scheduler.running.items()))
+        message = PermitReturn(
+            name.scheduler.host,
+            name.scheduler.incarnation,
+            name.number,
+            self.service,
+            holding.server,
+            holding.workspace,
+            300.0,
+            1,
+            False,
+            True,
+            1,
+        )
+        self.link.dispatch(Delivery(holding.edge, "", message))
+        self.report(int(holding.edge.host.rpartition("-")[2]))
+
+    def _find_busy_router(self) -> int:
+        board = build_board()
+        domains = board.members.map_domains()
+        server = list_servers(board)[0]
+        host = choose_scheduler(server, domains) or ""
+        return int(host.rpartition("-")[2])
+
+    def _find_service(self) -> str:
+        domains = self.board.members.map_domains()
+        return next(
+            server.service
+            for server in list_servers(self.board)
+            if choose_scheduler(server, domains) == self.board.identity.host
+        )
+
+
+def list_servers(board: Blackboard) -> list[BackendServer]:
+    """Return every backend server of a configuration."""
+    configuration = board.configuration.current
+    assert configuration is not None
+    return list(configuration.servers.values())
+
+
+def measure_scheduler() -> SchedulerCost:
+    """Return what the scheduler of one service costs."""
+    scheduling = Scheduling()
+    edges = iter(range(10**9))
+
+    def take_reports() -> None:
+        for _ in range(WAITING_EDGES):
+            scheduling.report(next(edges) % WAITING_EDGES)
+
+    row = measure_memory(lambda: take_reports() or scheduling)
+    report = measure_time(take_reports, 2) / WAITING_EDGES
+    return SchedulerCost(
+        report,
+        measure_time(scheduling.turn_over, 200) - report,
+        measure_time(scheduling.controller.run_round, 50),
+        row / WAITING_EDGES / ROWS,
+    )
+
+
+def measure_members() -> MemberCost:
+    """Return what the places of servers and a change of view cost."""
+    board = build_board()
+    domains = board.members.map_domains()
+    servers = list_servers(board)
+    times = []
+    for controller in (PermitController, SchedulingController):
+        fresh = build_board()
+        kept = controller(fresh, CountingLink(fresh))
+        times.append(measure_time(fresh.members.changed.notify, 1))
+        del kept
+    place = measure_time(lambda: [choose_scheduler(s, domains) for s in servers], 1)
+    return MemberCost(place, *times)
+
+
+def measure_memory_slopes() -> MemoryCost:
+    """Return the bytes that one item of each kind keeps."""
+
+    def accept(workspaces: int, servers: int) -> int:
+        raw = write_large_configuration(workspaces, servers).encode()
+        return measure_memory(lambda: accept_text(raw, 1))
+
+    accept(10, 17)
+    base = accept(100, 100)
+    own = RouterId("router-euw1-00000000", 1 << 60)
+
+    def count() -> CountersSection:
+        counters = CountersSection(own)
+        for number in range(SAMPLE):
+            scheduler = RouterId(f"router-euw1-{number % 420:08}", 1 << 60)
+            workspace = f"workspace-{number // 420}"
+            counters.merge(CounterKey(scheduler, "model-1", workspace), 1.0 + number)
+        return counters
+
+    boards = measure_memory(build_board) - measure_memory(
+        lambda: accept_text(write_large_configuration().encode(), 1)
+    )
+    return MemoryCost(
+        (accept(1_100, 100) - base) / 1_000,
+        (accept(100, 1_100) - base) / 1_000,
+        boards / TARGET.nodes,
+        measure_memory(count) / SAMPLE,
+    )
+
+
+def main() -> None:
+    """Print every figure."""
+    print(f"assumed: {BACKLOGGED_PART:.0%} of requests wait {WAIT} s")
+    for cost in (measure_scheduler(), measure_members()):
+        for name, value in cost._asdict().items():
+            unit = f"{value:.0f} bytes" if name == "row" else f"{value * 1e6:.0f} us"
+            print(f"{type(cost).__name__}.{name}: {unit}")
+    for name, value in measure_memory_slopes()._asdict().items():
+        print(f"MemoryCost.{name}: {value:.0f} bytes")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/support/loader.py
+++ b/tests/support/loader.py
@@ -38,10 +38,15 @@
 
 
 def list_modules(pattern: str) -> list[str]:
-    """Return the dotted names of test modules whose name holds a pattern."""
+    """
+    Return the dotted names of test modules whose name holds a pattern.
+
+    If there is none, the pattern may be part of a function's name: then all.
+    """
     paths = sorted((ROOT / "tests").rglob("test_*.py"))
     names = [".".join(p.relative_to(ROOT).with_suffix("").parts) for p in paths]
-    return [name for name in names if pattern in name or pattern.startswith(name)]
+    chosen = [n for n in names if pattern in n or pattern.startswith(n)]
+    return chosen or names
 
 
 def load_cases(pattern: str = "") -> list[NamedCase]:
