--- a/src/sycamorehaven/transport/codec.py
+++ b/src/sycamorehaven/transport/codec.py
@@ -9,12 +9,18 @@
 from sycamorehaven.exceptions.base import SycamorehavenError
 from sycamorehaven.identity import RouterId
 from sycamorehaven.transport.messages import (
+    BULK_KINDS,
+    LARGEST_CONTROL_MESSAGE,
     LARGEST_MESSAGE,
+    LARGEST_NAME,
     MESSAGE_KINDS,
     PROTOCOL_VERSION,
     Envelope,
 )
 
+ENVELOPE_BYTES = 320
+"""Most that an envelope adds to a message, bytes."""
+
 
 class MessageError(SycamorehavenError):
     """Bytes from a peer are not a message of this protocol version."""
@@ -54,22 +60,26 @@
         """
         Return the bytes of an envelope around ``message``.
 
-        :raises MessageError: if it is larger than peers accept.
+        :raises MessageError: if it is larger than peers accept, or its
+            fields cannot be encoded.
         """
-        body = msgspec.Raw(self._encoder.encode(message))
-        kind = self._numbers[type(message)]
+        kind = self._numbers.get(type(message))
+        if kind is None:
+            raise MessageError(f"no kind of message: {type(message).__name__}")
+        try:
+            body = self._encoder.encode(message)
+        except (TypeError, ValueError, OverflowError, RecursionError) as error:
+            raise MessageError(f"{type(message).__name__}: {error}") from error
+        check_size(kind, len(body))
         envelope = Envelope(
             PROTOCOL_VERSION,
             kind,
             self._sender.host,
             self._sender.incarnation,
             self._address,
-            body,
+            msgspec.Raw(body),
         )
-        data = self._encoder.encode(envelope)
-        if len(data) > LARGEST_MESSAGE:
-            raise MessageError(f"{len(data)} bytes in one message")
-        return data
+        return self._encoder.encode(envelope)
 
     def decode(self, data: bytes) -> Delivery:
         """
@@ -77,16 +87,42 @@
 
         :raises MessageError: for anything but a message of this version.
         """
-        if len(data) > LARGEST_MESSAGE:
+        if len(data) > LARGEST_MESSAGE + ENVELOPE_BYTES:
             raise MessageError(f"{len(data)} bytes in one message")
         try:
             envelope = self._envelopes.decode(data)
-            if envelope.version != PROTOCOL_VERSION:
-                raise MessageError(f"protocol version {envelope.version}")
-            if not 0 <= envelope.kind < len(self._bodies):
-                raise MessageError(f"message kind {envelope.kind}")
+            check_envelope(envelope)
             message = self._bodies[envelope.kind].decode(envelope.body)
         except (msgspec.MsgspecError, RecursionError, UnicodeError) as error:
             raise MessageError(str(error)) from error
         sender = RouterId(envelope.host, envelope.incarnation)
         return Delivery(sender, envelope.address, message)
+
+
+def check_envelope(envelope: Envelope) -> None:
+    """
+    Check what is not checked by type.
+
+    :raises MessageError: for a foreign version or a field out of bounds.
+    """
+    if envelope.version != PROTOCOL_VERSION:
+        raise MessageError(f"protocol version {envelope.version}")
+    if not 0 <= envelope.kind < len(MESSAGE_KINDS):
+        raise MessageError(f"message kind {envelope.kind}")
+    if not 0 < envelope.incarnation < 2**63:
+        raise MessageError(f"incarnation {envelope.incarnation}")
+    if not 0 < len(envelope.host) <= LARGEST_NAME >= len(envelope.address):
+        raise MessageError("a sender's name out of bounds")
+    check_size(envelope.kind, len(bytes(envelope.body)))
+
+
+def check_size(kind: int, size: int) -> None:
+    """
+    Check the size of an encoded message before it is decoded or sent.
+
+    :raises MessageError: if it is larger than its kind may be.
+    """
+    message = MESSAGE_KINDS[kind]
+    limit = LARGEST_MESSAGE if message in BULK_KINDS else LARGEST_CONTROL_MESSAGE
+    if size > limit:
+        raise MessageError(f"{size} bytes in one {message.__name__}")
--- a/src/sycamorehaven/transport/messages.py
+++ b/src/sycamorehaven/transport/messages.py
@@ -15,6 +15,10 @@
 PROTOCOL_VERSION = 1
 LARGEST_MESSAGE = 2_097_152
 """Largest encoded envelope, bytes: a relayed body and its headers."""
+LARGEST_CONTROL_MESSAGE = 262_144
+"""Largest encoded message, bytes, of a kind that carries no bodies."""
+LARGEST_NAME = 64
+"""Characters of a sender's host or address."""
 
 
 class Envelope(NamedTuple):
@@ -487,3 +491,6 @@
     ViewDigest,
     ViewRecords,
 )
+
+BULK_KINDS = frozenset({ConfigurationReply, RelayCall, RelayReply, TokenHandover})
+"""Kinds that may be as large as ``LARGEST_MESSAGE``."""
--- a/src/sycamorehaven/transport/peers.py
+++ b/src/sycamorehaven/transport/peers.py
@@ -9,8 +9,11 @@
 import zmq.asyncio
 from absl import logging
 from mode import Service
+from zmq.auth.asyncio import AsyncioAuthenticator
+from zmq.utils import z85
 
 from sycamorehaven.transport.codec import Codec, Delivery, MessageError
+from sycamorehaven.transport.dealers import DealerPool, set_heartbeat
 from sycamorehaven.transport.links import OpenFilter
 
 if TYPE_CHECKING:
@@ -18,11 +21,30 @@
     from sycamorehaven.settings import RouterSettings
     from sycamorehaven.transport.links import Handler, PeerFilter
 
-SEND_QUEUE = 1_000
-"""Messages queued for one peer that does not take them."""
-HEARTBEAT_MILLISECONDS = 2_000
+RECEIVE_QUEUE = 1_000
+"""Messages queued from one peer."""
 BATCH = 64
 """Messages handled before other tasks of the event loop run."""
+SWEEP_PERIOD = 5.0
+"""Seconds between two looks for unused sockets."""
+LOG_PERIOD = 10
+"""Seconds between two log lines of one cause."""
+ZAP_DOMAIN = "fleet"
+
+
+class FleetKey:
+    """
+    Admits the holders of the fleet's key pair.
+
+    :param public_key: Z85 text.
+    """
+
+    def __init__(self, public_key: str) -> None:
+        self._key = z85.decode(public_key)
+
+    def callback(self, _domain: str, key: bytes) -> bool:
+        """Return whether a client's proven public key is the fleet's."""
+        return z85.decode(key) == self._key
 
 
 class ZmqPeers(Service):
@@ -46,8 +68,11 @@
         self._codec = Codec(board.identity, self._address)
         self._filter = peer_filter or OpenFilter()
         self._context = zmq.asyncio.Context()
-        self._dealers: dict[str, zmq.Socket[bytes]] = {}
+        self._dealers = DealerPool(self._context, settings)
         self._handlers: dict[type, list[Handler]] = {}
+        self._members: set[str] = set()
+        self._authenticator: AsyncioAuthenticator | None = None
+        board.members.changed.subscribe(self._follow_members)
 
     def subscribe(self, kind: type, handler: Handler) -> None:
         """Call ``handler`` with every delivery of one kind of message."""
@@ -66,57 +91,61 @@
         return True
 
     def send_to(self, address: str, message: Any) -> None:
-        """Send to a peer address, member or not."""
+        """Send to a peer address, member or not; never raises or blocks."""
         kind = type(message).__name__
-        data = self._codec.encode(message)
-        self._board.traffic.count_sent(kind, len(data))
-        if not self._filter.admits(self._address, address):
-            return
         try:
-            self._connect(address).send(data, zmq.DONTWAIT, copy=len(data) < 65_536)
+            data = self._codec.encode(message)
+            if self._filter.admits(self._address, address):
+                self._dealers.send(address, data)
+        except MessageError as error:
+            self._drop("unencodable", error)
         except zmq.Again:
             self._board.traffic.count_dropped("queue_full")
-
-    def forget(self, address: str) -> None:
-        """Close the connection to a peer that is gone."""
-        dealer = self._dealers.pop(address, None)
-        if dealer is not None:
-            dealer.close(linger=0)
+        except zmq.ZMQError as error:
+            self._drop("unreachable", error)
+        else:
+            self._board.traffic.count_sent(kind, len(data))
 
     async def on_start(self) -> None:
         """Bind the receiving socket."""
         self._router: zmq.asyncio.Socket = self._context.socket(zmq.ROUTER)
         self._router.linger = 0
+        self._router.rcvhwm = RECEIVE_QUEUE
+        set_heartbeat(self._router)
         if self._settings.secret_key:
-            self._router.curve_server = True
-            self._router.curve_publickey = self._settings.public_key.encode()
-            self._router.curve_secretkey = self._settings.secret_key.encode()
+            self._require_key()
         self._router.bind(f"tcp://{self._address}")
 
     async def on_stop(self) -> None:
         """Close every socket; what is queued to peers gets a moment."""
-        for dealer in self._dealers.values():
-            dealer.close(linger=200)
+        self._dealers.close()
         self._router.close(linger=0)
+        if self._authenticator is not None:
+            self._authenticator.stop()
+
+    def _require_key(self) -> None:
+        public_key = self._settings.public_key
+        self._authenticator = AsyncioAuthenticator(self._context)
+        self._authenticator.start()
+        self._authenticator.configure_curve_callback(
+            domain="*", credentials_provider=FleetKey(public_key)
+        )
+        self._router.zap_domain = ZAP_DOMAIN.encode()
+        self._router.curve_server = True
+        self._router.curve_publickey = public_key.encode()
+        self._router.curve_secretkey = self._settings.secret_key.encode()
+
+    def _follow_members(self) -> None:
+        addresses = {member.address for member in self._board.members.list()}
+        for address in self._members - addresses:
+            self._dealers.forget(address)
+        self._members = addresses
 
-    def _connect(self, address: str) -> zmq.Socket[bytes]:
-        dealer = self._dealers.get(address)
-        if dealer is not None:
-            return dealer
-        dealer = zmq.Socket(self._context, zmq.DEALER)
-        dealer.linger = 0
-        dealer.sndhwm = SEND_QUEUE
-        dealer.setsockopt(zmq.RECONNECT_IVL, 50)
-        dealer.setsockopt(zmq.RECONNECT_IVL_MAX, 1_000)
-        dealer.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MILLISECONDS)
-        dealer.setsockopt(zmq.HEARTBEAT_TIMEOUT, 2 * HEARTBEAT_MILLISECONDS)
-        if self._settings.secret_key:
-            dealer.curve_serverkey = self._settings.public_key.encode()
-            dealer.curve_publickey = self._settings.public_key.encode()
-            dealer.curve_secretkey = self._settings.secret_key.encode()
-        dealer.connect(f"tcp://{address}")
-        self._dealers[address] = dealer
-        return dealer
+    @Service.task
+    async def _sweep(self) -> None:
+        while not self.should_stop:
+            await self.sleep(SWEEP_PERIOD)
+            self._dealers.sweep(self._members)
 
     @Service.task
     async def _receive(self) -> None:
@@ -132,8 +161,7 @@
         try:
             delivery = self._codec.decode(data)
         except MessageError as error:
-            self._board.traffic.count_dropped("malformed")
-            logging.log_every_n_seconds(logging.WARNING, "%s", 10, error)
+            self._drop("malformed", error)
             return
         if not self._filter.admits(delivery.address, self._address):
             return
@@ -143,4 +171,15 @@
 
     def _dispatch(self, delivery: Delivery) -> None:
         for handler in self._handlers.get(type(delivery.message), []):
-            handler(delivery)
+            try:
+                handler(delivery)
+            except Exception as error:
+                kind = type(delivery.message).__name__
+                logging.exception("a handler of %s failed", kind)
+                self._drop("handler_failed", error)
+
+    def _drop(self, cause: str, error: Exception) -> None:
+        self._board.traffic.count_dropped(cause)
+        logging.log_every_n_seconds(
+            logging.WARNING, "peer message dropped: %s: %s", LOG_PERIOD, cause, error
+        )
