--- a/src/sycamorehaven/transport/dealers.py
+++ b/src/sycamorehaven/transport/dealers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import zmq
 
@@ -32,7 +32,7 @@
 """Milliseconds that queued messages get when the router stops."""
 
 
-def set_heartbeat(socket: zmq.Socket[bytes]) -> None:
+def set_heartbeat(socket: zmq.Socket[Any]) -> None:
     """Make a socket replace connections that have gone silent."""
     socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MILLISECONDS)
     socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, SILENCE_MILLISECONDS)
@@ -51,7 +51,7 @@
 
     def __init__(
         self,
-        context: zmq.Context[zmq.Socket[bytes]],
+        context: zmq.Context[Any],
         settings: RouterSettings,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
--- a/src/sycamorehaven/transport/peers.py
+++ b/src/sycamorehaven/transport/peers.py
@@ -10,7 +10,6 @@
 from absl import logging
 from mode import Service
 from zmq.auth.asyncio import AsyncioAuthenticator
-from zmq.utils import z85
 
 from sycamorehaven.transport.codec import Codec, Delivery, MessageError
 from sycamorehaven.transport.dealers import DealerPool, set_heartbeat
@@ -40,11 +39,11 @@
     """
 
     def __init__(self, public_key: str) -> None:
-        self._key = z85.decode(public_key)
+        self._key = public_key.encode()
 
     def callback(self, _domain: str, key: bytes) -> bool:
         """Return whether a client's proven public key is the fleet's."""
-        return z85.decode(key) == self._key
+        return key == self._key
 
 
 class ZmqPeers(Service):
@@ -74,6 +73,11 @@
         self._authenticator: AsyncioAuthenticator | None = None
         board.members.changed.subscribe(self._follow_members)
 
+    @property
+    def dealers(self) -> DealerPool:
+        """Outgoing connections."""
+        return self._dealers
+
     def subscribe(self, kind: type, handler: Handler) -> None:
         """Call ``handler`` with every delivery of one kind of message."""
         self._handlers.setdefault(kind, []).append(handler)
@@ -128,7 +132,7 @@
         self._authenticator = AsyncioAuthenticator(self._context)
         self._authenticator.start()
         self._authenticator.configure_curve_callback(
-            domain="*", credentials_provider=FleetKey(public_key)
+            domain=ZAP_DOMAIN, credentials_provider=FleetKey(public_key)
         )
         self._router.zap_domain = ZAP_DOMAIN.encode()
         self._router.curve_server = True
@@ -167,7 +171,11 @@
             return
         kind = type(delivery.message).__name__
         self._board.traffic.count_received(kind, len(data))
-        self._dispatch(delivery)
+        delay = self._filter.choose_delay()
+        if delay:
+            asyncio.get_running_loop().call_later(delay, self._dispatch, delivery)
+        else:
+            self._dispatch(delivery)
 
     def _dispatch(self, delivery: Delivery) -> None:
         for handler in self._handlers.get(type(delivery.message), []):
