--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -117,7 +117,7 @@
 
 def pad(message: object) -> int:
     """Return what names and addresses of production length add, bytes."""
-    records = getattr(message, "news", None) or getattr(message, "records", ())
+    records: list[object] = getattr(message, "news", getattr(message, "records", []))
     digest = DIGEST_PADDING if hasattr(message, "digest") else 0
     return NAME_PADDING * (1 + len(records)) + digest
 
--- a/src/sycamorehaven/router.py
+++ b/src/sycamorehaven/router.py
@@ -21,6 +21,11 @@
 from sycamorehaven.transport.backends import HttpBackends
 from sycamorehaven.transport.callers import CallerListener
 from sycamorehaven.transport.faults import FileFilter
+from sycamorehaven.transport.filters import (
+    FilteredBackends,
+    FilteredLoads,
+    FilteredPlatform,
+)
 from sycamorehaven.transport.links import OpenFilter
 from sycamorehaven.transport.peers import ZmqPeers
 from sycamorehaven.transport.platform import HttpPlatform
@@ -33,7 +38,7 @@
 
 
 def create_filter(settings: RouterSettings) -> PeerFilter:
-    """Return what decides which peer messages pass: all, but in tests."""
+    """Return what decides what passes: everything, but in tests."""
     if not settings.peer_faults:
         return OpenFilter()
     return FileFilter(Path(settings.peer_faults), settings.peers_address)
@@ -57,6 +62,7 @@
         self._platform = HttpPlatform.from_settings(settings)
         self._loads = HttpLoadSource()
         self._backends = HttpBackends()
+        self._filter = create_filter(settings)
 
     @classmethod
     def from_settings(
@@ -72,19 +78,22 @@
 
     def on_init_dependencies(self) -> list[ServiceT]:
         """Return the services, in the order in which they start."""
-        board, settings = self._board, self._settings
-        peers = ZmqPeers(board, settings, create_filter(settings))
+        board, settings, own = self._board, self._settings, self._board.members.own
+        platform = FilteredPlatform(self._platform, self._filter, settings)
+        backends = FilteredBackends(self._backends, self._filter, own.address)
+        loads = FilteredLoads(self._loads, self._filter, own.address)
+        peers = ZmqPeers(board, settings, self._filter)
         permits = PermitController(board, peers)
         suspects = SuspectController(board, peers)
-        calls = CallController(board, permits, self._backends, suspects)
+        calls = CallController(board, permits, backends, suspects)
         monitor = Monitor(board)
         return [
             monitor,
             AdminListener(board, settings, monitor, self._spans),
             peers,
             MembershipController(board, peers, settings),
-            ConfigurationController(board, peers, self._platform, settings.seeds),
-            ServerController(board, self._loads),
+            ConfigurationController(board, peers, platform, settings.seeds),
+            ServerController(board, loads),
             SchedulingController(board, peers),
             permits,
             suspects,
