--- a/benchmarks/measuring.py
+++ b/benchmarks/measuring.py
@@ -25,7 +25,7 @@
 
 
 def measure_memory(build: Callable[[], object]) -> int:
-    """Return the bytes that what ``build`` returns keeps allocated."""
+    """Return the bytes that ``build`` leaves allocated, with its result."""
     gc.collect()
     tracemalloc.start()
     kept = build()
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -15,7 +15,7 @@
 import time
 from typing import NamedTuple
 
-import psutil
+import psutil  # type: ignore[import-untyped]
 
 from tests.support.fleet import Fleet, find_address, run_fleet
 from tests.support.loader import ROOT
@@ -149,11 +149,11 @@
         memory = float(process.memory_info().rss)
         rest = await measure_rest(process)
         command, command_memory = await asyncio.to_thread(measure_command, fleet)
-        added = await measure_added(fleet)
         chunk = await measure_chunk(fleet, process)
     quick = [plan._replace(pace=0.0, address=find_address()) for plan in servers]
     async with run_fleet(("a",), quick, write_configuration(quick)) as fleet:
         process = psutil.Process(fleet.processes[fleet.routers[0].host].pid)
+        added = await measure_added(fleet)
         request, rate = await measure_requests(fleet, process)
     return RelayCost(chunk, request, rate, added, rest, memory, command, command_memory)
 
--- a/benchmarks/roles.py
+++ b/benchmarks/roles.py
@@ -179,7 +179,7 @@
         for _ in range(WAITING_EDGES):
             scheduling.report(next(edges) % WAITING_EDGES)
 
-    row = measure_memory(lambda: take_reports() or scheduling)
+    row = measure_memory(take_reports)
     report = measure_time(take_reports, 2) / WAITING_EDGES
     return SchedulerCost(
         report,
