Run each call that is not idempotent at most once

Cause: a booking that was sent twice, or through two routers, ran twice. A token now names the one router process that may run it; every other router relays the call there, and a restarted owner is another process. The owner records the token before the first byte leaves.

Ruled out: keys made by the caller and owned by hash (two views of the membership give two owners) and forgetting the oldest token when the table is full (a forgotten token looks unused).

--- a/src/sycamorehaven/blackboard/board.py
+++ b/src/sycamorehaven/blackboard/board.py
@@ -12,6 +12,7 @@
 from sycamorehaven.blackboard.permits import PermitsSection
 from sycamorehaven.blackboard.queues import QueuesSection
 from sycamorehaven.blackboard.servers import ServersSection
+from sycamorehaven.blackboard.tokens import TokensSection
 from sycamorehaven.blackboard.traffic import TrafficSection
 from sycamorehaven.identity import RouterId, create_incarnation
 
@@ -42,6 +43,7 @@
         self._permits = PermitsSection()
         self._servers = ServersSection()
         self._counters = CountersSection(identity)
+        self._tokens = TokensSection()
 
     @classmethod
     def from_settings(cls, settings: RouterSettings) -> Blackboard:
@@ -98,3 +100,8 @@
     def counters(self) -> CountersSection:
         """Service given, fleet-wide."""
         return self._counters
+
+    @property
+    def tokens(self) -> TokensSection:
+        """Idempotency tokens of this router."""
+        return self._tokens
--- a/src/sycamorehaven/blackboard/lifecycle.py
+++ b/src/sycamorehaven/blackboard/lifecycle.py
@@ -1,4 +1,9 @@
-"""The phase of this process; written by the daemon."""
+"""
+The phase of this process; written by the daemon.
+
+Whoever serves a request enters it before its first step and leaves it after
+its last byte, so that a graceful shutdown knows what is in progress.
+"""
 
 from __future__ import annotations
 
@@ -29,7 +34,9 @@
         return self._changed
 
     def begin_draining(self) -> None:
-        """Mark the start of a graceful shutdown."""
+        """Mark the start of a graceful shutdown; again changes nothing."""
+        if self._draining:
+            return
         self._draining = True
         self._changed.notify()
 
--- a/src/sycamorehaven/daemon.py
+++ b/src/sycamorehaven/daemon.py
@@ -11,32 +11,56 @@
 import typer
 from absl import logging
 
+from sycamorehaven.draining import Drain
 from sycamorehaven.exceptions.faults import SettingsError
 from sycamorehaven.router import Router
 from sycamorehaven.settings import RouterSettings
 from sycamorehaven.telemetry.logs import configure_logs
 
+EXIT_CUT = 1
+"""Exit status if a forced or late end cut requests off."""
 EXIT_USAGE = 2
+"""Exit status for wrong settings."""
 
 
-async def run_router(settings: RouterSettings) -> None:
-    """Run a router until SIGTERM or SIGINT, then drain it."""
+class StopSignals:
+    """The first SIGTERM or SIGINT asks for an end, the second forces it."""
+
+    def __init__(self) -> None:
+        self.asked = asyncio.Event()
+        self.forced = asyncio.Event()
+
+    def install(self) -> None:
+        """Take the signals from now on."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._take)
+
+    def _take(self) -> None:
+        if self.asked.is_set():
+            self.forced.set()
+        self.asked.set()
+
+
+async def run_router(settings: RouterSettings) -> int:
+    """
+    Run a router until SIGTERM or SIGINT, then drain it.
+
+    :returns: exit status: 0, or ``EXIT_CUT`` if requests were cut off.
+    """
+    signals = StopSignals()
+    signals.install()
     router = Router.from_settings(settings)
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
     await router.start()
-    logging.info("router %s started", router.board.identity.format())
-    await stop.wait()
-    lifecycle = router.board.lifecycle
-    lifecycle.begin_draining()
-    while lifecycle.in_progress and await lifecycle.changed.wait(
-        settings.drain_timeout
-    ):
-        pass
+    name = router.board.identity.format()
+    logging.info("router %s started", name)
+    await signals.asked.wait()
+    logging.info("router %s drains", name)
+    drain = Drain(router.board.lifecycle, router, settings.drain_timeout)
+    whole = await drain.run(signals.forced)
     await router.stop()
-    logging.info("router %s stopped", router.board.identity.format())
+    logging.info("router %s stopped", name)
+    return 0 if whole else EXIT_CUT
 
 
 def serve(
@@ -50,7 +74,7 @@
             print(fault.format(), file=sys.stderr)
         raise typer.Exit(EXIT_USAGE) from error
     configure_logs(checked)
-    asyncio.run(run_router(checked))
+    raise typer.Exit(asyncio.run(run_router(checked)))
 
 
 def main() -> None:
--- a/src/sycamorehaven/exceptions/refusals.py
+++ b/src/sycamorehaven/exceptions/refusals.py
@@ -45,6 +45,15 @@
         """Whether the call ran on a backend server."""
         return self._was_run
 
+    def doubt(self) -> None:
+        """
+        Say of a call with a token that nobody asked whether it was run.
+
+        An earlier copy of the call may have run, so "no" could be false.
+        """
+        if self._was_run == "no":
+            self._was_run = "unknown"
+
     @property
     def retry_after(self) -> float | None:
         """Seconds after which trying again may help, or ``None``."""
@@ -64,6 +73,14 @@
     remedy = "correct the named header or body and send the request again"
 
 
+class InvalidToken(Refusal):
+    """The idempotency token is malformed, forged or another workspace's."""
+
+    code = "invalid_idempotency_token"
+    status = 400
+    remedy = "send the token exactly as it was minted for this workspace"
+
+
 class InvalidWorkspaceKey(Refusal):
     """The bearer key belongs to no workspace."""
 
@@ -104,6 +121,14 @@
     remedy = "use one token per request; mint a new one for this request"
 
 
+class AnswerGone(Refusal):
+    """The call with this token ran; its answer is not kept any more."""
+
+    code = "answer_gone"
+    status = 410
+    remedy = "look up the effect of the call; do not send it with a new token"
+
+
 class BodyTooLarge(Refusal):
     """The request body passes the limit."""
 
@@ -184,6 +209,14 @@
     remedy = "send the same token again after Retry-After seconds"
 
 
+class TokenTableFull(Refusal):
+    """The router remembers as many used tokens as it can."""
+
+    code = "token_table_full"
+    status = 503
+    remedy = "mint a token through another router or after Retry-After seconds"
+
+
 class AttemptsExhausted(Refusal):
     """Every permitted attempt failed."""
 
@@ -198,3 +231,17 @@
     code = "backend_timeout"
     status = 504
     remedy = "an idempotent request may be sent again after Retry-After"
+
+
+def create_refusal(
+    code: str,
+    detail: str,
+    *,
+    was_run: WasRun,
+    retry_after: float | None,
+    remedy: str,
+) -> Refusal:
+    """Return the refusal with a code, as another router described it."""
+    kinds = {kind.code: kind for kind in Refusal.__subclasses__()}
+    kind = kinds.get(code, Refusal)
+    return kind(detail, was_run=was_run, retry_after=retry_after, remedy=remedy)
--- a/src/sycamorehaven/transport/callers.py
+++ b/src/sycamorehaven/transport/callers.py
@@ -26,7 +26,7 @@
 from sycamorehaven.transport.problems import build_problem
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.configuration.model import Configuration, Workspace
@@ -35,6 +35,9 @@
 DEFAULT_TIMEOUT = 600.0
 """Seconds for a request that names no timeout."""
 LONGEST_TIMEOUT = 86_400.0
+SHUTDOWN_TIMEOUT = 1.0
+"""Seconds that requests still have once the listener closes."""
+TOKEN_HEADER = "Idempotency-Token"
 
 
 class CallHandler(Protocol):
@@ -45,6 +48,14 @@
         ...
 
 
+class RouteSet(Protocol):
+    """Further routes of the callers' interface."""
+
+    def register(self, application: web.Application) -> None:
+        """Add the routes."""
+        ...
+
+
 class CallerListener(Service):
     """
     Serves callers.
@@ -52,6 +63,7 @@
     :param board: the state of this router.
     :param settings: settings of this process.
     :param handler: answers calls.
+    :param route_sets: further routes.
     :param clock: monotonic seconds.
     """
 
@@ -60,12 +72,14 @@
         board: Blackboard,
         settings: RouterSettings,
         handler: CallHandler,
+        route_sets: Sequence[RouteSet] = (),
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         super().__init__()
         self._board = board
         self._settings = settings
         self._handler = handler
+        self._route_sets = route_sets
         self._clock = clock
 
     async def on_start(self) -> None:
@@ -74,8 +88,13 @@
         application.router.add_route(
             "*", "/v1/services/{service}/{path:.*}", self._serve
         )
+        for route_set in self._route_sets:
+            route_set.register(application)
         self._runner = web.AppRunner(
-            application, handler_cancellation=True, access_log=None
+            application,
+            handler_cancellation=True,
+            access_log=None,
+            shutdown_timeout=SHUTDOWN_TIMEOUT,
         )
         await self._runner.setup()
         host, port = split_address(self._settings.callers_address)
@@ -89,7 +108,7 @@
         request_id = secrets.token_hex(8)
         self._board.lifecycle.enter()
         try:
-            call = await self._read_call(request, request_id)
+            call = await self._read_known_call(request, request_id)
             answer = await self._handler.answer(call)
         except Refusal as refusal:
             return build_problem(refusal, request_id)
@@ -109,6 +128,9 @@
             await response.prepare(request)
             async for chunk in answer.chunks:
                 await response.write(chunk)
+            if request.transport is not None:
+                # A request ends once the operating system has all of it.
+                request.transport.set_write_buffer_limits(high=0)
             await response.write_eof()
         except BaseException:
             if request.transport is not None:
@@ -118,9 +140,17 @@
             await answer.chunks.aclose()  # type: ignore[attr-defined]
         return response
 
+    async def _read_known_call(self, request: web.Request, request_id: str) -> Call:
+        try:
+            return await self._read_call(request, request_id)
+        except Refusal as refusal:
+            if TOKEN_HEADER in request.headers:
+                refusal.doubt()
+            raise
+
     async def _read_call(self, request: web.Request, request_id: str) -> Call:
         configuration = self._board.configuration.current
-        if self._board.lifecycle.draining:
+        if self._board.lifecycle.draining and TOKEN_HEADER not in request.headers:
             raise Draining("the router is shutting down", retry_after=0.0)
         if configuration is None:
             raise NotReady("no configuration yet", retry_after=1.0)
@@ -145,7 +175,7 @@
             deadline=self._clock()
             + read_number(request, "Request-Timeout", DEFAULT_TIMEOUT, LONGEST_TIMEOUT),
             cost_hint=read_number(request, "Cost-Hint", 0.0, service.largest_cost),
-            token=request.headers.get("Idempotency-Token", ""),
+            token=request.headers.get(TOKEN_HEADER, ""),
         )
 
     async def _read_body(self, request: web.Request) -> bytes:
--- a/src/sycamorehaven/transport/headers.py
+++ b/src/sycamorehaven/transport/headers.py
@@ -45,9 +45,9 @@
 def filter_request(headers: Iterable[tuple[str, str]]) -> Headers:
     """Return the headers of a request that a backend server may see."""
     left_out = HOP_BY_HOP | ROUTER_ONLY
-    return tuple((n, v) for n, v in headers if n.lower() not in left_out)
+    return tuple((str(n), v) for n, v in headers if n.lower() not in left_out)
 
 
 def filter_answer(headers: Iterable[tuple[str, str]]) -> Headers:
     """Return the headers of an answer that a caller may see."""
-    return tuple((n, v) for n, v in headers if n.lower() not in HOP_BY_HOP)
+    return tuple((str(n), v) for n, v in headers if n.lower() not in HOP_BY_HOP)
--- a/src/sycamorehaven/transport/messages.py
+++ b/src/sycamorehaven/transport/messages.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 
 import msgspec
 
@@ -291,11 +291,15 @@
 
 class RelayCall(NamedTuple):
     """
-    A call with a token, sent to the router that minted the token.
+    A call with a token, sent to the router that can answer it.
 
-    :ivar relay: number, unique per sending incarnation.
+    It is sent again until the receiver says that it has it.
+
+    :ivar relay: random number, never used twice.
     :ivar owner: incarnation that must run it.
+    :ivar adopted: whether the receiver answers from tokens taken over only.
     :ivar token: the idempotency token.
+    :ivar request_id: names the request in logs and traces.
     :ivar workspace: the authenticated workspace.
     :ivar service: the service.
     :ivar method: HTTP method.
@@ -304,11 +308,14 @@
     :ivar body: the request body.
     :ivar priority: class.
     :ivar timeout: seconds left for the answer.
+    :ivar cost_hint: cost that the caller expects, 0 for none.
     """
 
     relay: int
     owner: int
+    adopted: bool
     token: str
+    request_id: str
     workspace: str
     service: str
     method: str
@@ -317,13 +324,15 @@
     body: bytes
     priority: str
     timeout: float
+    cost_hint: float
 
 
 class RelayReply(NamedTuple):
     """
-    A part of the owner's answer to ``RelayCall``.
+    A part of the answer to ``RelayCall``.
 
     :ivar relay: the call's number.
+    :ivar session: random, above 0; parts of two sessions never mix.
     :ivar part: counts the parts from 0.
     :ivar last: whether it is the last part.
     :ivar status: HTTP status.
@@ -332,6 +341,7 @@
     """
 
     relay: int
+    session: int
     part: int
     last: bool
     status: int
@@ -383,17 +393,22 @@
 
 class TokenRecord(NamedTuple):
     """
-    A finished token.
+    A used token.
 
     :ivar token: the token.
+    :ivar workspace: whose it is.
     :ivar request: xxh3-128 of the request that used it, 16 bytes.
-    :ivar status: HTTP status of the recorded answer.
+    :ivar finished: whether the call ran to its end; if not, its outcome is
+        unknown.
+    :ivar status: HTTP status of the recorded answer, 0 if it is not kept.
     :ivar headers: its headers.
     :ivar body: its body.
     """
 
     token: str
+    workspace: str
     request: bytes
+    finished: bool
     status: int
     headers: list[tuple[str, str]]
     body: bytes
@@ -401,11 +416,13 @@
 
 class TokenHandover(NamedTuple):
     """
-    Finished tokens of a router that shuts down; never run by the receiver.
+    Used tokens of a router that shuts down; never run by the receiver.
 
+    :ivar number: echoed by the acknowledgement.
     :ivar records: the tokens.
     """
 
+    number: int
     records: list[TokenRecord]
 
 
@@ -433,6 +450,97 @@
     free: int
 
 
+class RelayRefusal(NamedTuple):
+    """
+    The refusal of a ``RelayCall``.
+
+    :ivar relay: the call's number.
+    :ivar code: code of the refusal.
+    :ivar detail: what went wrong.
+    :ivar was_run: ``"no"``, ``"yes"`` or ``"unknown"``.
+    :ivar retry_after: seconds, or ``None``.
+    :ivar remedy: what the caller can do.
+    """
+
+    relay: int
+    code: str
+    detail: str
+    was_run: Literal["no", "yes", "unknown"]
+    retry_after: float | None
+    remedy: str
+
+
+class RelayContinue(NamedTuple):
+    """
+    What the sender of a ``RelayCall`` has of the answer.
+
+    :ivar relay: the call's number.
+    :ivar next_part: the first part that it lacks.
+    :ivar resend: whether parts that were sent seem to be lost.
+    :ivar closed: whether it wants no more.
+    """
+
+    relay: int
+    next_part: int
+    resend: bool
+    closed: bool
+
+
+class RelayStatus(NamedTuple):
+    """
+    Whether the sender serves a ``RelayCall``.
+
+    :ivar relay: the call's number.
+    :ivar known: whether it does.
+    """
+
+    relay: int
+    known: bool
+
+
+class TokenHandoverAck(NamedTuple):
+    """
+    The receiver has taken the tokens over.
+
+    :ivar number: the hand-over's.
+    """
+
+    number: int
+
+
+class TokenStateRequest(NamedTuple):
+    """
+    A question for the state of a token.
+
+    :ivar number: random, echoed by the reply.
+    :ivar owner: incarnation that minted the token.
+    :ivar adopted: whether the receiver answers from tokens taken over only.
+    :ivar token: the token.
+    :ivar workspace: the authenticated workspace.
+    """
+
+    number: int
+    owner: int
+    adopted: bool
+    token: str
+    workspace: str
+
+
+class TokenStateReply(NamedTuple):
+    """
+    The answer to ``TokenStateRequest``.
+
+    :ivar number: the request's.
+    :ivar state: the state, ``"invalid"`` for a forged token, or "" if the
+        sender can't tell.
+    :ivar status: HTTP status of the finished call, or 0.
+    """
+
+    number: int
+    state: str
+    status: int
+
+
 MESSAGE_KINDS: tuple[type, ...] = (
     Probe,
     ProbeAck,
@@ -454,4 +562,10 @@
     TokenHandover,
     RetrySpend,
     IdleNotice,
+    RelayRefusal,
+    RelayContinue,
+    RelayStatus,
+    TokenHandoverAck,
+    TokenStateRequest,
+    TokenStateReply,
 )
--- /dev/null
+++ b/src/sycamorehaven/transport/tokens.py
@@ -0,0 +1,93 @@
+"""The HTTP routes for idempotency tokens."""
+
+from __future__ import annotations
+
+import secrets
+from typing import TYPE_CHECKING, Protocol
+
+from aiohttp import web
+
+from sycamorehaven.exceptions.refusals import NotReady, Refusal
+from sycamorehaven.transport.callers import authenticate, read_number
+from sycamorehaven.transport.problems import build_problem
+
+if TYPE_CHECKING:
+    from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.controllers.tokens import MintedToken, TokenStatus
+
+DEFAULT_LIFETIME = 600.0
+"""Seconds from minting to expiry if ``Token-Lifetime`` names none."""
+LONGEST_LIFETIME = 3_600.0
+"""Seconds."""
+RETRY_AFTER = 1.0
+"""Seconds a caller is asked to wait for a configuration."""
+
+
+class TokenDesk(Protocol):
+    """Mints tokens and knows their state."""
+
+    def mint(self, workspace: str, lifetime: float) -> MintedToken:
+        """Return a fresh token."""
+        ...
+
+    async def look_up(self, text: str, workspace: str) -> TokenStatus:
+        """Return the state of a token."""
+        ...
+
+
+class TokenRoutes:
+    """
+    ``POST /v1/idempotency-tokens`` and ``GET`` of one of them.
+
+    :param board: the state of this router.
+    :param desk: mints tokens and knows their state.
+    """
+
+    def __init__(self, board: Blackboard, desk: TokenDesk) -> None:
+        self._board = board
+        self._desk = desk
+
+    def register(self, application: web.Application) -> None:
+        """Add the routes to the callers' application."""
+        application.router.add_post("/v1/idempotency-tokens", self._mint)
+        application.router.add_get("/v1/idempotency-tokens/{token}", self._look_up)
+
+    async def _mint(self, request: web.Request) -> web.Response:
+        request_id = secrets.token_hex(8)
+        try:
+            workspace = self._authenticate(request)
+            lifetime = read_number(
+                request, "Token-Lifetime", DEFAULT_LIFETIME, LONGEST_LIFETIME
+            )
+            minted = self._desk.mint(workspace, lifetime)
+        except Refusal as refusal:
+            return build_problem(refusal, request_id)
+        body = {
+            "idempotency_token": minted.text,
+            "expires_in": round(minted.expires_in, 3),
+        }
+        headers = {
+            "Request-Id": request_id,
+            "Cache-Control": "no-store",
+            "Location": f"/v1/idempotency-tokens/{minted.text}",
+        }
+        return web.json_response(body, status=201, headers=headers)
+
+    async def _look_up(self, request: web.Request) -> web.Response:
+        request_id = secrets.token_hex(8)
+        try:
+            workspace = self._authenticate(request)
+            found = await self._desk.look_up(request.match_info["token"], workspace)
+        except Refusal as refusal:
+            return build_problem(refusal, request_id)
+        body: dict[str, object] = {"state": found.state.value}
+        if found.status:
+            body["status"] = found.status
+        headers = {"Request-Id": request_id, "Cache-Control": "no-store"}
+        return web.json_response(body, headers=headers)
+
+    def _authenticate(self, request: web.Request) -> str:
+        configuration = self._board.configuration.current
+        if configuration is None:
+            raise NotReady("no configuration yet", retry_after=RETRY_AFTER)
+        return authenticate(request, configuration).name
