--- a/src/sycamorehaven/blackboard/board.py
+++ b/src/sycamorehaven/blackboard/board.py
@@ -9,9 +9,12 @@
 from sycamorehaven.blackboard.lifecycle import LifecycleSection
 from sycamorehaven.blackboard.members import Member, MembersSection
 from sycamorehaven.blackboard.outcomes import OutcomesSection
+from sycamorehaven.blackboard.pauses import PausesSection
 from sycamorehaven.blackboard.permits import PermitsSection
 from sycamorehaven.blackboard.queues import QueuesSection
+from sycamorehaven.blackboard.seeds import SeedsSection
 from sycamorehaven.blackboard.servers import ServersSection
+from sycamorehaven.blackboard.suspects import SuspectsSection
 from sycamorehaven.blackboard.tokens import TokensSection
 from sycamorehaven.blackboard.traffic import TrafficSection
 from sycamorehaven.identity import RouterId, create_incarnation
@@ -35,6 +38,8 @@
         )
         self._identity = identity
         self._members = MembersSection(own)
+        self._seeds = SeedsSection()
+        self._pauses = PausesSection()
         self._configuration = ConfigurationSection()
         self._lifecycle = LifecycleSection()
         self._traffic = TrafficSection()
@@ -44,6 +49,7 @@
         self._servers = ServersSection()
         self._counters = CountersSection(identity)
         self._tokens = TokensSection()
+        self._suspects = SuspectsSection()
 
     @classmethod
     def from_settings(cls, settings: RouterSettings) -> Blackboard:
@@ -61,6 +67,16 @@
         """Live routers."""
         return self._members
 
+    @property
+    def seeds(self) -> SeedsSection:
+        """Addresses to join through."""
+        return self._seeds
+
+    @property
+    def pauses(self) -> PausesSection:
+        """Pauses of this process."""
+        return self._pauses
+
     @property
     def configuration(self) -> ConfigurationSection:
         """The configuration in force."""
@@ -105,3 +121,8 @@
     def tokens(self) -> TokensSection:
         """Idempotency tokens of this router."""
         return self._tokens
+
+    @property
+    def suspects(self) -> SuspectsSection:
+        """Requests suspected of crashing backend servers."""
+        return self._suspects
--- a/src/sycamorehaven/controllers/relay_sessions.py
+++ b/src/sycamorehaven/controllers/relay_sessions.py
@@ -8,7 +8,6 @@
 
 import xxhash
 from mode import Service
-from yarl import URL
 
 from sycamorehaven.blackboard.signal import Signal
 from sycamorehaven.call import Call
@@ -31,6 +30,7 @@
     TokenStateReply,
     TokenStateRequest,
 )
+from sycamorehaven.transport.requests import choose_rule
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -271,7 +271,7 @@
         finally:
             session.ended = True
             if answer is not None:
-                await answer.chunks.aclose()  # type: ignore[attr-defined]
+                await answer.chunks.aclose()
             self._board.lifecycle.leave()
 
     def _forget(self, session: RelaySession) -> None:
@@ -300,8 +300,7 @@
             raise InvalidWorkspaceKey("the workspace is not known to the owner")
         if service is None:
             raise UnknownService(f"no service {message.service!r}")
-        path = URL(message.path, encoded=True).path
-        rule = service.match_rule(message.method, path)
+        rule = choose_rule(service, message.method, message.path)
         return Call(
             request_id=message.request_id,
             workspace=workspace,
--- a/src/sycamorehaven/controllers/token_runs.py
+++ b/src/sycamorehaven/controllers/token_runs.py
@@ -118,7 +118,7 @@
                 self._take(chunk)
                 await self._wait_for_readers()
         finally:
-            await answer.chunks.aclose()  # type: ignore[attr-defined]
+            await answer.chunks.aclose()
         if self._total > self._largest:
             return None
         return RecordedAnswer(answer.status, answer.headers, b"".join(self._chunks))
@@ -201,3 +201,29 @@
         """Stop following; the run goes on."""
         self._readers.discard(self)
         self._run.changed.notify()
+
+
+class RecordedBody:
+    """
+    The body of a recorded answer.
+
+    :param body: the whole of it.
+    """
+
+    def __init__(self, body: bytes) -> None:
+        self._left = body
+
+    def __aiter__(self) -> RecordedBody:
+        """Return the body itself."""
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Return all of it, once."""
+        if not self._left:
+            raise StopAsyncIteration
+        body, self._left = self._left, b""
+        return body
+
+    async def aclose(self) -> None:
+        """Drop what is left."""
+        self._left = b""
--- a/src/sycamorehaven/controllers/tokens.py
+++ b/src/sycamorehaven/controllers/tokens.py
@@ -9,7 +9,7 @@
 from mode import Service
 
 from sycamorehaven.call import Answer
-from sycamorehaven.controllers.token_runs import TokenRun
+from sycamorehaven.controllers.token_runs import RecordedBody, TokenRun
 from sycamorehaven.decisions.token_table import Action, Claim, State
 from sycamorehaven.decisions.tokens import (
     NONCE_BYTES,
@@ -35,7 +35,7 @@
 from sycamorehaven.transport.messages import LARGEST_MESSAGE
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import Callable
 
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.call import Call
@@ -288,12 +288,7 @@
 
 def replay(recorded: RecordedAnswer) -> Answer:
     """Return a recorded answer as an answer to a caller."""
-    return Answer(recorded.status, recorded.headers, _yield_body(recorded.body))
-
-
-async def _yield_body(body: bytes) -> AsyncIterator[bytes]:
-    if body:
-        yield body
+    return Answer(recorded.status, recorded.headers, RecordedBody(recorded.body))
 
 
 def describe_refusal(action: Action) -> Refusal:
--- a/src/sycamorehaven/daemon.py
+++ b/src/sycamorehaven/daemon.py
@@ -16,6 +16,7 @@
 from sycamorehaven.router import Router
 from sycamorehaven.settings import RouterSettings
 from sycamorehaven.telemetry.logs import configure_logs
+from sycamorehaven.telemetry.traces import Tracing
 
 EXIT_CUT = 1
 """Exit status if a forced or late end cut requests off."""
@@ -50,7 +51,9 @@
     """
     signals = StopSignals()
     signals.install()
-    router = Router.from_settings(settings)
+    tracing = Tracing.from_settings(settings)
+    tracing.install()
+    router = Router.from_settings(settings, tracing.buffer)
     await router.start()
     name = router.board.identity.format()
     logging.info("router %s started", name)
@@ -59,6 +62,7 @@
     drain = Drain(router.board.lifecycle, router, settings.drain_timeout)
     whole = await drain.run(signals.forced)
     await router.stop()
+    await tracing.close()
     logging.info("router %s stopped", name)
     return 0 if whole else EXIT_CUT
 
--- a/src/sycamorehaven/router.py
+++ b/src/sycamorehaven/router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from mode import Service
@@ -17,11 +18,21 @@
 from sycamorehaven.controllers.relays import RelayController
 from sycamorehaven.controllers.scheduling import SchedulingController
 from sycamorehaven.controllers.servers import HttpLoadSource, ServerController
+from sycamorehaven.controllers.suspects import SuspectController
 from sycamorehaven.controllers.token_guard import TokenGuard
 from sycamorehaven.controllers.tokens import TokenController
+from sycamorehaven.telemetry.monitor import Monitor
+from sycamorehaven.telemetry.traces import SpanBuffer
 from sycamorehaven.transport.admin import AdminListener
 from sycamorehaven.transport.backends import HttpBackends
 from sycamorehaven.transport.callers import CallerListener
+from sycamorehaven.transport.faults import FileFilter
+from sycamorehaven.transport.filters import (
+    FilteredBackends,
+    FilteredLoads,
+    FilteredPlatform,
+)
+from sycamorehaven.transport.links import OpenFilter
 from sycamorehaven.transport.peers import ZmqPeers
 from sycamorehaven.transport.platform import HttpPlatform
 from sycamorehaven.transport.tokens import TokenRoutes
@@ -30,6 +41,14 @@
     from mode.types import ServiceT
 
     from sycamorehaven.settings import RouterSettings
+    from sycamorehaven.transport.links import PeerFilter
+
+
+def create_filter(settings: RouterSettings) -> PeerFilter:
+    """Return what decides what passes: everything, but in tests."""
+    if not settings.peer_faults:
+        return OpenFilter()
+    return FileFilter(Path(settings.peer_faults), settings.peers_address)
 
 
 class Router(Service):
@@ -37,20 +56,27 @@
     All services of one router.
 
     :param settings: settings of this process.
+    :param spans: finished spans to show to operators.
     """
 
-    def __init__(self, settings: RouterSettings) -> None:
+    def __init__(
+        self, settings: RouterSettings, spans: SpanBuffer | None = None
+    ) -> None:
         super().__init__()
+        self._spans = spans or SpanBuffer()
         self._settings = settings
         self._board = Blackboard.from_settings(settings)
         self._platform = HttpPlatform.from_settings(settings)
         self._loads = HttpLoadSource()
         self._backends = HttpBackends()
+        self._filter = create_filter(settings)
 
     @classmethod
-    def from_settings(cls, settings: RouterSettings) -> Router:
+    def from_settings(
+        cls, settings: RouterSettings, spans: SpanBuffer | None = None
+    ) -> Router:
         """Return a router that has not started."""
-        return cls(settings)
+        return cls(settings, spans)
 
     @property
     def board(self) -> Blackboard:
@@ -59,22 +85,30 @@
 
     def on_init_dependencies(self) -> list[ServiceT]:
         """Return the services, in the order in which they start."""
-        board, settings = self._board, self._settings
-        peers = ZmqPeers(board, settings)
+        board, settings, own = self._board, self._settings, self._board.members.own
+        platform = FilteredPlatform(self._platform, self._filter, settings)
+        backends = FilteredBackends(self._backends, self._filter, own.address)
+        loads = FilteredLoads(self._loads, self._filter, own.address)
+        peers = ZmqPeers(board, settings, self._filter)
         permits = PermitController(board, peers)
-        calls = CallController(board, permits, TokenGuard(board, self._backends))
+        suspects = SuspectController(board, peers)
+        guarded = TokenGuard(board, backends)
+        calls = CallController(board, permits, guarded, suspects)
+        monitor = Monitor(board)
         adoption = Adoption(board)
         relays = RelayController(board, peers, adoption)
         tokens = TokenController(board, calls, relays)
         self._handover = HandoverController(board, peers)
         return [
-            AdminListener(board, settings),
+            monitor,
+            AdminListener(board, settings, monitor, self._spans),
             peers,
             MembershipController(board, peers, settings),
-            ConfigurationController(board, peers, self._platform),
-            ServerController(board, self._loads),
+            ConfigurationController(board, peers, platform, settings.seeds),
+            ServerController(board, loads),
             SchedulingController(board, peers),
             permits,
+            suspects,
             relays,
             tokens,
             RelaySessions(board, peers, tokens, adoption),
--- a/src/sycamorehaven/transport/links.py
+++ b/src/sycamorehaven/transport/links.py
@@ -33,16 +33,32 @@
 
 
 class PeerFilter(Protocol):
-    """Decides which messages pass; tests cut and lose messages here."""
+    """Decides what passes; tests cut connections and lose messages here."""
+
+    def reaches(self, sender: str, receiver: str) -> bool:
+        """Return whether a sender is not cut off from a receiver."""
+        ...
 
     def admits(self, sender: str, receiver: str) -> bool:
         """Return whether a message between two peer addresses passes."""
         ...
 
+    def choose_delay(self) -> float:
+        """Return how late a received message is handled, seconds."""
+        ...
+
 
 class OpenFilter:
-    """Lets every message pass."""
+    """Lets everything pass."""
+
+    def reaches(self, sender: str, receiver: str) -> bool:  # noqa: ARG002
+        """Return ``True``."""
+        return True
 
     def admits(self, sender: str, receiver: str) -> bool:  # noqa: ARG002
         """Return ``True``."""
         return True
+
+    def choose_delay(self) -> float:
+        """Return 0."""
+        return 0.0
--- a/src/sycamorehaven/transport/tokens.py
+++ b/src/sycamorehaven/transport/tokens.py
@@ -8,8 +8,8 @@
 from aiohttp import web
 
 from sycamorehaven.exceptions.refusals import NotReady, Refusal
-from sycamorehaven.transport.callers import authenticate, read_number
 from sycamorehaven.transport.problems import build_problem
+from sycamorehaven.transport.requests import authenticate, read_number
 
 if TYPE_CHECKING:
     from sycamorehaven.blackboard.board import Blackboard
--- /dev/null
+++ b/tests/decisions/test_slots.py
@@ -0,0 +1,87 @@
+"""Adaptive slots against batching servers on a given clock."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sycamorehaven.decisions.slots import FinishedRun, SlotLimit
+from tests.support.batching import BatchingServer, Dispatcher
+
+SPEEDS = ((0.002, 4), (0.005, 8), (0.01, 24), (0.02, 12), (0.04, 40))
+"""Seconds a unit and knee of servers bought over years."""
+
+
+def test_servers_of_any_speed_stay_busy_and_limits_steady() -> None:
+    for lag in (0.2, 2.0):
+        for seed, (unit_time, knee) in enumerate(SPEEDS):
+            server = BatchingServer(unit_time, knee, lag, seed)
+            dispatcher = Dispatcher(server, [SlotLimit(4, 64)])
+            dispatcher.run(80.0)
+            dispatcher.history.clear()
+            assert dispatcher.run(120.0) >= 0.95, (lag, unit_time, knee)
+            history = dispatcher.history
+            changes = sum(one != two for one, two in pairwise(history))
+            assert changes <= 12, (lag, unit_time, knee, changes)
+            assert max(history) <= 2 * min(history), (lag, unit_time, knee)
+
+
+def test_limit_comes_down_when_the_knee_does() -> None:
+    limit = SlotLimit(8, 64)
+    server = BatchingServer(0.01, 8, 1.0, 1)
+    dispatcher = Dispatcher(server, [limit])
+    dispatcher.run(60.0)
+    server.knee = 2
+    dispatcher.run(240.0)
+    assert limit.limit <= 5
+    assert dispatcher.run(60.0) >= 0.95
+
+
+def test_slower_server_keeps_its_slots() -> None:
+    server = BatchingServer(0.01, 16, 0.5, 3)
+    limit = SlotLimit(8, 16)
+    dispatcher = Dispatcher(server, [limit])
+    dispatcher.run(60.0)
+    assert limit.limit == 16
+    server.unit_time = 0.05
+    dispatcher.run(240.0)
+    assert limit.limit == 16
+
+
+def test_failures_of_one_loss_halve_once() -> None:
+    limit = SlotLimit(16, 16)
+    for _ in range(10):
+        limit.take_failure(1000.0, 1001.0)
+    assert limit.limit == 8
+    limit.take_failure(1001.5, 1002.0)
+    assert limit.limit == 4
+    for _ in range(10):
+        limit.take_failure(1100.0, 1100.0)
+    assert limit.limit == 1
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(
+    st.integers(1, 64),
+    st.integers(1, 64),
+    st.lists(
+        st.tuples(st.sampled_from("fcl"), st.floats(0.0, 5.0), st.floats(0.01, 500.0)),
+        max_size=300,
+    ),
+)
+def test_limit_stays_within_its_bounds(
+    start: int, ceiling: int, events: list[tuple[str, float, float]]
+) -> None:
+    limit = SlotLimit(min(start, ceiling), ceiling)
+    now = 1000.0
+    for kind, seconds, units in events:
+        now += seconds
+        if kind == "f":
+            limit.take_failure(now - 0.5, now)
+        elif kind == "c":
+            limit.take_finish(FinishedRun(now - seconds, now, units))
+        else:
+            limit.note_saturation()
+        assert 1 <= limit.limit <= ceiling
