--- a/src/sycamorehaven/transport/callers.py
+++ b/src/sycamorehaven/transport/callers.py
@@ -32,7 +32,7 @@
 from sycamorehaven.transport.requests import CallReader, authenticate, check_head
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.call import Answer, Call
@@ -43,6 +43,10 @@
 BACKLOG = 1_024
 """Connections that the kernel may hold before they are accepted."""
 
+SHUTDOWN_TIMEOUT = 1.0
+"""Seconds that requests still have once the listener closes."""
+TOKEN_HEADER = "Idempotency-Token"
+
 tracer = trace.get_tracer("sycamorehaven")
 
 
@@ -54,6 +58,14 @@
         ...
 
 
+class RouteSet(Protocol):
+    """Further routes of the callers' interface."""
+
+    def register(self, application: web.Application) -> None:
+        """Add the routes."""
+        ...
+
+
 class CallerListener(Service):
     """
     Serves callers.
@@ -61,6 +73,7 @@
     :param board: the state of this router.
     :param settings: settings of this process.
     :param handler: answers calls.
+    :param route_sets: further routes.
     :param clock: monotonic seconds.
     """
 
@@ -69,12 +82,14 @@
         board: Blackboard,
         settings: RouterSettings,
         handler: CallHandler,
+        route_sets: Sequence[RouteSet] = (),
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         super().__init__()
         self._board = board
         self._settings = settings
         self._handler = handler
+        self._route_sets = route_sets
         self._clock = clock
         self._reader = CallReader(settings.body_limit)
 
@@ -84,6 +99,8 @@
             client_max_size=self._settings.body_limit + 1,
             middlewares=[answer_problems],
         )
+        for route_set in self._route_sets:
+            route_set.register(application)
         for method in METHODS:
             application.router.add_route(
                 method,
@@ -92,7 +109,10 @@
                 expect_handler=check_expectation,
             )
         self._runner = web.AppRunner(
-            application, handler_cancellation=True, access_log=None
+            application,
+            handler_cancellation=True,
+            access_log=None,
+            shutdown_timeout=SHUTDOWN_TIMEOUT,
         )
         await self._runner.setup()
         host, port = split_address(self._settings.callers_address)
@@ -143,7 +163,7 @@
         workspace, call = "", None
         try:
             check_head(request)
-            call = await self._read_call(request, request_id)
+            call = await self._read_known_call(request, request_id)
             workspace = call.workspace.name
             answer = await self._handler.answer(call)
         except Refusal as refusal:
@@ -170,6 +190,9 @@
             await response.prepare(request)
             async for chunk in answer.chunks:
                 await response.write(chunk)
+            if request.transport is not None:
+                # A request ends once the operating system has all of it.
+                request.transport.set_write_buffer_limits(high=0)
             await response.write_eof()
         except SycamorehavenError as error:
             logging.warning("answer to request %s broke off: %s", request_id, error)
@@ -181,9 +204,17 @@
             await answer.chunks.aclose()
         return response
 
+    async def _read_known_call(self, request: web.Request, request_id: str) -> Call:
+        try:
+            return await self._read_call(request, request_id)
+        except Refusal as refusal:
+            if TOKEN_HEADER in request.headers:
+                refusal.doubt()
+            raise
+
     async def _read_call(self, request: web.Request, request_id: str) -> Call:
         configuration = self._board.configuration.current
-        if self._board.lifecycle.draining:
+        if self._board.lifecycle.draining and TOKEN_HEADER not in request.headers:
             raise Draining("the router is shutting down", retry_after=0.0)
         if configuration is None:
             raise NotReady("no configuration yet", retry_after=1.0)
