--- a/src/sycamorehaven/router.py
+++ b/src/sycamorehaven/router.py
@@ -77,7 +77,7 @@
         permits = PermitController(board, peers)
         suspects = SuspectController(board, peers)
         calls = CallController(board, permits, self._backends, suspects)
-        monitor = Monitor(board)
+        monitor = Monitor(board, peers)
         return [
             monitor,
             AdminListener(board, settings, monitor, self._spans),
--- a/src/sycamorehaven/telemetry/metrics.py
+++ b/src/sycamorehaven/telemetry/metrics.py
@@ -163,7 +163,7 @@
             ratios[(name,)] = gaps[(name,)] / service.largest_cost
         yield build_gauge(
             "fairness_gap_units",
-            "Most less least service per weight of workspaces that wait here.",
+            "Most less least service per weight of workspaces known to wait.",
             ("service",),
             gaps,
         )
--- a/src/sycamorehaven/telemetry/monitor.py
+++ b/src/sycamorehaven/telemetry/monitor.py
@@ -10,13 +10,16 @@
 from prometheus_client.gc_collector import GCCollector
 from prometheus_client.process_collector import ProcessCollector
 
+from sycamorehaven.telemetry.demand import DemandWatch
 from sycamorehaven.telemetry.fairness import GapTracker
 from sycamorehaven.telemetry.metrics import BoardCollector
+from sycamorehaven.transport.messages import DemandReport
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.transport.links import PeerLink
 
 PERIOD = 0.5
 """Seconds between two observations."""
@@ -29,14 +32,21 @@
     Observes the blackboard at a fixed period.
 
     :param board: the state of this router.
+    :param link: connection to other routers, ``None`` to see own queues only.
     :param clock: monotonic seconds.
     """
 
     def __init__(
-        self, board: Blackboard, clock: Callable[[], float] = time.monotonic
+        self,
+        board: Blackboard,
+        link: PeerLink | None = None,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         super().__init__()
         self._board = board
+        self._demand = DemandWatch(clock)
+        if link is not None:
+            link.subscribe(DemandReport, self._demand.take)
         self._clock = clock
         self._started_at = clock()
         self._trackers: dict[str, GapTracker] = {}
@@ -61,12 +71,13 @@
         return self._trackers.setdefault(service, GapTracker())
 
     def list_backlogged(self, service: str) -> set[str]:
-        """Return the workspaces whose requests wait at this router."""
-        return {
+        """Return the workspaces known to wait, here or at other edges."""
+        own = {
             key.workspace
             for key, queue in self._board.queues.list()
             if key.service == service and queue
         }
+        return own | self._demand.list_backlogged(service)
 
     def render_metrics(self) -> bytes:
         """Return every metric in the text format of Prometheus."""
