Name a listener that is taken instead of a traceback

A taken address ended the daemon with a rich traceback of 60 lines; it is now one JSON line with the code start_failed and a remedy, exit 1. mode stops also children that never started, so the callers' listener guards its stop. Lines of mode about each service's start and stop are left out: they bear our module names, so the logger sycamorehaven is quiet below a warning.

--- a/src/sycamorehaven/daemon.py
+++ b/src/sycamorehaven/daemon.py
@@ -12,11 +12,14 @@
 from absl import logging
 
 from sycamorehaven.exceptions.faults import SettingsError
+from sycamorehaven.exceptions.starting import StartFailed
 from sycamorehaven.router import Router
 from sycamorehaven.settings import RouterSettings
 from sycamorehaven.telemetry.logs import configure_logs
 from sycamorehaven.telemetry.traces import Tracing
 
+EXIT_START = 1
+"""Exit status if a listener cannot be opened."""
 EXIT_USAGE = 2
 
 
@@ -59,7 +62,11 @@
 
 def main() -> None:
     """Run the daemon's command line."""
-    typer.run(serve)
+    try:
+        typer.run(serve)
+    except StartFailed as error:
+        logging.error("%s", error)
+        sys.exit(EXIT_START)
 
 
 if __name__ == "__main__":
--- a/src/sycamorehaven/demo/fleet.py
+++ b/src/sycamorehaven/demo/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import logging
 from typing import TYPE_CHECKING
 
 from sycamorehaven.demo.plan import ENGINE_SLOTS, TOKEN_TIMES
@@ -53,6 +54,8 @@
         }
         settings = [plan.create_settings(router) for router in plan.routers]
         configure_logs(settings[0])
+        # At the end stand-ins lose their callers in the middle of answers.
+        logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
         self._tracing = Tracing.from_settings(settings[0])
         self._tracing.install()
         self._routers = [
@@ -81,8 +84,8 @@
             stack.push_async_callback(self._tracing.close)
             await self._start_standins(stack)
             for router in self._routers:
-                stack.push_async_callback(router.stop)
                 await router.start()
+                stack.push_async_callback(router.stop)
             await self._wait_until_ready()
             yield self
 
--- a/src/sycamorehaven/router.py
+++ b/src/sycamorehaven/router.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from mode import Service
+from zmq import ZMQError
 
 from sycamorehaven.blackboard.board import Blackboard
 from sycamorehaven.controllers.calls import CallController
@@ -15,6 +16,7 @@
 from sycamorehaven.controllers.scheduling import SchedulingController
 from sycamorehaven.controllers.servers import HttpLoadSource, ServerController
 from sycamorehaven.controllers.suspects import SuspectController
+from sycamorehaven.exceptions.starting import StartFailed
 from sycamorehaven.telemetry.monitor import Monitor
 from sycamorehaven.telemetry.traces import SpanBuffer
 from sycamorehaven.transport.admin import AdminListener
@@ -70,6 +72,18 @@
         """The state of this router."""
         return self._board
 
+    async def start(self) -> None:
+        """
+        Start every service.
+
+        :raises StartFailed: if a listener cannot be opened.
+        """
+        try:
+            await super().start()
+        except (OSError, ZMQError) as error:
+            await self.stop()
+            raise StartFailed(f"the router cannot start: {error}") from error
+
     def on_init_dependencies(self) -> list[ServiceT]:
         """Return the services, in the order in which they start."""
         board, settings = self._board, self._settings
--- a/src/sycamorehaven/telemetry/logs.py
+++ b/src/sycamorehaven/telemetry/logs.py
@@ -14,8 +14,20 @@
 if TYPE_CHECKING:
     from sycamorehaven.settings import RouterSettings
 
-QUIET_LIBRARIES = ("mode", "aiohttp", "asyncio", "opentelemetry", "urllib3")
-"""Loggers of libraries whose lines below a warning are left out."""
+QUIET_LOGGERS = (
+    "mode",
+    "sycamorehaven",
+    "aiohttp",
+    "asyncio",
+    "opentelemetry",
+    "urllib3",
+)
+"""
+Loggers whose lines below a warning are left out.
+
+``mode`` logs each service's start and stop under the name of its module, so
+``sycamorehaven`` is one of them; our own lines go through absl's logger.
+"""
 
 
 class JsonFormatter(standard_logging.Formatter):
@@ -66,5 +78,5 @@
     handler.python_handler.stream = sys.stderr
     logging.use_absl_handler()
     logging.set_verbosity(settings.level)
-    for name in QUIET_LIBRARIES:
+    for name in QUIET_LOGGERS:
         standard_logging.getLogger(name).setLevel(standard_logging.WARNING)
--- a/src/sycamorehaven/telemetry/metrics.py
+++ b/src/sycamorehaven/telemetry/metrics.py
@@ -81,6 +81,7 @@
     def collect(self) -> Iterable[Metric]:
         """Yield every metric."""
         yield from self._collect_router()
+        yield from self._collect_doubts()
         yield from self._collect_outcomes()
         yield from self._collect_queues()
         yield from self._collect_service()
@@ -114,6 +115,21 @@
             {(): refused[0] if refused else 0},
         )
 
+    def _collect_doubts(self) -> Iterable[Metric]:
+        board = self._board
+        yield build_counter(
+            "pauses",
+            "Gaps in which this process did not run.",
+            (),
+            {(): board.pauses.count},
+        )
+        yield build_gauge(
+            "suspect_requests",
+            "Requests suspected of crashing servers.",
+            (),
+            {(): len(board.suspects)},
+        )
+
     def _collect_outcomes(self) -> Iterable[Metric]:
         outcomes = self._board.outcomes
         answers: Counter[tuple[str, ...]] = Counter()
--- a/src/sycamorehaven/transport/callers.py
+++ b/src/sycamorehaven/transport/callers.py
@@ -77,6 +77,8 @@
         self._handler = handler
         self._clock = clock
         self._reader = CallReader(settings.body_limit)
+        self._listener: asyncio.Server | None = None
+        self._runner: web.AppRunner | None = None
 
     async def on_start(self) -> None:
         """Bind the listener."""
@@ -106,11 +108,13 @@
 
     async def on_stop(self) -> None:
         """Close the listener and its connections."""
-        self._listener.close()
-        await self._runner.cleanup()
+        if self._listener is not None:
+            self._listener.close()
+        if self._runner is not None:
+            await self._runner.cleanup()
 
     def _create_protocol(self) -> web.RequestHandler:
-        server = self._runner.server
+        server = self._runner.server if self._runner else None
         assert server is not None
         loop = asyncio.get_running_loop()
         return ProblemProtocol(server, loop=loop, **PROTOCOL_OPTIONS)
--- a/tests/console/test_commands.py
+++ b/tests/console/test_commands.py
@@ -75,22 +75,44 @@
     assert "remedy:" in result.stderr
 
 
-async def test_daemon_ends_with_two_and_no_traceback(text_file: Path) -> None:
-    text_file.write_text(WRONG_SETTINGS)
+async def run_daemon(settings: Path) -> tuple[int | None, str]:
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
         "sycamorehaven.daemon",
         "--settings",
-        str(text_file),
-        stdout=asyncio.subprocess.PIPE,
+        str(settings),
         stderr=asyncio.subprocess.PIPE,
     )
     _, stderr = await process.communicate()
-    assert process.returncode == 2
-    assert b"callers.colour" in stderr
-    assert b"remedy:" in stderr
-    assert b"Traceback" not in stderr
+    return process.returncode, stderr.decode()
+
+
+async def test_daemon_ends_with_two_and_no_traceback(text_file: Path) -> None:
+    text_file.write_text(WRONG_SETTINGS)
+    status, stderr = await run_daemon(text_file)
+    assert status == 2
+    assert "callers.colour" in stderr
+    assert "remedy:" in stderr
+    assert "Traceback" not in stderr
+
+
+async def test_daemon_names_a_listener_that_is_taken(text_file: Path) -> None:
+    for table in ("callers", "peers", "admin"):
+        addresses = {name: find_address() for name in ("callers", "peers", "admin")}
+        host, _, port = addresses[table].rpartition(":")
+        taken = await asyncio.start_server(lambda *_: None, host, int(port))
+        text_file.write_text(
+            '[router]\nhost = "a1"\nfailure_domain = "a"\n'
+            + "".join(f'[{k}]\naddress = "{v}"\n' for k, v in addresses.items())
+            + '[platform]\nurl = "http://127.0.0.1:9"\n'
+        )
+        status, stderr = await run_daemon(text_file)
+        taken.close()
+        assert status == 1, stderr
+        last = json.loads(stderr.splitlines()[-1])
+        assert "[start_failed]; remedy:" in last["message"]
+        assert "Traceback" not in stderr, (table, stderr)
 
 
 def test_unreachable_router_is_one_line_with_code_and_remedy() -> None:
