--- a/src/sycamorehaven/transport/peers.py
+++ b/src/sycamorehaven/transport/peers.py
@@ -97,7 +97,8 @@
         """Close every socket; what is queued to peers gets a moment."""
         for dealer in self._dealers.values():
             dealer.close(linger=200)
-        self._router.close(linger=0)
+        if self.started:
+            self._router.close(linger=0)
 
     def _connect(self, address: str) -> zmq.Socket[bytes]:
         dealer = self._dealers.get(address)
