--- a/src/sycamorehaven/console/commands/workspaces.py
+++ b/src/sycamorehaven/console/commands/workspaces.py
@@ -30,10 +30,10 @@
         if json:
             print_json(document)
             return
-        for service in document["services"]:
-            rows = [[row[name] for name in COLUMNS] for row in service["workspaces"]]
+        for shown in document["services"]:
+            rows = [[row[name] for name in COLUMNS] for row in shown["workspaces"]]
             title = (
-                f"{service['service']} ({service['unit']}): gap {service['gap']:.3f}"
-                f" = {service['gap_in_requests']:.3f} of the largest request"
+                f"{shown['service']} ({shown['unit']}): gap {shown['gap']:.3f}"
+                f" = {shown['gap_in_requests']:.3f} of the largest request"
             )
             print_table(title, COLUMNS, rows)
