--- a/src/sycamorehaven/settings.py
+++ b/src/sycamorehaven/settings.py
@@ -153,8 +153,9 @@
         :raises SettingsError: with every fault found.
         """
         tables, faults = _convert_tables(document)
+        faults = faults or _check_addresses(tables)
         if not faults:
-            faults = _check_exposure(tables)
+            faults = _check_pairs(tables) + _check_exposure(tables)
         if faults:
             raise SettingsError(faults)
         return _assemble(tables)
@@ -206,15 +207,28 @@
     return ipaddress.ip_address(split_address(address)[0]).is_loopback
 
 
-def _check_exposure(tables: dict[str, Any]) -> list[Fault]:
-    faults = _check_addresses(tables)
-    if faults:
-        return faults
-    peers, admin = tables["peers"], tables["admin"]
+def _check_pairs(tables: dict[str, Any]) -> list[Fault]:
+    faults = []
+    callers, peers = tables["callers"], tables["peers"]
+    if ("certificate" in callers) != ("private_key" in callers):
+        faults.append(
+            Fault(
+                "callers",
+                "half_a_certificate",
+                "the certificate or its private key is missing",
+                "set certificate and private_key, or neither",
+            )
+        )
     if ("public_key" in peers) != ("secret_key" in peers):
         faults.append(
             Fault("peers", "half_a_key", "one CURVE key is missing", "set both keys")
         )
+    return faults
+
+
+def _check_exposure(tables: dict[str, Any]) -> list[Fault]:
+    faults = []
+    peers, admin = tables["peers"], tables["admin"]
     open_peers = not is_loopback(peers["address"]) and "secret_key" not in peers
     if open_peers and not peers.get("allow_plaintext", False):
         faults.append(
