--- a/src/sycamorehaven/router.py
+++ b/src/sycamorehaven/router.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from mode import Service
+from zmq import ZMQError
 
 from sycamorehaven.blackboard.board import Blackboard
 from sycamorehaven.controllers.adoption import Adoption
@@ -21,6 +22,7 @@
 from sycamorehaven.controllers.suspects import SuspectController
 from sycamorehaven.controllers.token_guard import TokenGuard
 from sycamorehaven.controllers.tokens import TokenController
+from sycamorehaven.exceptions.starting import StartFailed
 from sycamorehaven.telemetry.monitor import Monitor
 from sycamorehaven.telemetry.traces import SpanBuffer
 from sycamorehaven.transport.admin import AdminListener
@@ -83,6 +85,18 @@
         """The state of this router."""
         return self._board
 
+    async def start(self) -> None:
+        """
+        Start every service.
+
+        :raises StartFailed: if a listener cannot be opened.
+        """
+        try:
+            await super().start()
+        except (OSError, ZMQError) as error:
+            await self.stop()
+            raise StartFailed(f"the router cannot start: {error}") from error
+
     def on_init_dependencies(self) -> list[ServiceT]:
         """Return the services, in the order in which they start."""
         board, settings, own = self._board, self._settings, self._board.members.own
@@ -94,11 +108,11 @@
         suspects = SuspectController(board, peers)
         guarded = TokenGuard(board, backends)
         calls = CallController(board, permits, guarded, suspects)
-        monitor = Monitor(board)
         adoption = Adoption(board)
         relays = RelayController(board, peers, adoption)
         tokens = TokenController(board, calls, relays)
         self._handover = HandoverController(board, peers)
+        monitor = Monitor(board, peers)
         return [
             monitor,
             AdminListener(board, settings, monitor, self._spans),
