--- a/src/sycamorehaven/router.py
+++ b/src/sycamorehaven/router.py
@@ -13,7 +13,9 @@
 from sycamorehaven.controllers.calls import CallController
 from sycamorehaven.controllers.configuration import ConfigurationController
 from sycamorehaven.controllers.handover import HandoverController
+from sycamorehaven.controllers.hosts import HostController
 from sycamorehaven.controllers.membership import MembershipController
+from sycamorehaven.controllers.notices import NoticeController
 from sycamorehaven.controllers.permits import PermitController
 from sycamorehaven.controllers.relay_sessions import RelaySessions
 from sycamorehaven.controllers.relays import RelayController
@@ -104,10 +106,12 @@
         backends = FilteredBackends(self._backends, self._filter, own.address)
         loads = FilteredLoads(self._loads, self._filter, own.address)
         peers = ZmqPeers(board, settings, self._filter)
+        notices = NoticeController(board, peers)
+        servers = ServerController(board, loads, peers, notices)
         permits = PermitController(board, peers)
         suspects = SuspectController(board, peers)
         guarded = TokenGuard(board, backends)
-        calls = CallController(board, permits, guarded, suspects)
+        calls = CallController(board, permits, guarded, suspects, servers)
         adoption = Adoption(board)
         relays = RelayController(board, peers, adoption)
         tokens = TokenController(board, calls, relays)
@@ -119,7 +123,9 @@
             peers,
             MembershipController(board, peers, settings),
             ConfigurationController(board, peers, platform, settings.seeds),
-            ServerController(board, loads),
+            HostController(board, platform, notices),
+            notices,
+            servers,
             SchedulingController(board, peers),
             permits,
             suspects,
