Share totals of service between the schedulers of a service

CounterController now tells each router that schedules a server of the same service its own grow-only totals: rows whose error at the peer passes a threshold, the largest first; an update without acknowledgement counts as lost and its rows are due again; each row is refreshed slowly. A new scheduler asks one that was there before for all totals, those of dead incarnations and of its own predecessor too. Totals of an incarnation that a newer one replaced are folded after 5 s, those of a lost scheduler after 2 h or past 64 of them: they leave memory and the sums stay as they are, so no workspace gains credit by it; what comes late of a replaced incarnation is ignored, and a lost one that returns adds only what it gives from then on. Ruled out: dropping totals once no backlog episode has seen them, because routers would have to agree on episodes; a fold needs no agreement.

--- /dev/null
+++ b/benchmarks/sharing.py
@@ -0,0 +1,374 @@
+"""
+Ways to share totals of service: ``python -m benchmarks.sharing``.
+
+Five servers of unequal speed, each with a scheduler of its own, serve sixteen
+workspaces that always wait. Five of them reach the three slow servers only,
+five the two fast ones only, six all of them, so that shares are equal only if
+schedulers know what the others gave. Costs have a heavy tail. Every way to
+share runs with the same seeds; bytes are those of the encoded messages.
+"""
+
+from __future__ import annotations
+
+import functools
+import math
+import random
+import sys
+from collections import Counter
+from typing import TYPE_CHECKING, NamedTuple
+
+from benchmarks.events import EventQueue
+from benchmarks.meter import Meter
+from benchmarks.workload import Flow, Request, Server
+from sycamorehaven.decisions.scheduler import Grant, ServiceScheduler, ServiceTerms
+from sycamorehaven.decisions.sharing import (
+    PeerFeed,
+    Place,
+    RateMeter,
+    Reading,
+    SharingPolicy,
+)
+from sycamorehaven.identity import RouterId
+from sycamorehaven.transport.codec import Codec
+from sycamorehaven.transport.messages import (
+    CounterAck,
+    CounterRow,
+    CounterUpdate,
+    DemandReport,
+    DemandRow,
+    HeldPermit,
+    PermitReturn,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+SERVICE = "assistant"
+SPEEDS = (20.0, 30.0, 40.0, 60.0, 80.0)
+SLOTS = 8
+LARGEST = 1_000.0
+SLOW, FAST, ALL = (0, 1, 2), (3, 4), (0, 1, 2, 3, 4)
+REACHES = (SLOW,) * 5 + (FAST,) * 5 + (ALL,) * 6
+WAITING = 6
+"""Requests of a workspace that always wait."""
+REPORT_PERIOD = 0.5
+ROUND = 0.25
+DELAY = 0.002
+"""One way, seconds."""
+HORIZON = 3.0
+"""Seconds for which a total is extrapolated."""
+RATE_MEMORY = 5.0
+SETTLE = 60.0
+LENGTH = 200.0
+LOSSES = (0.0, 0.05, 0.20, 0.45)
+SEEDS = (1, 2)
+
+
+class Way(NamedTuple):
+    """
+    A way to share.
+
+    :ivar name: for the table.
+    :ivar policy: the policy, ``None`` to share nothing.
+    """
+
+    name: str
+    policy: SharingPolicy | None
+
+
+class SharedLedger:
+    """
+    Totals of all schedulers as one of them knows them.
+
+    :param events: the clock.
+    :param extrapolate: whether totals of others are extrapolated.
+    """
+
+    def __init__(self, events: EventQueue, extrapolate: bool) -> None:
+        self._events = events
+        self._extrapolate = extrapolate
+        self.own: dict[Place, float] = {}
+        self._heard: dict[tuple[str, Place], Reading] = {}
+
+    def charge(self, workspace: str, cost: float) -> None:
+        """Add service given here."""
+        place = Place(SERVICE, workspace)
+        self.own[place] = self.own.get(place, 0.0) + cost
+
+    def merge(self, host: str, row: CounterRow) -> None:
+        """Take a total of another scheduler."""
+        key = host, Place(SERVICE, row.workspace)
+        known = self._heard.get(key)
+        if known is None or row.total >= known.total:
+            self._heard[key] = Reading(row.total, row.rate, self._events.now)
+
+    def sum_service(self, service: str, workspace: str) -> float:
+        """Return the service a workspace has received."""
+        place = Place(service, workspace)
+        total = self.own.get(place, 0.0)
+        now = self._events.now
+        for host in HOSTS:
+            reading = self._heard.get((host, place))
+            if reading is None:
+                continue
+            until = min(now, reading.at + HORIZON) if self._extrapolate else reading.at
+            total += reading.extrapolate(until)
+        return total
+
+
+HOSTS = tuple(f"router-{index}" for index in range(len(SPEEDS)))
+
+
+class Node:
+    """
+    The scheduler of one server and the edge before it.
+
+    :param index: which server.
+    :param bench: the run that it is part of.
+    """
+
+    def __init__(self, index: int, bench: Bench) -> None:
+        self.index = index
+        self._bench = bench
+        self._events = bench.events
+        self.identity = RouterId(HOSTS[index], (1 << 60) + index)
+        self._codec = Codec(self.identity, f"10.0.0.{index}:7000")
+        policy = bench.policy
+        self.ledger = SharedLedger(self._events, bool(policy and policy.extrapolate))
+        self._scheduler = ServiceScheduler(self.identity, SERVICE, self.ledger)
+        self._scheduler.set_terms(ServiceTerms(LARGEST, False, 80.0, 0.2, len(SPEEDS)))
+        self._scheduler.set_weights(dict.fromkeys(bench.reaches, 1.0))
+        self._rates = RateMeter(RATE_MEMORY)
+        self._feeds = {
+            h: PeerFeed(policy) for h in HOSTS if policy and h != HOSTS[index]
+        }
+        self._held: dict[int, tuple[Grant, Request]] = {}
+        self._sequence = 0
+        self._update = 0
+        offset = 0.01 * (index + 1)
+        self._events.call_after(offset, self._begin)
+
+    def _begin(self) -> None:
+        name = self._bench.servers[self.index].name
+        self._scheduler.set_servers({name: SLOTS}, self._events.now)
+        self._report()
+        self._run_round()
+        self._events.repeat(REPORT_PERIOD, self._report)
+        self._events.repeat(ROUND, self._run_round)
+        if self._bench.policy is not None:
+            self._events.repeat(self._bench.policy.period, self._share)
+
+    def _report(self) -> None:
+        now = self._events.now
+        self._sequence += 1
+        rows = [
+            DemandRow(name, "interactive", WAITING, 1.0, 80.0)
+            for name, reach in self._bench.reaches.items()
+            if self.index in reach
+        ]
+        held = [
+            HeldPermit(
+                *self.identity,
+                number,
+                grant.server,
+                grant.workspace,
+                grant.priority,
+                request.measure(now),
+                False,
+                True,
+            )
+            for number, (grant, request) in self._held.items()
+        ]
+        report = DemandReport(SERVICE, self._sequence, 3.0, rows, held, [])
+        for charge in self._scheduler.take_report(self.identity, report, now):
+            self.ledger.charge(charge.workspace, charge.cost)
+        self._grant()
+
+    def _run_round(self) -> None:
+        self._scheduler.expire(self._events.now)
+        self._grant()
+
+    def _grant(self) -> None:
+        for grant in self._scheduler.grant(self._events.now):
+            request = self._bench.take(grant.workspace)
+            self._held[grant.number] = grant, request
+            finish = functools.partial(self._finish, grant.number)
+            self._bench.servers[self.index].admit(request, finish)
+
+    def _finish(self, number: int) -> None:
+        grant, request = self._held.pop(number)
+        self._bench.meter.finish(request)
+        message = PermitReturn(
+            *self.identity,
+            number,
+            SERVICE,
+            grant.server,
+            grant.workspace,
+            request.cost,
+            1,
+            False,
+            True,
+            WAITING,
+        )
+        now = self._events.now
+        charge = self._scheduler.take_return(self.identity, message, now)
+        if charge is not None:
+            self.ledger.charge(charge.workspace, charge.cost)
+        self._grant()
+
+    def _share(self) -> None:
+        now = self._events.now
+        readings = {
+            place: self._rates.read(place, total, now)
+            for place, total in self.ledger.own.items()
+        }
+        for host, feed in self._feeds.items():
+            feed.expire(now)
+            if not self._bench.policy.acknowledge:  # type: ignore[union-attr]
+                feed.assume_loss(self._bench.loss)
+            places = feed.choose(readings, {SERVICE: LARGEST})
+            if places:
+                self._tell(host, feed, {place: readings[place] for place in places})
+
+    def _tell(self, host: str, feed: PeerFeed, told: Mapping[Place, Reading]) -> None:
+        self._update += 1
+        feed.record(self._update, told, self._events.now)
+        rows = [
+            CounterRow("", 0, "", place.workspace, reading.total, reading.rate)
+            for place, reading in told.items()
+        ]
+        message = CounterUpdate(self._update, rows)
+        self._bench.send(self, host, message, len(self._codec.encode(message)))
+
+    def take(self, sender: Node, message: CounterUpdate | CounterAck) -> None:
+        """Take a message of another scheduler."""
+        if isinstance(message, CounterAck):
+            self._feeds[sender.identity.host].acknowledge(message.sequence)
+            return
+        for row in message.rows:
+            self.ledger.merge(sender.identity.host, row)
+        if self._bench.policy and self._bench.policy.acknowledge:
+            ack = CounterAck(message.sequence)
+            size = len(self._codec.encode(ack))
+            self._bench.send(self, sender.identity.host, ack, size)
+
+
+class Result(NamedTuple):
+    """
+    What one run showed.
+
+    :ivar gap: fairness gap, in largest requests.
+    :ivar traffic: bytes per second that one router sent.
+    :ivar utilisation: busy slot time per slot time.
+    """
+
+    gap: float
+    traffic: float
+    utilisation: float
+
+
+class Bench:
+    """
+    One run.
+
+    :param policy: how totals are shared, ``None`` for not at all.
+    :param loss: part of the messages that is lost.
+    :param seed: of costs and losses.
+    """
+
+    def __init__(self, policy: SharingPolicy | None, loss: float, seed: int) -> None:
+        self.policy = policy
+        self.loss = loss
+        self.events = EventQueue()
+        self._costs = random.Random(seed)
+        self._losses = random.Random(seed + 1_000)
+        self.reaches = {f"workspace-{n}": reach for n, reach in enumerate(REACHES)}
+        self._flow = Flow("", ())
+        self.servers = [
+            Server(f"engine-{index}", SLOTS, speed, self.events)
+            for index, speed in enumerate(SPEEDS)
+        ]
+        settling = LARGEST / min(SPEEDS)
+        weights = dict.fromkeys(self.reaches, 1.0)
+        self.meter = Meter(self.events, self.servers, weights, LARGEST, settling)
+        self._sizes: Counter[str] = Counter()
+        for name in self.reaches:
+            self.meter.join(Request(name, 0.0, 0.0, 0.0))
+        self.nodes = {host: Node(index, self) for index, host in enumerate(HOSTS)}
+
+    def take(self, workspace: str) -> Request:
+        """Return a request of a workspace; more of them wait."""
+        cost = self._flow.draw_cost(self._costs)
+        return Request(workspace, cost, cost, self.events.now)
+
+    def send(
+        self, sender: Node, host: str, message: CounterUpdate | CounterAck, size: int
+    ) -> None:
+        """Carry a message, or lose it."""
+        self._sizes[sender.identity.host] += size
+        if self._losses.random() < self.loss:
+            return
+        deliver = functools.partial(self.nodes[host].take, sender, message)
+        self.events.call_after(DELAY, deliver)
+
+    def run(self) -> Result:
+        """Let virtual time pass and return the figures."""
+        self.events.run_until(self.events.now + SETTLE)
+        self.meter.reset()
+        self._sizes.clear()
+        self.events.run_until(self.events.now + LENGTH)
+        self.meter.integrate()
+        traffic = self._sizes.total() / len(HOSTS) / LENGTH
+        return Result(self.meter.gap, traffic, self.meter.utilisation)
+
+
+def list_ways() -> list[Way]:
+    """Return the ways to compare."""
+    ways = [Way("nothing shared", None)]
+    for period in (0.25, 1.0, 4.0):
+        plain = SharingPolicy(period=period, acknowledge=False)
+        ways.append(Way(f"period {period:g} s", plain))
+    for threshold in (0.05, 0.2):
+        drift = SharingPolicy(
+            period=0.25, threshold=threshold, extrapolate=True, acknowledge=False
+        )
+        paper = drift._replace(compensate=True, budget=8)
+        name = f"threshold {threshold:g}"
+        ways += [
+            Way(name, drift),
+            Way(f"{name}, acknowledged", drift._replace(acknowledge=True)),
+            Way(f"{name}, refresh 5 s", drift._replace(refresh=5.0)),
+            Way(f"{name}, compensated", paper),
+            Way(f"{name}, compensated, acknowledged", paper._replace(acknowledge=True)),
+            Way(f"{name}, compensated, refresh 5 s", paper._replace(refresh=5.0)),
+            Way(
+                f"{name} without rates, acknowledged",
+                drift._replace(extrapolate=False, acknowledge=True),
+            ),
+        ]
+    return ways
+
+
+def measure(way: Way, loss: float) -> Result:
+    """Return the mean traffic and the largest gap over the seeds."""
+    results = [Bench(way.policy, loss, seed).run() for seed in SEEDS]
+    return Result(
+        max(result.gap for result in results),
+        math.fsum(result.traffic for result in results) / len(results),
+        min(result.utilisation for result in results),
+    )
+
+
+def main() -> int:
+    """Print a line a way: bytes per second and gap at each loss."""
+    print("| way | " + " | ".join(f"{loss:.0%} loss" for loss in LOSSES) + " |")
+    print("| --- | " + "--: | " * len(LOSSES))
+    for way in list_ways():
+        found = [measure(way, loss) for loss in LOSSES]
+        cells = [f"{r.traffic:.0f} B/s, {r.gap:.2f}" for r in found]
+        print(f"| {way.name} | " + " | ".join(cells) + " |", flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/sycamorehaven/blackboard/counters.py
+++ b/src/sycamorehaven/blackboard/counters.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from sycamorehaven.identity import RouterId
 
+if TYPE_CHECKING:
+    from collections.abc import Collection, Mapping
+
 
 class CounterKey(NamedTuple):
     """
@@ -26,33 +29,102 @@
     Grow-only totals of service given, in the service's unit.
 
     Own totals are charged by the scheduler; others' are merged by maximum,
-    so that repeats and reordering do no harm.
+    so that repeats and reordering do no harm. The totals of a scheduler that
+    is gone are folded: they leave memory, and the sums stay as they are.
     """
 
     def __init__(self, own: RouterId) -> None:
         self._own = own
-        self._totals: dict[CounterKey, float] = {}
+        self._totals: dict[RouterId, dict[tuple[str, str], float]] = {own: {}}
         self._sums: dict[tuple[str, str], float] = {}
+        self._folded: dict[str, int] = {}
 
     @property
     def totals(self) -> dict[CounterKey, float]:
         """Every known total."""
-        return self._totals
+        return {
+            CounterKey(scheduler, *place): total
+            for scheduler, totals in self._totals.items()
+            for place, total in totals.items()
+        }
+
+    @property
+    def own_totals(self) -> Mapping[tuple[str, str], float]:
+        """This router's totals, by service and workspace."""
+        return self._totals[self._own]
+
+    @property
+    def schedulers(self) -> Collection[RouterId]:
+        """Schedulers whose totals are in memory."""
+        return self._totals.keys()
+
+    @property
+    def folded(self) -> Mapping[str, int]:
+        """Oldest incarnation whose totals still count, by host."""
+        return self._folded
 
     def charge(self, service: str, workspace: str, cost: float) -> None:
         """Add service that this router's schedulers gave."""
-        key = CounterKey(self._own, service, workspace)
-        self.merge(key, self._totals.get(key, 0.0) + cost)
+        total = self.own_totals.get((service, workspace), 0.0)
+        self._raise_total(self._own, (service, workspace), total + cost)
 
     def merge(self, key: CounterKey, total: float) -> None:
-        """Raise a total to ``total``; a lower one is ignored."""
-        gained = total - self._totals.get(key, 0.0)
-        if gained <= 0.0:
+        """
+        Raise a total to ``total``; a lower one is ignored.
+
+        The first total heard of a scheduler that was folded counts as folded
+        already; what it gives from then on is added.
+        """
+        folded = self._folded.get(key.scheduler.host, -1)
+        if key.scheduler.incarnation < folded:
             return
-        self._totals[key] = total
-        place = (key.service, key.workspace)
-        self._sums[place] = self._sums.get(place, 0.0) + gained
+        place = key.service, key.workspace
+        totals = self._totals.setdefault(key.scheduler, {})
+        if key.scheduler.incarnation == folded and place not in totals:
+            totals[place] = total
+            return
+        self._raise_total(key.scheduler, place, total)
+
+    def fold(self, scheduler: RouterId, *, may_return: bool) -> None:
+        """
+        Forget the totals of a scheduler that is gone; keep the sums.
+
+        :param may_return: whether it may be heard again, after a network
+            partition, and what it gives from then on counts.
+        """
+        if scheduler == self._own:
+            return
+        if self._totals.pop(scheduler, None) is not None:
+            oldest = scheduler.incarnation + (0 if may_return else 1)
+            self._folded[scheduler.host] = max(
+                self._folded.get(scheduler.host, 0), oldest
+            )
+
+    def forget_folded(self, host: str) -> None:
+        """Forget that incarnations of a host were folded."""
+        self._folded.pop(host, None)
+
+    def retain(self, services: Collection[str], workspaces: Collection[str]) -> None:
+        """Forget what the configuration names no longer, but own totals."""
+        for scheduler, totals in self._totals.items():
+            if scheduler == self._own:
+                continue
+            for service, workspace in list(totals):
+                if service not in services or workspace not in workspaces:
+                    del totals[service, workspace]
+        for service, workspace in list(self._sums):
+            if service not in services or workspace not in workspaces:
+                del self._sums[service, workspace]
 
     def sum_service(self, service: str, workspace: str) -> float:
         """Return the service a workspace has received fleet-wide."""
         return self._sums.get((service, workspace), 0.0)
+
+    def _raise_total(
+        self, scheduler: RouterId, place: tuple[str, str], total: float
+    ) -> None:
+        totals = self._totals[scheduler]
+        gained = total - totals.get(place, 0.0)
+        if gained > 0.0:
+            totals[place] = total
+            self._sums[place] = self._sums.get(place, 0.0) + gained
--- /dev/null
+++ b/src/sycamorehaven/controllers/counters.py
@@ -0,0 +1,214 @@
+"""Shares this router's totals of service with those who need them."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from mode import Service
+
+from sycamorehaven.blackboard.counters import CounterKey
+from sycamorehaven.decisions.counter_rows import Total, expand_rows, shorten_rows
+from sycamorehaven.decisions.recipients import AbsenceLog, map_schedulers
+from sycamorehaven.decisions.sharing import (
+    PeerFeed,
+    Place,
+    RateMeter,
+    Reading,
+    SharingPolicy,
+)
+from sycamorehaven.identity import RouterId
+from sycamorehaven.transport.messages import (
+    CounterAck,
+    CounterRequest,
+    CounterUpdate,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.transport.codec import Delivery
+    from sycamorehaven.transport.links import PeerLink
+
+POLICY = SharingPolicy(period=0.25, threshold=0.05, refresh=30.0, budget=64)
+"""How totals are shared: the winner of ``benchmarks.sharing``."""
+RATE_MEMORY = 5.0
+"""Seconds over which rates are averaged."""
+REQUEST_PERIOD = 1.0
+"""Seconds between two requests that are not answered."""
+MOST_REQUESTS = 5
+"""Requests for one service before it is taken as new."""
+CLEANING_PERIOD = 5.0
+"""Seconds between two looks for totals to forget."""
+ANSWER_ROWS = 256
+"""Rows in one message of an answer to a request."""
+
+
+class CounterController(Service):
+    """
+    Sends own totals, merges those of others and folds those of the gone.
+
+    :param board: the state of this router.
+    :param link: connection to other routers.
+    :param clock: monotonic seconds.
+    :param policy: how totals are shared.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        link: PeerLink,
+        clock: Callable[[], float] = time.monotonic,
+        policy: SharingPolicy = POLICY,
+    ) -> None:
+        super().__init__()
+        self._board = board
+        self._link = link
+        self._clock = clock
+        self._policy = policy
+        self._rates = RateMeter(RATE_MEMORY)
+        self._feeds: dict[RouterId, PeerFeed] = {}
+        self._absences = AbsenceLog()
+        self._schedulers: dict[str, set[str]] = {}
+        self._requests: dict[str, int] = {}
+        self._sequence = 0
+        self._requested_at = 0.0
+        self._cleaned_at = 0.0
+        link.subscribe(CounterUpdate, self._take_update)
+        link.subscribe(CounterAck, self._take_ack)
+        link.subscribe(CounterRequest, self._take_request)
+        board.members.changed.subscribe(self._assign)
+        board.configuration.changed.subscribe(self._assign)
+
+    @property
+    def feeds(self) -> Mapping[RouterId, PeerFeed]:
+        """What each recipient has been told."""
+        return self._feeds
+
+    @Service.task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            await self.sleep(self._policy.period)
+            self.run_round()
+
+    def run_round(self) -> None:
+        """Tell recipients what is due, and ask for what is missing."""
+        now = self._clock()
+        self._share(now)
+        if now - self._requested_at >= REQUEST_PERIOD:
+            self._requested_at = now
+            self._request()
+        if now - self._cleaned_at >= CLEANING_PERIOD:
+            self._cleaned_at = now
+            self._clean(now)
+
+    def _assign(self) -> None:
+        configuration = self._board.configuration.current
+        if configuration is None:
+            return
+        domains = self._board.members.map_domains()
+        known = self._schedulers
+        self._schedulers = map_schedulers(configuration, domains)
+        own = self._board.identity.host
+        for service, hosts in self._schedulers.items():
+            if own not in hosts:
+                self._requests.pop(service, None)
+            elif own not in known.get(service, ()):
+                self._requests[service] = 0
+        self._feeds = {
+            router: self._feeds.get(router) or PeerFeed(self._policy)
+            for router in self._list_recipients()
+        }
+
+    def _list_recipients(self) -> list[RouterId]:
+        own = self._board.identity.host
+        hosts = set().union(*self._schedulers.values()) - {own}
+        found = [self._board.members.find(host) for host in sorted(hosts)]
+        return [RouterId(m.host, m.incarnation) for m in found if m is not None]
+
+    def _share(self, now: float) -> None:
+        readings: dict[str, dict[Place, Reading]] = {}
+        for (service, workspace), total in self._board.counters.own_totals.items():
+            place = Place(service, workspace)
+            reading = self._rates.read(place, total, now)
+            readings.setdefault(service, {})[place] = reading
+        scales = self._map_scales()
+        for router, feed in self._feeds.items():
+            feed.expire(now)
+            wanted: dict[Place, Reading] = {}
+            for service, rows in readings.items():
+                if router.host in self._schedulers.get(service, ()):
+                    wanted.update(rows)
+            places = feed.choose(wanted, scales)
+            if places:
+                self._tell(router, feed, {place: wanted[place] for place in places})
+
+    def _map_scales(self) -> dict[str, float]:
+        configuration = self._board.configuration.current
+        if configuration is None:
+            return {}
+        return {s.name: s.largest_cost for s in configuration.services.values()}
+
+    def _tell(
+        self, router: RouterId, feed: PeerFeed, told: dict[Place, Reading]
+    ) -> None:
+        self._sequence += 1
+        feed.record(self._sequence, told, self._clock())
+        own = self._board.identity
+        totals = [Total(own, p, r.total, round(r.rate, 3)) for p, r in told.items()]
+        update = CounterUpdate(self._sequence, shorten_rows(own, totals))
+        self._link.send(router.host, update)
+
+    def _request(self) -> None:
+        due = [name for name, tries in self._requests.items() if tries < MOST_REQUESTS]
+        own = self._board.identity.host
+        wanted: dict[str, list[str]] = {}
+        for service in due:
+            hosts = sorted(self._schedulers[service] - {own})
+            if hosts:
+                host = hosts[self._requests[service] % len(hosts)]
+                wanted.setdefault(host, []).append(service)
+                self._requests[service] += 1
+        for host, services in wanted.items():
+            self._link.send(host, CounterRequest(services))
+
+    def _clean(self, now: float) -> None:
+        counters = self._board.counters
+        live = {m.host: m.incarnation for m in self._board.members.list()}
+        gone = self._absences.advance(list(counters.schedulers), live, now)
+        for router, may_return in gone.items():
+            counters.fold(router, may_return=may_return)
+        configuration = self._board.configuration.current
+        if configuration is not None:
+            counters.retain(configuration.services, configuration.workspaces)
+
+    def _take_update(self, delivery: Delivery) -> None:
+        update: CounterUpdate = delivery.message
+        for total in expand_rows(delivery.sender, update.rows):
+            if total.scheduler != self._board.identity:
+                key = CounterKey(total.scheduler, *total.place)
+                self._board.counters.merge(key, total.total)
+        if update.sequence:
+            self._link.send(delivery.sender.host, CounterAck(update.sequence))
+        else:
+            for row in update.rows:
+                self._requests.pop(row.service, None)
+
+    def _take_ack(self, delivery: Delivery) -> None:
+        feed = self._feeds.get(delivery.sender)
+        if feed is not None:
+            feed.acknowledge(delivery.message.sequence)
+
+    def _take_request(self, delivery: Delivery) -> None:
+        services = set(delivery.message.services)
+        totals = [
+            Total(key.scheduler, Place(key.service, key.workspace), total, 0.0)
+            for key, total in self._board.counters.totals.items()
+            if key.service in services
+        ]
+        for start in range(0, len(totals), ANSWER_ROWS):
+            rows = shorten_rows(
+                self._board.identity, totals[start : start + ANSWER_ROWS]
+            )
+            self._link.send(delivery.sender.host, CounterUpdate(0, rows))
--- /dev/null
+++ b/src/sycamorehaven/decisions/counter_rows.py
@@ -0,0 +1,64 @@
+"""Short rows of totals: what repeats from row to row is left out."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, NamedTuple
+
+from sycamorehaven.decisions.sharing import Place
+from sycamorehaven.identity import RouterId
+from sycamorehaven.transport.messages import CounterRow
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+LARGEST_TOTAL = 1e15
+"""Units; a larger total is taken as damaged."""
+MOST_ROWS = 8_192
+"""Rows that are read of one update."""
+
+
+class Total(NamedTuple):
+    """
+    One scheduler's total.
+
+    :ivar scheduler: which scheduler.
+    :ivar place: of what.
+    :ivar total: in the service's unit.
+    :ivar rate: units per second lately.
+    """
+
+    scheduler: RouterId
+    place: Place
+    total: float
+    rate: float
+
+
+def shorten_rows(sender: RouterId, totals: Iterable[Total]) -> list[CounterRow]:
+    """Return rows for an update of ``sender``."""
+    rows = []
+    scheduler, service = sender, ""
+    for total in sorted(totals):
+        same = total.scheduler == scheduler
+        host, incarnation = ("", 0) if same else total.scheduler
+        name = "" if total.place.service == service else total.place.service
+        scheduler, service = total.scheduler, total.place.service
+        rows.append(
+            CounterRow(
+                host, incarnation, name, total.place.workspace, total.total, total.rate
+            )
+        )
+    return rows
+
+
+def expand_rows(sender: RouterId, rows: Iterable[CounterRow]) -> Iterator[Total]:
+    """Yield the totals of an update; strange rows are skipped."""
+    scheduler, service = sender, ""
+    for row, _ in zip(rows, range(MOST_ROWS), strict=False):
+        if row.host:
+            scheduler = RouterId(row.host, row.incarnation)
+        service = row.service or service
+        if not 0.0 <= row.total <= LARGEST_TOTAL or not service:
+            continue
+        rate = row.rate if math.isfinite(row.rate) and row.rate > 0.0 else 0.0
+        yield Total(scheduler, Place(service, row.workspace), row.total, rate)
--- /dev/null
+++ b/src/sycamorehaven/decisions/recipients.py
@@ -0,0 +1,92 @@
+"""Who needs the totals of a service: those who schedule its servers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from sycamorehaven.decisions.roles import choose_scheduler
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from sycamorehaven.configuration.model import Configuration
+    from sycamorehaven.identity import RouterId
+
+SUPERSEDED_GRACE = 5.0
+"""Seconds for which totals of a replaced incarnation may still come."""
+LOST_LIFETIME = 7_200.0
+"""Seconds for which totals of a lost scheduler are kept for its return."""
+MOST_LOST = 64
+"""Lost schedulers whose totals are kept; the longest lost go first."""
+
+
+def map_schedulers(
+    configuration: Configuration, domains: Mapping[str, str]
+) -> dict[str, set[str]]:
+    """
+    Return the hosts that schedule each service.
+
+    :param domains: failure domain of each live host.
+    """
+    hosts: dict[str, set[str]] = {name: set() for name in configuration.services}
+    for server in configuration.servers.values():
+        host = choose_scheduler(server, domains)
+        if host is not None and server.service in hosts:
+            hosts[server.service].add(host)
+    return hosts
+
+
+class Absence(NamedTuple):
+    """
+    A scheduler that is not a member.
+
+    :ivar since: when that was noticed, monotonic seconds.
+    :ivar superseded: whether a newer process runs on its host.
+    """
+
+    since: float
+    superseded: bool
+
+
+class AbsenceLog:
+    """When to fold the totals of schedulers that are gone."""
+
+    def __init__(self) -> None:
+        self._absences: dict[RouterId, Absence] = {}
+
+    def advance(
+        self, schedulers: list[RouterId], live: Mapping[str, int], now: float
+    ) -> dict[RouterId, bool]:
+        """
+        Return the schedulers to fold, and whether they may return.
+
+        :param schedulers: those whose totals are in memory.
+        :param live: incarnation of each live host.
+        :param now: monotonic seconds.
+        """
+        absences: dict[RouterId, Absence] = {}
+        for scheduler in schedulers:
+            current = live.get(scheduler.host)
+            if current == scheduler.incarnation:
+                continue
+            superseded = current is not None and current > scheduler.incarnation
+            known = self._absences.get(scheduler)
+            if known is None or known.superseded != superseded:
+                known = Absence(now, superseded)
+            absences[scheduler] = known
+        due = _list_due(absences, now)
+        self._absences = {s: a for s, a in absences.items() if s not in due}
+        return {scheduler: not absences[scheduler].superseded for scheduler in due}
+
+
+def _list_due(absences: Mapping[RouterId, Absence], now: float) -> list[RouterId]:
+    due = []
+    kept = []
+    for scheduler, absence in absences.items():
+        limit = SUPERSEDED_GRACE if absence.superseded else LOST_LIFETIME
+        if now - absence.since >= limit:
+            due.append(scheduler)
+        elif not absence.superseded:
+            kept.append(scheduler)
+    kept.sort(key=lambda scheduler: absences[scheduler].since)
+    return due + kept[: max(len(kept) - MOST_LOST, 0)]
--- /dev/null
+++ b/src/sycamorehaven/decisions/sharing.py
@@ -0,0 +1,237 @@
+"""
+Which totals of service to tell a peer, and when.
+
+A peer extrapolates each total by the rate that came with it. A row is sent
+again when the total differs from that extrapolation by more than a threshold,
+the largest error first, within a budget. The threshold may be lowered for
+message loss as in Li, Cai, Tang and Zhou, "Dead Reckoning-Based Update
+Scheduling Against Message Loss for Improving Consistency in DVEs",
+equation 13. Updates that are not acknowledged are taken as lost.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+ACK_TIMEOUT = 0.5
+"""Seconds after which an unacknowledged update counts as lost."""
+LOSS_MEMORY = 0.05
+"""Weight of one update in the moving average of losses."""
+MOST_UNACKNOWLEDGED = 64
+"""Updates to one peer whose acknowledgement is waited for."""
+LARGEST_LOSS = 0.9
+
+
+class SharingPolicy(NamedTuple):
+    """
+    How totals are shared.
+
+    :ivar period: seconds between two updates to one peer.
+    :ivar threshold: error from which a row is sent, in the service's unit.
+    :ivar extrapolate: whether peers extrapolate by rate.
+    :ivar compensate: whether the threshold is lowered for message loss.
+    :ivar acknowledge: whether updates without acknowledgement are repeated.
+    :ivar refresh: seconds after which a row is sent whatever its error;
+        infinite for never.
+    :ivar budget: rows in one update, the largest error first.
+    """
+
+    period: float = 1.0
+    threshold: float = 0.0
+    extrapolate: bool = False
+    compensate: bool = False
+    acknowledge: bool = True
+    refresh: float = math.inf
+    budget: int = 1_000
+
+
+class Place(NamedTuple):
+    """
+    What a total is of.
+
+    :ivar service: the service.
+    :ivar workspace: the workspace.
+    """
+
+    service: str
+    workspace: str
+
+
+class Reading(NamedTuple):
+    """
+    A total at a time.
+
+    :ivar total: in the service's unit.
+    :ivar rate: units per second lately.
+    :ivar at: monotonic seconds.
+    """
+
+    total: float
+    rate: float
+    at: float
+
+    def extrapolate(self, now: float) -> float:
+        """Return the total that is expected at a later time."""
+        return self.total + self.rate * (now - self.at)
+
+
+class Pending(NamedTuple):
+    """
+    An update that has not been acknowledged.
+
+    :ivar sent_at: monotonic seconds.
+    :ivar readings: what it said.
+    """
+
+    sent_at: float
+    readings: dict[Place, Reading]
+
+
+class PeerFeed:
+    """
+    What one peer has been told.
+
+    :param policy: how totals are shared.
+    """
+
+    def __init__(self, policy: SharingPolicy) -> None:
+        self._policy = policy
+        self._told: dict[Place, Reading] = {}
+        self._acknowledged: dict[Place, Reading] = {}
+        self._pending: dict[int, Pending] = {}
+        self._loss = 0.0
+
+    @property
+    def loss(self) -> float:
+        """Part of the updates that was lost lately."""
+        return self._loss
+
+    def assume_loss(self, loss: float) -> None:
+        """Take a loss rate that is known from elsewhere."""
+        self._loss = loss
+
+    def choose(
+        self, readings: Mapping[Place, Reading], scales: Mapping[str, float]
+    ) -> list[Place]:
+        """
+        Return the rows that are due, the largest error first.
+
+        :param readings: totals now.
+        :param scales: by service, the unit of the threshold: the largest
+            cost of a request; 1 if not named.
+        """
+        ranked = []
+        limit = self._policy.threshold * self._factor()
+        for place, reading in readings.items():
+            scale = scales.get(place.service, 1.0)
+            error = self._measure_error(place, reading) / scale
+            if error > limit:
+                ranked.append((error, place))
+        ranked.sort(key=lambda item: (-item[0], item[1]))
+        return [place for _, place in ranked[: self._policy.budget]]
+
+    def record(
+        self, sequence: int, readings: Mapping[Place, Reading], now: float
+    ) -> None:
+        """Note what an update says."""
+        self._told.update(readings)
+        if not self._policy.acknowledge:
+            return
+        self._pending[sequence] = Pending(now, dict(readings))
+        while len(self._pending) > MOST_UNACKNOWLEDGED:
+            self._lose(next(iter(self._pending)))
+
+    def acknowledge(self, sequence: int) -> None:
+        """Note that the peer has merged an update."""
+        pending = self._pending.pop(sequence, None)
+        if pending is None:
+            return
+        self._loss += LOSS_MEMORY * (0.0 - self._loss)
+        for place, reading in pending.readings.items():
+            known = self._acknowledged.get(place)
+            if known is None or known.at < reading.at:
+                self._acknowledged[place] = reading
+
+    def expire(self, now: float) -> None:
+        """Take updates without acknowledgement as lost."""
+        for sequence, pending in list(self._pending.items()):
+            if now - pending.sent_at < ACK_TIMEOUT:
+                break
+            self._lose(sequence)
+
+    def forget(self, places: Iterable[Place]) -> None:
+        """Forget places that no longer exist."""
+        for place in places:
+            self._told.pop(place, None)
+            self._acknowledged.pop(place, None)
+
+    def _lose(self, sequence: int) -> None:
+        pending = self._pending.pop(sequence)
+        self._loss += LOSS_MEMORY * (1.0 - self._loss)
+        for place, reading in pending.readings.items():
+            if self._told.get(place) != reading:
+                continue
+            known = self._acknowledged.get(place)
+            if known is None:
+                del self._told[place]
+            else:
+                self._told[place] = known
+
+    def _measure_error(self, place: Place, reading: Reading) -> float:
+        told = self._told.get(place)
+        if told is None:
+            return math.inf
+        if reading.at - told.at >= self._policy.refresh:
+            return math.inf
+        expected = told.total
+        if self._policy.extrapolate:
+            expected = told.extrapolate(reading.at)
+        return abs(reading.total - expected)
+
+    def _factor(self) -> float:
+        return compensate_loss(self._loss) if self._policy.compensate else 1.0
+
+
+def compensate_loss(loss: float) -> float:
+    """
+    Return the factor of the threshold at a loss rate (equation 13).
+
+    :param loss: part of the messages that is lost, 0 to 1.
+    """
+    loss = min(max(loss, 0.0), LARGEST_LOSS)
+    return (1.0 - loss) ** 2 / (1.0 + 4.0 * loss + loss * loss)
+
+
+class RateMeter:
+    """
+    Moving rates of totals.
+
+    :param memory: seconds over which a rate is averaged.
+    """
+
+    def __init__(self, memory: float) -> None:
+        self._memory = memory
+        self._readings: dict[Place, Reading] = {}
+
+    def read(self, place: Place, total: float, now: float) -> Reading:
+        """Return the total with its rate."""
+        known = self._readings.get(place)
+        if known is None:
+            reading = Reading(total, 0.0, now)
+        elif now <= known.at:
+            return known
+        else:
+            weight = 1.0 - math.exp(-(now - known.at) / self._memory)
+            current = (total - known.total) / (now - known.at)
+            rate = known.rate + weight * (current - known.rate)
+            reading = Reading(total, rate, now)
+        self._readings[place] = reading
+        return reading
+
+    def forget(self, place: Place) -> None:
+        """Forget a place that no longer exists."""
+        self._readings.pop(place, None)
--- a/src/sycamorehaven/router.py
+++ b/src/sycamorehaven/router.py
@@ -10,6 +10,7 @@
 from sycamorehaven.blackboard.board import Blackboard
 from sycamorehaven.controllers.calls import CallController
 from sycamorehaven.controllers.configuration import ConfigurationController
+from sycamorehaven.controllers.counters import CounterController
 from sycamorehaven.controllers.membership import MembershipController
 from sycamorehaven.controllers.permits import PermitController
 from sycamorehaven.controllers.scheduling import SchedulingController
@@ -95,6 +96,7 @@
             ConfigurationController(board, peers, platform, settings.seeds),
             ServerController(board, loads),
             SchedulingController(board, peers),
+            CounterController(board, peers),
             permits,
             suspects,
             CallerListener(board, settings, calls),
--- a/src/sycamorehaven/transport/messages.py
+++ b/src/sycamorehaven/transport/messages.py
@@ -279,9 +279,10 @@
     """
     One scheduler's total of service given to a workspace; only grows.
 
-    :ivar host: the scheduler's host.
-    :ivar incarnation: its incarnation.
-    :ivar service: the service.
+    :ivar host: the scheduler's host; "" is that of the row before, and in the
+        first row the sender.
+    :ivar incarnation: its incarnation, 0 if ``host`` is "".
+    :ivar service: the service; "" is that of the row before.
     :ivar workspace: the workspace.
     :ivar total: service given since the incarnation's start.
     :ivar rate: service per second lately, for extrapolation.
@@ -299,7 +300,8 @@
     """
     Totals that the receiver merges by maximum.
 
-    :ivar sequence: rises with every update of this sender.
+    :ivar sequence: rises with every update of this sender; 0 wants no
+        acknowledgement.
     :ivar rows: totals.
     """
 
@@ -551,6 +553,16 @@
     records: list[MemberRecord]
 
 
+class CounterRequest(NamedTuple):
+    """
+    A request for every total that the receiver knows of some services.
+
+    :ivar services: the services.
+    """
+
+    services: list[str]
+
+
 MESSAGE_KINDS: tuple[type, ...] = (
     Probe,
     ProbeAck,
@@ -577,6 +589,7 @@
     PermitAck,
     ViewDigest,
     ViewRecords,
+    CounterRequest,
 )
 
 BULK_KINDS = frozenset({ConfigurationReply, RelayCall, RelayReply, TokenHandover})
--- /dev/null
+++ b/tests/blackboard/test_counters.py
@@ -0,0 +1,59 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sycamorehaven.blackboard.counters import CounterKey, CountersSection
+from sycamorehaven.identity import RouterId
+
+if TYPE_CHECKING:
+    import random
+
+OWN = RouterId("a1", 1)
+PEERS = [RouterId("b1", 1), RouterId("b1", 2), RouterId("c1", 1)]
+
+updates = st.lists(
+    st.tuples(
+        st.sampled_from(PEERS), st.sampled_from(["oak", "elm"]), st.integers(0, 9)
+    ),
+    max_size=12,
+)
+
+
+def merge_all(section: CountersSection, rows: list[tuple[RouterId, str, int]]) -> None:
+    for scheduler, workspace, total in rows:
+        section.merge(CounterKey(scheduler, "assistant", workspace), float(total))
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(updates, st.randoms(use_true_random=False))
+def test_merging_is_the_same_in_any_order_and_number(
+    rows: list[tuple[RouterId, str, int]], shuffle: random.Random
+) -> None:
+    one, two = CountersSection(OWN), CountersSection(OWN)
+    repeated = rows * 2
+    shuffle.shuffle(repeated)
+    merge_all(one, rows)
+    merge_all(two, repeated)
+    for workspace in ("oak", "elm"):
+        total = one.sum_service("assistant", workspace)
+        assert total == two.sum_service("assistant", workspace)
+        assert total == sum(
+            value for key, value in one.totals.items() if key.workspace == workspace
+        )
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(updates, st.integers(0, 12), st.sampled_from(PEERS))
+def test_folding_changes_no_sum_and_old_totals_do_not_come_back(
+    rows: list[tuple[RouterId, str, int]], place: int, gone: RouterId
+) -> None:
+    section = CountersSection(OWN)
+    merge_all(section, rows[:place])
+    before = section.sum_service("assistant", "oak")
+    section.fold(gone, may_return=False)
+    assert section.sum_service("assistant", "oak") == before
+    merge_all(section, [row for row in rows[:place] if row[0] == gone])
+    assert section.sum_service("assistant", "oak") == before
--- /dev/null
+++ b/tests/controllers/test_counters.py
@@ -0,0 +1,131 @@
+from __future__ import annotations
+
+import random
+
+from sycamorehaven.controllers.counters import CLEANING_PERIOD, POLICY
+from sycamorehaven.decisions.recipients import LOST_LIFETIME, SUPERSEDED_GRACE
+from sycamorehaven.identity import RouterId
+from sycamorehaven.transport.codec import Delivery
+from sycamorehaven.transport.messages import CounterRow, CounterUpdate
+from tests.support.sharing import LARGEST, SERVICE, Sharers
+
+HOSTS = ["a1", "b1", "c1"]
+WORKSPACES = ["oak", "elm"]
+SETTLED = 2 * POLICY.refresh
+"""Seconds after which every total has been told whatever its error."""
+
+
+def spend(sharers: Sharers, rounds: int, seed: int = 3) -> dict[str, float]:
+    """Give random service everywhere; return what each workspace got."""
+    source = random.Random(seed)
+    given = dict.fromkeys(WORKSPACES, 0.0)
+    for _ in range(rounds):
+        for host in list(sharers.boards):
+            for name in WORKSPACES:
+                cost = source.uniform(0.0, 60.0)
+                sharers.charge(host, name, cost)
+                given[name] += cost
+        sharers.run(0.25)
+    return given
+
+
+def test_totals_reach_every_scheduler_while_messages_are_lost() -> None:
+    for loss in (0.0, 0.2, 0.45):
+        sharers = Sharers(HOSTS, WORKSPACES, loss)
+        given = spend(sharers, 200)
+        for host in HOSTS:
+            for name in WORKSPACES:
+                missing = given[name] - sharers.sum_service(host, name)
+                assert -1e-6 <= missing <= LARGEST, (loss, host, missing)
+        sharers.run(SETTLED)
+        for host in HOSTS:
+            for name in WORKSPACES:
+                assert abs(given[name] - sharers.sum_service(host, name)) < 1e-6
+
+
+def test_lost_updates_are_repaired_before_the_refresh() -> None:
+    sharers = Sharers(HOSTS, WORKSPACES, loss=1.0)
+    given = spend(sharers, 40)
+    sharers.network.loss = 0.0
+    sharers.run(POLICY.refresh / 10)
+    for host in HOSTS:
+        for name in WORKSPACES:
+            missing = given[name] - sharers.sum_service(host, name)
+            assert missing <= len(HOSTS) * POLICY.threshold * LARGEST
+
+
+def test_nothing_is_sent_while_nothing_changes() -> None:
+    sharers = Sharers(HOSTS, WORKSPACES)
+    spend(sharers, 20)
+    sharers.run(10.0)
+    for link in sharers.links.values():
+        link.sent.clear()
+    sharers.run(POLICY.refresh / 2)
+    assert not any(link.sent for link in sharers.links.values())
+
+
+def test_restarts_leave_sums_and_memory_alone() -> None:
+    sharers = Sharers(HOSTS, WORKSPACES)
+    spend(sharers, 20)
+    sharers.run(SETTLED)
+    watched = sharers.boards["a1"].counters
+    for _ in range(120):
+        before = watched.sum_service(SERVICE, "oak")
+        sharers.restart("c1")
+        sharers.charge("c1", "oak", 100.0)
+        sharers.run(SUPERSEDED_GRACE + CLEANING_PERIOD + 1.0)
+        assert abs(watched.sum_service(SERVICE, "oak") - before - 100.0) < 1e-6
+    assert len(watched.schedulers) == len(HOSTS)
+    assert len(watched.folded) == 1
+    assert len(sharers.controllers["a1"].feeds) == len(HOSTS) - 1
+
+
+def test_cold_start_takes_over_totals_of_peers_and_of_the_gone() -> None:
+    sharers = Sharers(HOSTS, WORKSPACES, loss=0.2)
+    given = spend(sharers, 40)
+    sharers.run(SETTLED)
+    sharers.kill("b1")
+    sharers.restart("c1")
+    sharers.run(10.0)
+    for name in WORKSPACES:
+        assert abs(sharers.sum_service("c1", name) - given[name]) < 1e-6
+
+
+def test_scheduler_back_after_folding_adds_only_what_it_gave_since() -> None:
+    sharers = Sharers(HOSTS, WORKSPACES)
+    spend(sharers, 20)
+    sharers.run(SETTLED)
+    board = sharers.boards["a1"]
+    before = sharers.sum_service("a1", "oak")
+    sharers.update_members(missing="c1")
+    sharers.network.cut = {frozenset({"a1:1", "c1:1"}), frozenset({"b1:1", "c1:1"})}
+    sharers.run(60.0)
+    assert RouterId("c1", 1) in board.counters.schedulers
+    sharers.clock.advance(LOST_LIFETIME)
+    sharers.run(60.0)
+    assert RouterId("c1", 1) not in board.counters.schedulers
+    assert sharers.sum_service("a1", "oak") == before
+    sharers.network.cut = set()
+    sharers.update_members()
+    sharers.run(SETTLED)
+    assert sharers.sum_service("a1", "oak") == before
+    sharers.charge("c1", "oak", 70.0)
+    sharers.run(SETTLED)
+    assert abs(sharers.sum_service("a1", "oak") - before - 70.0) < 1e-6
+
+
+def test_strange_rows_change_nothing() -> None:
+    sharers = Sharers(HOSTS, WORKSPACES)
+    spend(sharers, 4)
+    sharers.run(SETTLED)
+    own = sharers.boards["a1"].identity
+    before = sharers.sum_service("a1", "oak")
+    rows = [
+        CounterRow("b1", 1, SERVICE, "oak", value, 0.0)
+        for value in (float("nan"), float("inf"), -1e9, 1e300)
+    ]
+    rows.append(CounterRow(own.host, own.incarnation, SERVICE, "oak", 1e9, 0.0))
+    rows.append(CounterRow("b1", 0, SERVICE, "oak", 1.0, float("nan")))
+    sender = sharers.boards["b1"].identity
+    sharers.links["a1"].dispatch(Delivery(sender, "b1:1", CounterUpdate(0, rows)))
+    assert abs(sharers.sum_service("a1", "oak") - before) <= 1.0
--- /dev/null
+++ b/tests/support/sharing.py
@@ -0,0 +1,130 @@
+"""Counter controllers on a network in memory and a given clock."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sycamorehaven.blackboard.members import Member
+from sycamorehaven.configuration.model import (
+    BackendServer,
+    Configuration,
+    Service,
+    Workspace,
+)
+from sycamorehaven.controllers.counters import CounterController
+from tests.support.doubles import ManualClock, MemoryLink, MemoryNetwork, create_board
+
+if TYPE_CHECKING:
+    from sycamorehaven.blackboard.board import Blackboard
+
+SERVICE = "assistant"
+LARGEST = 1_000.0
+STEP = 0.25
+
+
+def create_configuration(
+    domains: list[str], workspaces: list[str], per_domain: int = 1
+) -> Configuration:
+    """Return a configuration with servers in each failure domain."""
+    servers = {
+        f"engine-{domain}{number}": BackendServer(
+            f"engine-{domain}{number}",
+            "127.0.0.1:1",
+            SERVICE,
+            domain,
+            8,
+            8,
+            (),
+            (),
+            "",
+            "",
+            False,
+        )
+        for domain in domains
+        for number in range(per_domain)
+    }
+    return Configuration(
+        1,
+        "",
+        "",
+        {name: Workspace(name, "", 1.0, 100) for name in workspaces},
+        {SERVICE: Service(SERVICE, "model", (), (), 80.0, LARGEST, 0.2)},
+        servers,
+    )
+
+
+class Sharers:
+    """
+    Routers that share totals; each host ``a1`` stands in domain ``a``.
+
+    :param hosts: the hosts.
+    :param workspaces: the workspaces.
+    :param loss: part of the messages that is lost.
+    :param per_domain: servers in each failure domain.
+    """
+
+    def __init__(
+        self,
+        hosts: list[str],
+        workspaces: list[str],
+        loss: float = 0.0,
+        per_domain: int = 1,
+    ) -> None:
+        self.clock = ManualClock()
+        self.network = MemoryNetwork(seed=5, loss=loss)
+        domains = sorted({host[0] for host in hosts})
+        self.configuration = create_configuration(domains, workspaces, per_domain)
+        self.boards: dict[str, Blackboard] = {}
+        self.links: dict[str, MemoryLink] = {}
+        self.controllers: dict[str, CounterController] = {}
+        for host in hosts:
+            self._create(host, 1)
+        self.update_members()
+
+    def restart(self, host: str) -> None:
+        """Replace a process by a new one with an empty memory."""
+        self._create(host, self.boards[host].identity.incarnation + 1)
+        self.update_members()
+
+    def kill(self, host: str) -> None:
+        """End a process and drop it from every view."""
+        self.network.links.pop(f"{host}:1")
+        del self.boards[host], self.controllers[host], self.links[host]
+        self.update_members()
+
+    def update_members(self, missing: str = "") -> None:
+        """Give every router the view of those that run."""
+        view = {
+            host: Member(
+                host, board.identity.incarnation, f"{host}:1", host[0], "alive"
+            )
+            for host, board in self.boards.items()
+            if host != missing
+        }
+        for board in self.boards.values():
+            board.members.replace(view)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(round(seconds / STEP)):
+            self.clock.advance(STEP)
+            for controller in self.controllers.values():
+                controller.run_round()
+            while self.network.pending:
+                self.network.deliver(len(self.network.pending))
+
+    def charge(self, host: str, workspace: str, cost: float) -> None:
+        """Give service at a router."""
+        self.boards[host].counters.charge(SERVICE, workspace, cost)
+
+    def sum_service(self, host: str, workspace: str) -> float:
+        """Return the fleet-wide service as a router knows it."""
+        return self.boards[host].counters.sum_service(SERVICE, workspace)
+
+    def _create(self, host: str, incarnation: int) -> None:
+        board = create_board(host, host[0], incarnation)
+        link = MemoryLink(board, self.network)
+        self.boards[host] = board
+        self.links[host] = link
+        self.controllers[host] = CounterController(board, link, self.clock)
+        board.configuration.replace(self.configuration)
