--- a/src/sycamorehaven/router.py
+++ b/src/sycamorehaven/router.py
@@ -12,6 +12,7 @@
 from sycamorehaven.controllers.adoption import Adoption
 from sycamorehaven.controllers.calls import CallController
 from sycamorehaven.controllers.configuration import ConfigurationController
+from sycamorehaven.controllers.counters import CounterController
 from sycamorehaven.controllers.handover import HandoverController
 from sycamorehaven.controllers.hosts import HostController
 from sycamorehaven.controllers.membership import MembershipController
@@ -127,6 +128,7 @@
             notices,
             servers,
             SchedulingController(board, peers),
+            CounterController(board, peers),
             permits,
             suspects,
             relays,
