--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -20,7 +20,11 @@
     Service,
     Workspace,
 )
-from sycamorehaven.controllers.permits import COALESCE, PermitController
+from sycamorehaven.controllers.permits import (
+    COALESCE,
+    REPEAT_AFTER,
+    PermitController,
+)
 from sycamorehaven.controllers.scheduling import TICK, SchedulingController
 from sycamorehaven.identity import RouterId
 from sycamorehaven.transport.messages import CounterRow, CounterUpdate
@@ -124,6 +128,7 @@
         self._report_at = float("inf")
         self.board.queues.changed.subscribe(self._plan_soon)
         self._events.repeat(TICK, self._run_round)
+        self._events.repeat(REPEAT_AFTER, self._repeat)
         self._events.repeat(fleet.plan.sharing, self._share)
         self._events.repeat(LOAD_PERIOD, self._read_loads)
         self._plan(0.0)
@@ -176,6 +181,11 @@
         if self.alive:
             self._scheduling.run_round()
 
+    def _repeat(self) -> None:
+        if self.alive:
+            self._scheduling.repeat()
+            self._permits.repeat()
+
     def _read_loads(self) -> None:
         now = self._events.now
         for server in self._fleet.servers.values():
--- a/benchmarks/meter.py
+++ b/benchmarks/meter.py
@@ -81,6 +81,8 @@
         self.gap = 0.0
         self.count = 0
         self.waits: dict[str, list[float]] = {name: [] for name in weights}
+        for server in servers:
+            server.note_change = self.integrate
         events.repeat(SAMPLE, self._sample)
 
     @property
--- a/benchmarks/workload.py
+++ b/benchmarks/workload.py
@@ -94,6 +94,7 @@
         self.speed = speed
         self._events = events
         self.running: set[Request] = set()
+        self.note_change: Callable[[], None] = lambda: None
         self._queue: deque[tuple[Request, Callable[[], None]]] = deque()
         self.most = 0
 
@@ -111,6 +112,7 @@
 
     def _start(self) -> None:
         while self._queue and len(self.running) < self.slots:
+            self.note_change()
             request, finish = self._queue.popleft()
             request.started_at, request.speed = self._events.now, self.speed
             self.running.add(request)
@@ -118,6 +120,7 @@
             self._events.call_after(request.cost / self.speed, end)
 
     def _end(self, request: Request, finish: Callable[[], None]) -> None:
+        self.note_change()
         self.running.discard(request)
         finish()
         self._start()
--- a/src/sycamorehaven/controllers/permits.py
+++ b/src/sycamorehaven/controllers/permits.py
@@ -10,7 +10,7 @@
 
 from sycamorehaven.blackboard.permits import Permit, PermitKey
 from sycamorehaven.blackboard.queues import QueueKey
-from sycamorehaven.controllers.reports import ReportWriter
+from sycamorehaven.controllers.reports import IN_REPORTS_AFTER, ReportWriter
 from sycamorehaven.decisions.demand import DemandKey, DemandPlanner, Queue
 from sycamorehaven.decisions.rendezvous import rank_candidates
 from sycamorehaven.decisions.roles import choose_scheduler
@@ -29,6 +29,8 @@
 """Seconds after which demand is looked at in any case."""
 COALESCE = 0.002
 """Seconds in which changes of demand are gathered into one report."""
+REPEAT_AFTER = 0.05
+"""Seconds without an acknowledgement after which a return is repeated."""
 SEQUENCE_LIFETIME = 10.0
 """Seconds for which the time of a report is remembered."""
 MOST_TAKEN = 4_096
@@ -73,7 +75,18 @@
             return
         self._board.permits.remove(permit.key)
         self._board.permits.settle(permit, self._clock())
-        for host in self._writer.list_parties(permit):
+        self._send_return(permit, self._writer.list_parties(permit))
+
+    def repeat(self) -> None:
+        """Send the returns again that are not acknowledged."""
+        now = self._clock()
+        for settlement in self._board.permits.list_settlements():
+            if REPEAT_AFTER <= now - settlement.settled_at < IN_REPORTS_AFTER:
+                host = self._writer.find_accountant(settlement.permit)
+                self._send_return(settlement.permit, [host] if host else [])
+
+    def _send_return(self, permit: Permit, hosts: list[str]) -> None:
+        for host in hosts:
             message = self._writer.write_return(permit, host)
             planner = self._find_planner(permit.service)
             planner.note_return(host, permit.workspace, message.waiting)
@@ -99,6 +112,12 @@
             sleep = min(self.report() - self._clock(), LONGEST_SLEEP)
             sleep = max(sleep, COALESCE)
 
+    @Service.task
+    async def _repeat(self) -> None:
+        while not self.should_stop:
+            await self.sleep(REPEAT_AFTER)
+            self.repeat()
+
     def _assign(self) -> None:
         configuration = self._board.configuration.current
         if configuration is None:
@@ -166,6 +185,7 @@
     def _take_grant(self, delivery: Delivery) -> None:
         grant: PermitGrant = delivery.message
         key = PermitKey(delivery.sender, grant.permit)
+        self._link.send(key.scheduler.host, PermitAck(*key.scheduler, [key.number]))
         if key in self._taken:
             return
         self._taken[key] = None
--- a/src/sycamorehaven/controllers/reports.py
+++ b/src/sycamorehaven/controllers/reports.py
@@ -17,8 +17,8 @@
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.blackboard.permits import Permit
 
-REPEAT_AFTER = 0.75
-"""Seconds without an acknowledgement after which a return is repeated."""
+IN_REPORTS_AFTER = 0.5
+"""Seconds without acknowledgement after which reports carry a return."""
 SETTLEMENT_LIFETIME = 60.0
 """Seconds for which an unacknowledged return is repeated."""
 
@@ -103,7 +103,7 @@
             age = now - settlement.settled_at
             if age > SETTLEMENT_LIFETIME:
                 self._board.permits.acknowledge(settlement.permit.key)
-            elif age > REPEAT_AFTER and settlement.permit.service == service:
+            elif age > IN_REPORTS_AFTER and settlement.permit.service == service:
                 unacknowledged.append(settlement.permit)
         return unacknowledged
 
--- a/src/sycamorehaven/controllers/scheduling.py
+++ b/src/sycamorehaven/controllers/scheduling.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from mode import Service
 
@@ -15,6 +15,7 @@
     ServiceScheduler,
     ServiceTerms,
 )
+from sycamorehaven.identity import RouterId
 from sycamorehaven.transport.messages import (
     DemandReport,
     PermitAck,
@@ -32,8 +33,26 @@
 
 TICK = 0.25
 """Seconds between rounds that expire what was not refreshed."""
-ACKNOWLEDGED_AT_ONCE = 32
-"""Returns of one edge that are acknowledged without waiting for a round."""
+REPEAT_AFTER = 0.05
+"""Seconds without an acknowledgement after which a grant is repeated."""
+MOST_REPEATS = 5
+"""Times that a grant is repeated."""
+
+
+class SentGrant(NamedTuple):
+    """
+    A grant that is not acknowledged.
+
+    :ivar host: the edge's host.
+    :ivar message: the grant.
+    :ivar at: when it was last sent, monotonic seconds.
+    :ivar times: how often it was repeated.
+    """
+
+    host: str
+    message: PermitGrant
+    at: float
+    times: int
 
 
 class SchedulingController(Service):
@@ -57,9 +76,10 @@
         self._clock = clock
         self._schedulers: dict[str, ServiceScheduler] = {}
         self._own_servers: dict[str, list[BackendServer]] = {}
-        self._acks: dict[tuple[str, str, int], list[int]] = {}
+        self._unacknowledged: dict[int, SentGrant] = {}
         link.subscribe(DemandReport, self._take_report)
         link.subscribe(PermitReturn, self._take_return)
+        link.subscribe(PermitAck, self._take_ack)
         board.members.changed.subscribe(self._assign)
         board.configuration.changed.subscribe(self._assign)
         board.servers.changed.subscribe(self._grant_all)
@@ -75,8 +95,16 @@
         for scheduler in self._schedulers.values():
             scheduler.expire(now)
         self._grant_all()
-        for key in list(self._acks):
-            self._acknowledge(key)
+
+    def repeat(self) -> None:
+        """Send the grants again that are not acknowledged."""
+        now = self._clock()
+        for number, sent in list(self._unacknowledged.items()):
+            if now - sent.at < REPEAT_AFTER:
+                break
+            del self._unacknowledged[number]
+            if sent.times < MOST_REPEATS:
+                self._send(sent.host, sent.message, sent.times + 1)
 
     @Service.task
     async def _tick(self) -> None:
@@ -84,6 +112,12 @@
             await self.sleep(TICK)
             self.run_round()
 
+    @Service.task
+    async def _repeat(self) -> None:
+        while not self.should_stop:
+            await self.sleep(REPEAT_AFTER / 2)
+            self.repeat()
+
     def _assign(self) -> None:
         configuration = self._board.configuration.current
         if configuration is None:
@@ -142,8 +176,7 @@
         scheduler = self._find_scheduler(report.service)
         charges = scheduler.take_report(delivery.sender, report, self._clock())
         self._charge(report.service, charges)
-        for message in report.settled:
-            self._note_ack(delivery, message)
+        self._acknowledge(delivery, report.settled)
         self._grant(report.service)
 
     def _take_return(self, delivery: Delivery) -> None:
@@ -152,25 +185,28 @@
         charge = scheduler.take_return(delivery.sender, message, self._clock())
         if charge is not None:
             self._charge(message.service, [charge])
-        self._note_ack(delivery, message)
+        self._acknowledge(delivery, [message])
         self._grant(message.service)
 
     def _charge(self, service: str, charges: Iterable[Charge]) -> None:
         for charge in charges:
             self._board.counters.charge(service, charge.workspace, charge.cost)
 
-    def _note_ack(self, delivery: Delivery, message: PermitReturn) -> None:
-        if not message.accounted:
-            return
-        key = delivery.sender.host, message.scheduler, message.incarnation
-        numbers = self._acks.setdefault(key, [])
-        numbers.append(message.permit)
-        if len(numbers) >= ACKNOWLEDGED_AT_ONCE:
-            self._acknowledge(key)
-
-    def _acknowledge(self, key: tuple[str, str, int]) -> None:
-        edge, scheduler, incarnation = key
-        self._link.send(edge, PermitAck(scheduler, incarnation, self._acks.pop(key)))
+    def _take_ack(self, delivery: Delivery) -> None:
+        ack: PermitAck = delivery.message
+        if RouterId(ack.scheduler, ack.incarnation) == self._board.identity:
+            for number in ack.permits:
+                self._unacknowledged.pop(number, None)
+
+    def _acknowledge(self, delivery: Delivery, returns: list[PermitReturn]) -> None:
+        numbers: dict[tuple[str, int], list[int]] = {}
+        for message in returns:
+            if message.accounted:
+                key = message.scheduler, message.incarnation
+                numbers.setdefault(key, []).append(message.permit)
+        for (scheduler, incarnation), permits in numbers.items():
+            ack = PermitAck(scheduler, incarnation, permits)
+            self._link.send(delivery.sender.host, ack)
 
     def _grant(self, service: str) -> None:
         scheduler = self._schedulers[service]
@@ -180,7 +216,12 @@
             return
         free = scheduler.count_free(now)
         for grant in grants:
-            self._link.send(grant.edge.host, _write_grant(service, grant, free))
+            self._send(grant.edge.host, _write_grant(service, grant, free), 0)
+
+    def _send(self, host: str, message: PermitGrant, times: int) -> None:
+        sent = SentGrant(host, message, self._clock(), times)
+        self._unacknowledged[message.permit] = sent
+        self._link.send(host, message)
 
 
 def _write_grant(service: str, grant: Grant, free: int) -> PermitGrant:
--- a/src/sycamorehaven/transport/messages.py
+++ b/src/sycamorehaven/transport/messages.py
@@ -464,7 +464,7 @@
 
 class PermitAck(NamedTuple):
     """
-    The receiver of returns has taken them.
+    Grants or returns have come; they are repeated until then.
 
     :ivar scheduler: host of the router that granted the permits.
     :ivar incarnation: that router's incarnation.
