--- a/src/sycamorehaven/transport/messages.py
+++ b/src/sycamorehaven/transport/messages.py
@@ -104,9 +104,13 @@
     A request for a configuration newer than the sender's.
 
     :ivar revision: the sender's revision, 0 for none.
+    :ivar digest: the sender's digest, "" for none.
+    :ivar whole: whether the whole text is wanted, not a difference.
     """
 
     revision: int
+    digest: str
+    whole: bool
 
 
 class ConfigurationReply(NamedTuple):
@@ -114,10 +118,15 @@
     An accepted configuration.
 
     :ivar revision: its revision.
-    :ivar compressed: the text, zlib.
+    :ivar digest: its digest.
+    :ivar base: digest of the text that the difference applies to, "" for a
+        whole text.
+    :ivar compressed: the text or the difference, zlib.
     """
 
     revision: int
+    digest: str
+    base: str
     compressed: bytes
 
 
@@ -375,23 +384,29 @@
     :ivar fingerprint: xxh3-128 of the request, 16 bytes.
     :ivar strike: unique per loss, so that repeats count once.
     :ivar age: seconds since the loss.
+    :ivar server: the backend server.
+    :ivar ran: seconds that the request had run.
+    :ivar alone: whether no other suspect was on the server.
     """
 
     fingerprint: bytes
     strike: int
     age: float
+    server: str
+    ran: float
+    alone: bool
 
 
 class SuspectRequest(NamedTuple):
     """
-    A request to be the only one to run a suspect request.
+    A request for the lease on a suspect run, or on a server for one.
 
-    :ivar fingerprint: of the request, 16 bytes.
-    :ivar number: echoed by the reply.
-    :ivar release: whether the run has ended.
+    :ivar key: fingerprint of the request or of the server, 16 bytes.
+    :ivar number: of the lease at the asker; the same number renews it.
+    :ivar release: whether the lease ends.
     """
 
-    fingerprint: bytes
+    key: bytes
     number: int
     release: bool
 
@@ -400,16 +415,28 @@
     """
     The answer to ``SuspectRequest``.
 
-    :ivar fingerprint: of the request, 16 bytes.
+    :ivar key: the request's.
     :ivar number: the request's.
-    :ivar allowed: whether the run may start.
+    :ivar allowed: whether the asker holds the lease.
     """
 
-    fingerprint: bytes
+    key: bytes
     number: int
     allowed: bool
 
 
+class Acquittal(NamedTuple):
+    """
+    A suspect request was answered whole; earlier strikes are forgotten.
+
+    :ivar fingerprint: xxh3-128 of the request, 16 bytes.
+    :ivar age: seconds since the end of the answer.
+    """
+
+    fingerprint: bytes
+    age: float
+
+
 class TokenRecord(NamedTuple):
     """
     A finished token.
@@ -462,6 +489,18 @@
     free: int
 
 
+class ConfigurationNotice(NamedTuple):
+    """
+    The sender has put a configuration in force.
+
+    :ivar revision: its revision.
+    :ivar digest: its digest.
+    """
+
+    revision: int
+    digest: str
+
+
 class PermitAck(NamedTuple):
     """
     Grants or returns have come; they are repeated until then.
@@ -497,5 +536,7 @@
     TokenHandover,
     RetrySpend,
     IdleNotice,
+    Acquittal,
+    ConfigurationNotice,
     PermitAck,
 )
