--- a/src/sycamorehaven/decisions/demand.py
+++ b/src/sycamorehaven/decisions/demand.py
@@ -21,7 +21,7 @@
 """Size of one report, for the length of a refresh, bytes."""
 REFRESH_BUDGET = 6_000
 """Bytes per second that refreshes may take."""
-LIFETIME = 3.0
+LIFETIME = 4.0
 """Refreshes after which a report is void."""
 FIRST_REACH = 4
 """Schedulers told of a request at once."""
--- a/src/sycamorehaven/decisions/occupancy.py
+++ b/src/sycamorehaven/decisions/occupancy.py
@@ -54,6 +54,13 @@
             self._window_started = now
         self._peak = max(self._peak, self.busy)
 
+    def note_lost(self) -> None:
+        """Take a permit whose edge fell silent for load of others."""
+        self.busy -= 1
+        self.foreign += 1
+        self._peak = max(self._peak - 1, self.busy)
+        self._last_peak = max(self._last_peak - 1, self.busy)
+
     def learn_load(self, running: int, reported_at: float, now: float) -> None:
         """Take a load report; what it shows beyond own permits is foreign."""
         if reported_at < self.since or reported_at <= self._reported_at:
@@ -105,11 +112,19 @@
             slots.foreign -= 1
         self.offer(server, now)
 
-    def vacate(self, server: str, now: float) -> None:
-        """Count a permit out."""
+    def vacate(self, server: str, now: float, *, lost: bool = False) -> None:
+        """
+        Count a permit out.
+
+        :param lost: whether its request may still run; the slot is free when
+            the server's load says so.
+        """
         slots = self._find(server)
         slots.note_busy(now)
-        slots.busy -= 1
+        if lost:
+            slots.note_lost()
+        else:
+            slots.busy -= 1
         self.offer(server, now)
         if server in self._gone and slots.busy <= 0:
             del self._gone[server]
--- a/src/sycamorehaven/decisions/scheduler.py
+++ b/src/sycamorehaven/decisions/scheduler.py
@@ -383,7 +383,7 @@
     def _abandon(self, holding: Holding, now: float) -> None:
         self._holdings.abandon(holding)
         self._hints.pop(holding.name, None)
-        self._occupancy.vacate(holding.server, now)
+        self._occupancy.vacate(holding.server, now, lost=holding.confirmed)
         self._share.touch(holding.workspace)
 
     def _learn(self, holding: Holding, message: PermitReturn) -> None:
--- a/tests/decisions/test_scheduler.py
+++ b/tests/decisions/test_scheduler.py
@@ -246,3 +246,17 @@
         message = message._replace(workspace=holding.workspace)
         bench.give_back(10.3 + step * 0.01, message, edge=holding.edge)
     assert order.count("oak") == 4
+
+
+def test_slot_of_a_lost_edge_is_free_when_the_load_says_so() -> None:
+    bench = Bench()
+    other = RouterId("e2", 1)
+    bench.report(10.1, oak=1)
+    bench.report(10.5, held=(write_held(1, 5.0),))
+    bench.load(1, 10.6)
+    bench.scheduler.drop_edge(EDGE, 10.7)
+    assert bench.report(10.8, edge=other, elm=1) == []
+    bench.load(1, 11.0)
+    assert bench.report(11.1, edge=other, elm=1) == []
+    bench.load(0, 11.5)
+    assert len(bench.report(11.6, edge=other, elm=1)) == 1
