--- a/src/sycamorehaven/controllers/scheduling.py
+++ b/src/sycamorehaven/controllers/scheduling.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import time
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -76,6 +77,7 @@
         self._clock = clock
         self._schedulers: dict[str, ServiceScheduler] = {}
         self._own_servers: dict[str, list[BackendServer]] = {}
+        self._numbers = itertools.count(1)
         self._unacknowledged: dict[int, SentGrant] = {}
         link.subscribe(DemandReport, self._take_report)
         link.subscribe(PermitReturn, self._take_return)
@@ -167,7 +169,10 @@
     def _find_scheduler(self, service: str) -> ServiceScheduler:
         if service not in self._schedulers:
             self._schedulers[service] = ServiceScheduler(
-                self._board.identity, service, self._board.counters
+                self._board.identity,
+                service,
+                self._board.counters,
+                numbers=self._numbers,
             )
         return self._schedulers[service]
 
@@ -196,7 +201,9 @@
         ack: PermitAck = delivery.message
         if RouterId(ack.scheduler, ack.incarnation) == self._board.identity:
             for number in ack.permits:
-                self._unacknowledged.pop(number, None)
+                sent = self._unacknowledged.pop(number, None)
+                if sent is not None:
+                    self._schedulers[sent.message.service].note_taken(number)
 
     def _acknowledge(self, delivery: Delivery, returns: list[PermitReturn]) -> None:
         numbers: dict[tuple[str, int], list[int]] = {}
--- a/src/sycamorehaven/decisions/holdings.py
+++ b/src/sycamorehaven/decisions/holdings.py
@@ -44,7 +44,7 @@
     :ivar cost: estimate that is reserved, in the service's unit.
     :ivar counted: cost that has been charged so far.
     :ivar granted_at: when it was granted or adopted, monotonic seconds.
-    :ivar confirmed: whether the edge has reported it.
+    :ivar confirmed: whether the edge has acknowledged or reported it.
     :ivar resumable: whether what runs can be preempted.
     :ivar accounted: whether this scheduler charges its cost.
     """
@@ -128,6 +128,12 @@
         self.add(holding)
         return holding
 
+    def note_taken(self, name: PermitName) -> None:
+        """Note that an edge has acknowledged its grant."""
+        holding = self._holdings.get(name)
+        if holding is not None:
+            self._holdings[name] = holding._replace(confirmed=True)
+
     def confirm(self, holding: Holding, held: HeldPermit) -> float:
         """Take a permit's progress; return what is to be charged for it."""
         cost = max(held.cost, holding.counted)
--- a/src/sycamorehaven/decisions/scheduler.py
+++ b/src/sycamorehaven/decisions/scheduler.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
@@ -17,7 +18,7 @@
 from sycamorehaven.identity import RouterId
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Callable, Iterable, Iterator, Mapping
 
     from sycamorehaven.transport.messages import (
         DemandReport,
@@ -154,6 +155,7 @@
     :param ledger: service received, fleet-wide.
     :param classes: chooses the class inside a workspace's share.
     :param estimator: estimates costs.
+    :param numbers: numbers for permits, unique in this process.
     """
 
     def __init__(
@@ -163,6 +165,7 @@
         ledger: Ledger,
         classes: ClassOrder | None = None,
         estimator: CostEstimator | None = None,
+        numbers: Iterator[int] | None = None,
     ) -> None:
         self._own = own
         self._service = service
@@ -176,7 +179,7 @@
         self._holdings = Holdings(own)
         self._occupancy = Occupancy()
         self._hints: dict[PermitName, float] = {}
-        self._last_number = 0
+        self._numbers = numbers or itertools.count(1)
         self._last_round: float | None = None
 
     @property
@@ -248,11 +251,15 @@
         self._share.touch(message.workspace)
         return Charge(message.workspace, cost) if cost > 0.0 else None
 
+    def note_taken(self, number: int) -> None:
+        """Note that an edge has acknowledged a grant."""
+        self._holdings.note_taken(PermitName(self._own, number))
+
     def drop_edge(self, edge: RouterId, now: float) -> None:
         """Forget an edge that is gone, its demand and its permits."""
         self._update_waiting(self._backlog.remove(edge), now)
         for holding in self._holdings.list_of(edge):
-            self._abandon(holding, now)
+            self._abandon(holding, now, lost=holding.confirmed)
 
     def retain_edges(self, is_live: Callable[[str], bool], now: float) -> None:
         """Forget the edges whose host is not live."""
@@ -301,8 +308,7 @@
             self._estimator.estimate(workspace, row.cost), self._terms.largest_cost
         )
         runs = self._count_runs(estimate)
-        self._last_number += 1
-        name = PermitName(self._own, self._last_number)
+        name = PermitName(self._own, next(self._numbers))
         holding = Holding(
             name,
             edge,
@@ -371,7 +377,7 @@
         for holding in self._holdings.list_of(edge):
             old = now - holding.granted_at > UNSEEN_GRACE
             if old and holding.name not in names:
-                self._abandon(holding, now)
+                self._abandon(holding, now, lost=False)
         return charges
 
     def _adopt(self, edge: RouterId, held: HeldPermit, now: float) -> Holding | None:
@@ -380,10 +386,10 @@
             self._occupancy.occupy(holding.server, now, adopted=True)
         return holding
 
-    def _abandon(self, holding: Holding, now: float) -> None:
+    def _abandon(self, holding: Holding, now: float, *, lost: bool) -> None:
         self._holdings.abandon(holding)
         self._hints.pop(holding.name, None)
-        self._occupancy.vacate(holding.server, now, lost=holding.confirmed)
+        self._occupancy.vacate(holding.server, now, lost=lost)
         self._share.touch(holding.workspace)
 
     def _learn(self, holding: Holding, message: PermitReturn) -> None:
