--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import functools
-import random
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from benchmarks.events import EventQueue
+from benchmarks.flows import FlowSource
 from benchmarks.meter import Figures, Meter
 from benchmarks.network import Link, Network
 from benchmarks.workload import Flow, Request, Server
@@ -36,6 +36,8 @@
     from sycamorehaven.transport.codec import Delivery
 
 SERVICE = "assistant"
+FIRST_INCARNATION = 1 << 60
+"""Incarnations as long as those of real processes."""
 LOAD_PERIOD = 0.5
 """Seconds between two reads of a server's load."""
 DETECTION = 3.0
@@ -96,6 +98,7 @@
         self._key = QueueKey(SERVICE, request.workspace, "interactive")
         self._since = request.since
         self._cost = request.hint
+        self.request = request
         self._outcome: Any = Outcome(bind)
 
     @property
@@ -151,9 +154,18 @@
         finish = functools.partial(self._finish, request, permit, base)
         self._fleet.servers[permit.server].admit(request, finish)
 
+    def stop(self) -> None:
+        """End the process; what it held and queued is gone."""
+        self.alive = False
+        for permit, request in self._running.items():
+            self._fleet.meter.finish(request)
+            self._fleet.servers[permit.server].cancel(request)
+        for _, queue in self.board.queues.list():
+            for waiting in queue:
+                assert isinstance(waiting, QueuedRequest)
+                self._fleet.meter.drop(waiting.request)
+
     def _finish(self, request: Request, permit: Permit, base: float) -> None:
-        if not self.alive:
-            return
         self._fleet.meter.finish(request)
         del self._running[permit]
         permit.cost = base + self._fleet.charge(request)
@@ -229,7 +241,6 @@
         self.network = Network(
             self.events, plan.seed, loss=plan.loss, doubling=plan.doubling
         )
-        self._random = random.Random(plan.seed)
         self.servers = {
             f"engine-{index}": Server(f"engine-{index}", plan.slots, speed, self.events)
             for index, speed in enumerate(plan.speeds)
@@ -242,17 +253,21 @@
             plan.largest,
             plan.largest / min(plan.speeds),
         )
-        self._flows = flows
-        self._requests: list[Request] = []
+        self._smallest = flows[-1].workspace
         self.routers = [self._create_router(index, 1) for index in range(plan.routers)]
         configuration = self._configure(weights)
         self.update_members()
         for router in self.routers:
             router.board.configuration.replace(configuration)
-        for flow in flows:
-            self.events.call_at(
-                self.start + flow.start, functools.partial(self._begin, flow)
-            )
+        self._source = FlowSource(self.events, flows, plan.seed, self)
+
+    def is_up(self, index: int) -> bool:
+        """Return whether a router takes requests."""
+        return self.routers[index].alive
+
+    def submit(self, index: int, request: Request, bound: Callable[[], None]) -> None:
+        """Queue a request at a router."""
+        self.routers[index].push(request, bound)
 
     def run(self, seconds: float) -> None:
         """Let virtual time pass."""
@@ -269,9 +284,9 @@
         board.counters.merge(key, row.total)
 
     def kill(self, index: int, restart_after: float | None = None) -> None:
-        """End a router; its requests run on at their servers, unheard."""
+        """End a router, and start it again if wanted."""
         router = self.routers[index]
-        router.alive = False
+        router.stop()
         del self.network.links[router.board.identity.host]
         self.events.call_after(DETECTION, self.update_members)
         if restart_after is not None:
@@ -314,7 +329,7 @@
         """Return the figures of the run so far."""
         self.meter.integrate()
         elapsed = self.events.now - self.start - since
-        waits = sorted(self.meter.waits[self._flows[-1].workspace])
+        waits = sorted(self.meter.waits[self._smallest])
         return Figures(
             self.meter.gap,
             self.meter.utilisation,
@@ -322,20 +337,23 @@
             sum(self.network.messages.values()) / elapsed / len(self.routers),
             self.meter.count,
             waits[int(len(waits) * 0.99)] if waits else 0.0,
-            sum(request.runs > 1 for request in self._requests),
+            sum(request.runs > 1 for request in self._source.requests),
         )
 
     def _create_router(self, index: int, incarnation: int) -> Router:
         domain = f"domain-{index % self.plan.domains}"
-        return Router(RouterId(f"router-{index}", incarnation), domain, self)
+        name = RouterId(f"router-{index}", FIRST_INCARNATION + incarnation)
+        return Router(name, domain, self)
 
     def _restart(self, index: int) -> None:
         incarnation = self.routers[index].board.identity.incarnation + 1
+        incarnation -= FIRST_INCARNATION
         configuration = self.routers[index].board.configuration.current
         self.routers[index] = self._create_router(index, incarnation)
         self.update_members()
         if configuration is not None:
             self.routers[index].board.configuration.replace(configuration)
+        self._source.resume(index)
 
     def _configure(self, weights: dict[str, float]) -> Configuration:
         service = Service(
@@ -362,26 +380,3 @@
             for name, weight in weights.items()
         }
         return Configuration(1, "", "", workspaces, {SERVICE: service}, servers)
-
-    def _begin(self, flow: Flow) -> None:
-        for index in flow.routers:
-            for _ in range(flow.depth):
-                self._push(flow, index)
-            if not flow.depth:
-                self._arrive(flow, index)
-
-    def _arrive(self, flow: Flow, index: int) -> None:
-        self._push(flow, index)
-        gap = self._random.expovariate(flow.rate)
-        self.events.call_after(gap, functools.partial(self._arrive, flow, index))
-
-    def _push(self, flow: Flow, index: int) -> None:
-        router = self.routers[index]
-        now = self.events.now
-        if now - self.start > flow.stop or not router.alive:
-            return
-        cost = flow.draw_cost(self._random)
-        request = Request(flow.workspace, cost, cost * flow.hint, now)
-        self._requests.append(request)
-        follow = functools.partial(self._push, flow, index)
-        router.push(request, follow if flow.depth else lambda: None)
--- a/benchmarks/meter.py
+++ b/benchmarks/meter.py
@@ -104,9 +104,16 @@
         if self._waiting[name] == 0:
             self._idle_at[name] = self._events.now
 
+    def drop(self, request: Request) -> None:
+        """Note that a request that waited is gone."""
+        self.integrate()
+        self._waiting[request.workspace] -= 1
+        if self._waiting[request.workspace] == 0:
+            self._idle_at[request.workspace] = self._events.now
+
     def finish(self, request: Request) -> None:
-        """Note that a request has ended."""
-        self._finished[request.workspace] += request.cost
+        """Note that a request has ended, whole or not."""
+        self._finished[request.workspace] += request.measure(self._events.now)
         self.count += 1
 
     def reset(self) -> None:
--- a/benchmarks/workload.py
+++ b/benchmarks/workload.py
@@ -70,6 +70,7 @@
         self.started_at: float | None = None
         self.speed = 0.0
         self.runs = 0
+        self.started: Callable[[], None] | None = None
 
     def measure(self, now: float) -> float:
         """Return the service it has received, in units."""
@@ -116,10 +117,21 @@
             request, finish = self._queue.popleft()
             request.started_at, request.speed = self._events.now, self.speed
             self.running.add(request)
+            if request.started is not None:
+                request.started()
             end = functools.partial(self._end, request, finish)
             self._events.call_after(request.cost / self.speed, end)
 
+    def cancel(self, request: Request) -> None:
+        """Stop a request whose connection is broken."""
+        if request in self.running:
+            self.note_change()
+            self.running.discard(request)
+            self._start()
+
     def _end(self, request: Request, finish: Callable[[], None]) -> None:
+        if request not in self.running:
+            return
         self.note_change()
         self.running.discard(request)
         finish()
