--- a/src/sycamorehaven/controllers/scheduling.py
+++ b/src/sycamorehaven/controllers/scheduling.py
@@ -128,12 +128,13 @@
         own = self._board.identity.host
         weights = {w.name: w.weight for w in configuration.workspaces.values()}
         for name, service in configuration.services.items():
-            self._own_servers[name] = [
-                server
+            places = {
+                server: choose_scheduler(server, domains)
                 for server in configuration.list_servers(name)
-                if choose_scheduler(server, domains) == own
-            ]
+            }
+            self._own_servers[name] = [s for s, host in places.items() if host == own]
             scheduler = self._find_scheduler(name)
+            scheduler.set_peers(len(set(places.values())))
             scheduler.set_weights(weights)
             scheduler.set_terms(
                 ServiceTerms(service.largest_cost, service.kind != "model")
--- a/src/sycamorehaven/decisions/scheduler.py
+++ b/src/sycamorehaven/decisions/scheduler.py
@@ -34,6 +34,8 @@
 """Seconds without a round that tell that this process was paused."""
 LAG_LIMIT = 4.0
 """Largest requests by which a workspace may lag the one furthest ahead."""
+PEER_LIKENESS = 0.4
+"""Part of own reservations that each other scheduler is taken to have."""
 EXCHANGE = 0.002
 """Seconds that a return and the grant that follows it take."""
 EXCHANGE_SHARE = 0.05
@@ -173,6 +175,7 @@
         self._classes = classes or InteractiveFirst()
         self._estimator = estimator or HintedCost()
         self._terms = ServiceTerms()
+        self._peer_factor = 1.0
         self._weights: Mapping[str, float] = {}
         self._share = FairShare(self._measure_received)
         self._backlog = Backlog()
@@ -205,6 +208,17 @@
         """Replace the workspaces' weights."""
         self._weights = weights
 
+    def set_peers(self, schedulers: int) -> None:
+        """
+        Replace the number of schedulers of the service.
+
+        What the others have reserved for a workspace is known here only once
+        it is charged. It is taken to be like what is reserved here; without
+        that, all would favour the same workspace until they heard of each
+        other's grants.
+        """
+        self._peer_factor = max(PEER_LIKENESS * schedulers, 1.0)
+
     def set_terms(self, terms: ServiceTerms) -> None:
         """Replace what the configuration says of the service."""
         self._terms = terms
@@ -348,7 +362,7 @@
 
     def _measure_received(self, workspace: str) -> float:
         total = self._ledger.sum_service(self._service, workspace)
-        total += self._holdings.measure_reserved(workspace)
+        total += self._peer_factor * self._holdings.measure_reserved(workspace)
         return total / self._weights.get(workspace, 1.0)
 
     def _update_waiting(self, workspaces: Iterable[str], now: float) -> None:
