--- a/src/sycamorehaven/controllers/scheduling.py
+++ b/src/sycamorehaven/controllers/scheduling.py
@@ -8,6 +8,7 @@
 
 from mode import Service
 
+from sycamorehaven.decisions.rendezvous import rank_candidates
 from sycamorehaven.decisions.roles import choose_scheduler
 from sycamorehaven.decisions.scheduler import (
     LEASE,
@@ -22,6 +23,7 @@
     PermitAck,
     PermitGrant,
     PermitReturn,
+    Preemption,
 )
 
 if TYPE_CHECKING:
@@ -29,6 +31,7 @@
 
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.configuration.model import BackendServer
+    from sycamorehaven.configuration.model import Service as ServiceConfiguration
     from sycamorehaven.transport.codec import Delivery
     from sycamorehaven.transport.links import PeerLink
 
@@ -79,6 +82,7 @@
         self._own_servers: dict[str, list[BackendServer]] = {}
         self._numbers = itertools.count(1)
         self._unacknowledged: dict[int, SentGrant] = {}
+        self._turns: dict[str, int] = {}
         link.subscribe(DemandReport, self._take_report)
         link.subscribe(PermitReturn, self._take_return)
         link.subscribe(PermitAck, self._take_ack)
@@ -128,17 +132,14 @@
         own = self._board.identity.host
         weights = {w.name: w.weight for w in configuration.workspaces.values()}
         for name, service in configuration.services.items():
-            places = {
-                server: choose_scheduler(server, domains)
-                for server in configuration.list_servers(name)
-            }
-            self._own_servers[name] = [s for s, host in places.items() if host == own]
+            servers = configuration.list_servers(name)
+            places = {s.name: choose_scheduler(s, domains) for s in servers}
+            self._own_servers[name] = [s for s in servers if places[s.name] == own]
+            hosts = rank_candidates(f"turn/{name}", {h for h in places.values() if h})
+            self._turns[name] = hosts.index(own) if own in hosts else len(hosts)
             scheduler = self._find_scheduler(name)
-            scheduler.set_peers(len(set(places.values())))
             scheduler.set_weights(weights)
-            scheduler.set_terms(
-                ServiceTerms(service.largest_cost, service.kind != "model")
-            )
+            scheduler.set_terms(_write_terms(service, len(hosts)))
         for scheduler in self._schedulers.values():
             scheduler.retain_edges(self._is_live, self._clock())
         self._grant_all()
@@ -159,7 +160,11 @@
             for server in self._own_servers[service]
             if self._board.servers.takes_work(server.name, now)
         ]
-        scheduler.set_servers({server.name: server.slots for server in servers}, now)
+        scheduler.set_servers(
+            {server.name: server.slots for server in servers},
+            now,
+            {server.name: server.slots_ceiling for server in servers},
+        )
         for server in servers:
             status = self._board.servers.get(server.name)
             if status.reported_at > 0.0:
@@ -220,11 +225,13 @@
         scheduler = self._schedulers[service]
         now = self._clock()
         grants = scheduler.grant(now)
-        if not grants:
-            return
-        free = scheduler.count_free(now)
+        free = scheduler.count_free(now) if grants else 0
         for grant in grants:
             self._send(grant.edge.host, _write_grant(service, grant, free), 0)
+        for holding in scheduler.preempt(now, self._turns.get(service, 0)):
+            granter, number = holding.name
+            order = Preemption(granter.host, granter.incarnation, number)
+            self._link.send(holding.edge.host, order)
 
     def _send(self, host: str, message: PermitGrant, times: int) -> None:
         sent = SentGrant(host, message, self._clock(), times)
@@ -232,6 +239,16 @@
         self._link.send(host, message)
 
 
+def _write_terms(service: ServiceConfiguration, schedulers: int) -> ServiceTerms:
+    return ServiceTerms(
+        largest_cost=service.largest_cost,
+        in_seconds=service.kind != "model",
+        expected_cost=service.expected_cost,
+        batch_fraction=service.batch_fraction,
+        schedulers=schedulers,
+    )
+
+
 def _write_grant(service: str, grant: Grant, free: int) -> PermitGrant:
     return PermitGrant(
         permit=grant.number,
--- a/src/sycamorehaven/decisions/occupancy.py
+++ b/src/sycamorehaven/decisions/occupancy.py
@@ -11,11 +11,11 @@
 import heapq
 from typing import TYPE_CHECKING
 
+from sycamorehaven.decisions.foreign_load import REPORT_LAG, ForeignLoad
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-LOAD_LAG = 1.0
-"""Seconds by which a reported load may lag."""
 LOAD_LIFETIME = 5.0
 """Seconds after which a reported load is no longer believed."""
 LEARNING = 2.5
@@ -32,34 +32,32 @@
     def __init__(self, since: float) -> None:
         self.limit = 0
         self.busy = 0
-        self.foreign = 0
+        self.foreign = ForeignLoad()
         self.learning_until = since + LEARNING
         self.since = since
         self._reported_at = since
-        self._peak = 0
-        self._last_peak = 0
-        self._window_started = since
+        self._lost: list[float] = []
 
     def free(self, now: float) -> int:
         """Return how many requests may be admitted."""
         if now < self.learning_until:
             return 0
         known = now - self._reported_at <= LOAD_LIFETIME
-        return self.limit - self.busy - (self.foreign if known else 0)
+        foreign = self.foreign.slots if known else 0
+        return self.limit - self.busy - foreign - len(self._lost)
 
     def note_busy(self, now: float) -> None:
-        """Keep the most permits of the last ``LOAD_LAG`` seconds or more."""
-        if now - self._window_started > LOAD_LAG:
-            self._last_peak, self._peak = self._peak, self.busy
-            self._window_started = now
-        self._peak = max(self._peak, self.busy)
-
-    def note_lost(self) -> None:
-        """Take a permit whose edge fell silent for load of others."""
+        """Note how many permits are out."""
+        self.foreign.note_busy(self.busy, now)
+
+    def note_lost(self, now: float) -> None:
+        """Note that a permit is out no longer whose request may still run."""
         self.busy -= 1
-        self.foreign += 1
-        self._peak = max(self._peak - 1, self.busy)
-        self._last_peak = max(self._last_peak - 1, self.busy)
+        self._lost.append(now + REPORT_LAG)
+
+    def expire(self, now: float) -> None:
+        """Believe no longer that lost permits run; the load shows others'."""
+        self._lost = [expiry for expiry in self._lost if expiry > now]
 
     def learn_load(self, running: int, reported_at: float, now: float) -> None:
         """Take a load report; what it shows beyond own permits is foreign."""
@@ -67,7 +65,8 @@
             return
         self._reported_at = reported_at
         self.note_busy(now)
-        self.foreign = max(0, running - max(self._peak, self._last_peak))
+        del self._lost[max(running - self.busy, 0) :]
+        self.foreign.take_report(running, self.limit, now)
         self.learning_until = min(self.learning_until, now)
 
 
@@ -101,6 +100,7 @@
         """Admit nothing until each server's load is known afresh."""
         for slots in self._servers.values():
             slots.since = now
+            slots.foreign.forget()
             slots.learning_until = now + LEARNING
 
     def occupy(self, server: str, now: float, *, adopted: bool = False) -> None:
@@ -108,8 +108,8 @@
         slots = self._find(server)
         slots.busy += 1
         slots.note_busy(now)
-        if adopted and slots.foreign > 0:
-            slots.foreign -= 1
+        if adopted:
+            slots.foreign.adopt()
         self.offer(server, now)
 
     def vacate(self, server: str, now: float, *, lost: bool = False) -> None:
@@ -122,7 +122,7 @@
         slots = self._find(server)
         slots.note_busy(now)
         if lost:
-            slots.note_lost()
+            slots.note_lost(now)
         else:
             slots.busy -= 1
         self.offer(server, now)
@@ -146,6 +146,8 @@
 
     def offer_all(self, now: float) -> None:
         """Consider every server, and drop outdated entries."""
+        for slots in self._servers.values():
+            slots.expire(now)
         self._heap.clear()
         for name in self._servers:
             self.offer(name, now)
--- a/src/sycamorehaven/transport/messages.py
+++ b/src/sycamorehaven/transport/messages.py
@@ -61,7 +61,7 @@
     """
     A heartbeat probe with piggybacked news.
 
-    :ivar sequence: echoed by the acknowledgement.
+    :ivar sequence: echoed by the acknowledgement; 0 carries news only.
     :ivar on_behalf_of: peer address that asked for it, or "".
     :ivar revision: the sender's configuration revision, 0 for none.
     :ivar digest: the sender's configuration digest.
@@ -76,7 +76,7 @@
 
 
 class ProbeAck(NamedTuple):
-    """The answer to ``Probe``; same fields."""
+    """The answer to ``Probe``; same fields. A sequence of 0 answers none."""
 
     sequence: int
     on_behalf_of: str
@@ -261,12 +261,14 @@
     """
     An order to cancel the resumable stream under a permit.
 
+    :ivar scheduler: host of the router that granted the permit.
+    :ivar incarnation: that router's incarnation.
     :ivar permit: its number.
-    :ivar server: the backend server.
     """
 
+    scheduler: str
+    incarnation: int
     permit: int
-    server: str
 
 
 class CounterRow(NamedTuple):
@@ -515,6 +517,36 @@
     permits: list[int]
 
 
+class ViewDigest(NamedTuple):
+    """
+    A request to compare views; answered with ``ViewRecords``.
+
+    :ivar sequence: echoed by the answer.
+    :ivar digests: a 32-bit digest a bucket of hosts.
+    """
+
+    sequence: int
+    digests: list[int]
+
+
+class ViewRecords(NamedTuple):
+    """
+    Records of a bucket of hosts whose digests differ.
+
+    :ivar sequence: the request's.
+    :ivar bucket: the bucket, -1 if the views are equal.
+    :ivar remaining: messages that follow this one.
+    :ivar final: whether the receiver is not to answer with newer records.
+    :ivar records: the sender's records.
+    """
+
+    sequence: int
+    bucket: int
+    remaining: int
+    final: bool
+    records: list[MemberRecord]
+
+
 MESSAGE_KINDS: tuple[type, ...] = (
     Probe,
     ProbeAck,
@@ -539,4 +571,6 @@
     Acquittal,
     ConfigurationNotice,
     PermitAck,
+    ViewDigest,
+    ViewRecords,
 )
