--- a/src/sycamorehaven/controllers/scheduling.py
+++ b/src/sycamorehaven/controllers/scheduling.py
@@ -8,15 +8,10 @@
 
 from mode import Service
 
+from sycamorehaven.decisions.grants import LEASE, Charge, Grant, ServiceTerms
 from sycamorehaven.decisions.rendezvous import rank_candidates
 from sycamorehaven.decisions.roles import choose_scheduler
-from sycamorehaven.decisions.scheduler import (
-    LEASE,
-    Charge,
-    Grant,
-    ServiceScheduler,
-    ServiceTerms,
-)
+from sycamorehaven.decisions.scheduler import ServiceScheduler
 from sycamorehaven.identity import RouterId
 from sycamorehaven.transport.messages import (
     DemandReport,
--- a/src/sycamorehaven/decisions/scheduler.py
+++ b/src/sycamorehaven/decisions/scheduler.py
@@ -8,14 +8,14 @@
 from __future__ import annotations
 
 import itertools
-import math
-from typing import TYPE_CHECKING, NamedTuple, Protocol
+from typing import TYPE_CHECKING
 
 from sycamorehaven.call import INTERACTIVE
 from sycamorehaven.decisions.backlog import Backlog
-from sycamorehaven.decisions.classes import ClassChoice, ClassShares
+from sycamorehaven.decisions.classes import ClassShares
 from sycamorehaven.decisions.estimates import CostBounds, ServiceEstimates
 from sycamorehaven.decisions.fair_share import FairShare
+from sycamorehaven.decisions.grants import Charge, Grant, Issue, ServiceTerms
 from sycamorehaven.decisions.holdings import Holding, Holdings, PermitName
 from sycamorehaven.decisions.occupancy import Occupancy
 from sycamorehaven.decisions.preemption import Reclaimer
@@ -25,14 +25,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator, Mapping
 
+    from sycamorehaven.decisions.grants import Ledger
     from sycamorehaven.transport.messages import (
         DemandReport,
         HeldPermit,
         PermitReturn,
     )
 
-LEASE = 2.0
-"""Seconds after a grant in which a request must be sent under it."""
 UNSEEN_GRACE = 1.0
 """Seconds after a grant before a report without the permit frees its slot."""
 PAUSE = 1.0
@@ -41,88 +40,6 @@
 """Largest requests by which a workspace may lag the one furthest ahead."""
 PEER_LIKENESS = 0.4
 """Part of own reservations that each other scheduler is taken to have."""
-EXCHANGE = 0.002
-"""Seconds that a return and the grant that follows it take."""
-EXCHANGE_SHARE = 0.05
-"""Part of a slot's time that may pass in exchanges."""
-MOST_RUNS = 64
-"""Calls that one permit covers at most."""
-
-
-class Ledger(Protocol):
-    """Service received, fleet-wide."""
-
-    def sum_service(self, service: str, workspace: str) -> float:
-        """Return the service a workspace has received, in units."""
-        ...
-
-
-class Issue(NamedTuple):
-    """
-    What a permit was granted on.
-
-    :ivar hint: cost of one request as the edge gave it, units.
-    :ivar choice: the class and why it was chosen.
-    """
-
-    hint: float
-    choice: ClassChoice
-
-
-class Grant(NamedTuple):
-    """
-    A permit to send to an edge.
-
-    :ivar number: the permit's number.
-    :ivar edge: who gets it.
-    :ivar server: the backend server.
-    :ivar workspace: for whom.
-    :ivar priority: class of the demand that it answers.
-    :ivar cost: estimated cost, charged until the true one is known.
-    :ivar sequence: the edge's last report.
-    :ivar elapsed: seconds since that report came.
-    :ivar runs: calls that it covers.
-    """
-
-    number: int
-    edge: RouterId
-    server: str
-    workspace: str
-    priority: str
-    cost: float
-    sequence: int
-    elapsed: float
-    runs: int
-
-
-class Charge(NamedTuple):
-    """
-    Service given, to be added to the counters.
-
-    :ivar workspace: who received it.
-    :ivar cost: in the service's unit.
-    """
-
-    workspace: str
-    cost: float
-
-
-class ServiceTerms(NamedTuple):
-    """
-    What the configuration says of a service.
-
-    :ivar largest_cost: the most that one request is charged ahead, units.
-    :ivar in_seconds: whether its unit is a second of a slot.
-    :ivar expected_cost: cost of a request before any is known, units.
-    :ivar batch_fraction: guaranteed part of a workspace's share for batch.
-    :ivar schedulers: routers that schedule servers of the service.
-    """
-
-    largest_cost: float = math.inf
-    in_seconds: bool = False
-    expected_cost: float = 1.0
-    batch_fraction: float = 0.2
-    schedulers: int = 1
 
 
 class ServiceScheduler:
@@ -316,7 +233,7 @@
         report = self._backlog.find(edge)
         assert report is not None
         estimate = costs[priority]
-        runs = self._count_runs(estimate)
+        runs = self._terms.count_runs(estimate)
         name = PermitName(self._own, next(self._numbers))
         holding = Holding(
             name,
@@ -354,13 +271,6 @@
             for priority, hint in self._backlog.list_costs(workspace).items()
         }
 
-    def _count_runs(self, estimate: float) -> int:
-        if not self._terms.in_seconds:
-            return 1
-        slice_length = EXCHANGE / EXCHANGE_SHARE
-        runs = math.ceil(slice_length / max(estimate, EXCHANGE / MOST_RUNS))
-        return min(runs, MOST_RUNS)
-
     def _measure_received(self, workspace: str) -> float:
         """
         Return the weighted service received, reservations included.
--- a/tests/decisions/test_scheduler.py
+++ b/tests/decisions/test_scheduler.py
@@ -4,13 +4,8 @@
 
 from typing import Any
 
-from sycamorehaven.decisions.scheduler import (
-    LAG_LIMIT,
-    LEASE,
-    Grant,
-    ServiceScheduler,
-    ServiceTerms,
-)
+from sycamorehaven.decisions.grants import LEASE, Grant, ServiceTerms
+from sycamorehaven.decisions.scheduler import LAG_LIMIT, ServiceScheduler
 from sycamorehaven.identity import RouterId
 from sycamorehaven.transport.messages import (
     DemandReport,
