--- a/benchmarks/sharing.py
+++ b/benchmarks/sharing.py
@@ -20,7 +20,8 @@
 from benchmarks.events import EventQueue
 from benchmarks.meter import Meter
 from benchmarks.workload import Flow, Request, Server
-from sycamorehaven.decisions.scheduler import Grant, ServiceScheduler, ServiceTerms
+from sycamorehaven.decisions.grants import Grant, ServiceTerms
+from sycamorehaven.decisions.scheduler import ServiceScheduler
 from sycamorehaven.decisions.sharing import (
     PeerFeed,
     Place,
