--- /dev/null
+++ b/benchmarks/peers.py
@@ -0,0 +1,210 @@
+"""
+What one member, peer or counter costs: ``python -m benchmarks.peers``.
+
+Bytes are those of encoded messages with names of production length; memory
+and processor time are differences between two sizes, divided by the
+difference of the sizes.
+"""
+
+from __future__ import annotations
+
+import gc
+import sys
+import time
+import tracemalloc
+from pathlib import Path
+from typing import TYPE_CHECKING, NamedTuple
+
+import msgspec
+import zmq
+
+from sycamorehaven.blackboard.counters import CounterKey, CountersSection
+from sycamorehaven.controllers.counters import POLICY
+from sycamorehaven.decisions.counter_rows import Total, shorten_rows
+from sycamorehaven.decisions.sharing import PeerFeed, Place, Reading
+from sycamorehaven.identity import RouterId
+from sycamorehaven.transport.codec import Codec
+from sycamorehaven.transport.dealers import DealerPool
+from sycamorehaven.transport.messages import (
+    CounterAck,
+    CounterUpdate,
+    MemberRecord,
+    Probe,
+)
+from tests.support.fleet import find_address
+from tests.support.members import Swarm, create_settings
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+OWN = RouterId("formflow-entry-03-a1", 1_764_800_000_000 << 20)
+ADDRESS = "10.20.30.40:7000"
+SMALL, LARGE = 60, 420
+PEERS, ROWS = 46, 1_400
+PAGE = 4_096
+
+
+class Slope(NamedTuple):
+    """
+    One line of the table.
+
+    :ivar name: what is measured.
+    :ivar value: the figure.
+    :ivar unit: its unit.
+    """
+
+    name: str
+    value: float
+    unit: str
+
+
+def name_record(number: int) -> MemberRecord:
+    """Return a record with names of production length."""
+    host = f"formflow-entry-{number:05d}"
+    return MemberRecord(host, OWN.incarnation, 3, ADDRESS, "north-zone-a", "alive")
+
+
+def measure_messages() -> list[Slope]:
+    """Return the bytes of messages and rows."""
+    codec = Codec(OWN, ADDRESS)
+    record = name_record(1)
+    probe = Probe(1_000, "", 4_500, "0" * 32, [record])
+    totals = [
+        Total(OWN, Place("flow-check", f"workspace-{n:06d}"), 1e6 + n, 3.25)
+        for n in range(100)
+    ]
+    one = len(codec.encode(CounterUpdate(9_999, shorten_rows(OWN, totals[:1]))))
+    many = len(codec.encode(CounterUpdate(9_999, shorten_rows(OWN, totals))))
+    ack = len(codec.encode(CounterAck(9_999)))
+    return [
+        Slope("member record", len(msgspec.msgpack.encode(record)), "B"),
+        Slope("probe or acknowledgement, no news", len(codec.encode(probe)), "B"),
+        Slope("counter row", (many - one) / 99, "B"),
+        Slope("counter update and its acknowledgement, no rows", one - 32 + ack, "B"),
+    ]
+
+
+def measure_memory(build: Callable[[], object]) -> float:
+    """Return the bytes that an object takes."""
+    gc.collect()
+    tracemalloc.start()
+    kept = build()
+    gc.collect()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return float(size)
+
+
+def fill_view(size: int) -> Swarm:
+    """Return one node that knows ``size`` members."""
+    swarm = Swarm(1)
+    view = swarm.nodes["m0"].controller.membership
+    for number in range(size):
+        view.take(name_record(number), swarm.clock.now)
+        view.news.drop(name_record(number).host)
+    swarm.step()
+    return swarm
+
+
+def time_ticks(size: int, count: int = 2_000) -> float:
+    """Return the processor seconds of one tick and its probe."""
+    swarm = fill_view(size)
+    node = swarm.nodes["m0"]
+    started = time.process_time()
+    for _ in range(count):
+        swarm.clock.advance(0.1)
+        node.controller.tick()
+    return (time.process_time() - started) / count
+
+
+def measure_members() -> list[Slope]:
+    """Return what a member costs."""
+    span = LARGE - SMALL
+    memory = measure_memory(lambda: fill_view(LARGE)) - measure_memory(
+        lambda: fill_view(SMALL)
+    )
+    return [
+        Slope("memory a member", memory / span, "B"),
+        Slope(f"tick at {SMALL} members", time_ticks(SMALL) * 1e6, "us"),
+        Slope(f"tick at {LARGE} members", time_ticks(LARGE) * 1e6, "us"),
+    ]
+
+
+def read_resident() -> int:
+    """Return the resident memory of this process, bytes."""
+    return int(Path("/proc/self/statm").read_text().split()[1]) * PAGE
+
+
+def measure_sockets(count: int = 200) -> list[Slope]:
+    """Return what a connected peer costs, its two ends in this process."""
+    pool = DealerPool(zmq.Context.instance(), create_settings("a1", "a", ()))
+    listener: zmq.Socket[bytes] = zmq.Context.instance().socket(zmq.ROUTER)
+    port = find_address().rpartition(":")[2]
+    addresses = [f"127.0.0.{number + 1}:{port}" for number in range(count)]
+    for address in addresses:
+        listener.bind(f"tcp://{address}")
+    before = read_resident()
+    for address in addresses:
+        pool.send(address, b"x")
+    for _ in addresses:
+        listener.recv_multipart()
+    after = read_resident()
+    pool.close()
+    listener.close(linger=0)
+    return [
+        Slope("resident memory a connection, both ends", (after - before) / count, "B")
+    ]
+
+
+def fill_counters(size: int) -> CountersSection:
+    """Return a section with totals of one scheduler."""
+    section = CountersSection(OWN)
+    peer = RouterId("formflow-entry-00007", OWN.incarnation)
+    for number in range(size):
+        key = CounterKey(peer, "flow-check", f"workspace-{number:06d}")
+        section.merge(key, 1e6 + number)
+    return section
+
+
+def measure_counters() -> list[Slope]:
+    """Return what a total costs a scheduler."""
+    memory = measure_memory(lambda: fill_counters(2 * ROWS)) - measure_memory(
+        lambda: fill_counters(ROWS)
+    )
+    started = time.process_time()
+    for _ in range(10):
+        fill_counters(ROWS)
+    merge = (time.process_time() - started) / 10 / ROWS
+    return [
+        Slope("memory a total", memory / ROWS, "B"),
+        Slope("merging a total", merge * 1e6, "us"),
+        Slope("looking at a row for a peer", time_rank() * 1e6, "us"),
+    ]
+
+
+def time_rank() -> float:
+    """Return the processor seconds of one row in one round for one peer."""
+    places = [Place("flow-check", f"workspace-{n:06d}") for n in range(ROWS)]
+    feed = PeerFeed(POLICY)
+    feed.record(1, {place: Reading(1e6, 5.0, 100.0) for place in places}, 100.0)
+    later = {place: Reading(1e6 + 1.0, 5.0, 100.25) for place in places}
+    started = time.process_time()
+    for _ in range(PEERS):
+        feed.rank(later, {"flow-check": 1_000.0})
+    return (time.process_time() - started) / PEERS / ROWS
+
+
+def main() -> int:
+    """Print the table."""
+    print("| what | figure |\n| --- | --: |")
+    for measure in (measure_messages, measure_members, measure_counters):
+        for slope in measure():
+            print(f"| {slope.name} | {slope.value:.1f} {slope.unit} |", flush=True)
+    for slope in measure_sockets():
+        print(f"| {slope.name} | {slope.value:.0f} {slope.unit} |")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/sycamorehaven/controllers/counters.py
+++ b/src/sycamorehaven/controllers/counters.py
@@ -16,6 +16,7 @@
     RateMeter,
     Reading,
     SharingPolicy,
+    allot_rows,
 )
 from sycamorehaven.identity import RouterId
 from sycamorehaven.transport.messages import (
@@ -28,21 +29,26 @@
     from collections.abc import Callable, Mapping
 
     from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.configuration.model import Version
     from sycamorehaven.transport.codec import Delivery
     from sycamorehaven.transport.links import PeerLink
 
-POLICY = SharingPolicy(period=0.25, threshold=0.05, refresh=30.0, budget=64)
+POLICY = SharingPolicy(period=0.25, threshold=0.05, refresh=30.0)
 """How totals are shared: the winner of ``benchmarks.sharing``."""
+BYTES_PER_SECOND = 6_000.0
+"""Control traffic that updates may take, whatever the count of peers."""
 RATE_MEMORY = 5.0
 """Seconds over which rates are averaged."""
 REQUEST_PERIOD = 1.0
-"""Seconds between two requests that are not answered."""
-MOST_REQUESTS = 5
-"""Requests for one service before it is taken as new."""
+"""Seconds between two requests."""
+REQUESTS = 4
+"""Schedulers of a service that a new one asks, one after the other."""
 CLEANING_PERIOD = 5.0
 """Seconds between two looks for totals to forget."""
 ANSWER_ROWS = 256
 """Rows in one message of an answer to a request."""
+MOST_ANSWERED = 2_048
+"""Rows in all messages of an answer; the largest totals go first."""
 
 
 class CounterController(Service):
@@ -70,6 +76,7 @@
         self._rates = RateMeter(RATE_MEMORY)
         self._feeds: dict[RouterId, PeerFeed] = {}
         self._absences = AbsenceLog()
+        self._assigned_for: tuple[Version, dict[str, str]] | None = None
         self._schedulers: dict[str, set[str]] = {}
         self._requests: dict[str, int] = {}
         self._sequence = 0
@@ -108,18 +115,22 @@
         if configuration is None:
             return
         domains = self._board.members.map_domains()
-        known = self._schedulers
-        self._schedulers = map_schedulers(configuration, domains)
+        if self._assigned_for != (configuration.version, domains):
+            self._assigned_for = configuration.version, domains
+            self._place(map_schedulers(configuration, domains))
+        self._feeds = {
+            router: self._feeds.get(router) or PeerFeed(self._policy)
+            for router in self._list_recipients()
+        }
+
+    def _place(self, schedulers: dict[str, set[str]]) -> None:
+        known, self._schedulers = self._schedulers, schedulers
         own = self._board.identity.host
         for service, hosts in self._schedulers.items():
             if own not in hosts:
                 self._requests.pop(service, None)
             elif own not in known.get(service, ()):
                 self._requests[service] = 0
-        self._feeds = {
-            router: self._feeds.get(router) or PeerFeed(self._policy)
-            for router in self._list_recipients()
-        }
 
     def _list_recipients(self) -> list[RouterId]:
         own = self._board.identity.host
@@ -134,15 +145,18 @@
             reading = self._rates.read(place, total, now)
             readings.setdefault(service, {})[place] = reading
         scales = self._map_scales()
+        ranked = {}
         for router, feed in self._feeds.items():
             feed.expire(now)
             wanted: dict[Place, Reading] = {}
             for service, rows in readings.items():
                 if router.host in self._schedulers.get(service, ()):
                     wanted.update(rows)
-            places = feed.choose(wanted, scales)
-            if places:
-                self._tell(router, feed, {place: wanted[place] for place in places})
+            ranked[router] = feed.rank(wanted, scales)
+        budget = BYTES_PER_SECOND * self._policy.period
+        for router, places in allot_rows(ranked, budget).items():
+            told = {place: readings[place.service][place] for place in places}
+            self._tell(router, told)
 
     def _map_scales(self) -> dict[str, float]:
         configuration = self._board.configuration.current
@@ -150,18 +164,16 @@
             return {}
         return {s.name: s.largest_cost for s in configuration.services.values()}
 
-    def _tell(
-        self, router: RouterId, feed: PeerFeed, told: dict[Place, Reading]
-    ) -> None:
+    def _tell(self, router: RouterId, told: dict[Place, Reading]) -> None:
         self._sequence += 1
-        feed.record(self._sequence, told, self._clock())
+        self._feeds[router].record(self._sequence, told, self._clock())
         own = self._board.identity
         totals = [Total(own, p, r.total, round(r.rate, 3)) for p, r in told.items()]
         update = CounterUpdate(self._sequence, shorten_rows(own, totals))
         self._link.send(router.host, update)
 
     def _request(self) -> None:
-        due = [name for name, tries in self._requests.items() if tries < MOST_REQUESTS]
+        due = [name for name, tries in self._requests.items() if tries < REQUESTS]
         own = self._board.identity.host
         wanted: dict[str, list[str]] = {}
         for service in due:
@@ -191,9 +203,6 @@
                 self._board.counters.merge(key, total.total)
         if update.sequence:
             self._link.send(delivery.sender.host, CounterAck(update.sequence))
-        else:
-            for row in update.rows:
-                self._requests.pop(row.service, None)
 
     def _take_ack(self, delivery: Delivery) -> None:
         feed = self._feeds.get(delivery.sender)
@@ -202,12 +211,16 @@
 
     def _take_request(self, delivery: Delivery) -> None:
         services = set(delivery.message.services)
+        counters = self._board.counters
+        live = {RouterId(m.host, m.incarnation) for m in self._board.members.list()}
         totals = [
             Total(key.scheduler, Place(key.service, key.workspace), total, 0.0)
-            for key, total in self._board.counters.totals.items()
-            if key.service in services
+            for key, total in counters.totals.items()
+            if key.service in services and key.scheduler not in live
         ]
-        for start in range(0, len(totals), ANSWER_ROWS):
+        totals.sort(key=lambda total: -total.total)
+        del totals[MOST_ANSWERED:]
+        for start in range(0, len(totals) or 1, ANSWER_ROWS):
             rows = shorten_rows(
                 self._board.identity, totals[start : start + ANSWER_ROWS]
             )
--- a/src/sycamorehaven/decisions/sharing.py
+++ b/src/sycamorehaven/decisions/sharing.py
@@ -17,6 +17,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
+    from sycamorehaven.identity import RouterId
+
 ACK_TIMEOUT = 0.5
 """Seconds after which an unacknowledged update counts as lost."""
 LOSS_MEMORY = 0.05
@@ -24,6 +26,10 @@
 MOST_UNACKNOWLEDGED = 64
 """Updates to one peer whose acknowledgement is waited for."""
 LARGEST_LOSS = 0.9
+ROW_BYTES = 40
+"""Bytes of one row, at most, as a workspace's name of 16 characters gives."""
+UPDATE_BYTES = 140
+"""Bytes of an update without rows and of its acknowledgement."""
 
 
 class SharingPolicy(NamedTuple):
@@ -79,6 +85,18 @@
         return self.total + self.rate * (now - self.at)
 
 
+class DueRow(NamedTuple):
+    """
+    A row that a peer should be told; the least is the most urgent.
+
+    :ivar order: the negative error, in thresholds.
+    :ivar place: which row.
+    """
+
+    order: float
+    place: Place
+
+
 class Pending(NamedTuple):
     """
     An update that has not been acknowledged.
@@ -117,22 +135,35 @@
     def choose(
         self, readings: Mapping[Place, Reading], scales: Mapping[str, float]
     ) -> list[Place]:
+        """Return the rows that are due within the budget of one update."""
+        return [due.place for due in self.rank(readings, scales)][: self._policy.budget]
+
+    def rank(
+        self, readings: Mapping[Place, Reading], scales: Mapping[str, float]
+    ) -> list[DueRow]:
         """
-        Return the rows that are due, the largest error first.
+        Return the rows that are due, the most urgent first.
 
         :param readings: totals now.
         :param scales: by service, the unit of the threshold: the largest
             cost of a request; 1 if not named.
         """
-        ranked = []
-        limit = self._policy.threshold * self._factor()
+        policy, told = self._policy, self._told
+        limit = policy.threshold * self._factor()
+        due = []
         for place, reading in readings.items():
-            scale = scales.get(place.service, 1.0)
-            error = self._measure_error(place, reading) / scale
+            known = told.get(place)
+            if known is None or reading.at - known.at >= policy.refresh:
+                due.append(DueRow(-math.inf, place))
+                continue
+            expected = known.total
+            if policy.extrapolate:
+                expected = known.extrapolate(reading.at)
+            error = abs(reading.total - expected) / scales.get(place.service, 1.0)
             if error > limit:
-                ranked.append((error, place))
-        ranked.sort(key=lambda item: (-item[0], item[1]))
-        return [place for _, place in ranked[: self._policy.budget]]
+                due.append(DueRow(-error / (limit or 1.0), place))
+        due.sort()
+        return due
 
     def record(
         self, sequence: int, readings: Mapping[Place, Reading], now: float
@@ -181,21 +212,30 @@
             else:
                 self._told[place] = known
 
-    def _measure_error(self, place: Place, reading: Reading) -> float:
-        told = self._told.get(place)
-        if told is None:
-            return math.inf
-        if reading.at - told.at >= self._policy.refresh:
-            return math.inf
-        expected = told.total
-        if self._policy.extrapolate:
-            expected = told.extrapolate(reading.at)
-        return abs(reading.total - expected)
-
     def _factor(self) -> float:
         return compensate_loss(self._loss) if self._policy.compensate else 1.0
 
 
+def allot_rows(
+    ranked: Mapping[RouterId, list[DueRow]], budget: float
+) -> dict[RouterId, list[Place]]:
+    """
+    Return the rows to send to each peer, the largest errors of all first.
+
+    :param ranked: what is due at each peer, the most urgent first.
+    :param budget: bytes that updates and acknowledgements may take.
+    """
+    every = [(due, peer) for peer, rows in ranked.items() for due in rows]
+    every.sort()
+    allotted: dict[RouterId, list[Place]] = {}
+    for due, peer in every:
+        budget -= ROW_BYTES + (0 if peer in allotted else UPDATE_BYTES)
+        if budget < 0.0:
+            break
+        allotted.setdefault(peer, []).append(due.place)
+    return allotted
+
+
 def compensate_loss(loss: float) -> float:
     """
     Return the factor of the threshold at a loss rate (equation 13).
--- a/src/sycamorehaven/transport/dealers.py
+++ b/src/sycamorehaven/transport/dealers.py
@@ -26,7 +26,7 @@
 LONGEST_RECONNECT_MILLISECONDS = 1_000
 STRANGER_IDLE = 10.0
 """Seconds without use after which the socket to no member is closed."""
-MEMBER_IDLE = 60.0
+MEMBER_IDLE = 20.0
 """Seconds without use after which the socket to a member is closed."""
 STOP_LINGER = 200
 """Milliseconds that queued messages get when the router stops."""
--- a/src/sycamorehaven/transport/messages.py
+++ b/src/sycamorehaven/transport/messages.py
@@ -555,7 +555,9 @@
 
 class CounterRequest(NamedTuple):
     """
-    A request for every total that the receiver knows of some services.
+    A request for the totals of schedulers that are gone.
+
+    The live ones tell their own. It is answered with ``CounterUpdate``.
 
     :ivar services: the services.
     """
--- a/tests/controllers/test_counters.py
+++ b/tests/controllers/test_counters.py
@@ -2,10 +2,10 @@
 
 import random
 
-from sycamorehaven.controllers.counters import CLEANING_PERIOD, POLICY
+from sycamorehaven.controllers.counters import BYTES_PER_SECOND, CLEANING_PERIOD, POLICY
 from sycamorehaven.decisions.recipients import LOST_LIFETIME, SUPERSEDED_GRACE
 from sycamorehaven.identity import RouterId
-from sycamorehaven.transport.codec import Delivery
+from sycamorehaven.transport.codec import Codec, Delivery
 from sycamorehaven.transport.messages import CounterRow, CounterUpdate
 from tests.support.sharing import LARGEST, SERVICE, Sharers
 
@@ -64,6 +64,31 @@
     assert not any(link.sent for link in sharers.links.values())
 
 
+def test_traffic_stays_within_the_budget_whatever_the_count_of_peers() -> None:
+    hosts = [f"a{number}" for number in range(12)]
+    workspaces = [f"workspace-{number:06d}" for number in range(40)]
+    sharers = Sharers(hosts, workspaces, per_domain=60)
+    codecs = {host: Codec(RouterId(host, 2**60), "10.0.0.100:7000") for host in hosts}
+    sent = dict.fromkeys(hosts, 0)
+    seconds = 10
+    for _ in range(seconds * 4):
+        for host in hosts:
+            for name in workspaces:
+                sharers.charge(host, name, LARGEST)
+        sharers.run(0.25)
+        for host, link in sharers.links.items():
+            sent[host] += sum(len(codecs[host].encode(m)) for _, m in link.sent)
+            link.sent.clear()
+    assert max(sent.values()) / seconds <= BYTES_PER_SECOND
+    sharers.run(20.0)
+    total = len(hosts) * seconds * 4 * LARGEST
+    recipients = {router.host for router in sharers.controllers["a0"].feeds}
+    assert len(recipients) > len(hosts) / 2
+    for host in recipients:
+        missing = total - sharers.sum_service(host, workspaces[0])
+        assert missing <= len(hosts) * POLICY.threshold * LARGEST
+
+
 def test_restarts_leave_sums_and_memory_alone() -> None:
     sharers = Sharers(HOSTS, WORKSPACES)
     spend(sharers, 20)
