--- a/src/sycamorehaven/blackboard/board.py
+++ b/src/sycamorehaven/blackboard/board.py
@@ -15,6 +15,7 @@
 from sycamorehaven.blackboard.seeds import SeedsSection
 from sycamorehaven.blackboard.servers import ServersSection
 from sycamorehaven.blackboard.suspects import SuspectsSection
+from sycamorehaven.blackboard.tokens import TokensSection
 from sycamorehaven.blackboard.traffic import TrafficSection
 from sycamorehaven.identity import RouterId, create_incarnation
 
@@ -47,6 +48,7 @@
         self._permits = PermitsSection()
         self._servers = ServersSection()
         self._counters = CountersSection(identity)
+        self._tokens = TokensSection()
         self._suspects = SuspectsSection()
 
     @classmethod
@@ -115,6 +117,11 @@
         """Service given, fleet-wide."""
         return self._counters
 
+    @property
+    def tokens(self) -> TokensSection:
+        """Idempotency tokens of this router."""
+        return self._tokens
+
     @property
     def suspects(self) -> SuspectsSection:
         """Requests suspected of crashing backend servers."""
--- a/src/sycamorehaven/router.py
+++ b/src/sycamorehaven/router.py
@@ -8,14 +8,20 @@
 from mode import Service
 
 from sycamorehaven.blackboard.board import Blackboard
+from sycamorehaven.controllers.adoption import Adoption
 from sycamorehaven.controllers.calls import CallController
 from sycamorehaven.controllers.configuration import ConfigurationController
 from sycamorehaven.controllers.counters import CounterController
+from sycamorehaven.controllers.handover import HandoverController
 from sycamorehaven.controllers.membership import MembershipController
 from sycamorehaven.controllers.permits import PermitController
+from sycamorehaven.controllers.relay_sessions import RelaySessions
+from sycamorehaven.controllers.relays import RelayController
 from sycamorehaven.controllers.scheduling import SchedulingController
 from sycamorehaven.controllers.servers import HttpLoadSource, ServerController
 from sycamorehaven.controllers.suspects import SuspectController
+from sycamorehaven.controllers.token_guard import TokenGuard
+from sycamorehaven.controllers.tokens import TokenController
 from sycamorehaven.telemetry.monitor import Monitor
 from sycamorehaven.telemetry.traces import SpanBuffer
 from sycamorehaven.transport.admin import AdminListener
@@ -30,6 +36,7 @@
 from sycamorehaven.transport.links import OpenFilter
 from sycamorehaven.transport.peers import ZmqPeers
 from sycamorehaven.transport.platform import HttpPlatform
+from sycamorehaven.transport.tokens import TokenRoutes
 
 if TYPE_CHECKING:
     from mode.types import ServiceT
@@ -86,8 +93,13 @@
         peers = ZmqPeers(board, settings, self._filter)
         permits = PermitController(board, peers)
         suspects = SuspectController(board, peers)
-        calls = CallController(board, permits, backends, suspects)
+        guarded = TokenGuard(board, backends)
+        calls = CallController(board, permits, guarded, suspects)
         monitor = Monitor(board)
+        adoption = Adoption(board)
+        relays = RelayController(board, peers, adoption)
+        tokens = TokenController(board, calls, relays)
+        self._handover = HandoverController(board, peers)
         return [
             monitor,
             AdminListener(board, settings, monitor, self._spans),
@@ -99,9 +111,17 @@
             CounterController(board, peers),
             permits,
             suspects,
-            CallerListener(board, settings, calls),
+            relays,
+            tokens,
+            RelaySessions(board, peers, tokens, adoption),
+            self._handover,
+            CallerListener(board, settings, tokens, [TokenRoutes(board, tokens)]),
         ]
 
+    async def hand_over(self) -> bool:
+        """Hand used tokens over; return whether all were taken."""
+        return await self._handover.hand_over()
+
     async def on_shutdown(self) -> None:
         """Close the connections that services share."""
         await self._backends.close()
