Extrapolate shared totals by rate between updates

A row went out whenever a total had moved by the threshold, so steady service cost two updates a second and row. Now a row carries its rate, the ledger adds rate x time for at most 3 s after an update, and the sender compares its total with just that extrapolation, as in dead reckoning. A rate is 0 after 15 s without growth; a row is refreshed each 5 s unless it is as it was told and acknowledged.

--- a/src/sycamorehaven/blackboard/counters.py
+++ b/src/sycamorehaven/blackboard/counters.py
@@ -24,6 +24,18 @@
     workspace: str
 
 
+class Extrapolation(NamedTuple):
+    """
+    What a scheduler is taken to have given since its last update.
+
+    :ivar rate: units per second.
+    :ivar since: time of the update, monotonic seconds.
+    """
+
+    rate: float
+    since: float
+
+
 class CountersSection:
     """
     Grow-only totals of service given, in the service's unit.
@@ -38,6 +50,8 @@
         self._totals: dict[RouterId, dict[tuple[str, str], float]] = {own: {}}
         self._sums: dict[tuple[str, str], float] = {}
         self._folded: dict[str, int] = {}
+        self._extrapolations: dict[CounterKey, Extrapolation] = {}
+        self._extras: dict[tuple[str, str], float] = {}
 
     @property
     def totals(self) -> dict[CounterKey, float]:
@@ -63,6 +77,11 @@
         """Oldest incarnation whose totals still count, by host."""
         return self._folded
 
+    def find(self, key: CounterKey) -> float:
+        """Return a total, 0 if nothing is known."""
+        totals = self._totals.get(key.scheduler, {})
+        return totals.get((key.service, key.workspace), 0.0)
+
     def charge(self, service: str, workspace: str, cost: float) -> None:
         """Add service that this router's schedulers gave."""
         total = self.own_totals.get((service, workspace), 0.0)
@@ -85,6 +104,26 @@
             return
         self._raise_total(key.scheduler, place, total)
 
+    def extrapolate(self, key: CounterKey, rate: float, now: float) -> None:
+        """Take a total to go on growing at a rate; it was true just now."""
+        if rate > 0.0:
+            self._extrapolations[key] = Extrapolation(rate, now)
+        else:
+            self._extrapolations.pop(key, None)
+
+    def advance(self, now: float, horizon: float) -> None:
+        """
+        Bring extrapolated totals up to the time.
+
+        :param horizon: seconds after an update for which it is extrapolated.
+        """
+        extras: dict[tuple[str, str], float] = {}
+        for key, (rate, since) in self._extrapolations.items():
+            place = key.service, key.workspace
+            extra = rate * min(now - since, horizon)
+            extras[place] = extras.get(place, 0.0) + extra
+        self._extras = extras
+
     def fold(self, scheduler: RouterId, *, may_return: bool) -> None:
         """
         Forget the totals of a scheduler that is gone; keep the sums.
@@ -99,6 +138,8 @@
             self._folded[scheduler.host] = max(
                 self._folded.get(scheduler.host, 0), oldest
             )
+        for key in [k for k in self._extrapolations if k.scheduler == scheduler]:
+            del self._extrapolations[key]
 
     def forget_folded(self, host: str) -> None:
         """Forget that incarnations of a host were folded."""
@@ -118,7 +159,8 @@
 
     def sum_service(self, service: str, workspace: str) -> float:
         """Return the service a workspace has received fleet-wide."""
-        return self._sums.get((service, workspace), 0.0)
+        place = service, workspace
+        return self._sums.get(place, 0.0) + self._extras.get(place, 0.0)
 
     def _raise_total(
         self, scheduler: RouterId, place: tuple[str, str], total: float
--- a/src/sycamorehaven/controllers/counters.py
+++ b/src/sycamorehaven/controllers/counters.py
@@ -11,6 +11,7 @@
 from sycamorehaven.decisions.counter_rows import Total, expand_rows, shorten_rows
 from sycamorehaven.decisions.recipients import AbsenceLog, map_schedulers
 from sycamorehaven.decisions.sharing import (
+    HORIZON,
     PeerFeed,
     Place,
     RateMeter,
@@ -33,7 +34,7 @@
     from sycamorehaven.transport.codec import Delivery
     from sycamorehaven.transport.links import PeerLink
 
-POLICY = SharingPolicy(period=0.25, threshold=0.05, refresh=30.0)
+POLICY = SharingPolicy(period=0.25, threshold=0.05, extrapolate=True, refresh=5.0)
 """How totals are shared: the winner of ``benchmarks.sharing``."""
 BYTES_PER_SECOND = 6_000.0
 """Control traffic that updates may take, whatever the count of peers."""
@@ -102,6 +103,7 @@
     def run_round(self) -> None:
         """Tell recipients what is due, and ask for what is missing."""
         now = self._clock()
+        self._board.counters.advance(now, HORIZON)
         self._share(now)
         if now - self._requested_at >= REQUEST_PERIOD:
             self._requested_at = now
@@ -200,10 +202,17 @@
         for total in expand_rows(delivery.sender, update.rows):
             if total.scheduler != self._board.identity:
                 key = CounterKey(total.scheduler, *total.place)
-                self._board.counters.merge(key, total.total)
+                self._merge(key, total)
         if update.sequence:
             self._link.send(delivery.sender.host, CounterAck(update.sequence))
 
+    def _merge(self, key: CounterKey, total: Total) -> None:
+        counters = self._board.counters
+        newer = total.total >= counters.find(key)
+        counters.merge(key, total.total)
+        if newer and self._policy.extrapolate:
+            counters.extrapolate(key, total.rate, self._clock())
+
     def _take_ack(self, delivery: Delivery) -> None:
         feed = self._feeds.get(delivery.sender)
         if feed is not None:
--- a/src/sycamorehaven/decisions/sharing.py
+++ b/src/sycamorehaven/decisions/sharing.py
@@ -21,6 +21,8 @@
 
 ACK_TIMEOUT = 0.5
 """Seconds after which an unacknowledged update counts as lost."""
+HORIZON = 3.0
+"""Seconds after an update for which its totals are extrapolated."""
 LOSS_MEMORY = 0.05
 """Weight of one update in the moving average of losses."""
 MOST_UNACKNOWLEDGED = 64
@@ -82,7 +84,7 @@
 
     def extrapolate(self, now: float) -> float:
         """Return the total that is expected at a later time."""
-        return self.total + self.rate * (now - self.at)
+        return self.total + self.rate * min(now - self.at, HORIZON)
 
 
 class DueRow(NamedTuple):
@@ -153,7 +155,7 @@
         due = []
         for place, reading in readings.items():
             known = told.get(place)
-            if known is None or reading.at - known.at >= policy.refresh:
+            if known is None or self._is_stale(known, reading):
                 due.append(DueRow(-math.inf, place))
                 continue
             expected = known.total
@@ -212,6 +214,12 @@
             else:
                 self._told[place] = known
 
+    def _is_stale(self, known: Reading, reading: Reading) -> bool:
+        if reading.at - known.at < self._policy.refresh:
+            return False
+        same = known.total == reading.total and known.rate == reading.rate
+        return not (same and self._policy.acknowledge)
+
     def _factor(self) -> float:
         return compensate_loss(self._loss) if self._policy.compensate else 1.0
 
@@ -250,28 +258,32 @@
     """
     Moving rates of totals.
 
-    :param memory: seconds over which a rate is averaged.
+    :param memory: seconds over which a rate is averaged; it is 0 after three
+        times as long without growth.
     """
 
     def __init__(self, memory: float) -> None:
         self._memory = memory
         self._readings: dict[Place, Reading] = {}
+        self._grown_at: dict[Place, float] = {}
 
     def read(self, place: Place, total: float, now: float) -> Reading:
         """Return the total with its rate."""
         known = self._readings.get(place)
+        if known is None or total > known.total:
+            self._grown_at[place] = now
         if known is None:
             reading = Reading(total, 0.0, now)
         elif now <= known.at:
             return known
         else:
-            weight = 1.0 - math.exp(-(now - known.at) / self._memory)
-            current = (total - known.total) / (now - known.at)
-            rate = known.rate + weight * (current - known.rate)
-            reading = Reading(total, rate, now)
+            reading = Reading(total, self._average(place, known, total, now), now)
         self._readings[place] = reading
         return reading
 
-    def forget(self, place: Place) -> None:
-        """Forget a place that no longer exists."""
-        self._readings.pop(place, None)
+    def _average(self, place: Place, known: Reading, total: float, now: float) -> float:
+        if now - self._grown_at[place] > 3.0 * self._memory:
+            return 0.0
+        weight = 1.0 - math.exp(-(now - known.at) / self._memory)
+        current = (total - known.total) / (now - known.at)
+        return known.rate + weight * (current - known.rate)
