--- a/src/sycamorehaven/decisions/scheduler.py
+++ b/src/sycamorehaven/decisions/scheduler.py
@@ -7,14 +7,15 @@
 
 from __future__ import annotations
 
-import math
-from typing import TYPE_CHECKING, NamedTuple, Protocol
+import itertools
+from typing import TYPE_CHECKING
 
 from sycamorehaven.call import INTERACTIVE
 from sycamorehaven.decisions.backlog import Backlog
-from sycamorehaven.decisions.classes import ClassChoice, ClassShares
+from sycamorehaven.decisions.classes import ClassShares
 from sycamorehaven.decisions.estimates import CostBounds, ServiceEstimates
 from sycamorehaven.decisions.fair_share import FairShare
+from sycamorehaven.decisions.grants import Charge, Grant, Issue, ServiceTerms
 from sycamorehaven.decisions.holdings import Holding, Holdings, PermitName
 from sycamorehaven.decisions.occupancy import Occupancy
 from sycamorehaven.decisions.preemption import Reclaimer
@@ -22,104 +23,23 @@
 from sycamorehaven.identity import RouterId
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Callable, Iterable, Iterator, Mapping
 
+    from sycamorehaven.decisions.grants import Ledger
     from sycamorehaven.transport.messages import (
         DemandReport,
         HeldPermit,
         PermitReturn,
     )
 
-LEASE = 2.0
-"""Seconds after a grant in which a request must be sent under it."""
 UNSEEN_GRACE = 1.0
 """Seconds after a grant before a report without the permit frees its slot."""
 PAUSE = 1.0
 """Seconds without a round that tell that this process was paused."""
 LAG_LIMIT = 4.0
 """Largest requests by which a workspace may lag the one furthest ahead."""
-EXCHANGE = 0.002
-"""Seconds that a return and the grant that follows it take."""
-EXCHANGE_SHARE = 0.05
-"""Part of a slot's time that may pass in exchanges."""
-MOST_RUNS = 64
-"""Calls that one permit covers at most."""
-
-
-class Ledger(Protocol):
-    """Service received, fleet-wide."""
-
-    def sum_service(self, service: str, workspace: str) -> float:
-        """Return the service a workspace has received, in units."""
-        ...
-
-
-class Issue(NamedTuple):
-    """
-    What a permit was granted on.
-
-    :ivar hint: cost of one request as the edge gave it, units.
-    :ivar choice: the class and why it was chosen.
-    """
-
-    hint: float
-    choice: ClassChoice
-
-
-class Grant(NamedTuple):
-    """
-    A permit to send to an edge.
-
-    :ivar number: the permit's number.
-    :ivar edge: who gets it.
-    :ivar server: the backend server.
-    :ivar workspace: for whom.
-    :ivar priority: class of the demand that it answers.
-    :ivar cost: estimated cost, charged until the true one is known.
-    :ivar sequence: the edge's last report.
-    :ivar elapsed: seconds since that report came.
-    :ivar runs: calls that it covers.
-    """
-
-    number: int
-    edge: RouterId
-    server: str
-    workspace: str
-    priority: str
-    cost: float
-    sequence: int
-    elapsed: float
-    runs: int
-
-
-class Charge(NamedTuple):
-    """
-    Service given, to be added to the counters.
-
-    :ivar workspace: who received it.
-    :ivar cost: in the service's unit.
-    """
-
-    workspace: str
-    cost: float
-
-
-class ServiceTerms(NamedTuple):
-    """
-    What the configuration says of a service.
-
-    :ivar largest_cost: the most that one request is charged ahead, units.
-    :ivar in_seconds: whether its unit is a second of a slot.
-    :ivar expected_cost: cost of a request before any is known, units.
-    :ivar batch_fraction: guaranteed part of a workspace's share for batch.
-    :ivar schedulers: routers that schedule servers of the service.
-    """
-
-    largest_cost: float = math.inf
-    in_seconds: bool = False
-    expected_cost: float = 1.0
-    batch_fraction: float = 0.2
-    schedulers: int = 1
+PEER_LIKENESS = 0.4
+"""Part of own reservations that each other scheduler is taken to have."""
 
 
 class ServiceScheduler:
@@ -129,13 +49,21 @@
     :param own: this router.
     :param service: the service.
     :param ledger: service received, fleet-wide.
+    :param numbers: numbers for permits, unique in this process.
     """
 
-    def __init__(self, own: RouterId, service: str, ledger: Ledger) -> None:
+    def __init__(
+        self,
+        own: RouterId,
+        service: str,
+        ledger: Ledger,
+        numbers: Iterator[int] | None = None,
+    ) -> None:
         self._own = own
         self._service = service
         self._ledger = ledger
         self._terms = ServiceTerms()
+        self._peer_factor = 1.0
         self._classes = ClassShares(self._terms.batch_fraction)
         self._estimates = ServiceEstimates(service)
         self._limits = ServerLimits()
@@ -146,7 +74,7 @@
         self._occupancy = Occupancy()
         self._reclaimer = Reclaimer(self._share, self._backlog, self._holdings)
         self._issues: dict[PermitName, Issue] = {}
-        self._last_number = 0
+        self._numbers = numbers or itertools.count(1)
         self._last_round: float | None = None
 
     @property
@@ -187,6 +115,7 @@
     def set_terms(self, terms: ServiceTerms) -> None:
         """Replace what the configuration says of the service."""
         self._terms = terms
+        self._peer_factor = max(PEER_LIKENESS * terms.schedulers, 1.0)
         self._classes.configure(terms.batch_fraction, terms.schedulers)
         self._estimates.configure(CostBounds(terms.expected_cost, terms.largest_cost))
 
@@ -232,11 +161,15 @@
         self._share.touch(message.workspace)
         return Charge(message.workspace, cost) if cost > 0.0 else None
 
+    def note_taken(self, number: int) -> None:
+        """Note that an edge has acknowledged a grant."""
+        self._holdings.note_taken(PermitName(self._own, number))
+
     def drop_edge(self, edge: RouterId, now: float) -> None:
         """Forget an edge that is gone, its demand and its permits."""
         self._update_waiting(self._backlog.remove(edge), now)
         for holding in self._holdings.list_of(edge):
-            self._abandon(holding, now)
+            self._abandon(holding, now, lost=holding.confirmed)
 
     def retain_edges(self, is_live: Callable[[str], bool], now: float) -> None:
         """Forget the edges whose host is not live."""
@@ -300,9 +233,8 @@
         report = self._backlog.find(edge)
         assert report is not None
         estimate = costs[priority]
-        runs = self._count_runs(estimate)
-        self._last_number += 1
-        name = PermitName(self._own, self._last_number)
+        runs = self._terms.count_runs(estimate)
+        name = PermitName(self._own, next(self._numbers))
         holding = Holding(
             name,
             edge,
@@ -339,16 +271,16 @@
             for priority, hint in self._backlog.list_costs(workspace).items()
         }
 
-    def _count_runs(self, estimate: float) -> int:
-        if not self._terms.in_seconds:
-            return 1
-        slice_length = EXCHANGE / EXCHANGE_SHARE
-        runs = math.ceil(slice_length / max(estimate, EXCHANGE / MOST_RUNS))
-        return min(runs, MOST_RUNS)
-
     def _measure_received(self, workspace: str) -> float:
+        """
+        Return the weighted service received, reservations included.
+
+        Other schedulers' reservations are known here only once charged. They
+        are taken to be like those made here; else all would favour the same
+        workspace until they heard of each other's grants.
+        """
         total = self._ledger.sum_service(self._service, workspace)
-        total += self._holdings.measure_reserved(workspace)
+        total += self._peer_factor * self._holdings.measure_reserved(workspace)
         return total / self._weights.get(workspace, 1.0)
 
     def _update_waiting(self, workspaces: Iterable[str], now: float) -> None:
@@ -377,7 +309,7 @@
         for holding in self._holdings.list_of(edge):
             old = now - holding.granted_at > UNSEEN_GRACE
             if old and holding.name not in names:
-                self._abandon(holding, now)
+                self._abandon(holding, now, lost=False)
         return charges
 
     def _adopt(self, edge: RouterId, held: HeldPermit, now: float) -> Holding | None:
@@ -386,11 +318,11 @@
             self._occupancy.occupy(holding.server, now, adopted=True)
         return holding
 
-    def _abandon(self, holding: Holding, now: float) -> None:
+    def _abandon(self, holding: Holding, now: float, *, lost: bool) -> None:
         self._holdings.abandon(holding)
         self._issues.pop(holding.name, None)
         self._reclaimer.forget(holding.name)
-        self._occupancy.vacate(holding.server, now)
+        self._occupancy.vacate(holding.server, now, lost=lost)
         self._share.touch(holding.workspace)
 
     def _learn(self, holding: Holding, message: PermitReturn, now: float) -> None:
--- a/src/sycamorehaven/transport/messages.py
+++ b/src/sycamorehaven/transport/messages.py
@@ -319,20 +319,32 @@
     sequence: int
 
 
-class ServerNotice(NamedTuple):
+class ServerNews(NamedTuple):
     """
-    News of a backend server, passed on once by every router.
+    What one source says of a backend server.
 
     :ivar server: the backend server.
+    :ivar source: ``"list"`` (the host list) or ``"server"`` (itself).
     :ivar state: ``"leaving"`` or ``"serving"``.
     :ivar version: larger is newer: milliseconds since the epoch at the finder.
-    :ivar hops: how often it may still be passed on.
     """
 
     server: str
+    source: str
     state: str
     version: int
+
+
+class ServerNotice(NamedTuple):
+    """
+    News of backend servers; each router passes what is new to it on once.
+
+    :ivar hops: how often it may still be passed on.
+    :ivar rows: the news.
+    """
+
     hops: int
+    rows: list[ServerNews]
 
 
 class RelayCall(NamedTuple):
@@ -528,7 +540,7 @@
 
 class PermitAck(NamedTuple):
     """
-    The receiver of returns has taken them.
+    Grants or returns have come; they are repeated until then.
 
     :ivar scheduler: host of the router that granted the permits.
     :ivar incarnation: that router's incarnation.
@@ -570,18 +582,6 @@
     records: list[MemberRecord]
 
 
-class CounterRequest(NamedTuple):
-    """
-    A request for the totals of schedulers that are gone.
-
-    The live ones tell their own. It is answered with ``CounterUpdate``.
-
-    :ivar services: the services.
-    """
-
-    services: list[str]
-
-
 class RelayRefusal(NamedTuple):
     """
     The refusal of a ``RelayCall``.
@@ -673,6 +673,48 @@
     status: int
 
 
+class NoticeRequest(NamedTuple):
+    """A request for all news of backend servers that still matter."""
+
+
+class LoadRequest(NamedTuple):
+    """
+    A request to read a backend server's load on the sender's behalf.
+
+    :ivar server: the backend server.
+    """
+
+    server: str
+
+
+class LoadReply(NamedTuple):
+    """
+    The load that was read for ``LoadRequest``; none is sent if there is none.
+
+    :ivar server: the backend server.
+    :ivar running: requests that run.
+    :ivar capacity: requests that it can run at once.
+    :ivar leaving: whether it takes no new work.
+    """
+
+    server: str
+    running: int
+    capacity: int
+    leaving: bool
+
+
+class CounterRequest(NamedTuple):
+    """
+    A request for the totals of schedulers that are gone.
+
+    The live ones tell their own. It is answered with ``CounterUpdate``.
+
+    :ivar services: the services.
+    """
+
+    services: list[str]
+
+
 MESSAGE_KINDS: tuple[type, ...] = (
     Probe,
     ProbeAck,
@@ -699,13 +741,16 @@
     PermitAck,
     ViewDigest,
     ViewRecords,
-    CounterRequest,
     RelayRefusal,
     RelayContinue,
     RelayStatus,
     TokenHandoverAck,
     TokenStateRequest,
     TokenStateReply,
+    NoticeRequest,
+    LoadRequest,
+    LoadReply,
+    CounterRequest,
 )
 
 BULK_KINDS = frozenset({ConfigurationReply, RelayCall, RelayReply, TokenHandover})
--- a/src/sycamorehaven/transport/peers.py
+++ b/src/sycamorehaven/transport/peers.py
@@ -123,7 +123,8 @@
     async def on_stop(self) -> None:
         """Close every socket; what is queued to peers gets a moment."""
         self._dealers.close()
-        self._router.close(linger=0)
+        if self.started:
+            self._router.close(linger=0)
         if self._authenticator is not None:
             self._authenticator.stop()
 
