Refuse at once what the queues cannot serve

Cause: a full queue said Retry-After 1 whatever its drain, a deadline out of reach was noticed when it passed, bodies were queued without a bound on their bytes, and a retried request lost its age and so its place among routers. A retried or resumed call keeps the time at which it came in and goes before younger ones. An overloaded server counts as failed, which halves its slots. QueuesSection.count looks at two queues instead of all. Ruled out: eviction of what the flooding workspace has queued already; the bound on its part of the free memory refuses it first without it.

--- a/src/sycamorehaven/blackboard/board.py
+++ b/src/sycamorehaven/blackboard/board.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from sycamorehaven.blackboard.admission import AdmissionSection
 from sycamorehaven.blackboard.configuration import ConfigurationSection
 from sycamorehaven.blackboard.counters import CountersSection
 from sycamorehaven.blackboard.lifecycle import LifecycleSection
@@ -44,6 +45,7 @@
         self._traffic = TrafficSection()
         self._outcomes = OutcomesSection()
         self._queues = QueuesSection()
+        self._admission = AdmissionSection()
         self._permits = PermitsSection()
         self._servers = ServersSection()
         self._counters = CountersSection(identity)
@@ -100,6 +102,11 @@
         """Requests that wait at this edge."""
         return self._queues
 
+    @property
+    def admission(self) -> AdmissionSection:
+        """How the queues of this edge drain."""
+        return self._admission
+
     @property
     def permits(self) -> PermitsSection:
         """Permits that this edge holds."""
--- a/src/sycamorehaven/blackboard/queues.py
+++ b/src/sycamorehaven/blackboard/queues.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections import deque
 from typing import TYPE_CHECKING, NamedTuple
 
 from sycamorehaven.blackboard.signal import Signal
+from sycamorehaven.call import BATCH, INTERACTIVE
 
 if TYPE_CHECKING:
     from sycamorehaven.blackboard.permits import Permit
@@ -76,12 +78,15 @@
         """Raised when a request joins or leaves a queue."""
         return self._changed
 
+    def measure(self, key: QueueKey) -> int:
+        """Return the length of a queue."""
+        return len(self._queues.get(key, ()))
+
     def count(self, service: str, workspace: str) -> int:
         """Return how many requests of a workspace wait for a service."""
         return sum(
-            len(queue)
-            for key, queue in self._queues.items()
-            if key.service == service and key.workspace == workspace
+            self.measure(QueueKey(service, workspace, priority))
+            for priority in (INTERACTIVE, BATCH)
         )
 
     def list(self) -> list[tuple[QueueKey, deque[Waiting]]]:
@@ -89,10 +94,11 @@
         return list(self._queues.items())
 
     def push(self, waiting: Waiting, *, first: bool = False) -> None:
-        """Add a request; ``first`` puts a retried one ahead."""
+        """Add a request; ``first`` puts a retried one before younger ones."""
         queue = self._queues.setdefault(waiting.key, deque())
         if first:
-            queue.appendleft(waiting)
+            older = itertools.takewhile(lambda w: w.since <= waiting.since, queue)
+            queue.insert(sum(1 for _ in older), waiting)
         else:
             queue.append(waiting)
         self._changed.notify()
--- a/src/sycamorehaven/controllers/admission.py
+++ b/src/sycamorehaven/controllers/admission.py
@@ -8,12 +8,12 @@
 from opentelemetry import trace
 
 from sycamorehaven.blackboard.queues import QueueKey, Waiting
+from sycamorehaven.controllers.queue_limits import QueueLimits
 from sycamorehaven.exceptions.refusals import (
     DeadlineUnreachable,
     DependencyUnavailable,
     NoBackendServer,
     NotReady,
-    QueueFull,
 )
 
 if TYPE_CHECKING:
@@ -56,6 +56,12 @@
         self._board = board
         self._permits = permits
         self._clock = clock
+        self._limits = QueueLimits(board, clock)
+
+    @property
+    def limits(self) -> QueueLimits:
+        """What the queues can serve."""
+        return self._limits
 
     def admit(self, call: Call) -> None:
         """
@@ -76,23 +82,23 @@
                 f"{call.service.name!r} has no serving backend server",
                 retry_after=RETRY_AFTER,
             )
-        count = self._board.queues.count(call.service.name, call.workspace.name)
-        if count >= call.workspace.queue_limit:
-            raise QueueFull(f"{count} requests wait", retry_after=RETRY_AFTER)
+        self._limits.check(call)
 
-    async def wait_for_permit(self, call: Call, *, first: bool) -> Permit:
+    async def wait_for_permit(self, call: Call, *, first: bool, since: float) -> Permit:
         """
         Queue a call and return the permit that it is bound to.
 
         Whatever ends the wait, a permit that it does not return is released.
 
-        :param first: whether the call goes ahead of its queue.
+        :param first: whether the call goes before younger ones.
+        :param since: when the call came in, monotonic seconds.
         :raises DeadlineUnreachable: if the call's deadline passes.
         """
         key = QueueKey(call.service.name, call.workspace.name, call.priority)
         cost = call.cost_hint or call.service.expected_cost
-        waiting = Waiting(key, self._clock(), cost)
+        waiting = Waiting(key, since, cost)
         self._board.queues.push(waiting, first=first)
+        self._limits.watch(call, waiting)
         bound = False
         try:
             with tracer.start_as_current_span("queue wait"):
@@ -102,7 +108,8 @@
                     return permit
         except TimeoutError as error:
             raise DeadlineUnreachable(
-                "no permit before the deadline", retry_after=RETRY_AFTER
+                "no permit before the deadline",
+                retry_after=self._limits.estimate_retry(call),
             ) from error
         finally:
             self._board.queues.remove(waiting)
--- a/src/sycamorehaven/controllers/attempts.py
+++ b/src/sycamorehaven/controllers/attempts.py
@@ -10,6 +10,7 @@
 
 from sycamorehaven.blackboard.board import Blackboard
 from sycamorehaven.controllers.admission import Admission, PermitHolder
+from sycamorehaven.decisions.preemption import is_preemptible
 from sycamorehaven.decisions.retry_budget import Failure, RetryBudget, decide_retry
 from sycamorehaven.exceptions.backends import (
     BackendError,
@@ -43,8 +44,6 @@
 FIRST_PAUSE = 0.005
 """Seconds before a call queues again after an unused permit; doubles."""
 LONGEST_PAUSE = 0.25
-MOST_PREEMPTIONS = 3
-"""Preemptions of one call; after them its slot is not offered any more."""
 TOKEN_BYTES = 4
 """Bytes of a model's plain answer that are charged as one token."""
 
@@ -100,6 +99,7 @@
         self._guard = guard
         self._permit: Permit | None = None
         self._answer: BackendAnswer | None = None
+        self._since = edge.clock()
         self._started = 0.0
         self._failed_server = ""
         self._failures = 0
@@ -141,7 +141,8 @@
         """
         server = self._permit.server if self._permit else ""
         self._report(error, server)
-        self._settle(failed=isinstance(error, (ServerLost, ServerSilent)))
+        failed = isinstance(error, (ServerLost, ServerSilent, ServerOverloaded))
+        self._settle(failed=failed)
         if isinstance(error, PermitUnused):
             await self._pause(error)
         elif isinstance(error, RunPreempted):
@@ -185,6 +186,9 @@
         answer, call = self._answer, self._call
         if self._permit is None or answer is None:
             return
+        self._edge.admission.limits.learn_service_time(
+            call, self._edge.clock() - self._started
+        )
         self._settle(failed=False)
         if answer.status < 500:
             self._guard.acquit()
@@ -203,7 +207,7 @@
         try:
             await self._guard.clear(self.was_run)
             self._permit = await self._edge.admission.wait_for_permit(
-                self._call, first=again
+                self._call, first=again, since=self._since
             )
             self._check_permit(self._permit)
             await self._guard.enter(self._permit.server, self.was_run)
@@ -236,9 +240,7 @@
     ) -> BackendAnswer:
         rule = self._call.rule
         permit.used_runs += 1
-        permit.resumable = (
-            rule.resumable and rule.idempotent and self._preemptions < MOST_PREEMPTIONS
-        )
+        permit.resumable = is_preemptible(rule, self._preemptions)
         self._started = self._edge.clock()
         sent_before, self._sent = self._sent, True
         sending = self._edge.backends.send(server, self._call, resume_from=resume_from)
--- a/src/sycamorehaven/exceptions/refusals.py
+++ b/src/sycamorehaven/exceptions/refusals.py
@@ -168,6 +168,14 @@
     remedy = "send again after Retry-After seconds, or send less at once"
 
 
+class QueueMemoryFull(Refusal):
+    """The workspace holds too much of the memory for queued bodies."""
+
+    code = "queue_memory_full"
+    status = 429
+    remedy = "send again after Retry-After seconds, or queue fewer large bodies"
+
+
 class HeadersTooLarge(Refusal):
     """The request headers pass the limit."""
 
--- a/src/sycamorehaven/transport/messages.py
+++ b/src/sycamorehaven/transport/messages.py
@@ -187,7 +187,7 @@
     :ivar workspace: for whom it was.
     :ivar cost: true cost of all that ran under it, in the service's unit.
     :ivar runs: how many calls ran; 0 says that it was not used.
-    :ivar failed: whether the server was lost or silent under it.
+    :ivar failed: whether the server was lost, silent or overloaded.
     :ivar accounted: whether the receiver charges the cost.
     :ivar waiting: requests of the workspace that wait at the edge now.
     """
