--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -9,11 +9,13 @@
 import socket
 import sys
 import tempfile
+from collections import Counter
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import aiohttp
 
+from sycamorehaven.standins.journal import read_journal
 from tests.support.fixtures import async_fixture
 from tests.support.loader import ROOT
 from tests.support.texts import ServerPlan, derive_key, write_configuration
@@ -155,6 +157,8 @@
             str(plan.slots),
             pace,
             str(plan.pace),
+            "--journal",
+            str(self._folder / f"{plan.name}.runs"),
         )
         await self.wait_for_port(plan.address)
 
@@ -189,7 +193,7 @@
 
     def cut(self, *groups: list[RouterPlan]) -> None:
         """Cut groups of routers off from each other, until ``heal``."""
-        self._cuts = [
+        self._cuts += [
             [one.peers, other.peers]
             for number, group in enumerate(groups)
             for rest in groups[number + 1 :]
@@ -198,6 +202,26 @@
         ]
         self._write_faults()
 
+    def isolate(self, group: list[RouterPlan], *addresses: str) -> None:
+        """Cut routers off from the platform or servers, until ``heal``."""
+        self._cuts += [[plan.peers, other] for plan in group for other in addresses]
+        self._write_faults()
+
+    def cut_domain(self, domain: str) -> None:
+        """
+        Cut a failure domain off from all others and from the platform.
+
+        Its routers reach its own backend servers only, others reach those no
+        more.
+        """
+        inside = self.list_domain(domain)
+        outside = [plan for plan in self.routers if plan.domain != domain]
+        self.cut(inside, outside)
+        for plan in self.servers:
+            far = outside if plan.domain == domain else inside
+            self.isolate(far, plan.address)
+        self.isolate(inside, self.platform)
+
     def heal(self) -> None:
         """End every cut; loss and delay stay."""
         self._cuts = []
@@ -268,6 +292,17 @@
             runs: dict[str, Any] = await response.json()
             return runs
 
+    def count_runs(self) -> Counter[str]:
+        """
+        Return how often each prompt or booking ran, over every server.
+
+        The journals hold also what ran on servers that were killed since.
+        """
+        runs: Counter[str] = Counter()
+        for plan in self.servers:
+            runs.update(read_journal(self._folder / f"{plan.name}.runs"))
+        return runs
+
     def find_server(self, name: str) -> ServerPlan:
         """Return the plan of a server."""
         return next(plan for plan in self.servers if plan.name == name)
