--- a/src/sycamorehaven/blackboard/board.py
+++ b/src/sycamorehaven/blackboard/board.py
@@ -7,6 +7,7 @@
 from sycamorehaven.blackboard.admission import AdmissionSection
 from sycamorehaven.blackboard.configuration import ConfigurationSection
 from sycamorehaven.blackboard.counters import CountersSection
+from sycamorehaven.blackboard.leaving import LeavingSection
 from sycamorehaven.blackboard.lifecycle import LifecycleSection
 from sycamorehaven.blackboard.members import Member, MembersSection
 from sycamorehaven.blackboard.outcomes import OutcomesSection
@@ -16,6 +17,7 @@
 from sycamorehaven.blackboard.seeds import SeedsSection
 from sycamorehaven.blackboard.servers import ServersSection
 from sycamorehaven.blackboard.suspects import SuspectsSection
+from sycamorehaven.blackboard.tokens import TokensSection
 from sycamorehaven.blackboard.traffic import TrafficSection
 from sycamorehaven.identity import RouterId, create_incarnation
 
@@ -47,8 +49,10 @@
         self._queues = QueuesSection()
         self._admission = AdmissionSection()
         self._permits = PermitsSection()
-        self._servers = ServersSection()
+        self._leaving = LeavingSection()
+        self._servers = ServersSection(self._leaving)
         self._counters = CountersSection(identity)
+        self._tokens = TokensSection()
         self._suspects = SuspectsSection()
 
     @classmethod
@@ -112,6 +116,11 @@
         """Permits that this edge holds."""
         return self._permits
 
+    @property
+    def leaving(self) -> LeavingSection:
+        """Which backend servers are leaving."""
+        return self._leaving
+
     @property
     def servers(self) -> ServersSection:
         """What is known of backend servers."""
@@ -122,6 +131,11 @@
         """Service given, fleet-wide."""
         return self._counters
 
+    @property
+    def tokens(self) -> TokensSection:
+        """Idempotency tokens of this router."""
+        return self._tokens
+
     @property
     def suspects(self) -> SuspectsSection:
         """Requests suspected of crashing backend servers."""
--- a/src/sycamorehaven/router.py
+++ b/src/sycamorehaven/router.py
@@ -6,15 +6,26 @@
 from typing import TYPE_CHECKING
 
 from mode import Service
+from zmq import ZMQError
 
 from sycamorehaven.blackboard.board import Blackboard
+from sycamorehaven.controllers.adoption import Adoption
 from sycamorehaven.controllers.calls import CallController
 from sycamorehaven.controllers.configuration import ConfigurationController
+from sycamorehaven.controllers.counters import CounterController
+from sycamorehaven.controllers.handover import HandoverController
+from sycamorehaven.controllers.hosts import HostController
 from sycamorehaven.controllers.membership import MembershipController
+from sycamorehaven.controllers.notices import NoticeController
 from sycamorehaven.controllers.permits import PermitController
+from sycamorehaven.controllers.relay_sessions import RelaySessions
+from sycamorehaven.controllers.relays import RelayController
 from sycamorehaven.controllers.scheduling import SchedulingController
 from sycamorehaven.controllers.servers import HttpLoadSource, ServerController
 from sycamorehaven.controllers.suspects import SuspectController
+from sycamorehaven.controllers.token_guard import TokenGuard
+from sycamorehaven.controllers.tokens import TokenController
+from sycamorehaven.exceptions.starting import StartFailed
 from sycamorehaven.telemetry.monitor import Monitor
 from sycamorehaven.telemetry.traces import SpanBuffer
 from sycamorehaven.transport.admin import AdminListener
@@ -29,6 +40,7 @@
 from sycamorehaven.transport.links import OpenFilter
 from sycamorehaven.transport.peers import ZmqPeers
 from sycamorehaven.transport.platform import HttpPlatform
+from sycamorehaven.transport.tokens import TokenRoutes
 
 if TYPE_CHECKING:
     from mode.types import ServiceT
@@ -76,6 +88,18 @@
         """The state of this router."""
         return self._board
 
+    async def start(self) -> None:
+        """
+        Start every service.
+
+        :raises StartFailed: if a listener cannot be opened.
+        """
+        try:
+            await super().start()
+        except (OSError, ZMQError) as error:
+            await self.stop()
+            raise StartFailed(f"the router cannot start: {error}") from error
+
     def on_init_dependencies(self) -> list[ServiceT]:
         """Return the services, in the order in which they start."""
         board, settings, own = self._board, self._settings, self._board.members.own
@@ -83,23 +107,41 @@
         backends = FilteredBackends(self._backends, self._filter, own.address)
         loads = FilteredLoads(self._loads, self._filter, own.address)
         peers = ZmqPeers(board, settings, self._filter)
+        notices = NoticeController(board, peers)
+        servers = ServerController(board, loads, peers, notices)
         permits = PermitController(board, peers)
         suspects = SuspectController(board, peers)
-        calls = CallController(board, permits, backends, suspects)
-        monitor = Monitor(board)
+        guarded = TokenGuard(board, backends)
+        calls = CallController(board, permits, guarded, suspects, servers)
+        adoption = Adoption(board)
+        relays = RelayController(board, peers, adoption)
+        tokens = TokenController(board, calls, relays)
+        self._handover = HandoverController(board, peers)
+        monitor = Monitor(board, peers)
         return [
             monitor,
             AdminListener(board, settings, monitor, self._spans),
             peers,
             MembershipController(board, peers, settings),
             ConfigurationController(board, peers, platform, settings.seeds),
-            ServerController(board, loads),
+            HostController(board, platform, notices),
+            notices,
+            servers,
             SchedulingController(board, peers),
+            CounterController(board, peers),
             permits,
             suspects,
-            CallerListener(board, settings, calls),
+            relays,
+            tokens,
+            RelaySessions(board, peers, tokens, adoption),
+            self._handover,
+            CallerListener(board, settings, tokens, [TokenRoutes(board, tokens)]),
         ]
 
+    async def hand_over(self) -> bool:
+        """Hand used tokens over; return whether all were taken."""
+        return await self._handover.hand_over()
+
     async def on_shutdown(self) -> None:
         """Close the connections that services share."""
         await self._backends.close()
