Test the callers' interface and streams over real connections

Seen failing with the mechanism off: aclose that does not abandon, a grant kept in the instant of the deadline, a partial event passed on, no resumption: one failed each; preemption ignored: hung. A lone router's lease table is closed for 3 s after its start; the test bench therefore runs with a clock set ahead.

--- a/src/sycamorehaven/controllers/attempts.py
+++ b/src/sycamorehaven/controllers/attempts.py
@@ -21,7 +21,7 @@
     ServerOverloaded,
     ServerSilent,
 )
-from sycamorehaven.exceptions.refusals import AttemptsExhausted, BackendTimeout
+from sycamorehaven.exceptions.refusals import AttemptsExhausted, BackendTimeout, Refusal
 from sycamorehaven.transport.backends import Backends
 
 if TYPE_CHECKING:
@@ -36,8 +36,6 @@
 
 RETRY_AFTER = 1.0
 """Seconds a caller is asked to wait after failed attempts."""
-MOST_UNUSED = 64
-"""Permits that one call may return unused."""
 MOST_AVOIDED = 4
 """Permits returned unused because the server has just failed the call."""
 FIRST_PAUSE = 0.005
@@ -130,6 +128,11 @@
                 self._answer = await self._attempt(resume_from)
             except BackendError as error:
                 await self.take_failure(error)
+            except Refusal as refusal:
+                if self._sent:
+                    again = self._call.rule.idempotent
+                    refusal.mark_unknown(keep_retry_after=again)
+                raise
             else:
                 return self._answer
 
@@ -143,7 +146,7 @@
         self._report(error, server)
         self._settle(failed=isinstance(error, (ServerLost, ServerSilent)))
         if isinstance(error, PermitUnused):
-            await self._pause(error)
+            await self._pause()
         elif isinstance(error, RunPreempted):
             self._preemptions += 1
             self.count("preemption")
@@ -253,15 +256,9 @@
             self._sent = sent_before or error.sent
             raise
 
-    async def _pause(self, error: PermitUnused) -> None:
+    async def _pause(self) -> None:
         self._unused += 1
         self.count("permit_unused")
-        if self._unused > MOST_UNUSED:
-            raise AttemptsExhausted(
-                f"{self._unused} permits could not be used: {error}",
-                was_run=self.was_run,
-                retry_after=RETRY_AFTER,
-            )
         doublings = min(self._unused - 1, 10)
         await asyncio.sleep(min(FIRST_PAUSE * 2**doublings, LONGEST_PAUSE))
 
--- a/src/sycamorehaven/exceptions/refusals.py
+++ b/src/sycamorehaven/exceptions/refusals.py
@@ -55,6 +55,12 @@
         """Further members of the problem document."""
         return self._extra
 
+    def mark_unknown(self, *, keep_retry_after: bool) -> None:
+        """Note that an earlier attempt of the call may have run."""
+        self._was_run = "unknown"
+        if not keep_retry_after:
+            self._retry_after = None
+
 
 class BadRequest(Refusal):
     """A header or the body does not have the required form."""
--- /dev/null
+++ b/tests/controllers/test_streams.py
@@ -0,0 +1,266 @@
+"""Streams through one edge: whole, bounded, resumed, cancelled."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+from aiohttp import web
+
+from sycamorehaven.standins.booking import BookingStandin
+from sycamorehaven.standins.engine import EngineStandin, make_token
+from tests.support.fleet import find_address
+from tests.support.texts import ServerPlan, derive_key
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from tests.support.edge import EdgeBench
+
+COMPLETIONS = "/v1/services/assistant/v1/completions"
+LARGE = 512 * 1_048_576
+"""Bytes that a server would send if nobody held it back."""
+BUFFERS = 48 * 1_048_576
+"""Bytes that the kernel and the processes may hold on four sockets."""
+WRITE_BUFFER = 262_144
+"""Bytes that the edge itself may hold for one caller."""
+
+
+def list_events(prompt: str, tokens: int) -> list[bytes]:
+    """Return the events of an engine's answer."""
+    events = [
+        b'data: {"index":%d,"token":"%s"}\n\n' % (i, make_token(prompt, i).encode())
+        for i in range(tokens)
+    ]
+    return [*events, b"data: [DONE]\n\n"]
+
+
+def build_breaker(prompt: str, whole: int, resumed: list[str]) -> web.Application:
+    """Return an engine that dies in the middle of an event."""
+
+    async def complete(request: web.Request) -> web.StreamResponse:
+        first = int(request.headers.get("Resume-From", "0"))
+        resumed.append(request.headers.get("Resume-From", ""))
+        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        await response.prepare(request)
+        events = list_events(prompt, 1_000)
+        await response.write(b"".join(events[first : first + whole]))
+        await response.write(events[first + whole][:9])
+        await asyncio.sleep(0.05)
+        assert request.transport is not None
+        request.transport.abort()
+        return response
+
+    application = web.Application()
+    application.router.add_post("/v1/completions", complete)
+    return application
+
+
+async def ask(bench: EdgeBench, prompt: str, tokens: int) -> tuple[int, bytes]:
+    """Ask the assistant; return status and whole answer."""
+    body = {"prompt": prompt, "max_tokens": tokens}
+    status, answer, _ = await bench.send("POST", COMPLETIONS, json=body)
+    return status, answer
+
+
+async def wait_until(condition: Callable[[], Any]) -> None:
+    """Wait for a condition; the test's own timeout ends a hung one."""
+    while not condition():
+        await asyncio.sleep(0.01)
+
+
+async def test_broken_stream_resumes_with_every_event_once(bench: EdgeBench) -> None:
+    resumed: list[str] = []
+    await bench.serve(build_breaker("q", 3, resumed), "assistant")
+    await bench.serve(EngineStandin().build_application(), "assistant")
+    await bench.start()
+    status, answer = await ask(bench, "q", 20)
+    assert status == 200
+    assert answer == b"".join(list_events("q", 20))
+    assert resumed == [""]
+    assert [permit.cost for permit in bench.permits.released] == [3, 18]
+    assert [permit.failed for permit in bench.permits.released] == [True, False]
+    assert bench.board.outcomes.events["resumption"] == 1
+
+
+async def test_preempted_stream_goes_first_and_resumes(bench: EdgeBench) -> None:
+    for _ in range(2):
+        engine = EngineStandin(token_time=0.01)
+        await bench.serve(engine.build_application(), "assistant")
+    await bench.start()
+    asking = asyncio.ensure_future(ask(bench, "long", 60))
+    for turn in range(2):
+        await wait_until(lambda turn=turn: len(bench.permits.granted) > turn)
+        permit = bench.permits.granted[turn]
+        await wait_until(lambda permit=permit: permit.cost > 5)
+        assert permit.resumable
+        permit.preempted.set()
+    status, answer = await asking
+    assert status == 200
+    assert answer == b"".join(list_events("long", 60))
+    assert bench.board.outcomes.events["preemption"] == 2
+    assert bench.board.outcomes.events["retry"] == 0
+    assert sum(permit.cost for permit in bench.permits.released) == 61
+    assert not any(permit.failed for permit in bench.permits.released)
+    assert bench.permits.held == 0
+
+
+async def test_preemption_before_the_first_event(bench: EdgeBench) -> None:
+    engine = EngineStandin(prefill_time=0.3)
+    await bench.serve(engine.build_application(), "assistant")
+    await bench.start()
+    asking = asyncio.ensure_future(ask(bench, "early", 5))
+    await wait_until(lambda: engine.started["early"])
+    bench.permits.granted[0].preempted.set()
+    _, answer = await asking
+    assert answer == b"".join(list_events("early", 5))
+    assert bench.permits.held == 0
+    assert bench.board.outcomes.events["preemption"] == 1
+
+
+def build_truncated(head: bytes, body: bytes) -> Callable[..., Any]:
+    """Return a connection handler that ends an answer before its end."""
+
+    async def handle(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n\r\n" + body)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.close()
+
+    return handle
+
+
+async def test_answer_cut_short_is_never_ended_cleanly(bench: EdgeBench) -> None:
+    cuts = [
+        (b"Content-Length: 100", b"x" * 50),
+        (b"Transfer-Encoding: chunked", b"5\r\nhello\r\n"),
+        (b"Transfer-Encoding: chunked", b"5\r\nhel"),
+    ]
+    listeners = []
+    for number, (head, body) in enumerate(cuts):
+        address = find_address()
+        host, _, port = address.rpartition(":")
+        handler = build_truncated(head, body)
+        listeners.append(await asyncio.start_server(handler, host, int(port)))
+        bench.add(ServerPlan(f"cut-{number}", "bookings", address))
+    await bench.start()
+    for number in range(len(cuts)):
+        try:
+            got = await bench.send("GET", f"/v1/services/bookings/bookings?{number}")
+        except aiohttp.ClientError:
+            continue
+        raise AssertionError(f"a cut answer looked whole: {got}")
+    assert bench.permits.held == 0
+    assert bench.board.outcomes.events["broken_answer"] == len(cuts)
+    for listener in listeners:
+        listener.close()
+
+
+async def test_slow_caller_holds_a_bounded_buffer(bench: EdgeBench) -> None:
+    sent = 0
+
+    async def flood(request: web.Request) -> web.StreamResponse:
+        nonlocal sent
+        response = web.StreamResponse()
+        await response.prepare(request)
+        while sent < LARGE:
+            await response.write(b"x" * 65_536)
+            sent += 65_536
+        return response
+
+    application = web.Application()
+    application.router.add_get("/flood", flood)
+    await bench.serve(application, "bookings")
+    await bench.start()
+    host, _, port = bench.address.rpartition(":")
+    _, writer = await asyncio.open_connection(host, int(port), limit=1_024)
+    key = derive_key("oakcourt")
+    request = f"GET /v1/services/bookings/flood HTTP/1.1\r\nAuthorization: Bearer {key}"
+    writer.write(f"{request}\r\nHost: x\r\n\r\n".encode())
+    before = -1
+    while sent == 0 or sent != before:
+        before = sent
+        await asyncio.sleep(0.2)
+    held = [t.get_write_buffer_size() for t in bench.list_transports()]
+    assert sent < BUFFERS, sent
+    assert max(held) <= WRITE_BUFFER, held
+    writer.transport.abort()
+    await wait_until(lambda: bench.permits.held == 0)
+
+
+async def test_caller_gone_cancels_the_run_and_frees_the_permit(
+    bench: EdgeBench,
+) -> None:
+    engine = EngineStandin(token_time=0.01)
+    await bench.serve(engine.build_application(), "assistant")
+    await bench.start()
+    asking = asyncio.ensure_future(ask(bench, "gone", 5_000))
+    await wait_until(lambda: bench.permits.granted and bench.permits.granted[0].cost)
+    asking.cancel()
+    await wait_until(lambda: engine.cancelled["gone"])
+    await wait_until(lambda: bench.permits.held == 0)
+    assert not bench.permits.released[0].failed
+    assert len(bench.board.suspects) == 0
+
+
+async def test_caller_gone_from_the_queue_leaves_nothing(bench: EdgeBench) -> None:
+    engine = EngineStandin()
+    await bench.serve(engine.build_application(), "assistant")
+    await bench.start()
+    bench.permits.paused = True
+    asking = asyncio.ensure_future(ask(bench, "queued", 5))
+    await wait_until(lambda: bench.board.queues.count("assistant", "oakcourt"))
+    asking.cancel()
+    await wait_until(lambda: not bench.board.queues.count("assistant", "oakcourt"))
+    await wait_until(lambda: not bench.board.lifecycle.in_progress)
+    assert bench.permits.granted == []
+    assert not engine.started
+
+
+async def test_caller_gone_in_the_instant_of_the_grant(bench: EdgeBench) -> None:
+    await bench.serve(BookingStandin().build_application(), "bookings")
+    await bench.start()
+    call = bench.build_call("GET", "/bookings")
+    for steps in range(6):
+        bench.permits.paused = True
+        answering = asyncio.ensure_future(bench.calls.answer(call))
+        await wait_until(lambda: bench.board.queues.count("bookings", "oakcourt"))
+        bench.permits.paused = False
+        bench.permits.grant()
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        answering.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await answering
+        assert bench.permits.held == 0, steps
+
+
+async def test_deadline_in_the_instant_of_the_grant(bench: EdgeBench) -> None:
+    await bench.serve(BookingStandin().build_application(), "bookings")
+    await bench.start()
+    bench.permits.paused = True
+    call = bench.build_call("GET", "/bookings", timeout=0.05)
+    answering = asyncio.ensure_future(bench.calls.answer(call))
+    await asyncio.sleep(0)
+    bench.block_until(call.deadline + 0.01)
+    bench.permits.paused = False
+    bench.permits.grant()
+    with contextlib.suppress(Exception):
+        answer = await answering
+        await answer.chunks.aclose()
+    assert len(bench.permits.granted) == 1
+    assert bench.permits.held == 0
+
+
+async def test_answer_that_is_never_read_frees_its_permit(bench: EdgeBench) -> None:
+    await bench.serve(BookingStandin().build_application(), "bookings")
+    await bench.start()
+    answer = await bench.calls.answer(bench.build_call("GET", "/bookings"))
+    await answer.chunks.aclose()
+    assert bench.permits.held == 0
--- /dev/null
+++ b/tests/support/edge.py
@@ -0,0 +1,202 @@
+"""One router's edge in this process, with permits for the asking."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import time
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from sycamorehaven.blackboard.permits import Permit, PermitKey
+from sycamorehaven.call import Call
+from sycamorehaven.configuration.acceptance import accept_text
+from sycamorehaven.controllers.calls import CallController
+from sycamorehaven.controllers.suspects import SuspectController
+from sycamorehaven.decisions.quarantine import LEASE_TIME
+from sycamorehaven.identity import RouterId
+from sycamorehaven.settings import RouterSettings
+from sycamorehaven.standins.serving import start_application
+from sycamorehaven.transport.backends import HttpBackends, ProgressTimeouts
+from sycamorehaven.transport.callers import CallerListener
+from tests.support.doubles import MemoryLink, MemoryNetwork, create_board
+from tests.support.fixtures import async_fixture
+from tests.support.fleet import find_address
+from tests.support.texts import ServerPlan, derive_key, write_configuration
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from aiohttp import web
+
+    from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.transport.callers import CallHandler
+
+SHORT = ProgressTimeouts(connect=0.5, first_byte=0.5, chunk=0.5)
+
+
+class GrantingPermits:
+    """Grants each waiting request a permit for the next server at once."""
+
+    def __init__(self, board: Blackboard, servers: list[str]) -> None:
+        self._board = board
+        self._servers = itertools.cycle(servers)
+        self._numbers = itertools.count(1)
+        self.paused = False
+        self.released: list[Permit] = []
+        self.granted: list[Permit] = []
+        board.queues.changed.subscribe(self.grant)
+
+    def grant(self) -> None:
+        """Grant what waits."""
+        if self.paused:
+            return
+        for key, _ in self._board.queues.list():
+            waiting = self._board.queues.pop(key)
+            if waiting is None or waiting.permit.done():
+                continue
+            number = PermitKey(RouterId("a1", 1), next(self._numbers))
+            server = next(self._servers)
+            permit = Permit(
+                number, key.service, server, key.workspace, key.priority, 1e12, 1
+            )
+            self.granted.append(permit)
+            waiting.permit.set_result(permit)
+
+    def release(self, permit: Permit) -> None:
+        """Take a permit back."""
+        self.released.append(permit)
+
+    @property
+    def held(self) -> int:
+        """Permits granted and not given back; fails if one came back twice."""
+        assert len(set(map(id, self.released))) == len(self.released)
+        return len(self.granted) - len(self.released)
+
+
+class EdgeBench:
+    """An edge, the stand-ins behind it and a client before it."""
+
+    def __init__(self) -> None:
+        self.board = create_board()
+        self.network = MemoryNetwork()
+        self.backends = HttpBackends(SHORT)
+        self.plans: list[ServerPlan] = []
+        self.address = find_address()
+        self._skew = 0.0
+        self._stack = contextlib.AsyncExitStack()
+
+    async def serve(self, application: web.Application, service: str) -> ServerPlan:
+        """Run a stand-in and make it a server of a service."""
+        plan = ServerPlan(f"{service}-{len(self.plans)}", service, find_address())
+        runner = await start_application(application, plan.address)
+        self._stack.push_async_callback(runner.cleanup)
+        self.add(plan)
+        return plan
+
+    def add(self, plan: ServerPlan) -> None:
+        """Make something that listens a server of a service."""
+        self.plans.append(plan)
+
+    async def start(self, handler: CallHandler | None = None) -> None:
+        """Start the edge before the servers that were added."""
+        text = write_configuration(self.plans)
+        self.board.configuration.replace(accept_text(text.encode(), 1))
+        self.permits = GrantingPermits(self.board, [p.name for p in self.plans])
+        link = MemoryLink(self.board, self.network)
+        self.suspects = SuspectController(self.board, link, self._read_clock)
+        self._skew = 2 * LEASE_TIME
+        pumping = asyncio.ensure_future(self._deliver())
+        self._stack.callback(pumping.cancel)
+        self.calls = CallController(
+            self.board,
+            self.permits,
+            self.backends,
+            self.suspects,
+            clock=self._read_clock,
+        )
+        settings = RouterSettings.from_document(
+            {
+                "router": {"host": "a1", "failure_domain": "a"},
+                "callers": {"address": self.address, "body_limit": 1_000},
+                "peers": {"address": find_address()},
+                "admin": {"address": find_address()},
+                "platform": {"url": "http://127.0.0.1:1"},
+            }
+        )
+        self._listener = CallerListener(self.board, settings, handler or self.calls)
+        await self._listener.on_start()
+        self._stack.push_async_callback(self._listener.on_stop)
+        self.client = aiohttp.ClientSession()
+        self._stack.push_async_callback(self.client.close)
+
+    def _read_clock(self) -> float:
+        return time.monotonic() + self._skew
+
+    async def _deliver(self) -> None:
+        while True:
+            self.network.deliver()
+            await asyncio.sleep(0.005)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        await self._stack.aclose()
+        await self.backends.close()
+
+    def list_transports(self) -> list[asyncio.WriteTransport]:
+        """Return the edge's connections to callers."""
+        server = self._listener._runner.server
+        assert server is not None
+        found = [connection.transport for connection in server.connections]
+        return [transport for transport in found if transport is not None]
+
+    def build_call(self, method: str, path: str, timeout: float = 60.0) -> Call:
+        """Return a call to the booking service."""
+        configuration = self.board.configuration.current
+        assert configuration is not None
+        service = configuration.services["bookings"]
+        return Call(
+            request_id="request",
+            workspace=configuration.workspaces["oakcourt"],
+            service=service,
+            rule=service.match_rule(method, path),
+            method=method,
+            path=path,
+            headers=(),
+            body=b"",
+            priority="interactive",
+            deadline=self._read_clock() + timeout,
+            cost_hint=0.0,
+            token="",
+        )
+
+    def block_until(self, moment: float) -> None:
+        """Keep the event loop from running until a time of its clock."""
+        while self._read_clock() < moment:
+            pass
+
+    async def send(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        **arguments: Any,
+    ) -> tuple[int, bytes, dict[str, str]]:
+        """Send a request and return status, whole body and headers."""
+        merged = {"Authorization": f"Bearer {derive_key('oakcourt')}"} | (headers or {})
+        async with self.client.request(
+            method, f"http://{self.address}{path}", headers=merged, **arguments
+        ) as response:
+            return response.status, await response.read(), dict(response.headers)
+
+
+@async_fixture
+async def bench() -> AsyncIterator[EdgeBench]:
+    """Give an edge that has not started."""
+    made = EdgeBench()
+    try:
+        yield made
+    finally:
+        await made.stop()
