--- a/src/sycamorehaven/router.py
+++ b/src/sycamorehaven/router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from mode import Service
@@ -14,9 +15,13 @@
 from sycamorehaven.controllers.scheduling import SchedulingController
 from sycamorehaven.controllers.servers import HttpLoadSource, ServerController
 from sycamorehaven.controllers.suspects import SuspectController
+from sycamorehaven.telemetry.monitor import Monitor
+from sycamorehaven.telemetry.traces import SpanBuffer
 from sycamorehaven.transport.admin import AdminListener
 from sycamorehaven.transport.backends import HttpBackends
 from sycamorehaven.transport.callers import CallerListener
+from sycamorehaven.transport.faults import FileFilter
+from sycamorehaven.transport.links import OpenFilter
 from sycamorehaven.transport.peers import ZmqPeers
 from sycamorehaven.transport.platform import HttpPlatform
 
@@ -24,6 +29,14 @@
     from mode.types import ServiceT
 
     from sycamorehaven.settings import RouterSettings
+    from sycamorehaven.transport.links import PeerFilter
+
+
+def create_filter(settings: RouterSettings) -> PeerFilter:
+    """Return what decides which peer messages pass: all, but in tests."""
+    if not settings.peer_faults:
+        return OpenFilter()
+    return FileFilter(Path(settings.peer_faults), settings.peers_address)
 
 
 class Router(Service):
@@ -31,10 +44,14 @@
     All services of one router.
 
     :param settings: settings of this process.
+    :param spans: finished spans to show to operators.
     """
 
-    def __init__(self, settings: RouterSettings) -> None:
+    def __init__(
+        self, settings: RouterSettings, spans: SpanBuffer | None = None
+    ) -> None:
         super().__init__()
+        self._spans = spans or SpanBuffer()
         self._settings = settings
         self._board = Blackboard.from_settings(settings)
         self._platform = HttpPlatform.from_settings(settings)
@@ -42,9 +59,11 @@
         self._backends = HttpBackends()
 
     @classmethod
-    def from_settings(cls, settings: RouterSettings) -> Router:
+    def from_settings(
+        cls, settings: RouterSettings, spans: SpanBuffer | None = None
+    ) -> Router:
         """Return a router that has not started."""
-        return cls(settings)
+        return cls(settings, spans)
 
     @property
     def board(self) -> Blackboard:
@@ -54,15 +73,17 @@
     def on_init_dependencies(self) -> list[ServiceT]:
         """Return the services, in the order in which they start."""
         board, settings = self._board, self._settings
-        peers = ZmqPeers(board, settings)
+        peers = ZmqPeers(board, settings, create_filter(settings))
         permits = PermitController(board, peers)
         suspects = SuspectController(board, peers)
         calls = CallController(board, permits, self._backends, suspects)
+        monitor = Monitor(board)
         return [
-            AdminListener(board, settings),
+            monitor,
+            AdminListener(board, settings, monitor, self._spans),
             peers,
             MembershipController(board, peers, settings),
-            ConfigurationController(board, peers, self._platform),
+            ConfigurationController(board, peers, self._platform, settings.seeds),
             ServerController(board, self._loads),
             SchedulingController(board, peers),
             permits,
