Count attempts that did not run apart from those that may have

Attempts that provably did not run cost the servers nothing; they have a bound of eight and no budget. tests.controllers.test_attempts covers retries elsewhere, the budget, writes, refusals and silent connections.

--- a/src/sycamorehaven/controllers/attempts.py
+++ b/src/sycamorehaven/controllers/attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
 
@@ -100,7 +101,7 @@
         self._answer: BackendAnswer | None = None
         self._started = 0.0
         self._failed_server = ""
-        self._failures = 0
+        self._failures: Counter[bool] = Counter()
         self._unused = 0
         self._avoided = 0
         self._preemptions = 0
@@ -202,7 +203,7 @@
         self._settle(failed=False)
 
     async def _attempt(self, resume_from: int) -> BackendAnswer:
-        again = self._failures + self._preemptions + self._unused > 0
+        again = bool(self._failures or self._preemptions or self._unused)
         try:
             await self._guard.clear(self.was_run)
             self._permit = await self._edge.admission.wait_for_permit(
@@ -264,10 +265,11 @@
 
     def _judge(self, error: BackendError) -> None:
         refused = isinstance(error, (ServerLeaving, ServerOverloaded))
-        self._failures += 1
+        failure = Failure(error.sent, refused)
+        self._failures[failure.is_free] += 1
         verdict = decide_retry(
-            Failure(error.sent, refused),
-            self._failures,
+            failure,
+            self._failures[failure.is_free],
             self._edge.budget,
             idempotent=self._call.rule.idempotent,
         )
--- a/src/sycamorehaven/decisions/retry_budget.py
+++ b/src/sycamorehaven/decisions/retry_budget.py
@@ -15,7 +15,9 @@
 RETRY_RESERVE = 10.0
 """Retries that a router may make in a burst."""
 MOST_ATTEMPTS = 3
-"""Failed attempts after which a call is given up."""
+"""Failed attempts that may have run, after which a call is given up."""
+MOST_REFUSALS = 8
+"""Attempts that did not run, after which a call is given up."""
 
 
 class RetryBudget:
@@ -62,6 +64,11 @@
     sent: bool
     refused: bool
 
+    @property
+    def is_free(self) -> bool:
+        """Whether it cost the servers nothing, so that no budget is needed."""
+        return self.refused or not self.sent
+
 
 class Verdict(NamedTuple):
     """
@@ -83,14 +90,15 @@
     Decide whether a call is tried again, and take the retry off the budget.
 
     :param failure: the attempt that failed last.
-    :param failures: failed attempts of the call, that one included.
-    :param budget: the router's budget; a refusal costs none of it.
+    :param failures: failed attempts of the call that were free or not, as
+        this one; it is counted.
+    :param budget: the router's budget; a free failure costs none of it.
     :param idempotent: whether the call may run more than once.
     """
     if failure.sent and not idempotent:
         return Verdict(again=False, cause="not_idempotent")
-    if failures >= MOST_ATTEMPTS:
+    if failures >= (MOST_REFUSALS if failure.is_free else MOST_ATTEMPTS):
         return Verdict(again=False, cause="attempts")
-    if not failure.refused and not budget.spend():
+    if not failure.is_free and not budget.spend():
         return Verdict(again=False, cause="budget")
     return Verdict(again=True, cause="")
--- /dev/null
+++ b/tests/controllers/test_attempts.py
@@ -0,0 +1,162 @@
+"""Attempts of one call: elsewhere, bounded, honest about what ran."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from sycamorehaven.controllers.attempts import MOST_AVOIDED
+from sycamorehaven.decisions.retry_budget import (
+    MOST_REFUSALS,
+    RETRY_FRACTION,
+    RETRY_RESERVE,
+)
+from sycamorehaven.standins.booking import BookingStandin
+from tests.support.fleet import find_address
+from tests.support.texts import ServerPlan
+
+if TYPE_CHECKING:
+    from tests.support.edge import EdgeBench
+
+CALL = "/v1/services/bookings/bookings"
+
+
+def build_server(runs: list[str], status: int = 0, **headers: str) -> web.Application:
+    """Return a server that answers a status, or dies if it is 0."""
+
+    async def answer(request: web.Request) -> web.Response:
+        runs.append(request.method)
+        await request.read()
+        if not status:
+            assert request.transport is not None
+            request.transport.abort()
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        return web.Response(status=status or 200, text="own answer", headers=named)
+
+    application = web.Application()
+    application.router.add_route("*", "/{path:.*}", answer)
+    return application
+
+
+async def test_read_is_tried_on_another_server(bench: EdgeBench) -> None:
+    runs: list[str] = []
+    await bench.serve(build_server(runs), "bookings")
+    standin = BookingStandin()
+    await bench.serve(standin.build_application(), "bookings")
+    await bench.start()
+    bench.permits.use([0, 0, 0, 1])
+    status, _, _ = await bench.send("GET", CALL)
+    assert status == 200
+    assert (len(runs), standin.lookups) == (1, 1)
+    returned = [(p.server, p.used_runs) for p in bench.permits.released]
+    assert returned == [
+        ("bookings-0", 1),
+        ("bookings-0", 0),
+        ("bookings-0", 0),
+        ("bookings-1", 1),
+    ]
+    assert bench.permits.held == 0
+
+
+async def test_only_granted_server_is_tried_again(bench: EdgeBench) -> None:
+    bench.add(ServerPlan("gone", "bookings", find_address()))
+    bench.add(ServerPlan("never-granted", "bookings", find_address()))
+    await bench.start()
+    bench.permits.use([0])
+    status, body, headers = await bench.send("GET", CALL)
+    problem = json.loads(body)
+    assert (status, problem["was_run"]) == (502, "no")
+    assert headers["Retry-After"]
+    used = sum(permit.used_runs for permit in bench.permits.granted)
+    assert used == MOST_REFUSALS
+    assert len(bench.permits.granted) <= used * (1 + MOST_AVOIDED)
+    assert bench.permits.held == 0
+
+
+async def test_write_has_no_second_try_once_sent(bench: EdgeBench) -> None:
+    runs: list[str] = []
+    await bench.serve(build_server(runs), "bookings")
+    standin = BookingStandin()
+    await bench.serve(standin.build_application(), "bookings")
+    await bench.start()
+    status, body, headers = await bench.send("POST", CALL, data=b"slot")
+    problem = json.loads(body)
+    assert (status, problem["code"]) == (502, "attempts_exhausted")
+    assert problem["was_run"] == "unknown"
+    assert "Retry-After" not in headers
+    assert (len(runs), sum(standin.runs.values())) == (1, 0)
+
+
+async def test_write_goes_elsewhere_when_provably_not_run(bench: EdgeBench) -> None:
+    runs: list[str] = []
+    bench.add(ServerPlan("gone", "bookings", find_address()))
+    await bench.serve(build_server(runs, 503, Was_Run="no"), "bookings")
+    standin = BookingStandin()
+    await bench.serve(standin.build_application(), "bookings")
+    await bench.start()
+    status, _, _ = await bench.send("POST", CALL, data=b"slot")
+    assert status == 201
+    assert (len(runs), sum(standin.runs.values())) == (1, 1)
+
+
+async def test_undeclared_refusal_of_a_write_passes_through(bench: EdgeBench) -> None:
+    runs: list[str] = []
+    await bench.serve(build_server(runs, 503), "bookings")
+    standin = BookingStandin()
+    await bench.serve(standin.build_application(), "bookings")
+    await bench.start()
+    status, body, _ = await bench.send("POST", CALL, data=b"slot")
+    assert (status, body) == (503, b"own answer")
+    assert sum(standin.runs.values()) == 0
+
+
+async def test_wait_after_an_attempt_does_not_claim_it_never_ran(
+    bench: EdgeBench,
+) -> None:
+    runs: list[str] = []
+    await bench.serve(build_server(runs), "bookings")
+    await bench.start()
+    bench.permits.use([0], most=1)
+    status, body, _ = await bench.send("GET", CALL, {"Request-Timeout": "1"})
+    problem = json.loads(body)
+    assert (status, problem["code"]) == (503, "deadline_unreachable")
+    assert problem["was_run"] == "unknown"
+    assert len(runs) == 1
+
+
+async def test_retries_end_with_the_budget(bench: EdgeBench) -> None:
+    runs: list[str] = []
+    for _ in range(2):
+        await bench.serve(build_server(runs), "bookings")
+    await bench.start()
+    for number in range(20):
+        status, _, _ = await bench.send("GET", f"{CALL}?{number}")
+        assert status in (422, 502)
+    retries = bench.board.outcomes.events["retry"]
+    assert retries <= RETRY_RESERVE + 20 * RETRY_FRACTION
+    assert len(runs) == 20 + retries
+    assert bench.board.outcomes.events["given_up_budget"] >= 8
+
+
+async def test_silent_connections_are_dropped_together(bench: EdgeBench) -> None:
+    standin = BookingStandin(service_time=0.05)
+    plan = await bench.serve(standin.build_application(), "bookings")
+    await bench.start()
+    reads = (bench.send("GET", f"{CALL}?{number}") for number in range(4))
+    assert all(status == 200 for status, _, _ in await asyncio.gather(*reads))
+    async with bench.client.put(
+        f"http://{plan.address}/control/faults", json={"silence": True}
+    ) as response:
+        assert response.status == 204
+    status, _, _ = await bench.send("POST", CALL, data=b"slot")
+    assert (status, sum(standin.runs.values())) == (201, 1)
+    assert bench.board.outcomes.events["retry"] == 0
+    for number in range(4):
+        status, _, _ = await bench.send("GET", f"{CALL}?{number}")
+        assert status == 200
+    assert bench.board.outcomes.events["retry"] == 1
+    assert len(bench.board.suspects) == 0
+    assert [permit.failed for permit in bench.permits.released].count(True) == 1
--- /dev/null
+++ b/tests/failures/test_poison.py
@@ -0,0 +1,87 @@
+"""One request that crashes every server that runs it, on real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING
+
+from sycamorehaven.standins.engine import make_token
+from tests.support.fleet import find_address, run_fleet
+from tests.support.texts import ServerPlan
+
+if TYPE_CHECKING:
+    from tests.support.fleet import Fleet
+
+SERVERS = 6
+MOST_LOST = 2
+"""Servers that one request may cost if it is sent one after the other."""
+
+
+def plan_engines() -> list[ServerPlan]:
+    """Return engines for a fleet that loses some."""
+    return [
+        ServerPlan(f"engine-{number}", "assistant", find_address())
+        for number in range(SERVERS)
+    ]
+
+
+def list_lost(fleet: Fleet) -> list[str]:
+    """Return the engines whose process has ended."""
+    names = [plan.name for plan in fleet.servers]
+    return [name for name in names if fleet.processes[name].returncode is not None]
+
+
+async def arm(fleet: Fleet) -> None:
+    """Make every engine crash on the request."""
+    for plan in fleet.servers:
+        await fleet.set_faults(plan.name, crash_on="poison")
+
+
+async def send_poison(fleet: Fleet, router: int) -> str:
+    """Send the request; return the code of the answer."""
+    status, body = await fleet.ask(router, "poison", headers={"Request-Timeout": "20"})
+    assert status >= 400, body
+    problem = json.loads(body)
+    assert problem["was_run"] in ("no", "unknown")
+    return str(problem["code"])
+
+
+async def ask_innocent(fleet: Fleet, router: int, tokens: int) -> None:
+    """Ask what many ask; the answer must be whole."""
+    status, body = await fleet.ask(router, "popular", tokens)
+    assert status == 200, body
+    events = body.split(b"\n\n")
+    assert len(events) == tokens + 2, body
+    for index in range(tokens):
+        assert make_token("popular", index).encode() in events[index]
+
+
+async def test_servers_lost_to_one_request_are_bounded() -> None:
+    async with run_fleet(servers=plan_engines()) as fleet:
+        await arm(fleet)
+        beside = [
+            asyncio.ensure_future(ask_innocent(fleet, number % 3, 300))
+            for number in range(9)
+        ]
+        await asyncio.sleep(0.3)
+        codes = [await send_poison(fleet, n % 3) for n in range(9)]
+        assert len(list_lost(fleet)) == MOST_LOST, codes
+        assert codes[3:] == ["request_quarantined"] * 6
+        await fleet.kill(fleet.routers[1].host)
+        await fleet.start_router(fleet.routers[1])
+        await fleet.wait_until_ready(fleet.routers[1])
+        await fleet.wait_for_members({0: 3, 1: 3})
+        assert await send_poison(fleet, 1) == "request_quarantined"
+        assert len(list_lost(fleet)) <= MOST_LOST
+        await asyncio.gather(*beside)
+        await ask_innocent(fleet, 2, 5)
+
+
+async def test_servers_lost_to_one_request_sent_everywhere_at_once() -> None:
+    async with run_fleet(servers=plan_engines()) as fleet:
+        await arm(fleet)
+        await asyncio.gather(*(send_poison(fleet, n) for n in range(3)))
+        codes = [await send_poison(fleet, n % 3) for n in range(6)]
+        assert codes[3:] == ["request_quarantined"] * 3, codes
+        assert 2 <= len(list_lost(fleet)) <= 3 + 1
