--- a/src/sycamorehaven/controllers/attempts.py
+++ b/src/sycamorehaven/controllers/attempts.py
@@ -269,6 +269,7 @@
         refused = isinstance(error, (ServerLeaving, ServerOverloaded))
         failure = Failure(error.sent, refused)
         self._failures[failure.is_free] += 1
+        self._guard.check(self.was_run)
         verdict = decide_retry(
             failure,
             self._failures[failure.is_free],
--- a/src/sycamorehaven/controllers/guards.py
+++ b/src/sycamorehaven/controllers/guards.py
@@ -125,12 +125,21 @@
                 self._ledger.release(lease)
         self._server_lease = self._lease = None
 
+    def check(self, was_run: WasRun) -> None:
+        """
+        Check that the request may still run.
+
+        :raises RequestQuarantined: if it lost too many servers.
+        """
+        self._is_suspect(was_run)
+
     def _is_suspect(self, was_run: WasRun) -> bool:
         judgement = self._board.suspects.judge(self._fingerprint, self._clock())
+        may_repeat = was_run == "no" or self._call.rule.idempotent
         if judgement.state == "quarantined":
             raise RequestQuarantined(
                 "backend servers were lost while they ran this request",
                 was_run=was_run,
-                retry_after=judgement.left,
+                retry_after=judgement.left if may_repeat else None,
             )
         return judgement.state == "suspect"
--- a/tests/controllers/test_streams.py
+++ b/tests/controllers/test_streams.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -88,6 +89,12 @@
     assert bench.board.outcomes.events["resumption"] == 1
 
 
+def has_begun(bench: EdgeBench, turn: int) -> bool:
+    """Return whether some events came under the n-th permit."""
+    granted = bench.permits.granted
+    return len(granted) > turn and granted[turn].cost > 5
+
+
 async def test_preempted_stream_goes_first_and_resumes(bench: EdgeBench) -> None:
     for _ in range(2):
         engine = EngineStandin(token_time=0.01)
@@ -95,9 +102,8 @@
     await bench.start()
     asking = asyncio.ensure_future(ask(bench, "long", 60))
     for turn in range(2):
-        await wait_until(lambda turn=turn: len(bench.permits.granted) > turn)
+        await wait_until(functools.partial(has_begun, bench, turn))
         permit = bench.permits.granted[turn]
-        await wait_until(lambda permit=permit: permit.cost > 5)
         assert permit.resumable
         permit.preempted.set()
     status, answer = await asking
