Prove the bound on servers lost beside innocent streams

The first form of the test had no stream on the server that the poison met first, so it passed even when every loss counted as a run alone. 22 streams now fill all six engines, and at least two must have resumed. With the mechanism off it fails: no strikes: every answer attempts_exhausted and more than two engines lost; every loss counted as alone: an innocent stream breaks.

--- a/tests/failures/test_poison.py
+++ b/tests/failures/test_poison.py
@@ -14,6 +14,8 @@
     from tests.support.fleet import Fleet
 
 SERVERS = 6
+INNOCENT = 22
+"""Streams that run beside the request; four fill a server."""
 MOST_LOST = 2
 """Servers that one request may cost if it is sent one after the other."""
 
@@ -32,6 +34,13 @@
     return [name for name in names if fleet.processes[name].returncode is not None]
 
 
+async def count_events(fleet: Fleet, event: str) -> float:
+    """Return how often an event was counted by all routers."""
+    name = f'sycamorehaven_events_total{{event="{event}"}}'
+    seen = [await fleet.metrics(number) for number in range(len(fleet.routers))]
+    return sum(metrics.get(name, 0.0) for metrics in seen)
+
+
 async def arm(fleet: Fleet) -> None:
     """Make every engine crash on the request."""
     for plan in fleet.servers:
@@ -61,20 +70,21 @@
     async with run_fleet(servers=plan_engines()) as fleet:
         await arm(fleet)
         beside = [
-            asyncio.ensure_future(ask_innocent(fleet, number % 3, 300))
-            for number in range(9)
+            asyncio.ensure_future(ask_innocent(fleet, number % 3, 600))
+            for number in range(INNOCENT)
         ]
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(0.5)
         codes = [await send_poison(fleet, n % 3) for n in range(9)]
         assert len(list_lost(fleet)) == MOST_LOST, codes
         assert codes[3:] == ["request_quarantined"] * 6
+        await asyncio.gather(*beside)
+        assert await count_events(fleet, "resumption") >= 2
         await fleet.kill(fleet.routers[1].host)
         await fleet.start_router(fleet.routers[1])
         await fleet.wait_until_ready(fleet.routers[1])
         await fleet.wait_for_members({0: 3, 1: 3})
         assert await send_poison(fleet, 1) == "request_quarantined"
         assert len(list_lost(fleet)) <= MOST_LOST
-        await asyncio.gather(*beside)
         await ask_innocent(fleet, 2, 5)
 
 
