--- a/src/sycamorehaven/decisions/occupancy.py
+++ b/src/sycamorehaven/decisions/occupancy.py
@@ -11,7 +11,7 @@
 import heapq
 from typing import TYPE_CHECKING
 
-from sycamorehaven.decisions.foreign_load import ForeignLoad
+from sycamorehaven.decisions.foreign_load import REPORT_LAG, ForeignLoad
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -36,24 +36,36 @@
         self.learning_until = since + LEARNING
         self.since = since
         self._reported_at = since
+        self._lost: list[float] = []
 
     def free(self, now: float) -> int:
         """Return how many requests may be admitted."""
         if now < self.learning_until:
             return 0
         known = now - self._reported_at <= LOAD_LIFETIME
-        return self.limit - self.busy - (self.foreign.slots if known else 0)
+        foreign = self.foreign.slots if known else 0
+        return self.limit - self.busy - foreign - len(self._lost)
 
     def note_busy(self, now: float) -> None:
         """Note how many permits are out."""
         self.foreign.note_busy(self.busy, now)
 
+    def note_lost(self, now: float) -> None:
+        """Note that a permit is out no longer whose request may still run."""
+        self.busy -= 1
+        self._lost.append(now + REPORT_LAG)
+
+    def expire(self, now: float) -> None:
+        """Believe no longer that lost permits run; the load shows others'."""
+        self._lost = [expiry for expiry in self._lost if expiry > now]
+
     def learn_load(self, running: int, reported_at: float, now: float) -> None:
         """Take a load report; what it shows beyond own permits is foreign."""
         if reported_at < self.since or reported_at <= self._reported_at:
             return
         self._reported_at = reported_at
         self.note_busy(now)
+        del self._lost[max(running - self.busy, 0) :]
         self.foreign.take_report(running, self.limit, now)
         self.learning_until = min(self.learning_until, now)
 
@@ -100,11 +112,19 @@
             slots.foreign.adopt()
         self.offer(server, now)
 
-    def vacate(self, server: str, now: float) -> None:
-        """Count a permit out."""
+    def vacate(self, server: str, now: float, *, lost: bool = False) -> None:
+        """
+        Count a permit out.
+
+        :param lost: whether its request may still run; the slot is free when
+            the server's load says so.
+        """
         slots = self._find(server)
         slots.note_busy(now)
-        slots.busy -= 1
+        if lost:
+            slots.note_lost(now)
+        else:
+            slots.busy -= 1
         self.offer(server, now)
         if server in self._gone and slots.busy <= 0:
             del self._gone[server]
@@ -126,6 +146,8 @@
 
     def offer_all(self, now: float) -> None:
         """Consider every server, and drop outdated entries."""
+        for slots in self._servers.values():
+            slots.expire(now)
         self._heap.clear()
         for name in self._servers:
             self.offer(name, now)
--- a/src/sycamorehaven/transport/headers.py
+++ b/src/sycamorehaven/transport/headers.py
@@ -56,14 +56,14 @@
     """Return the headers of a request that a backend server may see."""
     pairs = list(headers)
     left_out = HOP_BY_HOP | ROUTER_ONLY | list_named(pairs)
-    return tuple((n, v) for n, v in pairs if n.lower() not in left_out)
+    return tuple((str(n), v) for n, v in pairs if n.lower() not in left_out)
 
 
 def filter_answer(headers: Iterable[tuple[str, str]]) -> Headers:
     """Return the headers of an answer that a caller may see."""
     pairs = list(headers)
     left_out = HOP_BY_HOP | list_named(pairs) | {"request-id", "was-run"}
-    return tuple((n, v) for n, v in pairs if n.lower() not in left_out)
+    return tuple((str(n), v) for n, v in pairs if n.lower() not in left_out)
 
 
 def list_named(headers: Iterable[tuple[str, str]]) -> frozenset[str]:
--- a/src/sycamorehaven/transport/messages.py
+++ b/src/sycamorehaven/transport/messages.py
@@ -8,13 +8,17 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 
 import msgspec
 
 PROTOCOL_VERSION = 1
 LARGEST_MESSAGE = 2_097_152
 """Largest encoded envelope, bytes: a relayed body and its headers."""
+LARGEST_CONTROL_MESSAGE = 262_144
+"""Largest encoded message, bytes, of a kind that carries no bodies."""
+LARGEST_NAME = 64
+"""Characters of a sender's host or address."""
 
 
 class Envelope(NamedTuple):
@@ -275,9 +279,10 @@
     """
     One scheduler's total of service given to a workspace; only grows.
 
-    :ivar host: the scheduler's host.
-    :ivar incarnation: its incarnation.
-    :ivar service: the service.
+    :ivar host: the scheduler's host; "" is that of the row before, and in the
+        first row the sender.
+    :ivar incarnation: its incarnation, 0 if ``host`` is "".
+    :ivar service: the service; "" is that of the row before.
     :ivar workspace: the workspace.
     :ivar total: service given since the incarnation's start.
     :ivar rate: service per second lately, for extrapolation.
@@ -295,7 +300,8 @@
     """
     Totals that the receiver merges by maximum.
 
-    :ivar sequence: rises with every update of this sender.
+    :ivar sequence: rises with every update of this sender; 0 wants no
+        acknowledgement.
     :ivar rows: totals.
     """
 
@@ -313,29 +319,45 @@
     sequence: int
 
 
-class ServerNotice(NamedTuple):
+class ServerNews(NamedTuple):
     """
-    News of a backend server, passed on once by every router.
+    What one source says of a backend server.
 
     :ivar server: the backend server.
+    :ivar source: ``"list"`` (the host list) or ``"server"`` (itself).
     :ivar state: ``"leaving"`` or ``"serving"``.
     :ivar version: larger is newer: milliseconds since the epoch at the finder.
-    :ivar hops: how often it may still be passed on.
     """
 
     server: str
+    source: str
     state: str
     version: int
+
+
+class ServerNotice(NamedTuple):
+    """
+    News of backend servers; each router passes what is new to it on once.
+
+    :ivar hops: how often it may still be passed on.
+    :ivar rows: the news.
+    """
+
     hops: int
+    rows: list[ServerNews]
 
 
 class RelayCall(NamedTuple):
     """
-    A call with a token, sent to the router that minted the token.
+    A call with a token, sent to the router that can answer it.
+
+    It is sent again until the receiver says that it has it.
 
-    :ivar relay: number, unique per sending incarnation.
+    :ivar relay: random number, never used twice.
     :ivar owner: incarnation that must run it.
+    :ivar adopted: whether the receiver answers from tokens taken over only.
     :ivar token: the idempotency token.
+    :ivar request_id: names the request in logs and traces.
     :ivar workspace: the authenticated workspace.
     :ivar service: the service.
     :ivar method: HTTP method.
@@ -344,11 +366,14 @@
     :ivar body: the request body.
     :ivar priority: class.
     :ivar timeout: seconds left for the answer.
+    :ivar cost_hint: cost that the caller expects, 0 for none.
     """
 
     relay: int
     owner: int
+    adopted: bool
     token: str
+    request_id: str
     workspace: str
     service: str
     method: str
@@ -357,13 +382,15 @@
     body: bytes
     priority: str
     timeout: float
+    cost_hint: float
 
 
 class RelayReply(NamedTuple):
     """
-    A part of the owner's answer to ``RelayCall``.
+    A part of the answer to ``RelayCall``.
 
     :ivar relay: the call's number.
+    :ivar session: random, above 0; parts of two sessions never mix.
     :ivar part: counts the parts from 0.
     :ivar last: whether it is the last part.
     :ivar status: HTTP status.
@@ -372,6 +399,7 @@
     """
 
     relay: int
+    session: int
     part: int
     last: bool
     status: int
@@ -441,17 +469,22 @@
 
 class TokenRecord(NamedTuple):
     """
-    A finished token.
+    A used token.
 
     :ivar token: the token.
+    :ivar workspace: whose it is.
     :ivar request: xxh3-128 of the request that used it, 16 bytes.
-    :ivar status: HTTP status of the recorded answer.
+    :ivar finished: whether the call ran to its end; if not, its outcome is
+        unknown.
+    :ivar status: HTTP status of the recorded answer, 0 if it is not kept.
     :ivar headers: its headers.
     :ivar body: its body.
     """
 
     token: str
+    workspace: str
     request: bytes
+    finished: bool
     status: int
     headers: list[tuple[str, str]]
     body: bytes
@@ -459,11 +492,13 @@
 
 class TokenHandover(NamedTuple):
     """
-    Finished tokens of a router that shuts down; never run by the receiver.
+    Used tokens of a router that shuts down; never run by the receiver.
 
+    :ivar number: echoed by the acknowledgement.
     :ivar records: the tokens.
     """
 
+    number: int
     records: list[TokenRecord]
 
 
@@ -505,7 +540,7 @@
 
 class PermitAck(NamedTuple):
     """
-    The receiver of returns has taken them.
+    Grants or returns have come; they are repeated until then.
 
     :ivar scheduler: host of the router that granted the permits.
     :ivar incarnation: that router's incarnation.
@@ -547,6 +582,137 @@
     records: list[MemberRecord]
 
 
+class RelayRefusal(NamedTuple):
+    """
+    The refusal of a ``RelayCall``.
+
+    :ivar relay: the call's number.
+    :ivar code: code of the refusal.
+    :ivar detail: what went wrong.
+    :ivar was_run: ``"no"``, ``"yes"`` or ``"unknown"``.
+    :ivar retry_after: seconds, or ``None``.
+    :ivar remedy: what the caller can do.
+    """
+
+    relay: int
+    code: str
+    detail: str
+    was_run: Literal["no", "yes", "unknown"]
+    retry_after: float | None
+    remedy: str
+
+
+class RelayContinue(NamedTuple):
+    """
+    What the sender of a ``RelayCall`` has of the answer.
+
+    :ivar relay: the call's number.
+    :ivar next_part: the first part that it lacks.
+    :ivar resend: whether parts that were sent seem to be lost.
+    :ivar closed: whether it wants no more.
+    """
+
+    relay: int
+    next_part: int
+    resend: bool
+    closed: bool
+
+
+class RelayStatus(NamedTuple):
+    """
+    Whether the sender serves a ``RelayCall``.
+
+    :ivar relay: the call's number.
+    :ivar known: whether it does.
+    """
+
+    relay: int
+    known: bool
+
+
+class TokenHandoverAck(NamedTuple):
+    """
+    The receiver has taken the tokens over.
+
+    :ivar number: the hand-over's.
+    """
+
+    number: int
+
+
+class TokenStateRequest(NamedTuple):
+    """
+    A question for the state of a token.
+
+    :ivar number: random, echoed by the reply.
+    :ivar owner: incarnation that minted the token.
+    :ivar adopted: whether the receiver answers from tokens taken over only.
+    :ivar token: the token.
+    :ivar workspace: the authenticated workspace.
+    """
+
+    number: int
+    owner: int
+    adopted: bool
+    token: str
+    workspace: str
+
+
+class TokenStateReply(NamedTuple):
+    """
+    The answer to ``TokenStateRequest``.
+
+    :ivar number: the request's.
+    :ivar state: the state, ``"invalid"`` for a forged token, or "" if the
+        sender can't tell.
+    :ivar status: HTTP status of the finished call, or 0.
+    """
+
+    number: int
+    state: str
+    status: int
+
+
+class NoticeRequest(NamedTuple):
+    """A request for all news of backend servers that still matter."""
+
+
+class LoadRequest(NamedTuple):
+    """
+    A request to read a backend server's load on the sender's behalf.
+
+    :ivar server: the backend server.
+    """
+
+    server: str
+
+
+class LoadReply(NamedTuple):
+    """
+    The load that was read for ``LoadRequest``; none is sent if there is none.
+
+    :ivar server: the backend server.
+    :ivar running: requests that run.
+    :ivar capacity: requests that it can run at once.
+    :ivar leaving: whether it takes no new work.
+    """
+
+    server: str
+    running: int
+    capacity: int
+    leaving: bool
+
+
+class CounterRequest(NamedTuple):
+    """
+    A request for every total that the receiver knows of some services.
+
+    :ivar services: the services.
+    """
+
+    services: list[str]
+
+
 MESSAGE_KINDS: tuple[type, ...] = (
     Probe,
     ProbeAck,
@@ -573,4 +739,17 @@
     PermitAck,
     ViewDigest,
     ViewRecords,
+    RelayRefusal,
+    RelayContinue,
+    RelayStatus,
+    TokenHandoverAck,
+    TokenStateRequest,
+    TokenStateReply,
+    NoticeRequest,
+    LoadRequest,
+    LoadReply,
+    CounterRequest,
 )
+
+BULK_KINDS = frozenset({ConfigurationReply, RelayCall, RelayReply, TokenHandover})
+"""Kinds that may be as large as ``LARGEST_MESSAGE``."""
