--- a/tests/support/edge.py
+++ b/tests/support/edge.py
@@ -155,8 +155,10 @@
 
     def list_transports(self) -> list[asyncio.WriteTransport]:
         """Return the edge's connections to callers."""
-        server = self._listener._runner.server
-        assert server is not None
+        runner = self._listener._runner
+        assert runner is not None
+        assert runner.server is not None
+        server = runner.server
         found = [connection.transport for connection in server.connections]
         return [transport for transport in found if transport is not None]
 
