--- a/src/sycamorehaven/blackboard/board.py
+++ b/src/sycamorehaven/blackboard/board.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from sycamorehaven.blackboard.admission import AdmissionSection
 from sycamorehaven.blackboard.configuration import ConfigurationSection
 from sycamorehaven.blackboard.counters import CountersSection
 from sycamorehaven.blackboard.leaving import LeavingSection
@@ -16,6 +17,7 @@
 from sycamorehaven.blackboard.seeds import SeedsSection
 from sycamorehaven.blackboard.servers import ServersSection
 from sycamorehaven.blackboard.suspects import SuspectsSection
+from sycamorehaven.blackboard.tokens import TokensSection
 from sycamorehaven.blackboard.traffic import TrafficSection
 from sycamorehaven.identity import RouterId, create_incarnation
 
@@ -45,10 +47,12 @@
         self._traffic = TrafficSection()
         self._outcomes = OutcomesSection()
         self._queues = QueuesSection()
+        self._admission = AdmissionSection()
         self._permits = PermitsSection()
         self._leaving = LeavingSection()
         self._servers = ServersSection(self._leaving)
         self._counters = CountersSection(identity)
+        self._tokens = TokensSection()
         self._suspects = SuspectsSection()
 
     @classmethod
@@ -102,6 +106,11 @@
         """Requests that wait at this edge."""
         return self._queues
 
+    @property
+    def admission(self) -> AdmissionSection:
+        """How the queues of this edge drain."""
+        return self._admission
+
     @property
     def permits(self) -> PermitsSection:
         """Permits that this edge holds."""
@@ -122,6 +131,11 @@
         """Service given, fleet-wide."""
         return self._counters
 
+    @property
+    def tokens(self) -> TokensSection:
+        """Idempotency tokens of this router."""
+        return self._tokens
+
     @property
     def suspects(self) -> SuspectsSection:
         """Requests suspected of crashing backend servers."""
