--- /dev/null
+++ b/tests/failures/test_configuration.py
@@ -0,0 +1,98 @@
+"""A configuration in force never reverts, whatever the service says."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from tests.support.fleet import run_fleet, wait_for
+from tests.support.texts import write_configuration
+
+if TYPE_CHECKING:
+    from tests.support.fleet import Fleet
+
+
+def write_text(fleet: Fleet, number: int) -> str:
+    """Return a sound text, another one for each number."""
+    return write_configuration(fleet.servers) + f"# text {number}\n"
+
+
+async def read_status(fleet: Fleet, router: int) -> dict[str, Any]:
+    """Return a router's status, empty while it does not answer."""
+    try:
+        status: dict[str, Any] = await fleet.admin(router, "/v1/status")
+    except aiohttp.ClientError:
+        return {}
+    return status
+
+
+async def wait_for_revision(fleet: Fleet, revision: int) -> None:
+    """Wait until every router has a revision in force."""
+
+    async def is_everywhere() -> bool:
+        statuses = [await read_status(fleet, n) for n in range(len(fleet.routers))]
+        return all(s.get("configuration_revision") == revision for s in statuses)
+
+    await wait_for(is_everywhere)
+
+
+async def restart(fleet: Fleet, router: int) -> set[int]:
+    """Kill a router, start it and return the revisions it had until ready."""
+    plan = fleet.routers[router]
+    await fleet.kill(plan.host)
+    await fleet.start_router(plan)
+    seen: set[int] = set()
+
+    async def is_ready() -> bool:
+        status = await read_status(fleet, router)
+        seen.add(status.get("configuration_revision", 0))
+        return bool(status.get("ready", False))
+
+    await wait_for(is_ready)
+    for _ in range(20):
+        await is_ready()
+        await asyncio.sleep(0.05)
+    return seen
+
+
+async def test_revisions_only_rise_under_invalid_late_and_stale_texts() -> None:
+    async with run_fleet(("a", "a", "a", "b")) as fleet:
+        await fleet.publish(write_text(fleet, 2))
+        await wait_for_revision(fleet, 2)
+        refused = await fleet.publish("[nonsense]\n")
+
+        async def is_reported() -> bool:
+            statuses = [await read_status(fleet, n) for n in range(4)]
+            return any(s["configuration_refused"] for s in statuses)
+
+        await wait_for(is_reported)
+        await wait_for_revision(fleet, 2)
+        await fleet.publish(write_text(fleet, 5), refused + 2)
+        await wait_for_revision(fleet, 5)
+        await fleet.publish(write_text(fleet, 4), 4)
+        assert await restart(fleet, 1) <= {0, 5}
+        await fleet.set_platform("down")
+        assert await restart(fleet, 3) <= {0, 5}
+        await wait_for_revision(fleet, 5)
+        await fleet.set_platform("up")
+        await fleet.publish(write_text(fleet, 6), 6)
+        await wait_for_revision(fleet, 6)
+
+
+async def test_cold_start_without_service_and_peers_says_why_and_goes_on() -> None:
+    async with run_fleet(("a",)) as fleet:
+        plan = fleet.routers[0]
+        await fleet.set_platform("down")
+        await fleet.kill(plan.host)
+        await fleet.start_router(plan)
+
+        async def says_why() -> bool:
+            status = await read_status(fleet, 0)
+            assert not status.get("ready", False)
+            return "platform_unavailable" in str(status.get("reasons"))
+
+        await wait_for(says_why)
+        await fleet.set_platform("up")
+        await fleet.wait_until_ready(plan)
