Give each demo its own peer keys

A demo beside other fleets on one machine heard a stranger: 'a newer process uses this host's name a1', its second booking answered 409. Ports are found free and bound later, so another fleet's seed may name one; fresh CURVE keys keep strangers out.

--- a/src/sycamorehaven/demo/plan.py
+++ b/src/sycamorehaven/demo/plan.py
@@ -6,6 +6,8 @@
 import socket
 from typing import NamedTuple
 
+import zmq
+
 from sycamorehaven.settings import RouterSettings
 
 WORKSPACES = ("oakcourt", "elmplace")
@@ -41,11 +43,14 @@
     :ivar platform: the stand-in platform.
     :ivar servers: stand-in backend servers by name.
     :ivar routers: the routers.
+    :ivar peer_keys: public and secret CURVE key, Z85; fresh for each demo, so
+        that two demos on one machine never hear each other.
     """
 
     platform: str
     servers: dict[str, str]
     routers: tuple[RouterPlan, ...]
+    peer_keys: tuple[str, str]
 
     @classmethod
     def from_addresses(cls, addresses: list[str]) -> DemoPlan:
@@ -57,7 +62,9 @@
         )
         names = ("engine-1", "engine-2", "booking-1")
         servers = dict(zip(names, addresses[9:12], strict=True))
-        return cls(addresses[12], servers, routers)
+        public, secret = zmq.curve_keypair()
+        keys = public.decode(), secret.decode()
+        return cls(addresses[12], servers, routers, keys)
 
     def write_configuration(self) -> str:
         """Return the operators' text."""
@@ -76,7 +83,12 @@
 
     def create_settings(self, router: RouterPlan) -> RouterSettings:
         """Return the settings of a router."""
-        seeds = [other.peers for other in self.routers if other != router]
+        peers = {
+            "address": router.peers,
+            "seeds": [other.peers for other in self.routers if other != router],
+            "public_key": self.peer_keys[0],
+            "secret_key": self.peer_keys[1],
+        }
         return RouterSettings.from_document(
             {
                 "router": {
@@ -84,7 +96,7 @@
                     "failure_domain": router.failure_domain,
                 },
                 "callers": {"address": router.callers},
-                "peers": {"address": router.peers, "seeds": seeds},
+                "peers": peers,
                 "admin": {"address": router.admin},
                 "platform": {"url": f"http://{self.platform}"},
                 "telemetry": {"level": "error", "trace_ratio": 1.0},
