--- a/src/sycamorehaven/console/commands/demo.py
+++ b/src/sycamorehaven/console/commands/demo.py
@@ -37,7 +37,7 @@
             return
         result = asyncio.run(run_scenario())
     if json:
-        print_json(result)
+        print_json(build_document(result))
     else:
         print_result(result)
     if result.faults:
@@ -64,6 +64,15 @@
     typer.echo("ended")
 
 
+def build_document(result: DemoResult) -> dict[str, object]:
+    """Return what the demo saw as a document."""
+    bookings = [
+        {"status": answer.status, "body": answer.body.decode()}
+        for answer in result.bookings
+    ]
+    return {**result._asdict(), "bookings": bookings}
+
+
 def print_result(result: DemoResult) -> None:
     """Print the figures and the verdict."""
     show_summary(result.load, json=False)
--- a/src/sycamorehaven/demo/guide.py
+++ b/src/sycamorehaven/demo/guide.py
@@ -33,7 +33,7 @@
   .venv/bin/sycamorehaven status --admin {admin}
   .venv/bin/sycamorehaven workspaces --admin {admin}
   .venv/bin/sycamorehaven traces --admin {admin} --limit 20
-  curl -s http://{admin}/metrics | grep sycamorehaven_
+  curl -s http://{admin}/metrics | grep ^sycamorehaven_
   SYCAMOREHAVEN_KEY={oakcourt} .venv/bin/sycamorehaven load --target {first}
 """
 
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -116,6 +116,16 @@
     assert not missing, missing
 
 
+def test_every_event_is_explained() -> None:
+    rows = read_rows(read_operators_page())
+    counted = re.compile(r'count(?:_event)?\(\s*"(\w+)"')
+    sources = [path.read_text() for path in (ROOT / "src").rglob("*.py")]
+    events = {name for source in sources for name in counted.findall(source)}
+    assert len(events) > 5
+    missing = [name for name in sorted(events) if name not in rows]
+    assert not missing, missing
+
+
 def test_links_lead_somewhere() -> None:
     pages = [ROOT / "README.md", *DOCS.rglob("*.md")]
     broken = [
