Split sending, answers and generations out of two large modules

The check of a permit's server and the send move to controllers/sending.py, the answer to transport/answers.py, the pools to transport/generations.py. Refusal.mark_unknown and Refusal.doubt stood for the same and become one. python -m tests.support.runner: tests.controllers 64, tests.transport 35, tests.failures.test_path 3, tests.failures.test_poison 2 passed, none failed.

--- a/src/sycamorehaven/blackboard/outcomes.py
+++ b/src/sycamorehaven/blackboard/outcomes.py
@@ -1,4 +1,4 @@
-"""Counts of what became of calls; written by the call controller."""
+"""Counts of what became of calls; written where callers are answered."""
 
 from __future__ import annotations
 
--- a/src/sycamorehaven/controllers/attempts.py
+++ b/src/sycamorehaven/controllers/attempts.py
@@ -4,14 +4,10 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
-from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
+from typing import TYPE_CHECKING
 
-from opentelemetry import trace
-
-from sycamorehaven.blackboard.board import Blackboard
-from sycamorehaven.controllers.admission import Admission, PermitHolder
-from sycamorehaven.decisions.retry_budget import Failure, RetryBudget, decide_retry
+from sycamorehaven.controllers.sending import Sender, trace_permit
+from sycamorehaven.decisions.retry_budget import Failure, decide_retry
 from sycamorehaven.exceptions.backends import (
     BackendError,
     ConnectFailed,
@@ -23,23 +19,18 @@
     ServerSilent,
 )
 from sycamorehaven.exceptions.refusals import AttemptsExhausted, BackendTimeout, Refusal
-from sycamorehaven.transport.backends import Backends
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
-    from contextlib import AbstractContextManager
-
     from sycamorehaven.blackboard.permits import Permit
     from sycamorehaven.call import Call
     from sycamorehaven.configuration.model import BackendServer
     from sycamorehaven.controllers.guards import SuspectGuard
+    from sycamorehaven.controllers.sending import Edge
     from sycamorehaven.exceptions.refusals import WasRun
-    from sycamorehaven.transport.backends import BackendAnswer
+    from sycamorehaven.transport.answers import BackendAnswer
 
 RETRY_AFTER = 1.0
 """Seconds a caller is asked to wait after failed attempts."""
-MOST_AVOIDED = 4
-"""Permits returned unused because the server has just failed the call."""
 FIRST_PAUSE = 0.005
 """Seconds before a call queues again after an unused permit; doubles."""
 LONGEST_PAUSE = 0.25
@@ -48,42 +39,6 @@
 TOKEN_BYTES = 4
 """Bytes of a model's plain answer that are charged as one token."""
 
-tracer = trace.get_tracer("sycamorehaven")
-
-
-class ServerReports(Protocol):
-    """Hears of backend servers that failed a call."""
-
-    def report_lost(self, server: str) -> None:
-        """Note that a server broke a connection or refused one."""
-        ...
-
-    def report_leaving(self, server: str) -> None:
-        """Note that a server refused a call because it is leaving."""
-        ...
-
-
-class Edge(NamedTuple):
-    """
-    What every call of this router uses.
-
-    :ivar board: the state of this router.
-    :ivar admission: waits for permits.
-    :ivar permits: takes permits back.
-    :ivar backends: connections to backend servers.
-    :ivar budget: retries left.
-    :ivar reports: hears of servers that failed, if anybody does.
-    :ivar clock: monotonic seconds.
-    """
-
-    board: Blackboard
-    admission: Admission
-    permits: PermitHolder
-    backends: Backends
-    budget: RetryBudget
-    reports: ServerReports | None
-    clock: Callable[[], float]
-
 
 class CallRun:
     """
@@ -101,10 +56,9 @@
         self._permit: Permit | None = None
         self._answer: BackendAnswer | None = None
         self._started = 0.0
-        self._failed_server = ""
+        self._sender = Sender(call, edge)
         self._failures: Counter[bool] = Counter()
         self._unused = 0
-        self._avoided = 0
         self._preemptions = 0
         self._sent = False
 
@@ -132,8 +86,7 @@
                 await self.take_failure(error)
             except Refusal as refusal:
                 if self._sent:
-                    again = self._call.rule.idempotent
-                    refusal.mark_unknown(keep_retry_after=again)
+                    refusal.doubt(may_repeat=self._call.rule.idempotent)
                 raise
             else:
                 return self._answer
@@ -153,7 +106,7 @@
             self._preemptions += 1
             self.count("preemption")
         else:
-            self._failed_server, self._avoided = server, 0
+            self._sender.avoid(server)
             self._judge(error)
 
     def charge(self, events: int, size: int) -> None:
@@ -211,9 +164,9 @@
                 self._call, first=again
             )
             with trace_permit(self._permit):
-                self._check_permit(self._permit)
+                self._sender.choose_server(self._permit)
                 await self._guard.enter(self._permit.server, self.was_run)
-                server = self._check_permit(self._permit)
+                server = self._sender.choose_server(self._permit)
                 return await self._send(server, self._permit, resume_from)
         except BackendError:
             raise
@@ -221,40 +174,16 @@
             self._settle(failed=False)
             raise
 
-    def _check_permit(self, permit: Permit) -> BackendServer:
-        board, now = self._edge.board, self._edge.clock()
-        configuration = board.configuration.current
-        server = configuration.servers.get(permit.server) if configuration else None
-        if configuration is None or server is None or now > permit.expires_at:
-            raise PermitUnused("the permit is no longer valid")
-        if not board.servers.takes_work(server.name, now):
-            raise PermitUnused("the server takes no new work")
-        if server.name != self._failed_server or self._avoided >= MOST_AVOIDED:
-            return server
-        for other in configuration.list_servers(permit.service):
-            if other != server and board.servers.takes_work(other.name, now):
-                self._avoided += 1
-                raise PermitUnused("the server has just failed the call")
-        return server
-
     async def _send(
         self, server: BackendServer, permit: Permit, resume_from: int
     ) -> BackendAnswer:
-        rule = self._call.rule
-        permit.used_runs += 1
-        permit.resumable = (
-            rule.resumable and rule.idempotent and self._preemptions < MOST_PREEMPTIONS
-        )
         self._started = self._edge.clock()
         sent_before, self._sent = self._sent, True
-        sending = self._edge.backends.send(server, self._call, resume_from=resume_from)
+        may_preempt = self._preemptions < MOST_PREEMPTIONS
         try:
-            with tracer.start_as_current_span(
-                "backend attempt", attributes={"server": server.name}
-            ):
-                if not permit.resumable:
-                    return await sending
-                return await run_until_preempted(sending, permit)
+            return await self._sender.send(
+                server, permit, resume_from, may_preempt=may_preempt
+            )
         except BackendError as error:
             self._sent = sent_before or error.sent
             raise
@@ -314,41 +243,3 @@
         self._started = 0.0
         permit.failed = permit.failed or failed
         self._edge.permits.release(permit)
-
-
-def trace_permit(permit: Permit) -> AbstractContextManager[trace.Span]:
-    """Return a span for the use of a permit until the answer's headers."""
-    return tracer.start_as_current_span(
-        "permit",
-        attributes={
-            "permit.scheduler": permit.key.scheduler.host,
-            "permit.number": permit.key.number,
-            "permit.server": permit.server,
-        },
-    )
-
-
-async def run_until_preempted(
-    sending: Coroutine[Any, Any, BackendAnswer], permit: Permit
-) -> BackendAnswer:
-    """
-    Return the answer, or cancel the sending when the slot is wanted back.
-
-    :raises RunPreempted: if the permit is preempted first.
-    """
-    task = asyncio.ensure_future(sending)
-    watching = asyncio.ensure_future(permit.preempted.wait())
-    try:
-        await asyncio.wait({task, watching}, return_when=asyncio.FIRST_COMPLETED)
-        if not task.done():
-            raise RunPreempted
-        return task.result()
-    except asyncio.CancelledError:
-        if task.done() and not task.cancelled() and task.exception() is None:
-            task.result().close()
-        raise
-    finally:
-        watching.cancel()
-        if not task.done():
-            task.cancel()
-            await asyncio.wait({task})
--- a/src/sycamorehaven/controllers/calls.py
+++ b/src/sycamorehaven/controllers/calls.py
@@ -9,8 +9,9 @@
 
 from sycamorehaven.call import Answer
 from sycamorehaven.controllers.admission import Admission
-from sycamorehaven.controllers.attempts import CallRun, Edge
+from sycamorehaven.controllers.attempts import CallRun
 from sycamorehaven.controllers.guards import SuspectGuard
+from sycamorehaven.controllers.sending import Edge
 from sycamorehaven.controllers.streams import AnswerStream, can_resume
 from sycamorehaven.decisions.retry_budget import RetryBudget
 from sycamorehaven.exceptions.refusals import InternalError, Refusal
@@ -21,9 +22,10 @@
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.call import Call
     from sycamorehaven.controllers.admission import PermitHolder
-    from sycamorehaven.controllers.attempts import ServerReports
     from sycamorehaven.controllers.guards import SuspectLedger
-    from sycamorehaven.transport.backends import BackendAnswer, Backends
+    from sycamorehaven.controllers.sending import ServerReports
+    from sycamorehaven.transport.answers import BackendAnswer
+    from sycamorehaven.transport.backends import Backends
     from sycamorehaven.transport.headers import Headers
 
 
--- a/src/sycamorehaven/controllers/streams.py
+++ b/src/sycamorehaven/controllers/streams.py
@@ -12,7 +12,7 @@
     from collections.abc import AsyncGenerator, Iterable
 
     from sycamorehaven.controllers.attempts import CallRun
-    from sycamorehaven.transport.backends import BackendAnswer
+    from sycamorehaven.transport.answers import BackendAnswer
 
 EVENT_STREAM = "text/event-stream"
 
--- a/src/sycamorehaven/controllers/token_guard.py
+++ b/src/sycamorehaven/controllers/token_guard.py
@@ -14,7 +14,8 @@
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.call import Call
     from sycamorehaven.configuration.model import BackendServer
-    from sycamorehaven.transport.backends import BackendAnswer, Backends
+    from sycamorehaven.transport.answers import BackendAnswer
+    from sycamorehaven.transport.backends import Backends
 
 
 class TokenGuard:
--- a/src/sycamorehaven/exceptions/refusals.py
+++ b/src/sycamorehaven/exceptions/refusals.py
@@ -45,14 +45,16 @@
         """Whether the call ran on a backend server."""
         return self._was_run
 
-    def doubt(self) -> None:
+    def doubt(self, *, may_repeat: bool = True) -> None:
         """
-        Say of a call with a token that nobody asked whether it was run.
+        Say that the call, or an earlier copy of it, may have run.
 
-        An earlier copy of the call may have run, so "no" could be false.
+        :param may_repeat: whether trying again does no harm if it has.
         """
         if self._was_run == "no":
             self._was_run = "unknown"
+        if not may_repeat:
+            self._retry_after = None
 
     @property
     def retry_after(self) -> float | None:
@@ -64,12 +66,6 @@
         """Further members of the problem document."""
         return self._extra
 
-    def mark_unknown(self, *, keep_retry_after: bool) -> None:
-        """Note that an earlier attempt of the call may have run."""
-        self._was_run = "unknown"
-        if not keep_retry_after:
-            self._retry_after = None
-
 
 class BadRequest(Refusal):
     """A header or the body does not have the required form."""
--- a/src/sycamorehaven/transport/backends.py
+++ b/src/sycamorehaven/transport/backends.py
@@ -14,34 +14,24 @@
     AnswerInvalid,
     BackendError,
     ConnectFailed,
-    RunPreempted,
     ServerLeaving,
     ServerLost,
     ServerOverloaded,
     ServerSilent,
 )
-from sycamorehaven.transport.headers import filter_answer
+from sycamorehaven.transport.answers import BROKEN, HttpAnswer
+from sycamorehaven.transport.generations import Generation
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable, Callable
-
     from sycamorehaven.call import Call
     from sycamorehaven.configuration.model import BackendServer
-    from sycamorehaven.transport.headers import Headers
+    from sycamorehaven.transport.answers import BackendAnswer
 
 WAS_RUN_HEADER = "Was-Run"
 """Header by which a server that answers 503 says that the call did not run."""
 LARGEST_HEADER = 32_768
 """Longest header of an answer, bytes."""
 
-BROKEN = (
-    aiohttp.ServerDisconnectedError,
-    aiohttp.ClientOSError,
-    aiohttp.ClientPayloadError,
-    OSError,
-)
-"""What aiohttp raises when a connection breaks."""
-
 
 class ProgressTimeouts(NamedTuple):
     """
@@ -57,32 +47,6 @@
     chunk: float = 10.0
 
 
-class BackendAnswer(Protocol):
-    """A backend server's answer, headers read, body to come."""
-
-    @property
-    def status(self) -> int:
-        """HTTP status."""
-        ...
-
-    @property
-    def headers(self) -> Headers:
-        """Headers for the caller."""
-        ...
-
-    def read_chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body as it comes; raise ``BackendError`` if it breaks."""
-        ...
-
-    def interrupt(self) -> None:
-        """Make the reader raise ``RunPreempted``."""
-        ...
-
-    def close(self) -> None:
-        """Give the connection up, or back if the body was read."""
-        ...
-
-
 class Backends(Protocol):
     """Sends calls to backend servers."""
 
@@ -98,124 +62,6 @@
         ...
 
 
-class Generation:
-    """
-    Connections to one server, opened since the last one went silent.
-
-    A retired generation opens and lends no connection; those in use end with
-    their answers.
-    """
-
-    def __init__(self, client: aiohttp.ClientSession) -> None:
-        self._client = client
-        self._users = 0
-        self._retired = False
-        self._closing: asyncio.Task[None] | None = None
-
-    @property
-    def client(self) -> aiohttp.ClientSession:
-        """Opens and lends its connections."""
-        return self._client
-
-    @property
-    def retired(self) -> bool:
-        """Whether no new call may use it."""
-        return self._retired
-
-    def enter(self) -> None:
-        """Count a call in."""
-        self._users += 1
-
-    def leave(self) -> None:
-        """Count a call out."""
-        self._users -= 1
-        self._close_if_idle()
-
-    def retire(self) -> None:
-        """Use the connections no more."""
-        self._retired = True
-        self._close_if_idle()
-
-    def _close_if_idle(self) -> None:
-        if self._retired and not self._users and self._closing is None:
-            self._closing = asyncio.ensure_future(self._client.close())
-
-
-class HttpAnswer:
-    """
-    An answer over HTTP.
-
-    :param response: headers read, body to come.
-    :param timeout: seconds between two chunks.
-    :param on_break: called if the connection breaks or goes silent.
-    :param on_close: called once, when the answer is done with.
-    """
-
-    def __init__(
-        self,
-        response: aiohttp.ClientResponse,
-        timeout: float,
-        on_break: Callable[[], None],
-        on_close: Callable[[], None],
-    ) -> None:
-        self._response = response
-        self._timeout = timeout
-        self._on_break = on_break
-        self._on_close = on_close
-        self._scope: asyncio.Timeout | None = None
-        self._interrupted = False
-        self._closed = False
-
-    @property
-    def status(self) -> int:
-        """HTTP status."""
-        return self._response.status
-
-    @property
-    def headers(self) -> Headers:
-        """Headers for the caller."""
-        return filter_answer(self._response.headers.items())
-
-    async def read_chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body as it comes; raise ``BackendError`` if it breaks."""
-        read = self._response.content.readany
-        while chunk := await self._read(read):
-            yield chunk
-
-    def interrupt(self) -> None:
-        """Make the reader raise ``RunPreempted``."""
-        self._interrupted = True
-        if self._scope is not None:
-            self._scope.reschedule(asyncio.get_running_loop().time())
-
-    def close(self) -> None:
-        """Give the connection up, or back if the body was read."""
-        if self._closed:
-            return
-        self._closed = True
-        self._response.close()
-        self._on_close()
-
-    async def _read(self, read: Callable[[], Awaitable[bytes]]) -> bytes:
-        if self._interrupted:
-            raise RunPreempted
-        try:
-            async with asyncio.timeout(self._timeout) as self._scope:
-                return await read()
-        except TimeoutError as error:
-            if self._interrupted:
-                raise RunPreempted from error
-            self._on_break()
-            raise ServerSilent("no chunk in time", sent=True) from error
-        except BROKEN as error:
-            self._on_break()
-            raise ServerLost(repr(error), sent=True) from error
-        except aiohttp.ClientError as error:
-            raise AnswerInvalid(repr(error), sent=True) from error
-        finally:
-            self._scope = None
-
-
 class HttpBackends:
     """
     A generation of pooled connections for each backend server.
--- a/src/sycamorehaven/transport/filters.py
+++ b/src/sycamorehaven/transport/filters.py
@@ -17,7 +17,8 @@
     from sycamorehaven.configuration.model import BackendServer
     from sycamorehaven.controllers.servers import LoadReport, LoadSource
     from sycamorehaven.settings import RouterSettings
-    from sycamorehaven.transport.backends import BackendAnswer, Backends
+    from sycamorehaven.transport.answers import BackendAnswer
+    from sycamorehaven.transport.backends import Backends
     from sycamorehaven.transport.links import PeerFilter
     from sycamorehaven.transport.platform import (
         ConfigurationText,
--- a/tests/controllers/test_attempts.py
+++ b/tests/controllers/test_attempts.py
@@ -8,7 +8,7 @@
 
 from aiohttp import web
 
-from sycamorehaven.controllers.attempts import MOST_AVOIDED
+from sycamorehaven.controllers.sending import MOST_AVOIDED
 from sycamorehaven.decisions.retry_budget import (
     MOST_REFUSALS,
     RETRY_FRACTION,
