--- a/src/sycamorehaven/controllers/attempts.py
+++ b/src/sycamorehaven/controllers/attempts.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from sycamorehaven.controllers.sending import Sender, trace_permit
+from sycamorehaven.decisions.preemption import is_preemptible
 from sycamorehaven.decisions.retry_budget import Failure, decide_retry
 from sycamorehaven.exceptions.backends import (
     BackendError,
@@ -34,8 +35,6 @@
 FIRST_PAUSE = 0.005
 """Seconds before a call queues again after an unused permit; doubles."""
 LONGEST_PAUSE = 0.25
-MOST_PREEMPTIONS = 3
-"""Preemptions of one call; after them its slot is not offered any more."""
 TOKEN_BYTES = 4
 """Bytes of a model's plain answer that are charged as one token."""
 
@@ -55,6 +54,7 @@
         self._guard = guard
         self._permit: Permit | None = None
         self._answer: BackendAnswer | None = None
+        self._since = edge.clock()
         self._started = 0.0
         self._sender = Sender(call, edge)
         self._failures: Counter[bool] = Counter()
@@ -99,7 +99,8 @@
         """
         server = self._permit.server if self._permit else ""
         self._report(error, server)
-        self._settle(failed=isinstance(error, (ServerLost, ServerSilent)))
+        failed = isinstance(error, (ServerLost, ServerSilent, ServerOverloaded))
+        self._settle(failed=failed)
         if isinstance(error, PermitUnused):
             await self._pause()
         elif isinstance(error, RunPreempted):
@@ -143,6 +144,9 @@
         answer, call = self._answer, self._call
         if self._permit is None or answer is None:
             return
+        self._edge.admission.limits.learn_service_time(
+            call, self._edge.clock() - self._started
+        )
         self._settle(failed=False)
         if answer.status < 500:
             self._guard.acquit()
@@ -161,7 +165,7 @@
         try:
             await self._guard.clear(self.was_run)
             self._permit = await self._edge.admission.wait_for_permit(
-                self._call, first=again
+                self._call, first=again, since=self._since
             )
             with trace_permit(self._permit):
                 self._sender.choose_server(self._permit)
@@ -177,13 +181,11 @@
     async def _send(
         self, server: BackendServer, permit: Permit, resume_from: int
     ) -> BackendAnswer:
+        permit.resumable = is_preemptible(self._call.rule, self._preemptions)
         self._started = self._edge.clock()
         sent_before, self._sent = self._sent, True
-        may_preempt = self._preemptions < MOST_PREEMPTIONS
         try:
-            return await self._sender.send(
-                server, permit, resume_from, may_preempt=may_preempt
-            )
+            return await self._sender.send(server, permit, resume_from)
         except BackendError as error:
             self._sent = sent_before or error.sent
             raise
--- a/src/sycamorehaven/controllers/sending.py
+++ b/src/sycamorehaven/controllers/sending.py
@@ -107,19 +107,14 @@
         server: BackendServer,
         permit: Permit,
         resume_from: int,
-        *,
-        may_preempt: bool,
     ) -> BackendAnswer:
         """
         Return the server's answer once its headers are read.
 
         :param resume_from: events that the caller already has.
-        :param may_preempt: whether the slot is offered to others meanwhile.
         :raises BackendError: if the attempt failed.
         """
-        rule = self._call.rule
         permit.used_runs += 1
-        permit.resumable = rule.resumable and rule.idempotent and may_preempt
         sending = self._edge.backends.send(server, self._call, resume_from=resume_from)
         with tracer.start_as_current_span(
             "backend attempt", attributes={"server": server.name}
