--- a/src/sycamorehaven/decisions/preemption.py
+++ b/src/sycamorehaven/decisions/preemption.py
@@ -4,8 +4,8 @@
 A stream that can be resumed is cancelled and queued again, first in line.
 The bounds: a stream is preempted a limited number of times and never before
 it has run for a while; no more streams are being preempted than requests
-wait; and only a workspace whose virtual time is behind the victim's gains by
-it, or the victim's own, so that preemption moves no share.
+wait; and only a workspace whose virtual time is not ahead of the victim's
+gains by it, or the victim's own, so that preemption moves no share.
 """
 
 from __future__ import annotations
@@ -31,6 +31,8 @@
 """Seconds that an interactive request waits before a stream is preempted."""
 ORDER_TIMEOUT = 2.0
 """Seconds after which a preemption that freed no slot counts no longer."""
+ROUNDING = 1e-9
+"""Relative difference of virtual times that counts as none."""
 LAST_TURN = 8
 """Schedulers that wait for each other's preemption in turn."""
 
@@ -106,15 +108,16 @@
     """
     Return whether a stream may make way for a workspace.
 
-    After the grant the claimant must still be no further than the victim's
-    workspace. A workspace's own stream makes way unless it runs by the
-    fraction that batch is guaranteed.
+    The claimant must not be ahead of the victim's workspace; it would be
+    granted the next free slot before that one anyway. A workspace's own stream
+    makes way unless it runs by the fraction that batch is guaranteed.
     """
     if not candidate.resumable or now - candidate.granted_at < SHORTEST_RUN:
         return False
     if candidate.workspace == claimant.workspace:
         return not candidate.guaranteed
-    return claimant.virtual_time + claimant.cost <= candidate.virtual_time
+    ahead = claimant.virtual_time - candidate.virtual_time
+    return ahead <= ROUNDING * abs(candidate.virtual_time)
 
 
 class Preemptor:
