--- a/src/sycamorehaven/controllers/attempts.py
+++ b/src/sycamorehaven/controllers/attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
 
@@ -22,7 +23,7 @@
     ServerOverloaded,
     ServerSilent,
 )
-from sycamorehaven.exceptions.refusals import AttemptsExhausted, BackendTimeout
+from sycamorehaven.exceptions.refusals import AttemptsExhausted, BackendTimeout, Refusal
 from sycamorehaven.transport.backends import Backends
 
 if TYPE_CHECKING:
@@ -38,8 +39,6 @@
 
 RETRY_AFTER = 1.0
 """Seconds a caller is asked to wait after failed attempts."""
-MOST_UNUSED = 64
-"""Permits that one call may return unused."""
 MOST_AVOIDED = 4
 """Permits returned unused because the server has just failed the call."""
 FIRST_PAUSE = 0.005
@@ -103,7 +102,7 @@
         self._since = edge.clock()
         self._started = 0.0
         self._failed_server = ""
-        self._failures = 0
+        self._failures: Counter[bool] = Counter()
         self._unused = 0
         self._avoided = 0
         self._preemptions = 0
@@ -131,6 +130,11 @@
                 self._answer = await self._attempt(resume_from)
             except BackendError as error:
                 await self.take_failure(error)
+            except Refusal as refusal:
+                if self._sent:
+                    again = self._call.rule.idempotent
+                    refusal.mark_unknown(keep_retry_after=again)
+                raise
             else:
                 return self._answer
 
@@ -145,7 +149,7 @@
         failed = isinstance(error, (ServerLost, ServerSilent, ServerOverloaded))
         self._settle(failed=failed)
         if isinstance(error, PermitUnused):
-            await self._pause(error)
+            await self._pause()
         elif isinstance(error, RunPreempted):
             self._preemptions += 1
             self.count("preemption")
@@ -204,7 +208,7 @@
         self._settle(failed=False)
 
     async def _attempt(self, resume_from: int) -> BackendAnswer:
-        again = self._failures + self._preemptions + self._unused > 0
+        again = bool(self._failures or self._preemptions or self._unused)
         try:
             await self._guard.clear(self.was_run)
             self._permit = await self._edge.admission.wait_for_permit(
@@ -257,24 +261,20 @@
             self._sent = sent_before or error.sent
             raise
 
-    async def _pause(self, error: PermitUnused) -> None:
+    async def _pause(self) -> None:
         self._unused += 1
         self.count("permit_unused")
-        if self._unused > MOST_UNUSED:
-            raise AttemptsExhausted(
-                f"{self._unused} permits could not be used: {error}",
-                was_run=self.was_run,
-                retry_after=RETRY_AFTER,
-            )
         doublings = min(self._unused - 1, 10)
         await asyncio.sleep(min(FIRST_PAUSE * 2**doublings, LONGEST_PAUSE))
 
     def _judge(self, error: BackendError) -> None:
         refused = isinstance(error, (ServerLeaving, ServerOverloaded))
-        self._failures += 1
+        failure = Failure(error.sent, refused)
+        self._failures[failure.is_free] += 1
+        self._guard.check(self.was_run)
         verdict = decide_retry(
-            Failure(error.sent, refused),
-            self._failures,
+            failure,
+            self._failures[failure.is_free],
             self._edge.budget,
             idempotent=self._call.rule.idempotent,
         )
