--- a/src/sycamorehaven/blackboard/board.py
+++ b/src/sycamorehaven/blackboard/board.py
@@ -4,8 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+from sycamorehaven.blackboard.admission import AdmissionSection
 from sycamorehaven.blackboard.configuration import ConfigurationSection
 from sycamorehaven.blackboard.counters import CountersSection
+from sycamorehaven.blackboard.leaving import LeavingSection
 from sycamorehaven.blackboard.lifecycle import LifecycleSection
 from sycamorehaven.blackboard.members import Member, MembersSection
 from sycamorehaven.blackboard.outcomes import OutcomesSection
@@ -45,8 +47,10 @@
         self._traffic = TrafficSection()
         self._outcomes = OutcomesSection()
         self._queues = QueuesSection()
+        self._admission = AdmissionSection()
         self._permits = PermitsSection()
-        self._servers = ServersSection()
+        self._leaving = LeavingSection()
+        self._servers = ServersSection(self._leaving)
         self._counters = CountersSection(identity)
         self._tokens = TokensSection()
         self._suspects = SuspectsSection()
@@ -102,11 +106,21 @@
         """Requests that wait at this edge."""
         return self._queues
 
+    @property
+    def admission(self) -> AdmissionSection:
+        """How the queues of this edge drain."""
+        return self._admission
+
     @property
     def permits(self) -> PermitsSection:
         """Permits that this edge holds."""
         return self._permits
 
+    @property
+    def leaving(self) -> LeavingSection:
+        """Which backend servers are leaving."""
+        return self._leaving
+
     @property
     def servers(self) -> ServersSection:
         """What is known of backend servers."""
--- a/src/sycamorehaven/exceptions/refusals.py
+++ b/src/sycamorehaven/exceptions/refusals.py
@@ -64,6 +64,12 @@
         """Further members of the problem document."""
         return self._extra
 
+    def mark_unknown(self, *, keep_retry_after: bool) -> None:
+        """Note that an earlier attempt of the call may have run."""
+        self._was_run = "unknown"
+        if not keep_retry_after:
+            self._retry_after = None
+
 
 class BadRequest(Refusal):
     """A header or the body does not have the required form."""
@@ -193,6 +199,14 @@
     remedy = "send again after Retry-After seconds, or send less at once"
 
 
+class QueueMemoryFull(Refusal):
+    """The workspace holds too much of the memory for queued bodies."""
+
+    code = "queue_memory_full"
+    status = 429
+    remedy = "send again after Retry-After seconds, or queue fewer large bodies"
+
+
 class HeadersTooLarge(Refusal):
     """The request headers pass the limit."""
 
--- /dev/null
+++ b/src/sycamorehaven/telemetry/demand.py
@@ -0,0 +1,59 @@
+"""Which workspaces are backlogged, by the demand that edges report."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sycamorehaven.identity import RouterId
+    from sycamorehaven.transport.codec import Delivery
+    from sycamorehaven.transport.messages import DemandReport
+
+
+class ReportedBacklog(NamedTuple):
+    """
+    Workspaces that wait at one edge.
+
+    :ivar sequence: of the report.
+    :ivar until: monotonic seconds at which it is void.
+    :ivar workspaces: those with a request that waits.
+    """
+
+    sequence: int
+    until: float
+    workspaces: frozenset[str]
+
+
+class DemandWatch:
+    """
+    Reads the demand reports that reach this router as a scheduler.
+
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._backlogs: dict[str, dict[RouterId, ReportedBacklog]] = {}
+
+    def take(self, delivery: Delivery) -> None:
+        """Take a report; one that is older than the last is ignored."""
+        report: DemandReport = delivery.message
+        edges = self._backlogs.setdefault(report.service, {})
+        known = edges.get(delivery.sender)
+        if known is not None and known.sequence >= report.sequence:
+            return
+        edges[delivery.sender] = ReportedBacklog(
+            report.sequence,
+            self._clock() + report.lifetime,
+            frozenset(row.workspace for row in report.rows if row.waiting),
+        )
+
+    def list_backlogged(self, service: str) -> set[str]:
+        """Return the workspaces that wait for a service at any edge."""
+        edges = self._backlogs.get(service, {})
+        now = self._clock()
+        for edge in [edge for edge, backlog in edges.items() if backlog.until < now]:
+            del edges[edge]
+        return set().union(*(backlog.workspaces for backlog in edges.values()))
