Order engines to what is configured, fenced by the revision

The configuration named models, adapters, versions and roles, but no engine was told. The scheduler of a server reads its state every 2 s and sends the whole wanted state, numbered with the revision, when they differ. Loads start in slots of the wall clock, 8 servers each; an unmet order is repeated after 10 s and doubling, so two routers that disagree bring an engine that ignores numbers to at most 30 orders in an hour (given clock, 1,800 rounds).

Ruled out: single load and unload commands (a lost one leaves an unknown state).

--- /dev/null
+++ b/src/sycamorehaven/controllers/orders.py
@@ -0,0 +1,113 @@
+"""Orders the engines that this router schedules to what is configured."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from absl import logging
+from mode import Service
+
+from sycamorehaven.decisions.orders import (
+    SentOrder,
+    has_turn,
+    is_managed,
+    needs_weights,
+    plan_order,
+)
+from sycamorehaven.decisions.roles import choose_scheduler
+from sycamorehaven.transport.engines import OrderFailed
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.configuration.model import BackendServer
+    from sycamorehaven.decisions.orders import EngineState, Order
+    from sycamorehaven.transport.engines import EngineControl
+
+PERIOD = 2.0
+"""Seconds between two readings of an engine's state."""
+
+
+class OrderController(Service):
+    """
+    Compares what engines have with the configuration.
+
+    :param board: the state of this router.
+    :param engines: reads states and gives orders.
+    :param clock: monotonic seconds.
+    :param wall_clock: seconds since the epoch, for the slots of loads.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        engines: EngineControl,
+        clock: Callable[[], float] = time.monotonic,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        super().__init__()
+        self._board = board
+        self._engines = engines
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._sent: dict[str, SentOrder] = {}
+
+    async def run_round(self) -> None:
+        """Read the state of each own engine and order what it lacks."""
+        configuration = self._board.configuration.current
+        if configuration is None or self._board.leaving.is_old(self._clock()):
+            return
+        managed = [s for s in configuration.servers.values() if is_managed(s)]
+        names = [server.name for server in managed]
+        self._sent = {n: sent for n, sent in self._sent.items() if n in names}
+        domains = self._board.members.map_domains()
+        own = self._board.identity.host
+        await asyncio.gather(
+            *(
+                self._order(server, names)
+                for server in managed
+                if choose_scheduler(server, domains) == own
+            )
+        )
+
+    @Service.task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            await self.run_round()
+            await self.sleep(PERIOD)
+
+    async def _order(self, server: BackendServer, managed: list[str]) -> None:
+        try:
+            state = await self._engines.read_state(server)
+            order = self._plan(server, state)
+            if order is None:
+                return
+            turn = has_turn(server.name, managed, self._wall_clock())
+            if needs_weights(order, state) and not turn:
+                return
+            self._note(server.name, order)
+            await self._engines.send_order(server, order)
+        except OrderFailed as error:
+            logging.log_every_n_seconds(logging.WARNING, "%s", 10, error)
+
+    def _plan(self, server: BackendServer, state: EngineState) -> Order | None:
+        """Plan by the configuration in force now, after the state was read."""
+        configuration = self._board.configuration.current
+        now = self._clock()
+        if configuration is None or self._board.leaving.is_old(now):
+            return None
+        current = configuration.servers.get(server.name)
+        if current is None or self._board.leaving.is_leaving(server.name):
+            return None
+        sent = self._sent.get(server.name)
+        return plan_order(current, configuration.revision, state, sent, now)
+
+    def _note(self, server: str, order: Order) -> None:
+        known = self._sent.get(server)
+        again = known is not None and known.order == order
+        repeats = known.repeats + 1 if known is not None and again else 0
+        self._sent[server] = SentOrder(order, self._clock(), repeats)
+        logging.info("order %d to %s", order.number, server)
--- a/src/sycamorehaven/router.py
+++ b/src/sycamorehaven/router.py
@@ -17,6 +17,7 @@
 from sycamorehaven.controllers.hosts import HostController
 from sycamorehaven.controllers.membership import MembershipController
 from sycamorehaven.controllers.notices import NoticeController
+from sycamorehaven.controllers.orders import OrderController
 from sycamorehaven.controllers.permits import PermitController
 from sycamorehaven.controllers.relay_sessions import RelaySessions
 from sycamorehaven.controllers.relays import RelayController
@@ -31,6 +32,7 @@
 from sycamorehaven.transport.admin import AdminListener
 from sycamorehaven.transport.backends import HttpBackends
 from sycamorehaven.transport.callers import CallerListener
+from sycamorehaven.transport.engines import HttpEngineControl
 from sycamorehaven.transport.faults import FileFilter
 from sycamorehaven.transport.filters import (
     FilteredBackends,
@@ -73,6 +75,7 @@
         self._board = Blackboard.from_settings(settings)
         self._platform = HttpPlatform.from_settings(settings)
         self._loads = HttpLoadSource()
+        self._engines = HttpEngineControl()
         self._backends = HttpBackends()
         self._filter = create_filter(settings)
 
@@ -127,6 +130,7 @@
             HostController(board, platform, notices),
             notices,
             servers,
+            OrderController(board, self._engines),
             SchedulingController(board, peers),
             CounterController(board, peers),
             permits,
@@ -146,4 +150,5 @@
         """Close the connections that services share."""
         await self._backends.close()
         await self._loads.close()
+        await self._engines.close()
         await self._platform.close()
--- a/src/sycamorehaven/standins/engine.py
+++ b/src/sycamorehaven/standins/engine.py
@@ -23,6 +23,7 @@
 
 from sycamorehaven.standins.faults import Faults
 from sycamorehaven.standins.journal import Journal, JournalOption
+from sycamorehaven.standins.orders import OrderStandin
 from sycamorehaven.standins.serving import run_application
 
 REPORT_LAG = 0.2
@@ -76,6 +77,7 @@
         self.started: Counter[str] = Counter()
         self.finished: Counter[str] = Counter()
         self.cancelled: Counter[str] = Counter()
+        self.orders = OrderStandin()
         self.busy_time = 0.0
         self.tokens = 0
         self.tokens_by_prefix: Counter[str] = Counter()
@@ -90,6 +92,7 @@
         application = web.Application(client_max_size=16_000_000)
         application.router.add_post("/v1/completions", self._complete)
         application.router.add_get("/load", self._report_load)
+        self.orders.add_routes(application)
         application.router.add_get("/control/runs", self._list_runs)
         application.router.add_put("/control/faults", self._faults.put)
         return application
--- /dev/null
+++ b/tests/controllers/test_orders.py
@@ -0,0 +1,139 @@
+"""Engines follow the configuration, whether or not they check numbers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from unittest import TestCase
+
+from aiohttp import web
+
+from sycamorehaven.configuration.acceptance import accept_text
+from sycamorehaven.controllers.orders import OrderController
+from sycamorehaven.decisions.orders import write_order
+from sycamorehaven.standins.orders import OrderStandin
+from sycamorehaven.standins.serving import start_application
+from sycamorehaven.transport.engines import HttpEngineControl, OrderRefused
+from tests.support.doubles import ManualClock, create_board
+from tests.support.fixtures import async_fixture
+from tests.support.fleet import find_address
+from tests.support.texts import ServerPlan, write_configuration
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from sycamorehaven.blackboard.board import Blackboard
+
+
+class Engine:
+    """A stand-in engine and routers that give it orders."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self.clock = clock
+        self.address = find_address()
+        self.control = HttpEngineControl()
+        self.standin = OrderStandin(load_time=0.0)
+
+    async def serve(self, *, checks_fencing: bool) -> None:
+        """Serve as an engine that checks numbers, or doesn't."""
+        self.checks_fencing = checks_fencing
+        self.standin = OrderStandin(checks_fencing, load_time=0.0)
+        application = web.Application()
+        self.standin.add_routes(application)
+        self.runner = await start_application(application, self.address)
+
+    def create_router(self, host: str, model: str, revision: int) -> OrderController:
+        """Return a router that believes it schedules the engine."""
+        board = create_board(host, "a", revision)
+        self.configure(board, model, revision)
+        return OrderController(board, self.control, self.clock, self.clock)
+
+    def configure(self, board: Blackboard, model: str, revision: int) -> None:
+        """Put a configuration in force that wants a model."""
+        plan = ServerPlan("engine-1", "assistant", self.address)
+        text = write_configuration([plan])
+        text += f'models = ["{model}"]\nversion = "v1"\n'
+        text += f"checks_fencing = {str(self.checks_fencing).lower()}\n"
+        board.configuration.replace(accept_text(text.encode(), revision))
+
+    def list_numbers(self) -> list[int]:
+        """Return the numbers of the orders that were taken."""
+        return [order["number"] for order in self.standin.taken]
+
+
+@async_fixture
+async def engine() -> AsyncIterator[Engine]:
+    """Give an engine that is not served yet."""
+    made = Engine(ManualClock())
+    yield made
+    await made.control.close()
+    await made.runner.cleanup()
+
+
+async def test_an_engine_gets_what_is_configured_once(engine: Engine) -> None:
+    await engine.serve(checks_fencing=True)
+    router = engine.create_router("r1", "small", 3)
+    for _ in range(5):
+        await router.run_round()
+    assert engine.list_numbers() == [3]
+    assert engine.standin.models == ["small"]
+    assert engine.standin.version == "v1"
+
+
+async def test_an_engine_that_checks_numbers_refuses_an_older_order(
+    engine: Engine,
+) -> None:
+    await engine.serve(checks_fencing=True)
+    old = engine.create_router("r1", "small", 3)
+    server = accept_text(
+        write_configuration(
+            [ServerPlan("engine-1", "assistant", engine.address)]
+        ).encode(),
+        1,
+    ).servers["engine-1"]
+    new = engine.create_router("r2", "large", 4)
+    await new.run_round()
+    with TestCase().assertRaises(OrderRefused):
+        await engine.control.send_order(server, write_order(server, 3))
+    assert engine.standin.refused == 1
+    for _ in range(5):
+        await old.run_round()
+        engine.clock.advance(100.0)
+    assert engine.list_numbers() == [4]
+    assert engine.standin.models == ["large"]
+
+
+async def test_an_engine_that_ignores_numbers_is_brought_back_and_rarely_fought_over(
+    engine: Engine,
+) -> None:
+    await engine.serve(checks_fencing=False)
+    old = engine.create_router("r1", "small", 3)
+    new = engine.create_router("r2", "large", 4)
+    for _ in range(1_800):
+        await old.run_round()
+        await new.run_round()
+        engine.clock.advance(2.0)
+    orders = len(engine.list_numbers())
+    assert 2 <= orders <= 30
+    engine.configure(old._board, "large", 4)
+    engine.clock.advance(1_000.0)
+    await old.run_round()
+    await new.run_round()
+    assert engine.standin.models == ["large"]
+    assert len(engine.list_numbers()) <= orders + 1
+    engine.standin.models = []
+    engine.clock.advance(1_000.0)
+    await new.run_round()
+    assert engine.standin.models == ["large"]
+
+
+async def test_a_router_with_old_news_and_a_leaving_engine_get_no_order(
+    engine: Engine,
+) -> None:
+    await engine.serve(checks_fencing=False)
+    router = engine.create_router("r1", "small", 3)
+    router._board.leaving.suspend()
+    await router.run_round()
+    assert engine.list_numbers() == []
+    router._board.leaving.update(engine.clock())
+    await router.run_round()
+    assert engine.list_numbers() == [3]
