Count only what is given from now on at a new scheduler

A new scheduler took over its peers' totals as service received just now. It had entered every workspace as equal, so old differences looked like lag and it served one side until the clamp of four largest requests. A row now says how much was given before the sender began to tell the receiver; that part is kept apart (sum_totals) and sum_service counts growth only. A workspace that appears later has no such part, so nothing of it is lost.

--- a/src/sycamorehaven/blackboard/counters.py
+++ b/src/sycamorehaven/blackboard/counters.py
@@ -41,7 +41,9 @@
     Grow-only totals of service given, in the service's unit.
 
     Own totals are charged by the scheduler; others' are merged by maximum,
-    so that repeats and reordering do no harm. The totals of a scheduler that
+    so that repeats and reordering do no harm. What a scheduler had given
+    before this router was told of it is kept apart: it is part of the totals
+    shown, yet no service that anyone received since. The totals of one that
     is gone are folded: they leave memory, and the sums stay as they are.
     """
 
@@ -49,6 +51,7 @@
         self._own = own
         self._totals: dict[RouterId, dict[tuple[str, str], float]] = {own: {}}
         self._sums: dict[tuple[str, str], float] = {}
+        self._bases: dict[tuple[str, str], float] = {}
         self._folded: dict[str, int] = {}
         self._extrapolations: dict[CounterKey, Extrapolation] = {}
         self._extras: dict[tuple[str, str], float] = {}
@@ -87,21 +90,25 @@
         total = self.own_totals.get((service, workspace), 0.0)
         self._raise_total(self._own, (service, workspace), total + cost)
 
-    def merge(self, key: CounterKey, total: float) -> None:
+    def merge(self, key: CounterKey, total: float, base: float = 0.0) -> None:
         """
         Raise a total to ``total``; a lower one is ignored.
 
         The first total heard of a scheduler that was folded counts as folded
         already; what it gives from then on is added.
+
+        :param base: the part given before this router was told of it.
         """
         folded = self._folded.get(key.scheduler.host, -1)
         if key.scheduler.incarnation < folded:
             return
         place = key.service, key.workspace
         totals = self._totals.setdefault(key.scheduler, {})
-        if key.scheduler.incarnation == folded and place not in totals:
-            totals[place] = total
-            return
+        if place not in totals:
+            returned = key.scheduler.incarnation == folded
+            totals[place] = total if returned else base
+            if not returned:
+                self._bases[place] = self._bases.get(place, 0.0) + base
         self._raise_total(key.scheduler, place, total)
 
     def extrapolate(self, key: CounterKey, rate: float, now: float) -> None:
@@ -153,12 +160,23 @@
             for service, workspace in list(totals):
                 if service not in services or workspace not in workspaces:
                     del totals[service, workspace]
-        for service, workspace in list(self._sums):
-            if service not in services or workspace not in workspaces:
-                del self._sums[service, workspace]
+        for sums in (self._sums, self._bases):
+            for service, workspace in list(sums):
+                if service not in services or workspace not in workspaces:
+                    del sums[service, workspace]
+
+    def sum_totals(self, service: str, workspace: str) -> float:
+        """Return all service to a workspace that is known of."""
+        place = service, workspace
+        return self._sums.get(place, 0.0) + self._bases.get(place, 0.0)
 
     def sum_service(self, service: str, workspace: str) -> float:
-        """Return the service a workspace has received fleet-wide."""
+        """
+        Return the service a workspace has received fleet-wide.
+
+        It counts from when this router began to be told, and is meant to be
+        compared between workspaces.
+        """
         place = service, workspace
         return self._sums.get(place, 0.0) + self._extras.get(place, 0.0)
 
--- a/src/sycamorehaven/controllers/counters.py
+++ b/src/sycamorehaven/controllers/counters.py
@@ -121,10 +121,16 @@
             self._assigned_for = configuration.version, domains
             self._place(map_schedulers(configuration, domains))
         self._feeds = {
-            router: self._feeds.get(router) or PeerFeed(self._policy)
+            router: self._feeds.get(router) or self._create_feed()
             for router in self._list_recipients()
         }
 
+    def _create_feed(self) -> PeerFeed:
+        own = self._board.counters.own_totals
+        return PeerFeed(
+            self._policy, {Place(*key): total for key, total in own.items()}
+        )
+
     def _place(self, schedulers: dict[str, set[str]]) -> None:
         known, self._schedulers = self._schedulers, schedulers
         own = self._board.identity.host
@@ -168,9 +174,13 @@
 
     def _tell(self, router: RouterId, told: dict[Place, Reading]) -> None:
         self._sequence += 1
-        self._feeds[router].record(self._sequence, told, self._clock())
+        feed = self._feeds[router]
+        feed.record(self._sequence, told, self._clock())
         own = self._board.identity
-        totals = [Total(own, p, r.total, round(r.rate, 3)) for p, r in told.items()]
+        totals = [
+            Total(own, place, reading.total, reading.rate, feed.find_base(place))
+            for place, reading in told.items()
+        ]
         update = CounterUpdate(self._sequence, shorten_rows(own, totals))
         self._link.send(router.host, update)
 
@@ -209,7 +219,7 @@
     def _merge(self, key: CounterKey, total: Total) -> None:
         counters = self._board.counters
         newer = total.total >= counters.find(key)
-        counters.merge(key, total.total)
+        counters.merge(key, total.total, total.base)
         if newer and self._policy.extrapolate:
             counters.extrapolate(key, total.rate, self._clock())
 
@@ -223,7 +233,7 @@
         counters = self._board.counters
         live = {RouterId(m.host, m.incarnation) for m in self._board.members.list()}
         totals = [
-            Total(key.scheduler, Place(key.service, key.workspace), total, 0.0)
+            Total(key.scheduler, Place(key.service, key.workspace), total, 0.0, total)
             for key, total in counters.totals.items()
             if key.service in services and key.scheduler not in live
         ]
--- a/src/sycamorehaven/decisions/counter_rows.py
+++ b/src/sycamorehaven/decisions/counter_rows.py
@@ -26,12 +26,14 @@
     :ivar place: of what.
     :ivar total: in the service's unit.
     :ivar rate: units per second lately.
+    :ivar base: the part that was given before the receiver was told.
     """
 
     scheduler: RouterId
     place: Place
     total: float
     rate: float
+    base: float = 0
 
 
 def shorten_rows(sender: RouterId, totals: Iterable[Total]) -> list[CounterRow]:
@@ -45,7 +47,13 @@
         scheduler, service = total.scheduler, total.place.service
         rows.append(
             CounterRow(
-                host, incarnation, name, total.place.workspace, total.total, total.rate
+                host,
+                incarnation,
+                name,
+                total.place.workspace,
+                total.total,
+                total.rate,
+                total.base,
             )
         )
     return rows
@@ -61,4 +69,5 @@
         if not 0.0 <= row.total <= LARGEST_TOTAL or not service:
             continue
         rate = row.rate if math.isfinite(row.rate) and row.rate > 0.0 else 0.0
-        yield Total(scheduler, Place(service, row.workspace), row.total, rate)
+        base = row.base if 0.0 <= row.base <= row.total else 0.0
+        yield Total(scheduler, Place(service, row.workspace), row.total, rate, base)
--- a/src/sycamorehaven/decisions/sharing.py
+++ b/src/sycamorehaven/decisions/sharing.py
@@ -116,10 +116,14 @@
     What one peer has been told.
 
     :param policy: how totals are shared.
+    :param bases: totals given before the peer is told of any.
     """
 
-    def __init__(self, policy: SharingPolicy) -> None:
+    def __init__(
+        self, policy: SharingPolicy, bases: Mapping[Place, float] | None = None
+    ) -> None:
         self._policy = policy
+        self._bases = dict(bases or {})
         self._told: dict[Place, Reading] = {}
         self._acknowledged: dict[Place, Reading] = {}
         self._pending: dict[int, Pending] = {}
@@ -130,6 +134,10 @@
         """Part of the updates that was lost lately."""
         return self._loss
 
+    def find_base(self, place: Place) -> float:
+        """Return a row's base, 0 once the peer has acknowledged the row."""
+        return self._bases.get(place, 0)
+
     def assume_loss(self, loss: float) -> None:
         """Take a loss rate that is known from elsewhere."""
         self._loss = loss
@@ -185,6 +193,7 @@
             return
         self._loss += LOSS_MEMORY * (0.0 - self._loss)
         for place, reading in pending.readings.items():
+            self._bases.pop(place, None)
             known = self._acknowledged.get(place)
             if known is None or known.at < reading.at:
                 self._acknowledged[place] = reading
--- a/src/sycamorehaven/transport/messages.py
+++ b/src/sycamorehaven/transport/messages.py
@@ -286,6 +286,8 @@
     :ivar workspace: the workspace.
     :ivar total: service given since the incarnation's start.
     :ivar rate: service per second lately, for extrapolation.
+    :ivar base: the total when the sender began to tell the receiver, for a
+        receiver that has not heard of it yet; 0 once it has.
     """
 
     host: str
@@ -294,6 +296,7 @@
     workspace: str
     total: float
     rate: float
+    base: float = 0
 
 
 class CounterUpdate(NamedTuple):
