--- a/src/sycamorehaven/controllers/counters.py
+++ b/src/sycamorehaven/controllers/counters.py
@@ -34,8 +34,10 @@
     from sycamorehaven.transport.codec import Delivery
     from sycamorehaven.transport.links import PeerLink
 
-POLICY = SharingPolicy(period=0.25, threshold=0.05, extrapolate=True, refresh=5.0)
+POLICY = SharingPolicy(period=0.25, threshold=0.05, extrapolate=True, refresh=30.0)
 """How totals are shared: the winner of ``benchmarks.sharing``."""
+PEERS_IN_ROUND = 12
+"""Peers that one round looks at; more take turns."""
 BYTES_PER_SECOND = 6_000.0
 """Control traffic that updates may take, whatever the count of peers."""
 RATE_MEMORY = 5.0
@@ -81,6 +83,7 @@
         self._schedulers: dict[str, set[str]] = {}
         self._requests: dict[str, int] = {}
         self._sequence = 0
+        self._turn = 0
         self._requested_at = 0.0
         self._cleaned_at = 0.0
         link.subscribe(CounterUpdate, self._take_update)
@@ -154,7 +157,8 @@
             readings.setdefault(service, {})[place] = reading
         scales = self._map_scales()
         ranked = {}
-        for router, feed in self._feeds.items():
+        for router in self._take_turns():
+            feed = self._feeds[router]
             feed.expire(now)
             wanted: dict[Place, Reading] = {}
             for service, rows in readings.items():
@@ -166,6 +170,13 @@
             told = {place: readings[place.service][place] for place in places}
             self._tell(router, told)
 
+    def _take_turns(self) -> list[RouterId]:
+        routers = list(self._feeds)
+        if len(routers) <= PEERS_IN_ROUND:
+            return routers
+        self._turn = (self._turn + PEERS_IN_ROUND) % len(routers)
+        return (routers[self._turn :] + routers)[:PEERS_IN_ROUND]
+
     def _map_scales(self) -> dict[str, float]:
         configuration = self._board.configuration.current
         if configuration is None:
