--- a/tests/failures/test_poison.py
+++ b/tests/failures/test_poison.py
@@ -75,7 +75,7 @@
         ]
         await asyncio.sleep(0.5)
         codes = [await send_poison(fleet, n % 3) for n in range(9)]
-        assert len(list_lost(fleet)) == MOST_LOST, codes
+        assert len(list_lost(fleet)) == MOST_LOST, (list_lost(fleet), codes)
         assert codes[3:] == ["request_quarantined"] * 6
         await asyncio.gather(*beside)
         assert await count_events(fleet, "resumption") >= 2
