Test strikes and leases between routers on a given clock

Leases, their expiry with a dead router, the pause of a new holder, strikes at 45 % loss, clearance and what a joining router is told. Seen failing with the mechanism off, one failed each: strikes not repeated, new holder grants at once, leases not renewed, every member tells a newcomer. A permit under which no connection could be opened now counts as failed, too. python -m tests.support.runner tests.controllers.test_suspects: 6 passed.

--- a/src/sycamorehaven/controllers/attempts.py
+++ b/src/sycamorehaven/controllers/attempts.py
@@ -37,6 +37,8 @@
 LONGEST_PAUSE = 0.25
 TOKEN_BYTES = 4
 """Bytes of a model's plain answer that are charged as one token."""
+SERVER_FAULTS = (ConnectFailed, ServerLost, ServerSilent)
+"""Failures that say that a server is not to be trusted with the next call."""
 
 
 class CallRun:
@@ -137,7 +139,7 @@
         if self._permit is not None:
             self._report(error, self._permit.server)
         self.count("broken_answer")
-        self._settle(failed=isinstance(error, (ServerLost, ServerSilent)))
+        self._settle(failed=isinstance(error, SERVER_FAULTS))
 
     def finish(self) -> None:
         """Settle after the whole answer."""
--- /dev/null
+++ b/tests/controllers/test_suspects.py
@@ -0,0 +1,145 @@
+"""Strikes and leases between routers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from sycamorehaven.blackboard.members import Member
+from sycamorehaven.controllers.suspects import SuspectController
+from sycamorehaven.decisions.quarantine import LEASE_TIME
+from sycamorehaven.decisions.rendezvous import choose_candidate
+from tests.support.doubles import MemoryLink, create_board
+
+if TYPE_CHECKING:
+    from sycamorehaven.controllers.suspects import Lease
+    from tests.support.doubles import ManualClock, MemoryNetwork
+
+HOSTS = ("a1", "a2", "a3", "a4")
+KEY = b"k" * 16
+
+
+class Suspects:
+    """The suspect controllers of some routers."""
+
+    def __init__(self, network: MemoryNetwork, clock: ManualClock) -> None:
+        self._network = network
+        self._clock = clock
+        self.boards = {host: create_board(host) for host in HOSTS}
+        self.set_view(HOSTS)
+        self.routers = {
+            host: SuspectController(board, MemoryLink(board, network), clock)
+            for host, board in self.boards.items()
+        }
+        clock.advance(LEASE_TIME)
+
+    def set_view(self, hosts: tuple[str, ...]) -> None:
+        """Make every router see the same members."""
+        members = {h: Member(h, 1, f"{h}:1", "a", "alive") for h in hosts}
+        for board in self.boards.values():
+            board.members.replace(dict(members))
+
+    async def acquire(self, host: str) -> Lease | None:
+        """Ask for the lease through one router."""
+        asking = asyncio.ensure_future(self.routers[host].acquire(KEY))
+        while not asking.done():
+            self._network.deliver()
+            await asyncio.sleep(0)
+        return asking.result()
+
+    def run_rounds(self, count: int) -> None:
+        """Let every router renew and repeat, a second apart."""
+        for _ in range(count):
+            self._clock.advance(1.0)
+            for router in self.routers.values():
+                router.run_round()
+            self._network.deliver()
+
+    def judge(self, host: str) -> str:
+        """Return how one router treats the request."""
+        return self.boards[host].suspects.judge(KEY, self._clock()).state
+
+
+async def test_one_router_at_a_time_holds_the_lease(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    fleet = Suspects(network, clock)
+    held = [lease for host in HOSTS if (lease := await fleet.acquire(host))]
+    assert len(held) == 1
+    fleet.run_rounds(10)
+    assert await fleet.acquire("a2") is None
+    fleet.routers["a1"].release(held[0])
+    network.deliver()
+    assert await fleet.acquire("a2") is not None
+
+
+async def test_lease_of_a_dead_router_ends(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    fleet = Suspects(network, clock)
+    holder = choose_candidate(KEY.hex(), HOSTS)
+    dead, other = [host for host in HOSTS if host != holder][:2]
+    assert await fleet.acquire(dead) is not None
+    del fleet.routers[dead]
+    fleet.run_rounds(1)
+    assert await fleet.acquire(other) is None
+    fleet.run_rounds(int(LEASE_TIME) + 1)
+    assert await fleet.acquire(other) is not None
+
+
+async def test_new_holder_waits_for_runs_of_the_old_one(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    fleet = Suspects(network, clock)
+    holder = choose_candidate(KEY.hex(), HOSTS)
+    left = tuple(host for host in HOSTS if host != holder)
+    assert await fleet.acquire(left[0]) is not None
+    fleet.set_view(left)
+    assert await fleet.acquire(left[1]) is None
+    fleet.run_rounds(int(LEASE_TIME) + 1)
+    assert await fleet.acquire(left[1]) is None
+
+
+async def test_strikes_reach_all_despite_loss(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    fleet = Suspects(network, clock)
+    network.loss = 0.45
+    fleet.routers["a1"].report_loss(KEY, "s1", 0.1, alone=False)
+    fleet.routers["a2"].report_loss(KEY, "s2", 0.1, alone=True)
+    network.deliver()
+    fleet.run_rounds(4)
+    assert {fleet.judge(host) for host in HOSTS} == {"quarantined"}
+    sent = len(network.links["a1:1"].sent)
+    fleet.run_rounds(10)
+    assert len(network.links["a1:1"].sent) == sent
+
+
+async def test_whole_answer_clears_everywhere(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    fleet = Suspects(network, clock)
+    fleet.routers["a1"].report_loss(KEY, "s1", 0.1, alone=False)
+    network.deliver()
+    assert {fleet.judge(host) for host in HOSTS} == {"suspect"}
+    clock.advance(1.0)
+    fleet.routers["a3"].report_success(KEY)
+    network.deliver()
+    fleet.run_rounds(3)
+    assert {fleet.judge(host) for host in HOSTS} == {"clear"}
+
+
+async def test_joining_router_hears_of_strikes(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    fleet = Suspects(network, clock)
+    fleet.set_view(HOSTS[:3])
+    fleet.routers["a1"].report_loss(KEY, "s1", 0.1, alone=False)
+    network.deliver()
+    clock.advance(60.0)
+    assert fleet.judge("a4") == "clear"
+    fleet.set_view(HOSTS)
+    network.deliver()
+    assert fleet.judge("a4") == "suspect"
+    told = sum(len(link.sent) for link in network.links.values())
+    assert told == 2 + 1
