Bound what a peer's strike can hold

A fingerprint of any length could be remembered 4,096 times over, and an age that is not a number made a strike that never expired. Fingerprints are 16 bytes by type, server names 64 characters; ages and durations out of range are dropped and counted. tests.controllers.test_suspects: 7 passed; with the range check off the new test fails: a suspect is remembered.

--- a/src/sycamorehaven/controllers/suspects.py
+++ b/src/sycamorehaven/controllers/suspects.py
@@ -4,13 +4,19 @@
 
 import asyncio
 import itertools
+import math
 import secrets
 import time
 from typing import TYPE_CHECKING
 
 from mode import Service
 
-from sycamorehaven.decisions.quarantine import LEASE_TIME, LeaseTable, Loss
+from sycamorehaven.decisions.quarantine import (
+    LEASE_TIME,
+    STRIKE_LIFETIME,
+    LeaseTable,
+    Loss,
+)
 from sycamorehaven.decisions.rendezvous import choose_candidate
 from sycamorehaven.transport.messages import (
     Acquittal,
@@ -196,13 +202,19 @@
 
     def _take_strike(self, delivery: Delivery) -> None:
         strike: Strike = delivery.message
+        if not (0.0 <= strike.age <= STRIKE_LIFETIME and 0.0 <= strike.ran < math.inf):
+            self._board.traffic.count_dropped("malformed")
+            return
         now = self._clock()
-        loss = Loss(strike.server, now - max(strike.age, 0.0), strike.ran, strike.alone)
+        loss = Loss(strike.server, now - strike.age, strike.ran, strike.alone)
         self._board.suspects.add(strike.fingerprint, strike.strike, loss, now)
 
     def _take_acquittal(self, delivery: Delivery) -> None:
         acquittal: Acquittal = delivery.message
-        at = self._clock() - max(acquittal.age, 0.0)
+        if not 0.0 <= acquittal.age <= STRIKE_LIFETIME:
+            self._board.traffic.count_dropped("malformed")
+            return
+        at = self._clock() - acquittal.age
         self._board.suspects.clear(acquittal.fingerprint, at)
 
     def _take_request(self, delivery: Delivery) -> None:
--- a/src/sycamorehaven/transport/messages.py
+++ b/src/sycamorehaven/transport/messages.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from typing import Literal, NamedTuple
+from typing import Annotated, Literal, NamedTuple
 
 import msgspec
 
@@ -18,7 +18,10 @@
 LARGEST_CONTROL_MESSAGE = 262_144
 """Largest encoded message, bytes, of a kind that carries no bodies."""
 LARGEST_NAME = 64
-"""Characters of a sender's host or address."""
+"""Characters of a host, an address or a backend server."""
+
+Fingerprint = Annotated[bytes, msgspec.Meta(min_length=16, max_length=16)]
+ServerName = Annotated[str, msgspec.Meta(min_length=1, max_length=LARGEST_NAME)]
 
 
 class Envelope(NamedTuple):
@@ -419,10 +422,10 @@
     :ivar alone: whether no other suspect was on the server.
     """
 
-    fingerprint: bytes
+    fingerprint: Fingerprint
     strike: int
     age: float
-    server: str
+    server: ServerName
     ran: float
     alone: bool
 
@@ -436,7 +439,7 @@
     :ivar release: whether the lease ends.
     """
 
-    key: bytes
+    key: Fingerprint
     number: int
     release: bool
 
@@ -450,7 +453,7 @@
     :ivar allowed: whether the asker holds the lease.
     """
 
-    key: bytes
+    key: Fingerprint
     number: int
     allowed: bool
 
@@ -463,7 +466,7 @@
     :ivar age: seconds since the end of the answer.
     """
 
-    fingerprint: bytes
+    fingerprint: Fingerprint
     age: float
 
 
--- a/tests/controllers/test_suspects.py
+++ b/tests/controllers/test_suspects.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from sycamorehaven.blackboard.members import Member
 from sycamorehaven.controllers.suspects import SuspectController
 from sycamorehaven.decisions.quarantine import LEASE_TIME
 from sycamorehaven.decisions.rendezvous import choose_candidate
+from sycamorehaven.transport.messages import Acquittal, Strike
 from tests.support.doubles import MemoryLink, create_board
 
 if TYPE_CHECKING:
@@ -143,3 +145,17 @@
     assert fleet.judge("a4") == "suspect"
     told = sum(len(link.sent) for link in network.links.values())
     assert told == 2 + 1
+
+
+def test_malformed_strikes_are_dropped(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    board = create_board("a1")
+    link = MemoryLink(board, network)
+    SuspectController(board, link, clock)
+    for age, ran in ((math.nan, 1.0), (-1.0, 1.0), (1e9, 1.0), (1.0, math.inf)):
+        link.send_to("a1:1", Strike(KEY, 1, age, "s1", ran, True))
+    link.send_to("a1:1", Acquittal(KEY, math.nan))
+    network.deliver()
+    assert len(board.suspects) == 0
+    assert board.traffic.dropped["malformed"] == 5
