Let the recording server report its load

tests.telemetry: test_request_has_a_span_for_each_hop hung with the merged slots: a server that never reports its load got no permit. Servers report their load by the users' word, so the test's server does now; passes in 4.7 s.

--- a/tests/telemetry/test_traces.py
+++ b/tests/telemetry/test_traces.py
@@ -87,6 +87,10 @@
     assert seen == [f"00-{TRACE}-{attempt['span_id']}-01"]
 
 
+async def report_load(_request: web.Request) -> web.Response:
+    return web.json_response({"running": 0, "capacity": 4, "leaving": False})
+
+
 async def trace_through_recorder(fleet: Fleet) -> list[str]:
     """Return the ``traceparent`` headers that a backend server got."""
     seen: list[str] = []
@@ -97,6 +101,7 @@
 
     application = web.Application()
     application.router.add_post("/v1/completions", answer)
+    application.router.add_get("/load", report_load)
     plan = ServerPlan("recorder", "assistant", find_address())
     runner = await start_application(application, plan.address)
     revision = await fleet.publish(write_configuration([plan]))
