--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -29,9 +29,11 @@
 
 async def ask(fleet: Fleet) -> None:
     """Send a request that waits until it is cancelled."""
-    request = fleet.build_request(0, "/v1/services/assistant/v1/completions")
+    path = "/v1/services/assistant/v1/completions"
+    request = fleet.build_request(0, path, headers={"Request-Timeout": "86400"})
     async with fleet.client.post(json=BODY, **request) as response:
-        await response.read()
+        body = await response.text()
+        raise RuntimeError(f"answered {response.status}: {body}")
 
 
 async def count_waiting(fleet: Fleet) -> int:
@@ -51,7 +53,7 @@
         for step in STEPS:
             missing = step + 1 - len(tasks)
             tasks += [asyncio.create_task(ask(fleet)) for _ in range(missing)]
-            await wait_for(functools.partial(_has_waiting, fleet, step))
+            await wait_for(functools.partial(_has_waiting, fleet, step, tasks))
             figures[f"queued {step}"] = await read_memory(fleet) / MEBIBYTE
         for task in tasks:
             task.cancel()
@@ -61,7 +63,12 @@
     return figures
 
 
-async def _has_waiting(fleet: Fleet, count: int) -> bool:
+async def _has_waiting(
+    fleet: Fleet, count: int, tasks: list[asyncio.Task[None]]
+) -> bool:
+    for task in tasks:
+        if task.done():
+            task.result()
     return await count_waiting(fleet) >= count
 
 
