--- a/src/sycamorehaven/controllers/relays.py
+++ b/src/sycamorehaven/controllers/relays.py
@@ -87,6 +87,8 @@
         self._states: dict[int, TokenStateReply] = {}
         self._asked: dict[int, RouterId] = {}
         self._answered = Signal()
+        self._newest: dict[str, int] = {}
+        board.members.changed.subscribe(self._note_members)
         link.subscribe(RelayReply, self._take_reply)
         link.subscribe(RelayRefusal, self._take_refusal)
         link.subscribe(RelayStatus, self._take_status)
@@ -117,7 +119,7 @@
 
     def _give_up(self, token: Token) -> OutcomeUnknown | TokenOwnerUnreachable:
         owner = token.owner.format()
-        if self._plan(token).final:
+        if self._is_final(token):
             return OutcomeUnknown(f"router {owner} is gone", was_run="unknown")
         return TokenOwnerUnreachable(
             f"router {owner} does not answer",
@@ -125,6 +127,10 @@
             retry_after=RETRY_AFTER,
         )
 
+    def _is_final(self, token: Token) -> bool:
+        newest = self._newest.get(token.host, 0)
+        return newest > token.incarnation or self._plan(token).final
+
     async def _ask(
         self, call: Call, token: Token, host: str, *, adopted: bool
     ) -> Answer | None:
@@ -225,8 +231,9 @@
                 raise InvalidToken("the token was not minted for this workspace")
             if reply is not None and reply.state in set(State):
                 return TokenStatus(State(reply.state), reply.status)
-        final = self._plan(token).final
-        return TokenStatus(State.OUTCOME_UNKNOWN if final else State.OWNER_UNREACHABLE)
+        if self._is_final(token):
+            return TokenStatus(State.OUTCOME_UNKNOWN)
+        return TokenStatus(State.OWNER_UNREACHABLE)
 
     async def _ask_state(
         self, token: Token, workspace: str, host: str, *, adopted: bool
@@ -249,6 +256,13 @@
         finally:
             del self._asked[number]
 
+    def _note_members(self) -> None:
+        for member in self._board.members.list():
+            self._note_process(member.host, member.incarnation)
+
+    def _note_process(self, host: str, incarnation: int) -> None:
+        self._newest[host] = max(self._newest.get(host, 0), incarnation)
+
     def _take_reply(self, delivery: Delivery) -> None:
         exchange = self._exchanges.get(delivery.message.relay)
         if exchange is not None:
@@ -260,6 +274,7 @@
             exchange.take_refusal(delivery)
 
     def _take_status(self, delivery: Delivery) -> None:
+        self._note_process(delivery.sender.host, delivery.sender.incarnation)
         exchange = self._exchanges.get(delivery.message.relay)
         if exchange is not None:
             exchange.take_status(delivery)
