--- a/src/sycamorehaven/daemon.py
+++ b/src/sycamorehaven/daemon.py
@@ -13,6 +13,7 @@
 
 from sycamorehaven.draining import Drain
 from sycamorehaven.exceptions.faults import SettingsError
+from sycamorehaven.exceptions.starting import StartFailed
 from sycamorehaven.router import Router
 from sycamorehaven.settings import RouterSettings
 from sycamorehaven.telemetry.logs import configure_logs
@@ -20,6 +21,8 @@
 
 EXIT_CUT = 1
 """Exit status if a forced or late end cut requests off."""
+EXIT_START = 1
+"""Exit status if a listener cannot be opened."""
 EXIT_USAGE = 2
 """Exit status for wrong settings."""
 
@@ -83,7 +86,11 @@
 
 def main() -> None:
     """Run the daemon's command line."""
-    typer.run(serve)
+    try:
+        typer.run(serve)
+    except StartFailed as error:
+        logging.error("%s", error)
+        sys.exit(EXIT_START)
 
 
 if __name__ == "__main__":
--- a/src/sycamorehaven/transport/messages.py
+++ b/src/sycamorehaven/transport/messages.py
@@ -15,6 +15,10 @@
 PROTOCOL_VERSION = 1
 LARGEST_MESSAGE = 2_097_152
 """Largest encoded envelope, bytes: a relayed body and its headers."""
+LARGEST_CONTROL_MESSAGE = 262_144
+"""Largest encoded message, bytes, of a kind that carries no bodies."""
+LARGEST_NAME = 64
+"""Characters of a sender's host or address."""
 
 
 class Envelope(NamedTuple):
@@ -275,9 +279,10 @@
     """
     One scheduler's total of service given to a workspace; only grows.
 
-    :ivar host: the scheduler's host.
-    :ivar incarnation: its incarnation.
-    :ivar service: the service.
+    :ivar host: the scheduler's host; "" is that of the row before, and in the
+        first row the sender.
+    :ivar incarnation: its incarnation, 0 if ``host`` is "".
+    :ivar service: the service; "" is that of the row before.
     :ivar workspace: the workspace.
     :ivar total: service given since the incarnation's start.
     :ivar rate: service per second lately, for extrapolation.
@@ -295,7 +300,8 @@
     """
     Totals that the receiver merges by maximum.
 
-    :ivar sequence: rises with every update of this sender.
+    :ivar sequence: rises with every update of this sender; 0 wants no
+        acknowledgement.
     :ivar rows: totals.
     """
 
@@ -313,20 +319,32 @@
     sequence: int
 
 
-class ServerNotice(NamedTuple):
+class ServerNews(NamedTuple):
     """
-    News of a backend server, passed on once by every router.
+    What one source says of a backend server.
 
     :ivar server: the backend server.
+    :ivar source: ``"list"`` (the host list) or ``"server"`` (itself).
     :ivar state: ``"leaving"`` or ``"serving"``.
     :ivar version: larger is newer: milliseconds since the epoch at the finder.
-    :ivar hops: how often it may still be passed on.
     """
 
     server: str
+    source: str
     state: str
     version: int
+
+
+class ServerNotice(NamedTuple):
+    """
+    News of backend servers; each router passes what is new to it on once.
+
+    :ivar hops: how often it may still be passed on.
+    :ivar rows: the news.
+    """
+
     hops: int
+    rows: list[ServerNews]
 
 
 class RelayCall(NamedTuple):
@@ -522,7 +540,7 @@
 
 class PermitAck(NamedTuple):
     """
-    The receiver of returns has taken them.
+    Grants or returns have come; they are repeated until then.
 
     :ivar scheduler: host of the router that granted the permits.
     :ivar incarnation: that router's incarnation.
@@ -655,6 +673,46 @@
     status: int
 
 
+class NoticeRequest(NamedTuple):
+    """A request for all news of backend servers that still matter."""
+
+
+class LoadRequest(NamedTuple):
+    """
+    A request to read a backend server's load on the sender's behalf.
+
+    :ivar server: the backend server.
+    """
+
+    server: str
+
+
+class LoadReply(NamedTuple):
+    """
+    The load that was read for ``LoadRequest``; none is sent if there is none.
+
+    :ivar server: the backend server.
+    :ivar running: requests that run.
+    :ivar capacity: requests that it can run at once.
+    :ivar leaving: whether it takes no new work.
+    """
+
+    server: str
+    running: int
+    capacity: int
+    leaving: bool
+
+
+class CounterRequest(NamedTuple):
+    """
+    A request for every total that the receiver knows of some services.
+
+    :ivar services: the services.
+    """
+
+    services: list[str]
+
+
 MESSAGE_KINDS: tuple[type, ...] = (
     Probe,
     ProbeAck,
@@ -687,4 +745,11 @@
     TokenHandoverAck,
     TokenStateRequest,
     TokenStateReply,
+    NoticeRequest,
+    LoadRequest,
+    LoadReply,
+    CounterRequest,
 )
+
+BULK_KINDS = frozenset({ConfigurationReply, RelayCall, RelayReply, TokenHandover})
+"""Kinds that may be as large as ``LARGEST_MESSAGE``."""
