--- a/src/sycamorehaven/transport/callers.py
+++ b/src/sycamorehaven/transport/callers.py
@@ -45,6 +45,8 @@
 
 SHUTDOWN_TIMEOUT = 1.0
 """Seconds that requests still have once the listener closes."""
+CLOSING_GRACE = 0.3
+"""Seconds in which requests on connections accepted last are answered."""
 TOKEN_HEADER = "Idempotency-Token"
 
 tracer = trace.get_tracer("sycamorehaven")
@@ -157,7 +159,10 @@
                 kind=trace.SpanKind.SERVER,
                 attributes={"request.id": request_id},
             ):
-                return await self._answer(request, request_id)
+                response = await self._answer(request, request_id)
+                if self._board.lifecycle.draining:
+                    response.force_close()
+                return response
         finally:
             self._board.lifecycle.leave()
 
