Let the relayed booking outlast a shutdown that does not wait

With the wait for requests in progress turned off, the test still passed: the notice to peers and the closing grace alone took longer than the booking. A booking of 5 s fails without the wait and passes with it.

--- a/tests/failures/test_shutdown.py
+++ b/tests/failures/test_shutdown.py
@@ -22,11 +22,15 @@
 """Tokens of a stream that outlasts the start of a shutdown."""
 
 
-def run_slow_fleet() -> AbstractAsyncContextManager[Fleet]:
-    """Return three routers, an engine with two slots and a slow booking."""
+def run_slow_fleet(pace: float = 1.0) -> AbstractAsyncContextManager[Fleet]:
+    """
+    Return three routers, an engine with two slots and a slow booking service.
+
+    :param pace: seconds a booking.
+    """
     servers = [
         ServerPlan("engine-1", "assistant", find_address(), slots=2, pace=0.01),
-        ServerPlan("booking-1", "bookings", find_address(), slots=2, pace=1.0),
+        ServerPlan("booking-1", "bookings", find_address(), slots=2, pace=pace),
     ]
     return run_fleet(servers=servers)
 
@@ -96,7 +100,7 @@
 
 
 async def test_shutdown_of_a_relaying_router_finishes_the_booking() -> None:
-    async with run_slow_fleet() as fleet:
+    async with run_slow_fleet(pace=5.0) as fleet:
         bookings = Bookings(fleet)
         await fleet.wait_for_members({0: 3, 1: 3})
         token = await bookings.mint(0)
