--- a/src/sycamorehaven/exceptions/refusals.py
+++ b/src/sycamorehaven/exceptions/refusals.py
@@ -45,14 +45,16 @@
         """Whether the call ran on a backend server."""
         return self._was_run
 
-    def doubt(self) -> None:
+    def doubt(self, *, may_repeat: bool = True) -> None:
         """
-        Say of a call with a token that nobody asked whether it was run.
+        Say that the call, or an earlier copy of it, may have run.
 
-        An earlier copy of the call may have run, so "no" could be false.
+        :param may_repeat: whether trying again does no harm if it has.
         """
         if self._was_run == "no":
             self._was_run = "unknown"
+        if not may_repeat:
+            self._retry_after = None
 
     @property
     def retry_after(self) -> float | None:
@@ -193,6 +195,14 @@
     remedy = "send again after Retry-After seconds, or send less at once"
 
 
+class QueueMemoryFull(Refusal):
+    """The workspace holds too much of the memory for queued bodies."""
+
+    code = "queue_memory_full"
+    status = 429
+    remedy = "send again after Retry-After seconds, or queue fewer large bodies"
+
+
 class HeadersTooLarge(Refusal):
     """The request headers pass the limit."""
 
