Keep "not run" when the token guard refuses before sending

The call path marks a call as sent before it asks the connections, and a refusal by the guard left that mark: a booking whose token expired while the router was paused was answered was_run unknown, though nothing had been sent (3 of 3 trials). With the mark taken back: make test ARGS=tests.failures.test_at_most_once.test_owner_p: 1 passed.

--- a/src/sycamorehaven/controllers/attempts.py
+++ b/src/sycamorehaven/controllers/attempts.py
@@ -189,6 +189,10 @@
         except BackendError as error:
             self._sent = sent_before or error.sent
             raise
+        except Refusal:
+            # The token guard refuses before anything is sent.
+            self._sent = sent_before
+            raise
 
     async def _pause(self) -> None:
         self._unused += 1
