Share totals without extrapolation, and twenty times a second

Rates averaged over 5 s are wrong just after a workspace comes or goes, and they err for one workspace and against the other.

So rows carry no rate any more, rounds are 0.05 s apart and an update starts when one row is off by 0.05 of a largest request; rows off by a quarter of that ride along, since a message costs three rows. A round looks at five peers in turn. The byte allowance accrues by time and saves up for a second.

--- a/src/sycamorehaven/blackboard/counters.py
+++ b/src/sycamorehaven/blackboard/counters.py
@@ -24,18 +24,6 @@
     workspace: str
 
 
-class Extrapolation(NamedTuple):
-    """
-    What a scheduler is taken to have given since its last update.
-
-    :ivar rate: units per second.
-    :ivar since: time of the update, monotonic seconds.
-    """
-
-    rate: float
-    since: float
-
-
 class CountersSection:
     """
     Grow-only totals of service given, in the service's unit.
@@ -53,8 +41,6 @@
         self._sums: dict[tuple[str, str], float] = {}
         self._bases: dict[tuple[str, str], float] = {}
         self._folded: dict[str, int] = {}
-        self._extrapolations: dict[CounterKey, Extrapolation] = {}
-        self._extras: dict[tuple[str, str], float] = {}
 
     @property
     def totals(self) -> dict[CounterKey, float]:
@@ -111,26 +97,6 @@
                 self._bases[place] = self._bases.get(place, 0.0) + base
         self._raise_total(key.scheduler, place, total)
 
-    def extrapolate(self, key: CounterKey, rate: float, now: float) -> None:
-        """Take a total to go on growing at a rate; it was true just now."""
-        if rate > 0.0:
-            self._extrapolations[key] = Extrapolation(rate, now)
-        else:
-            self._extrapolations.pop(key, None)
-
-    def advance(self, now: float, horizon: float) -> None:
-        """
-        Bring extrapolated totals up to the time.
-
-        :param horizon: seconds after an update for which it is extrapolated.
-        """
-        extras: dict[tuple[str, str], float] = {}
-        for key, (rate, since) in self._extrapolations.items():
-            place = key.service, key.workspace
-            extra = rate * min(now - since, horizon)
-            extras[place] = extras.get(place, 0.0) + extra
-        self._extras = extras
-
     def fold(self, scheduler: RouterId, *, may_return: bool) -> None:
         """
         Forget the totals of a scheduler that is gone; keep the sums.
@@ -145,8 +111,6 @@
             self._folded[scheduler.host] = max(
                 self._folded.get(scheduler.host, 0), oldest
             )
-        for key in [k for k in self._extrapolations if k.scheduler == scheduler]:
-            del self._extrapolations[key]
 
     def forget_folded(self, host: str) -> None:
         """Forget that incarnations of a host were folded."""
@@ -177,8 +141,7 @@
         It counts from when this router began to be told, and is meant to be
         compared between workspaces.
         """
-        place = service, workspace
-        return self._sums.get(place, 0.0) + self._extras.get(place, 0.0)
+        return self._sums.get((service, workspace), 0.0)
 
     def _raise_total(
         self, scheduler: RouterId, place: tuple[str, str], total: float
--- a/src/sycamorehaven/controllers/counters.py
+++ b/src/sycamorehaven/controllers/counters.py
@@ -11,10 +11,10 @@
 from sycamorehaven.decisions.counter_rows import Total, expand_rows, shorten_rows
 from sycamorehaven.decisions.recipients import AbsenceLog, map_schedulers
 from sycamorehaven.decisions.sharing import (
-    HORIZON,
+    ROW_BYTES,
+    UPDATE_BYTES,
     PeerFeed,
     Place,
-    RateMeter,
     Reading,
     SharingPolicy,
     allot_rows,
@@ -34,14 +34,13 @@
     from sycamorehaven.transport.codec import Delivery
     from sycamorehaven.transport.links import PeerLink
 
-POLICY = SharingPolicy(period=0.25, threshold=0.05, extrapolate=True, refresh=30.0)
+POLICY = SharingPolicy(period=0.05, threshold=0.05, ride_along=0.25, refresh=30.0)
 """How totals are shared: the winner of ``benchmarks.sharing``."""
-PEERS_IN_ROUND = 12
+PEERS_IN_ROUND = 5
 """Peers that one round looks at; more take turns."""
 BYTES_PER_SECOND = 6_000.0
-"""Control traffic that updates may take, whatever the count of peers."""
-RATE_MEMORY = 5.0
-"""Seconds over which rates are averaged."""
+"""Control traffic that updates may take, whatever the count of peers; what is
+not used may be saved for a second."""
 REQUEST_PERIOD = 1.0
 """Seconds between two requests."""
 REQUESTS = 4
@@ -76,7 +75,7 @@
         self._link = link
         self._clock = clock
         self._policy = policy
-        self._rates = RateMeter(RATE_MEMORY)
+        self._readings: dict[str, dict[Place, Reading]] = {}
         self._feeds: dict[RouterId, PeerFeed] = {}
         self._absences = AbsenceLog()
         self._assigned_for: tuple[Version, dict[str, str]] | None = None
@@ -84,6 +83,8 @@
         self._requests: dict[str, int] = {}
         self._sequence = 0
         self._turn = 0
+        self._allowance = 0.0
+        self._shared_at = 0.0
         self._requested_at = 0.0
         self._cleaned_at = 0.0
         link.subscribe(CounterUpdate, self._take_update)
@@ -106,7 +107,6 @@
     def run_round(self) -> None:
         """Tell recipients what is due, and ask for what is missing."""
         now = self._clock()
-        self._board.counters.advance(now, HORIZON)
         self._share(now)
         if now - self._requested_at >= REQUEST_PERIOD:
             self._requested_at = now
@@ -150,11 +150,8 @@
         return [RouterId(m.host, m.incarnation) for m in found if m is not None]
 
     def _share(self, now: float) -> None:
-        readings: dict[str, dict[Place, Reading]] = {}
-        for (service, workspace), total in self._board.counters.own_totals.items():
-            place = Place(service, workspace)
-            reading = self._rates.read(place, total, now)
-            readings.setdefault(service, {})[place] = reading
+        self._read_totals(now)
+        readings = self._readings
         scales = self._map_scales()
         ranked = {}
         for router in self._take_turns():
@@ -164,12 +161,22 @@
             for service, rows in readings.items():
                 if router.host in self._schedulers.get(service, ()):
                     wanted.update(rows)
-            ranked[router] = feed.rank(wanted, scales)
-        budget = BYTES_PER_SECOND * self._policy.period
-        for router, places in allot_rows(ranked, budget).items():
+            ranked[router] = feed.rank(wanted, scales, now)
+        earned = BYTES_PER_SECOND * (now - self._shared_at)
+        self._allowance = min(self._allowance + earned, BYTES_PER_SECOND)
+        self._shared_at = now
+        for router, places in allot_rows(ranked, self._allowance).items():
+            self._allowance -= UPDATE_BYTES + ROW_BYTES * len(places)
             told = {place: readings[place.service][place] for place in places}
             self._tell(router, told)
 
+    def _read_totals(self, now: float) -> None:
+        for key, total in self._board.counters.own_totals.items():
+            rows = self._readings.setdefault(key[0], {})
+            known = rows.get(key)  # type: ignore[call-overload]
+            if known is None or known.total != total:
+                rows[Place(*key)] = Reading(total, 0.0, now)
+
     def _take_turns(self) -> list[RouterId]:
         routers = list(self._feeds)
         if len(routers) <= PEERS_IN_ROUND:
@@ -189,7 +196,7 @@
         feed.record(self._sequence, told, self._clock())
         own = self._board.identity
         totals = [
-            Total(own, place, reading.total, reading.rate, feed.find_base(place))
+            Total(own, place, reading.total, feed.find_base(place))
             for place, reading in told.items()
         ]
         update = CounterUpdate(self._sequence, shorten_rows(own, totals))
@@ -223,17 +230,10 @@
         for total in expand_rows(delivery.sender, update.rows):
             if total.scheduler != self._board.identity:
                 key = CounterKey(total.scheduler, *total.place)
-                self._merge(key, total)
+                self._board.counters.merge(key, total.total, total.base)
         if update.sequence:
             self._link.send(delivery.sender.host, CounterAck(update.sequence))
 
-    def _merge(self, key: CounterKey, total: Total) -> None:
-        counters = self._board.counters
-        newer = total.total >= counters.find(key)
-        counters.merge(key, total.total, total.base)
-        if newer and self._policy.extrapolate:
-            counters.extrapolate(key, total.rate, self._clock())
-
     def _take_ack(self, delivery: Delivery) -> None:
         feed = self._feeds.get(delivery.sender)
         if feed is not None:
@@ -244,7 +244,7 @@
         counters = self._board.counters
         live = {RouterId(m.host, m.incarnation) for m in self._board.members.list()}
         totals = [
-            Total(key.scheduler, Place(key.service, key.workspace), total, 0.0, total)
+            Total(key.scheduler, Place(key.service, key.workspace), total, total)
             for key, total in counters.totals.items()
             if key.service in services and key.scheduler not in live
         ]
--- a/src/sycamorehaven/decisions/counter_rows.py
+++ b/src/sycamorehaven/decisions/counter_rows.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from sycamorehaven.decisions.sharing import Place
@@ -25,14 +24,12 @@
     :ivar scheduler: which scheduler.
     :ivar place: of what.
     :ivar total: in the service's unit.
-    :ivar rate: units per second lately.
     :ivar base: the part that was given before the receiver was told.
     """
 
     scheduler: RouterId
     place: Place
     total: float
-    rate: float
     base: float = 0
 
 
@@ -52,7 +49,6 @@
                 name,
                 total.place.workspace,
                 total.total,
-                total.rate,
                 total.base,
             )
         )
@@ -68,6 +64,5 @@
         service = row.service or service
         if not 0.0 <= row.total <= LARGEST_TOTAL or not service:
             continue
-        rate = row.rate if math.isfinite(row.rate) and row.rate > 0.0 else 0.0
         base = row.base if 0.0 <= row.base <= row.total else 0.0
-        yield Total(scheduler, Place(service, row.workspace), row.total, rate, base)
+        yield Total(scheduler, Place(service, row.workspace), row.total, base)
--- a/src/sycamorehaven/decisions/sharing.py
+++ b/src/sycamorehaven/decisions/sharing.py
@@ -45,6 +45,8 @@
     :ivar acknowledge: whether updates without acknowledgement are repeated.
     :ivar refresh: seconds after which a row is sent whatever its error;
         infinite for never.
+    :ivar ride_along: part of the threshold from which a row goes with an
+        update that another row has made due.
     :ivar budget: rows in one update, the largest error first.
     """
 
@@ -54,6 +56,7 @@
     compensate: bool = False
     acknowledge: bool = True
     refresh: float = math.inf
+    ride_along: float = 1.0
     budget: int = 1_000
 
 
@@ -143,13 +146,20 @@
         self._loss = loss
 
     def choose(
-        self, readings: Mapping[Place, Reading], scales: Mapping[str, float]
+        self,
+        readings: Mapping[Place, Reading],
+        scales: Mapping[str, float],
+        now: float,
     ) -> list[Place]:
         """Return the rows that are due within the budget of one update."""
-        return [due.place for due in self.rank(readings, scales)][: self._policy.budget]
+        ranked = self.rank(readings, scales, now)
+        return [due.place for due in ranked[: self._policy.budget]]
 
     def rank(
-        self, readings: Mapping[Place, Reading], scales: Mapping[str, float]
+        self,
+        readings: Mapping[Place, Reading],
+        scales: Mapping[str, float],
+        now: float,
     ) -> list[DueRow]:
         """
         Return the rows that are due, the most urgent first.
@@ -157,23 +167,25 @@
         :param readings: totals now.
         :param scales: by service, the unit of the threshold: the largest
             cost of a request; 1 if not named.
+        :param now: monotonic seconds.
         """
         policy, told = self._policy, self._told
         limit = policy.threshold * self._factor()
         due = []
         for place, reading in readings.items():
             known = told.get(place)
-            if known is None or self._is_stale(known, reading):
+            if known is None or self._is_stale(known, reading, now):
                 due.append(DueRow(-math.inf, place))
                 continue
             expected = known.total
             if policy.extrapolate:
-                expected = known.extrapolate(reading.at)
+                expected = known.extrapolate(now)
             error = abs(reading.total - expected) / scales.get(place.service, 1.0)
-            if error > limit:
+            if error > limit * policy.ride_along:
                 due.append(DueRow(-error / (limit or 1.0), place))
         due.sort()
-        return due
+        triggered = due and (due[0].order < -1.0 or limit == 0.0)
+        return due if triggered else []
 
     def record(
         self, sequence: int, readings: Mapping[Place, Reading], now: float
@@ -223,8 +235,8 @@
             else:
                 self._told[place] = known
 
-    def _is_stale(self, known: Reading, reading: Reading) -> bool:
-        if reading.at - known.at < self._policy.refresh:
+    def _is_stale(self, known: Reading, reading: Reading, now: float) -> bool:
+        if now - known.at < self._policy.refresh:
             return False
         same = known.total == reading.total and known.rate == reading.rate
         return not (same and self._policy.acknowledge)
@@ -261,38 +273,3 @@
     """
     loss = min(max(loss, 0.0), LARGEST_LOSS)
     return (1.0 - loss) ** 2 / (1.0 + 4.0 * loss + loss * loss)
-
-
-class RateMeter:
-    """
-    Moving rates of totals.
-
-    :param memory: seconds over which a rate is averaged; it is 0 after three
-        times as long without growth.
-    """
-
-    def __init__(self, memory: float) -> None:
-        self._memory = memory
-        self._readings: dict[Place, Reading] = {}
-        self._grown_at: dict[Place, float] = {}
-
-    def read(self, place: Place, total: float, now: float) -> Reading:
-        """Return the total with its rate."""
-        known = self._readings.get(place)
-        if known is None or total > known.total:
-            self._grown_at[place] = now
-        if known is None:
-            reading = Reading(total, 0.0, now)
-        elif now <= known.at:
-            return known
-        else:
-            reading = Reading(total, self._average(place, known, total, now), now)
-        self._readings[place] = reading
-        return reading
-
-    def _average(self, place: Place, known: Reading, total: float, now: float) -> float:
-        if now - self._grown_at[place] > 3.0 * self._memory:
-            return 0.0
-        weight = 1.0 - math.exp(-(now - known.at) / self._memory)
-        current = (total - known.total) / (now - known.at)
-        return known.rate + weight * (current - known.rate)
--- a/src/sycamorehaven/transport/messages.py
+++ b/src/sycamorehaven/transport/messages.py
@@ -285,7 +285,6 @@
     :ivar service: the service; "" is that of the row before.
     :ivar workspace: the workspace.
     :ivar total: service given since the incarnation's start.
-    :ivar rate: service per second lately, for extrapolation.
     :ivar base: the total when the sender began to tell the receiver, for a
         receiver that has not heard of it yet; 0 once it has.
     """
@@ -295,7 +294,6 @@
     service: str
     workspace: str
     total: float
-    rate: float
     base: float = 0
 
 
