Keep a closed server's slots and refuse queues that nothing serves

Cause: tests.failures.test_refusals.test_server_killed_between_connect_and_send hung. A server that is avoided was dropped from the scheduler and learned again on its return, for 2.5 s, while the trial that ends an avoidance lasts 1 s: it was never granted, so the queued calls neither ran nor ended.

Ruled out: a lost grant (no permit was out, no handler had failed) and a request popped without a permit (the queue still held both).

Change: a server that takes no work for now keeps its slots with the limit 0.

--- a/src/sycamorehaven/blackboard/queues.py
+++ b/src/sycamorehaven/blackboard/queues.py
@@ -65,6 +65,12 @@
         """Resolves to the permit that the request is bound to."""
         return self._permit
 
+    @property
+    def is_granted(self) -> bool:
+        """Whether the request was bound to a permit."""
+        done = self._permit.done() and not self._permit.cancelled()
+        return done and self._permit.exception() is None
+
 
 class QueuesSection:
     """First-in first-out queues by service, workspace and class."""
--- a/src/sycamorehaven/controllers/admission.py
+++ b/src/sycamorehaven/controllers/admission.py
@@ -93,6 +93,7 @@
         :param first: whether the call goes before younger ones.
         :param since: when the call came in, monotonic seconds.
         :raises DeadlineUnreachable: if the call's deadline passes.
+        :raises NoBackendServer: if nothing serves the service for a while.
         """
         key = QueueKey(call.service.name, call.workspace.name, call.priority)
         cost = call.cost_hint or call.service.expected_cost
@@ -119,7 +120,7 @@
     def _drop(self, waiting: Waiting) -> None:
         if not waiting.permit.done():
             waiting.permit.cancel()
-        elif not waiting.permit.cancelled():
+        elif waiting.is_granted:
             self._permits.release(waiting.permit.result())
 
     def _is_served(self, service: str, configuration: Configuration) -> bool:
--- a/src/sycamorehaven/controllers/queue_limits.py
+++ b/src/sycamorehaven/controllers/queue_limits.py
@@ -108,7 +108,7 @@
         section, now = self._board.admission, self._clock()
         section.add_bytes(key.workspace, -size)
         rate = section.drains.get(key)
-        granted = not permit.cancelled()
+        granted = not permit.cancelled() and permit.exception() is None
         move = rate.add_grant if granted else rate.advance
         section.drains.put(key, move(now, waiting=True))
 
--- a/src/sycamorehaven/controllers/scheduling.py
+++ b/src/sycamorehaven/controllers/scheduling.py
@@ -150,15 +150,17 @@
     def _place_slots(self, service: str) -> None:
         now = self._clock()
         scheduler = self._find_scheduler(service)
-        servers = [
-            server
-            for server in self._own_servers[service]
-            if self._board.servers.takes_work(server.name, now)
-        ]
+        servers = self._own_servers[service]
+        closed = {
+            server.name
+            for server in servers
+            if not self._board.servers.takes_work(server.name, now)
+        }
         scheduler.set_servers(
             {server.name: server.slots for server in servers},
             now,
             {server.name: server.slots_ceiling for server in servers},
+            closed,
         )
         for server in servers:
             status = self._board.servers.get(server.name)
--- a/src/sycamorehaven/decisions/scheduler.py
+++ b/src/sycamorehaven/decisions/scheduler.py
@@ -23,7 +23,7 @@
 from sycamorehaven.identity import RouterId
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Iterator, Mapping
+    from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 
     from sycamorehaven.decisions.grants import Ledger
     from sycamorehaven.transport.messages import (
@@ -97,6 +97,7 @@
         slots: Mapping[str, int],
         now: float,
         ceilings: Mapping[str, int] | None = None,
+        closed: Collection[str] = (),
     ) -> None:
         """
         Replace the servers that are scheduled here.
@@ -104,8 +105,12 @@
         :param slots: slots to start with, by server.
         :param ceilings: the most slots of each; those to start with if not
             named.
+        :param closed: servers that take no work for now. What is known of
+            their slots is kept, so that they need not be learned again.
         """
-        self._occupancy.replace(self._limits.replace(slots, ceilings or {}), now)
+        limits = self._limits.replace(slots, ceilings or {})
+        limits.update(dict.fromkeys(closed, 0))
+        self._occupancy.replace(limits, now)
 
     def set_weights(self, weights: Mapping[str, float]) -> None:
         """Replace the workspaces' weights."""
--- a/src/sycamorehaven/router.py
+++ b/src/sycamorehaven/router.py
@@ -26,6 +26,7 @@
 from sycamorehaven.controllers.suspects import SuspectController
 from sycamorehaven.controllers.token_guard import TokenGuard
 from sycamorehaven.controllers.tokens import TokenController
+from sycamorehaven.controllers.unserved import UnservedController
 from sycamorehaven.exceptions.starting import StartFailed
 from sycamorehaven.telemetry.monitor import Monitor
 from sycamorehaven.telemetry.traces import SpanBuffer
@@ -135,6 +136,7 @@
             CounterController(board, peers),
             permits,
             suspects,
+            UnservedController(board),
             relays,
             tokens,
             RelaySessions(board, peers, tokens, adoption),
--- a/tests/decisions/test_scheduler.py
+++ b/tests/decisions/test_scheduler.py
@@ -255,3 +255,12 @@
     assert bench.report(11.1, edge=other, elm=1) == []
     bench.load(0, 11.5)
     assert len(bench.report(11.6, edge=other, elm=1)) == 1
+
+
+def test_server_that_was_closed_for_a_moment_is_not_learned_again() -> None:
+    bench = Bench(slots=2)
+    bench.report(10.1)
+    bench.scheduler.set_servers({"engine-1": 2}, 10.2, closed={"engine-1"})
+    assert bench.report(10.3, oak=1) == []
+    bench.scheduler.set_servers({"engine-1": 2}, 10.8)
+    assert len(bench.scheduler.grant(10.8)) == 1
