--- a/benchmarks/edge.py
+++ b/benchmarks/edge.py
@@ -72,6 +72,7 @@
     """
 
     def __init__(self, board: Blackboard) -> None:
+        self._board = board
         self._codec = Codec(board.identity, board.members.own.address)
         self._handlers: dict[type, list[Handler]] = {}
         self.messages: Counter[str] = Counter()
--- /dev/null
+++ b/benchmarks/exchange.py
@@ -0,0 +1,105 @@
+"""
+Traffic and processor time of the exchange of totals at the target's size.
+
+``python -m benchmarks.exchange`` runs the real counter controller of one
+scheduler on a given clock; it charges the service that such a scheduler
+gives, to half from backlogged workspaces, and hears every acknowledgement.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import NamedTuple
+
+from benchmarks.edge import CountingLink, build_board
+from benchmarks.events import EventQueue
+from benchmarks.target import BACKLOGGED_PART, TARGET
+from sycamorehaven.controllers.counters import POLICY, CounterController
+from sycamorehaven.decisions.recipients import map_schedulers
+from sycamorehaven.transport.codec import Delivery
+from sycamorehaven.transport.messages import CounterAck, CounterUpdate
+
+SECONDS = 10.0
+COST = TARGET.tokens / TARGET.requests
+"""Tokens of a request."""
+
+
+class ExchangeFigures(NamedTuple):
+    """
+    What the exchange costs one scheduler, a second.
+
+    :ivar peers: routers that are told.
+    :ivar messages: updates sent; each is acknowledged by one more.
+    :ivar sizes: bytes of the updates sent.
+    :ivar core: processor seconds of the rounds, encoding included.
+    """
+
+    peers: int
+    messages: float
+    sizes: float
+    core: float
+
+
+class AcknowledgedLink(CountingLink):
+    """A link on which each update is acknowledged at once."""
+
+    def send(self, host: str, message: object) -> bool:
+        """Count a message and answer an update."""
+        super().send(host, message)
+        member = self._board.members.find(host)
+        if member is not None and isinstance(message, CounterUpdate):
+            sender = self._board.identity._replace(
+                host=host, incarnation=member.incarnation
+            )
+            ack = CounterAck(message.sequence)
+            self.dispatch(Delivery(sender, member.address, ack))
+        return True
+
+
+def measure() -> ExchangeFigures:
+    """Charge and share for some virtual seconds."""
+    board = build_board()
+    link = AcknowledgedLink(board)
+    events = EventQueue()
+    controller = CounterController(board, link, events.clock)
+    board.members.changed.notify()
+    configuration = board.configuration.current
+    assert configuration is not None
+    schedulers = map_schedulers(configuration, board.members.map_domains())
+    own = board.identity.host
+    services = [name for name, hosts in schedulers.items() if own in hosts]
+    chosen = random.Random(1)
+    core = 0.0
+    for _ in range(round(SECONDS / POLICY.period)):
+        for _ in range(_draw_count(chosen)):
+            waits = chosen.random() < BACKLOGGED_PART
+            among = TARGET.backlogged if waits else TARGET.workspaces
+            workspace = f"workspace-{chosen.randrange(among)}"
+            board.counters.charge(chosen.choice(services), workspace, COST)
+        events.run_until(events.now + POLICY.period)
+        started = time.process_time()
+        controller.run_round()
+        core += time.process_time() - started
+    return ExchangeFigures(
+        len(controller.feeds),
+        link.messages["CounterUpdate"] / SECONDS,
+        link.sizes["CounterUpdate"] / SECONDS,
+        core / SECONDS,
+    )
+
+
+def _draw_count(chosen: random.Random) -> int:
+    expected = TARGET.node_requests * POLICY.period
+    return int(expected) + (chosen.random() < expected % 1)
+
+
+def main() -> None:
+    """Print the figures."""
+    figures = measure()
+    print(f"{figures.peers} peers, {figures.messages:.1f} updates/s")
+    print(f"{figures.sizes:.0f} bytes/s, {100 * figures.core:.2f} % of a core")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/failures/test_refusals.py
+++ b/tests/failures/test_refusals.py
@@ -128,6 +128,22 @@
         ledger.check()
 
 
+async def test_booking_whose_server_dies_is_not_called_unrun() -> None:
+    servers = [plan_servers()[2]._replace(pace=30.0)]
+    async with run_fleet(("a",), servers) as fleet:
+        ledger = Ledger(fleet)
+        booking = asyncio.create_task(ledger.book_again([0], "book-lost"))
+
+        async def is_running() -> bool:
+            return fleet.count_runs()["book-lost"] == 1
+
+        await wait_for(is_running)
+        await fleet.kill("booking-1")
+        await booking
+        assert [entry.was_run for entry in ledger.entries] == ["unknown"]
+        ledger.check()
+
+
 async def test_server_that_says_503_after_running_is_not_believed() -> None:
     servers = [
         ServerPlan(f"booking-{number}", "bookings", find_address())
