Test questions whose server dies, and permits granted during a pause

The paused router was never granted anything, for its own streams held the slots; another router's now end while it sleeps. was_run is now asked of questions whose only server dies before its answer's headers.

--- a/tests/failures/test_cuts.py
+++ b/tests/failures/test_cuts.py
@@ -112,6 +112,8 @@
         paused = find_other_router(fleet, text, "engine-1")
         ledger = Ledger(fleet, seed=8)
         await fleet.wait_for_members({0: 2, 1: 2})
+        other = asyncio.gather(*(ledger.ask(1 - paused, tokens=60) for _ in range(4)))
+        await asyncio.sleep(0.3)
         asking = asyncio.gather(*(ledger.ask(paused, tokens=20) for _ in range(24)))
         await asyncio.sleep(0.3)
         fleet.signal(fleet.routers[paused].host, signal.SIGSTOP)
@@ -119,7 +121,7 @@
         await asyncio.sleep(PAUSE)
         before = (await fleet.list_runs("engine-1"))["started"]
         fleet.signal(fleet.routers[paused].host, signal.SIGCONT)
-        await asking
+        await asyncio.gather(asking, other)
         assert (await fleet.list_runs("engine-1"))["started"] == before
-        assert ledger.count(WHOLE) == 24, ledger.list_codes()
+        assert ledger.count(WHOLE) == 28, ledger.list_codes()
         ledger.check()
--- a/tests/failures/test_refusals.py
+++ b/tests/failures/test_refusals.py
@@ -144,6 +144,27 @@
         ledger.check()
 
 
+async def test_questions_whose_server_dies_are_not_called_unrun() -> None:
+    servers = [plan_servers()[0]._replace(slots=1, pace=1.0)]
+    text = write_configuration([servers[0]._replace(slots=4)])
+    async with run_fleet(("a",), servers, text) as fleet:
+        ledger = Ledger(fleet)
+        hurry = {"Request-Timeout": "5"}
+        asking = asyncio.gather(
+            *(ledger.ask(0, tokens=LONG, headers=hurry) for _ in range(4))
+        )
+
+        async def are_running() -> bool:
+            return fleet.count_runs().total() == 4
+
+        await wait_for(are_running)
+        await fleet.kill("engine-1")
+        await asking
+        refused = [entry for entry in ledger.entries if entry.outcome == REFUSED]
+        assert [entry.was_run for entry in refused] == ["unknown"] * 3, ledger.entries
+        ledger.check()
+
+
 async def test_server_that_says_503_after_running_is_not_believed() -> None:
     servers = [
         ServerPlan(f"booking-{number}", "bookings", find_address())
--- a/tests/support/ledger.py
+++ b/tests/support/ledger.py
@@ -67,14 +67,20 @@
         self.entries: list[Entry] = []
 
     async def ask(
-        self, router: int, workspace: str = WORKSPACES[0], tokens: int = 0
+        self,
+        router: int,
+        workspace: str = WORKSPACES[0],
+        tokens: int = 0,
+        headers: dict[str, str] | None = None,
     ) -> Entry:
         """Ask the assistant for a whole answer and note what came of it."""
         self._number += 1
         prompt = f"{workspace}:{self._number}"
         tokens = tokens or self._random.randint(2, 40)
         try:
-            status, body = await self._fleet.ask(router, prompt, tokens, workspace)
+            status, body = await self._fleet.ask(
+                router, prompt, tokens, workspace, headers
+            )
         except (aiohttp.ClientError, OSError) as error:
             return self._note(Entry(prompt, router, BROKEN, type(error).__name__))
         if status != 200:
