--- a/src/sycamorehaven/controllers/counters.py
+++ b/src/sycamorehaven/controllers/counters.py
@@ -34,8 +34,10 @@
     from sycamorehaven.transport.codec import Delivery
     from sycamorehaven.transport.links import PeerLink
 
-POLICY = SharingPolicy(period=0.25, threshold=0.05, extrapolate=True, refresh=5.0)
+POLICY = SharingPolicy(period=0.25, threshold=0.05, extrapolate=True, refresh=30.0)
 """How totals are shared: the winner of ``benchmarks.sharing``."""
+PEERS_IN_ROUND = 12
+"""Peers that one round looks at; more take turns."""
 BYTES_PER_SECOND = 6_000.0
 """Control traffic that updates may take, whatever the count of peers."""
 RATE_MEMORY = 5.0
@@ -81,6 +83,7 @@
         self._schedulers: dict[str, set[str]] = {}
         self._requests: dict[str, int] = {}
         self._sequence = 0
+        self._turn = 0
         self._requested_at = 0.0
         self._cleaned_at = 0.0
         link.subscribe(CounterUpdate, self._take_update)
@@ -121,10 +124,16 @@
             self._assigned_for = configuration.version, domains
             self._place(map_schedulers(configuration, domains))
         self._feeds = {
-            router: self._feeds.get(router) or PeerFeed(self._policy)
+            router: self._feeds.get(router) or self._create_feed()
             for router in self._list_recipients()
         }
 
+    def _create_feed(self) -> PeerFeed:
+        own = self._board.counters.own_totals
+        return PeerFeed(
+            self._policy, {Place(*key): total for key, total in own.items()}
+        )
+
     def _place(self, schedulers: dict[str, set[str]]) -> None:
         known, self._schedulers = self._schedulers, schedulers
         own = self._board.identity.host
@@ -148,7 +157,8 @@
             readings.setdefault(service, {})[place] = reading
         scales = self._map_scales()
         ranked = {}
-        for router, feed in self._feeds.items():
+        for router in self._take_turns():
+            feed = self._feeds[router]
             feed.expire(now)
             wanted: dict[Place, Reading] = {}
             for service, rows in readings.items():
@@ -160,6 +170,13 @@
             told = {place: readings[place.service][place] for place in places}
             self._tell(router, told)
 
+    def _take_turns(self) -> list[RouterId]:
+        routers = list(self._feeds)
+        if len(routers) <= PEERS_IN_ROUND:
+            return routers
+        self._turn = (self._turn + PEERS_IN_ROUND) % len(routers)
+        return (routers[self._turn :] + routers)[:PEERS_IN_ROUND]
+
     def _map_scales(self) -> dict[str, float]:
         configuration = self._board.configuration.current
         if configuration is None:
@@ -168,9 +185,13 @@
 
     def _tell(self, router: RouterId, told: dict[Place, Reading]) -> None:
         self._sequence += 1
-        self._feeds[router].record(self._sequence, told, self._clock())
+        feed = self._feeds[router]
+        feed.record(self._sequence, told, self._clock())
         own = self._board.identity
-        totals = [Total(own, p, r.total, round(r.rate, 3)) for p, r in told.items()]
+        totals = [
+            Total(own, place, reading.total, reading.rate, feed.find_base(place))
+            for place, reading in told.items()
+        ]
         update = CounterUpdate(self._sequence, shorten_rows(own, totals))
         self._link.send(router.host, update)
 
@@ -209,7 +230,7 @@
     def _merge(self, key: CounterKey, total: Total) -> None:
         counters = self._board.counters
         newer = total.total >= counters.find(key)
-        counters.merge(key, total.total)
+        counters.merge(key, total.total, total.base)
         if newer and self._policy.extrapolate:
             counters.extrapolate(key, total.rate, self._clock())
 
@@ -223,7 +244,7 @@
         counters = self._board.counters
         live = {RouterId(m.host, m.incarnation) for m in self._board.members.list()}
         totals = [
-            Total(key.scheduler, Place(key.service, key.workspace), total, 0.0)
+            Total(key.scheduler, Place(key.service, key.workspace), total, 0.0, total)
             for key, total in counters.totals.items()
             if key.service in services and key.scheduler not in live
         ]
