--- a/src/sycamorehaven/blackboard/counters.py
+++ b/src/sycamorehaven/blackboard/counters.py
@@ -93,7 +93,7 @@
         if place not in totals:
             returned = key.scheduler.incarnation == folded
             totals[place] = total if returned else base
-            if not returned:
+            if base and not returned:
                 self._bases[place] = self._bases.get(place, 0.0) + base
         self._raise_total(key.scheduler, place, total)
 
