--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -94,6 +94,15 @@
             [Flow(f"tenant-{i}", (i,), depth=12 + 8 * i) for i in range(8)],
             seconds=80.0,
         ),
+        Scenario(
+            "one tenant behind a third of the schedulers",
+            Plan(24, 6, Plan().speeds * 4 + (40.0,) * 4, 3),
+            [
+                *(Flow(f"tenant-{i}", tuple(range(24)), depth=4) for i in range(3)),
+                Flow("apart", (0,), depth=40),
+            ],
+            seconds=80.0,
+        ),
         Scenario(
             "large and small requests",
             plan,
--- a/src/sycamorehaven/decisions/demand.py
+++ b/src/sycamorehaven/decisions/demand.py
@@ -140,7 +140,7 @@
         counts = {key: queue.waiting for key, queue in queues.items()}
         near = self._order(schedulers, now)[:reach]
         chosen = [host for host in near if self._matters(host, counts)]
-        for host in dict.fromkeys((*near, *holders, *self._told)):
+        for host in dict.fromkeys((*near, *sorted(holders), *self._told)):
             told = self._told.get(host)
             due = told is None or now >= self._find_due(told, counts, refresh)
             if due and host not in chosen:
--- a/src/sycamorehaven/decisions/holdings.py
+++ b/src/sycamorehaven/decisions/holdings.py
@@ -93,7 +93,7 @@
 
     def list_of(self, edge: RouterId) -> list[Holding]:
         """Return the permits that an edge holds."""
-        return [self._holdings[name] for name in self._by_edge.get(edge, ())]
+        return [self._holdings[name] for name in sorted(self._by_edge.get(edge, ()))]
 
     def add(self, holding: Holding) -> None:
         """Note a permit that is out."""
--- a/src/sycamorehaven/decisions/scheduler.py
+++ b/src/sycamorehaven/decisions/scheduler.py
@@ -284,7 +284,7 @@
         return total / self._weights.get(workspace, 1.0)
 
     def _update_waiting(self, workspaces: Iterable[str], now: float) -> None:
-        for workspace in workspaces:
+        for workspace in sorted(workspaces):
             if self._backlog.count(workspace) > 0:
                 self._share.enter(workspace, now)
             else:
--- a/tests/benchmarks/test_fairness.py
+++ b/tests/benchmarks/test_fairness.py
@@ -37,6 +37,10 @@
     check("sixteen schedulers")
 
 
+def test_workspaces_at_different_schedulers() -> None:
+    check("one tenant behind")
+
+
 def test_weights() -> None:
     check("weights")
 
