Prove the bound on lost servers for bookings with new tokens

A booking that crashes its server runs once a token; its caller may mint another. 7 sends through 3 routers cost 2 of 6 booking servers, the last three are refused with was_run no, and another booking goes through.

--- a/tests/failures/test_poison.py
+++ b/tests/failures/test_poison.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import json
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from sycamorehaven.standins.engine import make_token
 from tests.support.fleet import find_address, run_fleet
@@ -28,6 +28,14 @@
     ]
 
 
+def plan_bookings() -> list[ServerPlan]:
+    """Return booking servers for a fleet that loses some."""
+    return [
+        ServerPlan(f"booking-{number}", "bookings", find_address())
+        for number in range(SERVERS)
+    ]
+
+
 def list_lost(fleet: Fleet) -> list[str]:
     """Return the engines whose process has ended."""
     names = [plan.name for plan in fleet.servers]
@@ -95,3 +103,30 @@
         codes = [await send_poison(fleet, n % 3) for n in range(6)]
         assert codes[3:] == ["request_quarantined"] * 3, codes
         assert 2 <= len(list_lost(fleet)) <= 3 + 1
+
+
+async def send_booking(fleet: Fleet, router: int, body: bytes) -> dict[str, Any]:
+    """Book with a new token; return the answer's document."""
+    mint = fleet.build_request(router, "/v1/idempotency-tokens")
+    async with fleet.client.post(**mint) as response:
+        token = (await response.json())["idempotency_token"]
+    headers = {"Idempotency-Token": token, "Request-Timeout": "20"}
+    request = fleet.build_request(
+        router, "/v1/services/bookings/bookings", headers=headers
+    )
+    async with fleet.client.post(data=body, **request) as response:
+        answer: dict[str, Any] = json.loads(await response.read())
+        return answer
+
+
+async def test_servers_lost_to_one_booking_with_new_tokens() -> None:
+    async with run_fleet(servers=plan_bookings()) as fleet:
+        await arm(fleet)
+        answers = [await send_booking(fleet, n % 3, b"poison") for n in range(7)]
+        assert len(list_lost(fleet)) == MOST_LOST, answers
+        ran = [answer for answer in answers if answer["was_run"] != "no"]
+        assert len(ran) == MOST_LOST, answers
+        for answer in answers[-3:]:
+            assert answer["code"] == "request_quarantined"
+            assert answer["was_run"] == "no"
+        assert (await send_booking(fleet, 0, b"innocent"))["booking"] == 1
