--- a/src/sycamorehaven/blackboard/counters.py
+++ b/src/sycamorehaven/blackboard/counters.py
@@ -24,24 +24,14 @@
     workspace: str
 
 
-class Extrapolation(NamedTuple):
-    """
-    What a scheduler is taken to have given since its last update.
-
-    :ivar rate: units per second.
-    :ivar since: time of the update, monotonic seconds.
-    """
-
-    rate: float
-    since: float
-
-
 class CountersSection:
     """
     Grow-only totals of service given, in the service's unit.
 
     Own totals are charged by the scheduler; others' are merged by maximum,
-    so that repeats and reordering do no harm. The totals of a scheduler that
+    so that repeats and reordering do no harm. What a scheduler had given
+    before this router was told of it is kept apart: it is part of the totals
+    shown, yet no service that anyone received since. The totals of one that
     is gone are folded: they leave memory, and the sums stay as they are.
     """
 
@@ -49,9 +39,8 @@
         self._own = own
         self._totals: dict[RouterId, dict[tuple[str, str], float]] = {own: {}}
         self._sums: dict[tuple[str, str], float] = {}
+        self._bases: dict[tuple[str, str], float] = {}
         self._folded: dict[str, int] = {}
-        self._extrapolations: dict[CounterKey, Extrapolation] = {}
-        self._extras: dict[tuple[str, str], float] = {}
 
     @property
     def totals(self) -> dict[CounterKey, float]:
@@ -87,43 +76,27 @@
         total = self.own_totals.get((service, workspace), 0.0)
         self._raise_total(self._own, (service, workspace), total + cost)
 
-    def merge(self, key: CounterKey, total: float) -> None:
+    def merge(self, key: CounterKey, total: float, base: float = 0.0) -> None:
         """
         Raise a total to ``total``; a lower one is ignored.
 
         The first total heard of a scheduler that was folded counts as folded
         already; what it gives from then on is added.
+
+        :param base: the part given before this router was told of it.
         """
         folded = self._folded.get(key.scheduler.host, -1)
         if key.scheduler.incarnation < folded:
             return
         place = key.service, key.workspace
         totals = self._totals.setdefault(key.scheduler, {})
-        if key.scheduler.incarnation == folded and place not in totals:
-            totals[place] = total
-            return
+        if place not in totals:
+            returned = key.scheduler.incarnation == folded
+            totals[place] = total if returned else base
+            if not returned:
+                self._bases[place] = self._bases.get(place, 0.0) + base
         self._raise_total(key.scheduler, place, total)
 
-    def extrapolate(self, key: CounterKey, rate: float, now: float) -> None:
-        """Take a total to go on growing at a rate; it was true just now."""
-        if rate > 0.0:
-            self._extrapolations[key] = Extrapolation(rate, now)
-        else:
-            self._extrapolations.pop(key, None)
-
-    def advance(self, now: float, horizon: float) -> None:
-        """
-        Bring extrapolated totals up to the time.
-
-        :param horizon: seconds after an update for which it is extrapolated.
-        """
-        extras: dict[tuple[str, str], float] = {}
-        for key, (rate, since) in self._extrapolations.items():
-            place = key.service, key.workspace
-            extra = rate * min(now - since, horizon)
-            extras[place] = extras.get(place, 0.0) + extra
-        self._extras = extras
-
     def fold(self, scheduler: RouterId, *, may_return: bool) -> None:
         """
         Forget the totals of a scheduler that is gone; keep the sums.
@@ -138,8 +111,6 @@
             self._folded[scheduler.host] = max(
                 self._folded.get(scheduler.host, 0), oldest
             )
-        for key in [k for k in self._extrapolations if k.scheduler == scheduler]:
-            del self._extrapolations[key]
 
     def forget_folded(self, host: str) -> None:
         """Forget that incarnations of a host were folded."""
@@ -153,14 +124,24 @@
             for service, workspace in list(totals):
                 if service not in services or workspace not in workspaces:
                     del totals[service, workspace]
-        for service, workspace in list(self._sums):
-            if service not in services or workspace not in workspaces:
-                del self._sums[service, workspace]
+        for sums in (self._sums, self._bases):
+            for service, workspace in list(sums):
+                if service not in services or workspace not in workspaces:
+                    del sums[service, workspace]
 
-    def sum_service(self, service: str, workspace: str) -> float:
-        """Return the service a workspace has received fleet-wide."""
+    def sum_totals(self, service: str, workspace: str) -> float:
+        """Return all service to a workspace that is known of."""
         place = service, workspace
-        return self._sums.get(place, 0.0) + self._extras.get(place, 0.0)
+        return self._sums.get(place, 0.0) + self._bases.get(place, 0.0)
+
+    def sum_service(self, service: str, workspace: str) -> float:
+        """
+        Return the service a workspace has received fleet-wide.
+
+        It counts from when this router began to be told, and is meant to be
+        compared between workspaces.
+        """
+        return self._sums.get((service, workspace), 0.0)
 
     def _raise_total(
         self, scheduler: RouterId, place: tuple[str, str], total: float
