Say which servers a router schedules beside the shares

Totals of service are shared among the routers that schedule a service only, so /v1/workspaces of another router was empty without a word. It now names the servers scheduled there, and the command says to ask another router.

--- a/src/sycamorehaven/console/commands/workspaces.py
+++ b/src/sycamorehaven/console/commands/workspaces.py
@@ -24,7 +24,7 @@
     json: JsonOption = False,
     service: Annotated[str, typer.Option(help="Show this service only.")] = "",
 ) -> None:
-    """Show the service each workspace received fleet-wide, and the gaps."""
+    """Show what each workspace received and the gaps, as one router knows."""
     with report_errors():
         document = AdminClient(admin, key).read("/v1/workspaces", service=service)
         if json:
@@ -37,3 +37,5 @@
                 f" = {shown['gap_in_requests']:.3f} of the largest request"
             )
             print_table(title, COLUMNS, rows)
+            if not shown["schedules"]:
+                typer.echo("not scheduled here; ask a router that schedules it\n")
--- a/src/sycamorehaven/console/output.py
+++ b/src/sycamorehaven/console/output.py
@@ -15,9 +15,11 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Sequence
 
+    from rich.console import JustifyMethod
+
 EXIT_FAILED = 1
 EXIT_INVALID = 2
-PIPE_WIDTH = 120
+PIPE_WIDTH = 160
 """Columns of a table that is not printed on a terminal."""
 
 
@@ -35,7 +37,8 @@
     lines = [[format_cell(cell) for cell in row] for row in rows]
     for index, column in enumerate(columns):
         numeric = bool(lines) and all(_is_number(line[index]) for line in lines)
-        table.add_column(column, justify="right" if numeric else "left")
+        side: JustifyMethod = "right" if numeric else "left"
+        table.add_column(column, justify=side, overflow="fold")
     for line in lines:
         table.add_row(*line)
     console = Console()
--- a/src/sycamorehaven/demo/plan.py
+++ b/src/sycamorehaven/demo/plan.py
@@ -73,11 +73,11 @@
             for name in WORKSPACES
         ]
         parts.append(SERVICES)
-        for name, address in self.servers.items():
+        for domain, (name, address) in zip("abc", self.servers.items(), strict=True):
             service = "bookings" if name.startswith("booking") else "assistant"
             parts.append(
                 f'[servers.{name}]\naddress = "{address}"\nservice = "{service}"\n'
-                f'failure_domain = "a"\nslots = {ENGINE_SLOTS}\n'
+                f'failure_domain = "{domain}"\nslots = {ENGINE_SLOTS}\n'
             )
         return "\n".join(parts)
 
--- a/src/sycamorehaven/telemetry/documents.py
+++ b/src/sycamorehaven/telemetry/documents.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any, TypedDict
 
 from sycamorehaven import __version__
+from sycamorehaven.decisions.roles import choose_scheduler
 
 if TYPE_CHECKING:
     from sycamorehaven.blackboard.board import Blackboard
@@ -32,8 +33,9 @@
     """
     One workspace's part of a service.
 
-    ``received`` is fleet-wide, in the service's unit; ``share`` is its part
-    of what all received, ``entitled`` its weight's part of all weights.
+    ``received`` is what this router knows of, in the service's unit: all of
+    the fleet's if it schedules the service. ``share`` is its part of what all
+    received, ``entitled`` its weight's part of all weights.
     """
 
     workspace: str
@@ -50,9 +52,12 @@
 
     ``gap`` is the present fairness gap in units per weight,
     ``gap_in_requests`` the same in units of the largest request.
+    ``schedules`` are the servers that this router schedules; without any it
+    does not know what workspaces received.
     """
 
     service: str
+    schedules: list[str]
     unit: str
     gap: float
     gap_in_requests: float
@@ -96,6 +101,19 @@
     }
 
 
+def list_scheduled(
+    board: Blackboard, configuration: Configuration, service: str
+) -> list[str]:
+    """Return the servers of a service that this router schedules."""
+    domains = board.members.map_domains()
+    own = board.identity.host
+    return [
+        server.name
+        for server in configuration.list_servers(service)
+        if choose_scheduler(server, domains) == own
+    ]
+
+
 def build_refused(board: Blackboard) -> dict[str, Any] | None:
     """Return the newest refused text's revision and faults, if any."""
     if board.configuration.refused is None:
@@ -199,6 +217,7 @@
     tracker = monitor.find_gap(service.name)
     return ServiceDocument(
         service=service.name,
+        schedules=list_scheduled(board, configuration, service.name),
         unit=UNITS[service.kind],
         gap=round(tracker.gap, 6),
         gap_in_requests=round(tracker.gap / service.largest_cost, 6),
--- a/tests/transport/test_admin.py
+++ b/tests/transport/test_admin.py
@@ -120,6 +120,7 @@
         assistant = document["services"][0]
         rows = {row["workspace"]: row for row in assistant["workspaces"]}
         assert assistant["unit"] == "tokens"
+        assert assistant["schedules"] == ["engine-1"]
         assert rows["oakcourt"]["received"] == 30.0
         assert rows["oakcourt"]["share"] == 0.75
         assert rows["elmplace"]["entitled"] == 0.5
