--- a/src/sycamorehaven/decisions/scheduler.py
+++ b/src/sycamorehaven/decisions/scheduler.py
@@ -23,7 +23,7 @@
 from sycamorehaven.identity import RouterId
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Iterator, Mapping
+    from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 
     from sycamorehaven.decisions.grants import Ledger
     from sycamorehaven.transport.messages import (
@@ -97,6 +97,7 @@
         slots: Mapping[str, int],
         now: float,
         ceilings: Mapping[str, int] | None = None,
+        closed: Collection[str] = (),
     ) -> None:
         """
         Replace the servers that are scheduled here.
@@ -104,8 +105,12 @@
         :param slots: slots to start with, by server.
         :param ceilings: the most slots of each; those to start with if not
             named.
+        :param closed: servers that take no work for now. What is known of
+            their slots is kept, so that they need not be learned again.
         """
-        self._occupancy.replace(self._limits.replace(slots, ceilings or {}), now)
+        limits = self._limits.replace(slots, ceilings or {})
+        limits.update(dict.fromkeys(closed, 0))
+        self._occupancy.replace(limits, now)
 
     def set_weights(self, weights: Mapping[str, float]) -> None:
         """Replace the workspaces' weights."""
@@ -253,17 +258,8 @@
         self._issues[name] = Issue(row.cost, choice)
         self._occupancy.occupy(server, now)
         self._classes.charge(workspace, choice, holding.cost, contended=len(costs) > 1)
-        return Grant(
-            name.number,
-            edge,
-            server,
-            workspace,
-            priority,
-            holding.cost,
-            report.sequence,
-            now - report.received_at,
-            runs,
-        )
+        elapsed = now - report.received_at
+        return Grant.from_holding(holding, report.sequence, elapsed, runs)
 
     def _list_costs(self, workspace: str) -> dict[str, float]:
         return {
@@ -284,7 +280,7 @@
         return total / self._weights.get(workspace, 1.0)
 
     def _update_waiting(self, workspaces: Iterable[str], now: float) -> None:
-        for workspace in workspaces:
+        for workspace in sorted(workspaces):
             if self._backlog.count(workspace) > 0:
                 self._share.enter(workspace, now)
             else:
--- a/tests/failures/test_refusals.py
+++ b/tests/failures/test_refusals.py
@@ -128,6 +128,43 @@
         ledger.check()
 
 
+async def test_booking_whose_server_dies_is_not_called_unrun() -> None:
+    servers = [plan_servers()[2]._replace(pace=30.0)]
+    async with run_fleet(("a",), servers) as fleet:
+        ledger = Ledger(fleet)
+        booking = asyncio.create_task(ledger.book_again([0], "book-lost"))
+
+        async def is_running() -> bool:
+            return fleet.count_runs()["book-lost"] == 1
+
+        await wait_for(is_running)
+        await fleet.kill("booking-1")
+        await booking
+        assert [entry.was_run for entry in ledger.entries] == ["unknown"]
+        ledger.check()
+
+
+async def test_questions_whose_server_dies_are_not_called_unrun() -> None:
+    servers = [plan_servers()[0]._replace(slots=1, pace=1.0)]
+    text = write_configuration([servers[0]._replace(slots=4)])
+    async with run_fleet(("a",), servers, text) as fleet:
+        ledger = Ledger(fleet)
+        hurry = {"Request-Timeout": "5"}
+        asking = asyncio.gather(
+            *(ledger.ask(0, tokens=LONG, headers=hurry) for _ in range(4))
+        )
+
+        async def are_running() -> bool:
+            return fleet.count_runs().total() == 4
+
+        await wait_for(are_running)
+        await fleet.kill("engine-1")
+        await asking
+        refused = [entry for entry in ledger.entries if entry.outcome == REFUSED]
+        assert [entry.was_run for entry in refused] == ["unknown"] * 3, ledger.entries
+        ledger.check()
+
+
 async def test_server_that_says_503_after_running_is_not_believed() -> None:
     servers = [
         ServerPlan(f"booking-{number}", "bookings", find_address())
