--- a/tests/failures/test_classes.py
+++ b/tests/failures/test_classes.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
+
+import msgspec
 
 from sycamorehaven.standins.engine import make_token
+from tests.support.fleet import plan_servers, run_fleet
+from tests.support.texts import write_configuration
 
 if TYPE_CHECKING:
     from tests.support.fleet import Fleet
@@ -101,3 +105,63 @@
     engines = [await fleet.list_runs(f"engine-{number}") for number in (1, 2)]
     cancelled = sum(sum(engine["cancelled"].values()) for engine in engines)
     assert 1 <= cancelled <= len(answers) * 2
+
+
+async def test_past_the_queue_bound_nothing_is_run() -> None:
+    servers = plan_servers()
+    text = write_configuration(servers).replace(
+        "weight = 1.0", "weight = 1.0\nqueue_limit = 10"
+    )
+    async with run_fleet(servers=servers, text=text) as fleet:
+        prompts = [f"question {number}" for number in range(60)]
+        answers = await asyncio.gather(
+            *(ask_once(fleet, prompt, "600") for prompt in prompts)
+        )
+        late = await ask_once(fleet, "late", "0.001")
+        engines = [await fleet.list_runs(f"engine-{number}") for number in (1, 2)]
+    started = {prompt for engine in engines for prompt in engine["started"]}
+    refused = [answer for answer in answers if answer.status == 429]
+    assert {answer.status for answer in answers} == {200, 429}
+    assert started == {answer.prompt for answer in answers if answer.status == 200}
+    assert all(answer.code == "queue_full" for answer in refused)
+    assert all(answer.was_run == "no" for answer in refused)
+    assert all(1 <= answer.retry_after <= 60 for answer in refused)
+    assert (late.status, late.code) == (503, "deadline_unreachable")
+    assert late.was_run == "no"
+
+
+class Reply(NamedTuple):
+    """
+    What a caller got.
+
+    :ivar prompt: what was asked.
+    :ivar status: HTTP status.
+    :ivar code: of the problem, or "".
+    :ivar was_run: of the problem, or "".
+    :ivar retry_after: seconds, 0 for none.
+    """
+
+    prompt: str
+    status: int
+    code: str
+    was_run: str
+    retry_after: int
+
+
+async def ask_once(fleet: Fleet, prompt: str, timeout: str) -> Reply:
+    """Ask through the first router."""
+    request = fleet.build_request(
+        0,
+        "/v1/services/assistant/v1/completions",
+        headers={"Request-Timeout": timeout},
+    )
+    body = {"prompt": prompt, "max_tokens": 100}
+    async with fleet.client.post(json=body, **request) as response:
+        text = await response.read()
+    if response.status == 200:
+        return Reply(prompt, 200, "", "", 0)
+    problem = msgspec.json.decode(text)
+    retry_after = int(response.headers.get("Retry-After", "0"))
+    return Reply(
+        prompt, response.status, problem["code"], problem["was_run"], retry_after
+    )
