--- a/src/sycamorehaven/controllers/scheduling.py
+++ b/src/sycamorehaven/controllers/scheduling.py
@@ -30,6 +30,8 @@
     from sycamorehaven.transport.codec import Delivery
     from sycamorehaven.transport.links import PeerLink
 
+RECLAIM_PERIOD = 0.05
+"""Seconds between rounds that look for streams to preempt."""
 TICK = 0.25
 """Seconds between rounds that expire what was not refreshed."""
 REPEAT_AFTER = 0.05
@@ -119,6 +121,12 @@
             await self.sleep(REPEAT_AFTER / 2)
             self.repeat()
 
+    @Service.task
+    async def _reclaim(self) -> None:
+        while not self.should_stop:
+            await self.sleep(RECLAIM_PERIOD)
+            self.reclaim()
+
     def _assign(self) -> None:
         configuration = self._board.configuration.current
         if configuration is None:
@@ -223,10 +231,15 @@
         free = scheduler.count_free(now) if grants else 0
         for grant in grants:
             self._send(grant.edge.host, _write_grant(service, grant, free), 0)
-        for holding in scheduler.preempt(now, self._turns.get(service, 0)):
-            granter, number = holding.name
-            order = Preemption(granter.host, granter.incarnation, number)
-            self._link.send(holding.edge.host, order)
+
+    def reclaim(self) -> None:
+        """Preempt streams for the interactive requests that are due."""
+        now = self._clock()
+        for service, scheduler in self._schedulers.items():
+            for holding in scheduler.preempt(now, self._turns.get(service, 0)):
+                granter, number = holding.name
+                order = Preemption(granter.host, granter.incarnation, number)
+                self._link.send(holding.edge.host, order)
 
     def _send(self, host: str, message: PermitGrant, times: int) -> None:
         sent = SentGrant(host, message, self._clock(), times)
--- a/src/sycamorehaven/decisions/preemption.py
+++ b/src/sycamorehaven/decisions/preemption.py
@@ -29,6 +29,8 @@
 """Seconds that a stream runs before it may be preempted."""
 PATIENCE = 0.05
 """Seconds that an interactive request waits before a stream is preempted."""
+TURN = 0.1
+"""Seconds by which each further scheduler of a service waits longer."""
 ORDER_TIMEOUT = 2.0
 """Seconds after which a preemption that freed no slot counts no longer."""
 ROUNDING = 1e-9
@@ -152,7 +154,7 @@
             at every scheduler.
         """
         self._expire(now)
-        patience = PATIENCE * (1 + min(turn, LAST_TURN))
+        patience = PATIENCE + TURN * min(turn, LAST_TURN)
         orders: list[PreemptionOrder] = []
         left = [c for c in candidates if c.permit not in self._orders]
         for claimant in claimants:
