--- a/tests/failures/test_classes.py
+++ b/tests/failures/test_classes.py
@@ -73,7 +73,7 @@
     try:
         await flood.settled.wait()
         reports = [asyncio.create_task(report(number)) for number in range(3)]
-        overtaken = [await ask(number) for number in range(9)]
+        overtaken = [await ask(number) for number in range(12)]
         assert all(await asyncio.gather(*reports))
     finally:
         await flood.stop()
