Bound the table of tokens by a router's memory for control

The first bounds allowed 9.6 MB of used tokens (478 bytes each, trial), 8 MB of answers and 4 MB taken over: 22 of the 32 MB that a router may spend on all control.

--- a/src/sycamorehaven/blackboard/tokens.py
+++ b/src/sycamorehaven/blackboard/tokens.py
@@ -14,7 +14,7 @@
 
 KEY_BYTES = 32
 """Bytes of the MAC key."""
-MOST_ADOPTED_BYTES = 4_194_304
+MOST_ADOPTED_BYTES = 2_097_152
 """Bytes of the answers taken over from routers that shut down."""
 
 
--- a/src/sycamorehaven/decisions/token_table.py
+++ b/src/sycamorehaven/decisions/token_table.py
@@ -16,11 +16,11 @@
 
 RETENTION = 300.0
 """Seconds for which a token is remembered after its expiry or its end."""
-MOST_TOKENS = 20_000
+MOST_TOKENS = 10_000
 """Used tokens remembered by one router."""
-MOST_WORKSPACE_TOKENS = 5_000
+MOST_WORKSPACE_TOKENS = 2_500
 """Used tokens remembered for one workspace."""
-MOST_ANSWER_BYTES = 8_388_608
+MOST_ANSWER_BYTES = 4_194_304
 """Bytes of all recorded answers."""
 LARGEST_ANSWER = 1_048_576
 """Bytes of one recorded answer; a larger one is passed on, not recorded."""
