Drop the state of a token that nobody waits for any more

A caller that went away between the reply and its reading left one entry in the relay's memory. Found by reading; no test: the entry is out of sight.

--- a/src/sycamorehaven/controllers/relays.py
+++ b/src/sycamorehaven/controllers/relays.py
@@ -255,6 +255,7 @@
             return self._states.pop(number, None)
         finally:
             del self._asked[number]
+            self._states.pop(number, None)
 
     def _note_members(self) -> None:
         for member in self._board.members.list():
