--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	$(BIN)/python -m tests.support.runner $(ARGS)
 
 bench: venv
-	$(BIN)/python -m benchmarks $(ARGS)
+	$(BIN)/python -m benchmarks docs/measurements.md $(ARGS)
 
 demo: venv
 	$(BIN)/sycamorehaven demo $(ARGS)
--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -1,15 +1,53 @@
-"""Runs the benchmarks: ``python -m benchmarks``; exits 1 on a bound missed."""
+"""
+Runs the benchmarks: ``python -m benchmarks [PAGE]``.
+
+The exit status is 1 if a bound is missed.
+
+With a page, the tables replace what stands between its two markers.
+"""
 
 from __future__ import annotations
 
+import contextlib
+import io
 import sys
+from pathlib import Path
 
+from benchmarks import memory, promptness, relay
 from benchmarks.fairness import run_all
 
+BEGIN = "<!-- benchmarks: begin -->"
+END = "<!-- benchmarks: end -->"
+
+
+def print_all() -> list[str]:
+    """Print every table; return the bounds that are missed."""
+    missed = run_all()
+    print("Replies to a small workspace (python -m benchmarks.promptness)")
+    promptness.main()
+    print("\nOne router process (python -m benchmarks.relay)")
+    relay.main()
+    print("\nMemory of a router process (python -m benchmarks.memory)")
+    memory.main()
+    return missed
+
+
+def replace_tables(page: str, tables: str) -> str:
+    """Return a page with ``tables`` between its markers."""
+    before, _, rest = page.partition(BEGIN)
+    _, _, after = rest.partition(END)
+    lines = "\n".join(line.rstrip() for line in tables.rstrip().splitlines())
+    return f"{before}{BEGIN}\n\n```text\n{lines}\n```\n\n{END}{after}"
+
 
 def main() -> int:
     """Run the benchmarks; return the exit status."""
-    missed = run_all()
+    printed = io.StringIO()
+    with contextlib.redirect_stdout(printed):
+        missed = print_all()
+    print(printed.getvalue())
+    for path in map(Path, sys.argv[1:]):
+        path.write_text(replace_tables(path.read_text(), printed.getvalue()))
     for miss in missed:
         print(f"bound missed: {miss}")
     return 1 if missed else 0
--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -72,5 +72,10 @@
     return await count_waiting(fleet) >= count
 
 
-if __name__ == "__main__":
+def main() -> None:
+    """Print every figure, in MiB."""
     print(json.dumps(asyncio.run(measure()), indent=2))
+
+
+if __name__ == "__main__":
+    main()
