Tell readiness by the listener, and a server without reports from a dead one

Cause: /readyz answered 200 before callers could connect (connection refused in 1 of 7 runs of tests.failures.test_path); a backend server whose GET /load answers 404 was avoided like a dead one, so its callers waited; fleets of two tests could hear each other through a port that one had given up (a booking answered 409 in the demo).

Change: the caller listener notes that it is bound, and readiness asks for it. 404, 405 and 501 at /load mean no report. Each test fleet has keys of its own. The kinds RetrySpend and IdleNotice, which nothing sent, are gone.

Measured: make test ARGS=test_admin: 6 passed, with the check removed the new assertion fails; controllers.test_servers: 7 passed, the new test failed before (None for the report); test_peers 7, test_path 3, tests.telemetry 11 passed.

--- a/src/sycamorehaven/blackboard/lifecycle.py
+++ b/src/sycamorehaven/blackboard/lifecycle.py
@@ -14,10 +14,16 @@
     """Whether the router drains, and how many requests are in progress."""
 
     def __init__(self) -> None:
+        self._listening = False
         self._draining = False
         self._in_progress = 0
         self._changed = Signal()
 
+    @property
+    def listening(self) -> bool:
+        """Whether callers can connect."""
+        return self._listening
+
     @property
     def draining(self) -> bool:
         """Whether a graceful shutdown has begun."""
@@ -33,6 +39,10 @@
         """Raised when draining begins and when a request ends."""
         return self._changed
 
+    def note_listening(self) -> None:
+        """Note that callers can connect."""
+        self._listening = True
+
     def begin_draining(self) -> None:
         """Mark the start of a graceful shutdown; again changes nothing."""
         if self._draining:
--- a/src/sycamorehaven/controllers/servers.py
+++ b/src/sycamorehaven/controllers/servers.py
@@ -41,6 +41,10 @@
 """Loads read at once for other routers."""
 
 
+WITHOUT_REPORT = (404, 405, 501)
+"""Answers of a server that lives and gives no report of its load."""
+
+
 class LoadReport(NamedTuple):
     """
     A server's report of its load.
@@ -72,7 +76,11 @@
 
 
 class HttpLoadSource:
-    """``GET /load`` answers a JSON object with the fields of LoadReport."""
+    """
+    ``GET /load`` answers a JSON object with the fields of LoadReport.
+
+    A server that lives but knows no such path reports nothing: capacity 0.
+    """
 
     def __init__(self) -> None:
         self._client: aiohttp.ClientSession | None = None
@@ -84,6 +92,8 @@
             self._client = aiohttp.ClientSession(timeout=timeout)
         try:
             async with self._client.get(f"http://{server.address}/load") as response:
+                if response.status in WITHOUT_REPORT:
+                    return LoadReport(0, 0, leaving=False)
                 if response.status != 200:
                     return None
                 body = await response.content.read(LARGEST_REPORT)
--- a/src/sycamorehaven/telemetry/documents.py
+++ b/src/sycamorehaven/telemetry/documents.py
@@ -73,6 +73,8 @@
         reasons.append(board.configuration.reason)
     if board.lifecycle.draining:
         reasons.append("shutting down")
+    if not board.lifecycle.listening:
+        reasons.append("not listening for callers yet")
     return reasons
 
 
--- a/src/sycamorehaven/transport/callers.py
+++ b/src/sycamorehaven/transport/callers.py
@@ -127,6 +127,7 @@
             backlog=BACKLOG,
             ssl=self._create_tls(),
         )
+        self._board.lifecycle.note_listening()
 
     async def on_stop(self) -> None:
         """Close the listener and its connections."""
--- a/src/sycamorehaven/transport/messages.py
+++ b/src/sycamorehaven/transport/messages.py
@@ -506,30 +506,6 @@
     records: list[TokenRecord]
 
 
-class RetrySpend(NamedTuple):
-    """
-    A router's fresh requests and retries, for the fleet-wide budget.
-
-    :ivar fresh: requests per second lately.
-    :ivar retries: retries per second lately.
-    """
-
-    fresh: float
-    retries: float
-
-
-class IdleNotice(NamedTuple):
-    """
-    A scheduler has free slots and knows of no demand for them.
-
-    :ivar service: the service.
-    :ivar free: how many slots.
-    """
-
-    service: str
-    free: int
-
-
 class ConfigurationNotice(NamedTuple):
     """
     The sender has put a configuration in force.
@@ -738,8 +714,6 @@
     SuspectRequest,
     SuspectReply,
     TokenHandover,
-    RetrySpend,
-    IdleNotice,
     Acquittal,
     ConfigurationNotice,
     PermitAck,
--- a/tests/controllers/test_servers.py
+++ b/tests/controllers/test_servers.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from aiohttp import web
+
 from sycamorehaven.configuration.acceptance import accept_text
 from sycamorehaven.controllers.notices import NoticeController
 from sycamorehaven.controllers.servers import (
@@ -173,3 +175,18 @@
     await routers.poll()
     for other in routers.boards:
         assert other.servers.takes_work("engine-1", clock())
+
+
+async def test_server_without_reports_of_load_is_not_taken_for_dead() -> None:
+    address = find_address()
+    runner = await start_application(web.Application(), address)
+    plan = SERVERS[0]._replace(address=address)
+    text = write_configuration([plan]).encode()
+    source = HttpLoadSource()
+    server = accept_text(text, 1).servers[plan.name]
+    try:
+        assert await source.read_load(server) == LoadReport(0, 0, leaving=False)
+    finally:
+        await runner.cleanup()
+    assert await source.read_load(server) is None
+    await source.close()
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import aiohttp
+import zmq
 
 from sycamorehaven.standins.journal import read_journal
 from tests.support.fixtures import async_fixture
@@ -97,6 +98,9 @@
             )
             for number, domain in enumerate(domains, start=1)
         ]
+        # Another fleet may get a port that this one has given up.
+        public, secret = zmq.curve_keypair()
+        self._keys = public.decode(), secret.decode()
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.faults_file = folder / "faults.toml"
         self._cuts: list[list[str]] = []
@@ -177,6 +181,7 @@
             f'[router]\nhost = "{plan.host}"\nfailure_domain = "{plan.domain}"\n'
             f'[callers]\naddress = "{plan.callers}"\n'
             f'[peers]\naddress = "{plan.peers}"\nseeds = {seeds}\n'
+            f'public_key = "{self._keys[0]}"\nsecret_key = "{self._keys[1]}"\n'
             f'[admin]\naddress = "{plan.admin}"\n'
             f'[platform]\nurl = "http://{self.platform}"\n'
             f'[testing]\npeer_faults = "{self.faults_file}"\n'
--- a/tests/transport/test_admin.py
+++ b/tests/transport/test_admin.py
@@ -78,8 +78,14 @@
 async def test_readiness_gives_its_reasons() -> None:
     async with serve_admin() as (board, client):
         document = await (await client.get("/readyz")).json()
-        assert document == {"ready": False, "reasons": ["no configuration yet"]}
+        assert document == {
+            "ready": False,
+            "reasons": ["no configuration yet", "not listening for callers yet"],
+        }
         put_in_force(board)
+        document = await (await client.get("/readyz")).json()
+        assert document["reasons"] == ["not listening for callers yet"]
+        board.lifecycle.note_listening()
         assert (await client.get("/readyz")).status == 200
         board.lifecycle.begin_draining()
         document = await (await client.get("/readyz")).json()
--- a/tests/transport/test_peers.py
+++ b/tests/transport/test_peers.py
@@ -18,7 +18,7 @@
     STRANGER_IDLE,
     DealerPool,
 )
-from sycamorehaven.transport.messages import Probe, RetrySpend
+from sycamorehaven.transport.messages import Preemption, Probe
 from sycamorehaven.transport.peers import ZmqPeers
 from tests.support.fleet import find_address
 from tests.support.members import create_settings
@@ -30,7 +30,7 @@
     from sycamorehaven.transport.codec import Delivery
     from tests.support.doubles import ManualClock
 
-MESSAGE = RetrySpend(1.0, 2.0)
+MESSAGE = Preemption("a1", 1, 2)
 HUNG = 20.0
 """Seconds after which a wait is given up."""
 QUIET = 0.5
@@ -46,7 +46,7 @@
         self.board = Blackboard(RouterId(host, 5), address, "a")
         self.peers = ZmqPeers(self.board, self.settings)
         self.received: list[Delivery] = []
-        self.peers.subscribe(RetrySpend, self.received.append)
+        self.peers.subscribe(Preemption, self.received.append)
 
     @staticmethod
     def _create_settings(host: str, keys: tuple[bytes, bytes] | None) -> RouterSettings:
@@ -90,10 +90,10 @@
         await send(one, two, 3)
         await two.wait_for(3)
     assert two.received[0].sender == one.board.identity
-    assert one.board.traffic.sent["RetrySpend"] == 3
+    assert one.board.traffic.sent["Preemption"] == 3
     size = len(Codec(one.board.identity, one.settings.peers_address).encode(MESSAGE))
-    assert one.board.traffic.sent_bytes["RetrySpend"] == 3 * size
-    assert two.board.traffic.received_bytes["RetrySpend"] == 3 * size
+    assert one.board.traffic.sent_bytes["Preemption"] == 3 * size
+    assert two.board.traffic.received_bytes["Preemption"] == 3 * size
 
 
 async def test_only_holders_of_the_key_pair_are_heard() -> None:
