--- a/benchmarks/promptness.py
+++ b/benchmarks/promptness.py
@@ -7,12 +7,14 @@
 from statistics import mean
 from typing import TYPE_CHECKING, NamedTuple
 
-from benchmarks.fleet import FIRST_INCARNATION, SERVICE, Fleet, Plan, Router
-from benchmarks.fleet import QueuedRequest as InteractiveRequest
+from benchmarks.fleet import FIRST_INCARNATION, Fleet, Router
+from benchmarks.plan import SERVICE, Plan
+from benchmarks.queued import QueuedRequest as InteractiveRequest
 from benchmarks.workload import Flow, Request
 from sycamorehaven.blackboard.queues import QueueKey
 from sycamorehaven.call import BATCH, INTERACTIVE
 from sycamorehaven.configuration.model import CallRule
+from sycamorehaven.controllers.scheduling import RECLAIM_PERIOD
 from sycamorehaven.decisions.preemption import is_preemptible
 from sycamorehaven.identity import RouterId
 from sycamorehaven.transport.messages import Preemption
@@ -81,6 +83,7 @@
         super().__init__(identity, domain, fleet)
         self._streams = fleet
         self.link.subscribe(Preemption, self._break_off)
+        self._events.repeat(RECLAIM_PERIOD, self._scheduling.reclaim)
 
     def push(self, request: Request, bound: Callable[[], None]) -> None:
         """Queue a request that came in here."""
