--- a/src/sycamorehaven/decisions/scheduler.py
+++ b/src/sycamorehaven/decisions/scheduler.py
@@ -217,10 +217,8 @@
         workspace = self._share.choose()
         if workspace is None or self._occupancy.find_free(now) is not None:
             return []
-        costs = self._list_costs(workspace)
-        if INTERACTIVE not in costs:
-            return []
-        cost = costs[INTERACTIVE] / self._weights.get(workspace, 1.0)
+        cost = self._list_costs(workspace).get(INTERACTIVE, 0.0)
+        cost /= self._weights.get(workspace, 1.0)
         guaranteed = {n for n, issue in self._issues.items() if issue.choice.guaranteed}
         orders = self._reclaimer.choose(cost, guaranteed, now, turn)
         return [self._holdings.all[order.permit] for order in orders]
