Spread the word that nothing serves a service to waiting edges

Cause: only the router that polls a backend server knew that it was down.

Change: a scheduler none of whose servers of a service takes work says so, once a second, to the edges that wait; an edge whose servers are all avoided or said to be closed for 2 s refuses the queue and new calls with no_backend_server.

Measured: make test ARGS=controllers.test_unserved: 3 passed; without the message the third test's request waits on.

--- a/src/sycamorehaven/blackboard/board.py
+++ b/src/sycamorehaven/blackboard/board.py
@@ -19,6 +19,7 @@
 from sycamorehaven.blackboard.suspects import SuspectsSection
 from sycamorehaven.blackboard.tokens import TokensSection
 from sycamorehaven.blackboard.traffic import TrafficSection
+from sycamorehaven.blackboard.unserved import UnservedSection
 from sycamorehaven.identity import RouterId, create_incarnation
 
 if TYPE_CHECKING:
@@ -51,6 +52,7 @@
         self._permits = PermitsSection()
         self._leaving = LeavingSection()
         self._servers = ServersSection(self._leaving)
+        self._unserved = UnservedSection()
         self._counters = CountersSection(identity)
         self._tokens = TokensSection()
         self._suspects = SuspectsSection()
@@ -126,6 +128,11 @@
         """What is known of backend servers."""
         return self._servers
 
+    @property
+    def unserved(self) -> UnservedSection:
+        """Services that nothing serves."""
+        return self._unserved
+
     @property
     def counters(self) -> CountersSection:
         """Service given, fleet-wide."""
--- a/src/sycamorehaven/controllers/admission.py
+++ b/src/sycamorehaven/controllers/admission.py
@@ -124,6 +124,8 @@
             self._permits.release(waiting.permit.result())
 
     def _is_served(self, service: str, configuration: Configuration) -> bool:
+        if service in self._board.unserved.services:
+            return False
         now = self._clock()
         return any(
             self._board.servers.takes_work(server.name, now)
--- a/src/sycamorehaven/controllers/scheduling.py
+++ b/src/sycamorehaven/controllers/scheduling.py
@@ -19,6 +19,7 @@
     PermitGrant,
     PermitReturn,
     Preemption,
+    ServiceUnserved,
 )
 
 if TYPE_CHECKING:
@@ -32,6 +33,8 @@
 
 RECLAIM_PERIOD = 0.05
 """Seconds between rounds that look for streams to preempt."""
+UNSERVED_PERIOD = 1.0
+"""Seconds between two messages that nothing serves a service."""
 TICK = 0.25
 """Seconds between rounds that expire what was not refreshed."""
 REPEAT_AFTER = 0.05
@@ -80,6 +83,7 @@
         self._numbers = itertools.count(1)
         self._unacknowledged: dict[int, SentGrant] = {}
         self._turns: dict[str, int] = {}
+        self._told_at: dict[str, float] = {}
         link.subscribe(DemandReport, self._take_report)
         link.subscribe(PermitReturn, self._take_return)
         link.subscribe(PermitAck, self._take_ack)
@@ -98,6 +102,7 @@
         for scheduler in self._schedulers.values():
             scheduler.expire(now)
         self._grant_all()
+        self._tell_unserved(now)
 
     def repeat(self) -> None:
         """Send the grants again that are not acknowledged."""
@@ -177,6 +182,19 @@
                     server.name, status.running, status.reported_at, now
                 )
 
+    def _tell_unserved(self, now: float) -> None:
+        for service, servers in self._own_servers.items():
+            scheduler = self._schedulers[service]
+            if now - self._told_at.get(service, 0.0) < UNSERVED_PERIOD:
+                continue
+            if not servers or not scheduler.waiting:
+                continue
+            if any(self._board.servers.takes_work(s.name, now) for s in servers):
+                continue
+            self._told_at[service] = now
+            for edge in scheduler.list_edges():
+                self._link.send(edge.host, ServiceUnserved(service))
+
     def _find_scheduler(self, service: str) -> ServiceScheduler:
         if service not in self._schedulers:
             self._schedulers[service] = ServiceScheduler(
--- a/src/sycamorehaven/controllers/unserved.py
+++ b/src/sycamorehaven/controllers/unserved.py
@@ -1,4 +1,9 @@
-"""Refuses queued calls of services that no backend server serves."""
+"""
+Finds services that nothing serves and refuses their queued calls.
+
+A backend server takes no work if this router avoids it, or if the scheduler
+that polls it says so.
+"""
 
 from __future__ import annotations
 
@@ -7,15 +12,21 @@
 
 from mode import Service
 
+from sycamorehaven.decisions.roles import choose_scheduler
 from sycamorehaven.exceptions.refusals import NoBackendServer
+from sycamorehaven.transport.messages import ServiceUnserved
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.transport.codec import Delivery
+    from sycamorehaven.transport.links import PeerLink
 
 UNSERVED_LIMIT = 2.0
 """Seconds without a serving server after which queued calls are refused."""
+TOLD_LIFETIME = 3.0
+"""Seconds for which a scheduler's word counts."""
 PERIOD = 0.25
 """Seconds between two looks."""
 RETRY_AFTER = 1.0
@@ -30,26 +41,37 @@
     service must be without any serving server for a while.
 
     :param board: the state of this router.
+    :param link: connection to other routers.
     :param clock: monotonic seconds.
     """
 
     def __init__(
-        self, board: Blackboard, clock: Callable[[], float] = time.monotonic
+        self,
+        board: Blackboard,
+        link: PeerLink,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         super().__init__()
         self._board = board
         self._clock = clock
         self._since: dict[str, float] = {}
+        self._told: dict[tuple[str, str], float] = {}
+        link.subscribe(ServiceUnserved, self._take)
 
     def refuse(self) -> None:
         """Refuse what has waited too long for any server to serve."""
         now = self._clock()
-        waiting = {key.service for key, _ in self._board.queues.list()}
-        unserved = {name for name in waiting if not self._is_served(name, now)}
+        for key, at in list(self._told.items()):
+            if now - at > TOLD_LIFETIME:
+                del self._told[key]
+        names = {key.service for key, _ in self._board.queues.list()}
+        names.update(service for service, _ in self._told)
+        unserved = {name for name in names if not self._is_served(name, now)}
         self._since = {name: self._since.get(name, now) for name in unserved}
-        for service, since in self._since.items():
-            if now - since >= UNSERVED_LIMIT:
-                self._refuse_queues(service)
+        late = {n for n, at in self._since.items() if now - at >= UNSERVED_LIMIT}
+        self._board.unserved.replace(frozenset(late))
+        for service in late:
+            self._refuse_queues(service)
 
     @Service.task
     async def _run(self) -> None:
@@ -59,11 +81,22 @@
 
     def _is_served(self, service: str, now: float) -> bool:
         configuration = self._board.configuration.current
-        return configuration is not None and any(
+        if configuration is None:
+            return False
+        closed = {host for name, host in self._told if name == service}
+        domains = self._board.members.map_domains() if closed else {}
+        return any(
             self._board.servers.takes_work(server.name, now)
+            and not (closed and choose_scheduler(server, domains) in closed)
             for server in configuration.list_servers(service)
         )
 
+    def _take(self, delivery: Delivery) -> None:
+        configuration = self._board.configuration.current
+        service = delivery.message.service
+        if configuration is not None and service in configuration.services:
+            self._told[service, delivery.sender.host] = self._clock()
+
     def _refuse_queues(self, service: str) -> None:
         for key, _ in self._board.queues.list():
             while key.service == service and (waiting := self._board.queues.pop(key)):
--- a/src/sycamorehaven/decisions/scheduler.py
+++ b/src/sycamorehaven/decisions/scheduler.py
@@ -92,6 +92,10 @@
         """Workspaces that wait."""
         return self._share.waiting
 
+    def list_edges(self) -> list[RouterId]:
+        """Return the edges that have reported."""
+        return self._backlog.list_edges()
+
     def set_servers(
         self,
         slots: Mapping[str, int],
--- a/src/sycamorehaven/router.py
+++ b/src/sycamorehaven/router.py
@@ -136,7 +136,7 @@
             CounterController(board, peers),
             permits,
             suspects,
-            UnservedController(board),
+            UnservedController(board, peers),
             relays,
             tokens,
             RelaySessions(board, peers, tokens, adoption),
--- a/src/sycamorehaven/transport/messages.py
+++ b/src/sycamorehaven/transport/messages.py
@@ -695,6 +695,16 @@
     services: list[str]
 
 
+class ServiceUnserved(NamedTuple):
+    """
+    No server of a service that the sender schedules takes work.
+
+    :ivar service: the service.
+    """
+
+    service: str
+
+
 MESSAGE_KINDS: tuple[type, ...] = (
     Probe,
     ProbeAck,
@@ -729,6 +739,7 @@
     LoadRequest,
     LoadReply,
     CounterRequest,
+    ServiceUnserved,
 )
 
 BULK_KINDS = frozenset({ConfigurationReply, RelayCall, RelayReply, TokenHandover})
--- a/tests/controllers/test_unserved.py
+++ b/tests/controllers/test_unserved.py
@@ -5,20 +5,26 @@
 from sycamorehaven.blackboard.queues import QueueKey, Waiting
 from sycamorehaven.blackboard.servers import ServerStatus
 from sycamorehaven.configuration.acceptance import accept_text
-from sycamorehaven.controllers.unserved import UNSERVED_LIMIT, UnservedController
+from sycamorehaven.controllers.unserved import (
+    TOLD_LIFETIME,
+    UNSERVED_LIMIT,
+    UnservedController,
+)
+from sycamorehaven.decisions.roles import choose_scheduler
 from sycamorehaven.exceptions.refusals import NoBackendServer
-from tests.support.doubles import create_board
+from sycamorehaven.transport.messages import ServiceUnserved
+from tests.support.doubles import MemoryLink, create_board
 from tests.support.texts import ServerPlan, write_configuration
 
 if TYPE_CHECKING:
-    from tests.support.doubles import ManualClock
+    from tests.support.doubles import ManualClock, MemoryNetwork
 
 ASSISTANT = QueueKey("assistant", "oakcourt", "batch")
 BOOKINGS = QueueKey("bookings", "oakcourt", "interactive")
 
 
 async def test_queued_calls_are_refused_once_no_server_serves(
-    clock: ManualClock,
+    clock: ManualClock, network: MemoryNetwork
 ) -> None:
     board = create_board()
     plans = [
@@ -26,7 +32,7 @@
         ServerPlan("booking-1", "bookings", "127.0.0.1:2"),
     ]
     board.configuration.replace(accept_text(write_configuration(plans).encode(), 1))
-    controller = UnservedController(board, clock)
+    controller = UnservedController(board, MemoryLink(board, network), clock)
     lost, served = (Waiting(key, clock(), 1.0) for key in (ASSISTANT, BOOKINGS))
     board.queues.push(lost)
     board.queues.push(served)
@@ -46,12 +52,12 @@
 
 
 async def test_service_that_is_served_again_in_time_keeps_its_queue(
-    clock: ManualClock,
+    clock: ManualClock, network: MemoryNetwork
 ) -> None:
     board = create_board()
     plans = [ServerPlan("engine-1", "assistant", "127.0.0.1:1")]
     board.configuration.replace(accept_text(write_configuration(plans).encode(), 1))
-    controller = UnservedController(board, clock)
+    controller = UnservedController(board, MemoryLink(board, network), clock)
     waiting = Waiting(ASSISTANT, clock(), 1.0)
     board.queues.push(waiting)
     for _ in range(4):
@@ -61,3 +67,35 @@
         clock.advance(UNSERVED_LIMIT / 2)
         controller.refuse()
     assert not waiting.permit.done()
+
+
+async def test_word_of_the_scheduler_counts_where_the_server_is_not_polled(
+    clock: ManualClock, network: MemoryNetwork
+) -> None:
+    edge, poller = create_board("a1"), create_board("a2")
+    plans = [ServerPlan("engine-1", "assistant", "127.0.0.1:1")]
+    text = write_configuration(plans).encode()
+    for board in (edge, poller):
+        board.members.replace({b.identity.host: b.members.own for b in (edge, poller)})
+        board.configuration.replace(accept_text(text, 1))
+    holder = choose_scheduler(
+        edge.configuration.current.servers["engine-1"],  # type: ignore[union-attr]
+        edge.members.map_domains(),
+    )
+    if holder == "a1":
+        edge, poller = poller, edge
+    controller = UnservedController(edge, MemoryLink(edge, network), clock)
+    word = MemoryLink(poller, network)
+    waiting = Waiting(ASSISTANT, clock(), 1.0)
+    edge.queues.push(waiting)
+    for _ in range(5):
+        word.send(edge.identity.host, ServiceUnserved("assistant"))
+        network.deliver()
+        controller.refuse()
+        clock.advance(UNSERVED_LIMIT / 4)
+    controller.refuse()
+    assert isinstance(waiting.permit.exception(), NoBackendServer)
+    assert edge.unserved.services == {"assistant"}
+    clock.advance(2 * TOLD_LIFETIME)
+    controller.refuse()
+    assert edge.unserved.services == frozenset()
