--- a/src/sycamorehaven/controllers/scheduling.py
+++ b/src/sycamorehaven/controllers/scheduling.py
@@ -270,7 +270,6 @@
         """Preempt streams for the interactive requests that are due."""
         now = self._clock()
         for service, scheduler in self._schedulers.items():
-            scheduler.foresee_costs(now)
             for holding in scheduler.preempt(now, self._turns.get(service, 0)):
                 granter, number = holding.name
                 order = Preemption(granter.host, granter.incarnation, number)
--- a/src/sycamorehaven/decisions/holdings.py
+++ b/src/sycamorehaven/decisions/holdings.py
@@ -151,14 +151,6 @@
         self._reserve(newer.workspace, newer.reserved)
         return charge
 
-    def raise_cost(self, holding: Holding, cost: float) -> None:
-        """Reserve more for a permit that runs longer than was estimated."""
-        if cost <= holding.cost:
-            return
-        newer = holding._replace(cost=cost)
-        self._holdings[holding.name] = newer
-        self._reserve(newer.workspace, newer.reserved - holding.reserved)
-
     def settle(self, message: PermitReturn) -> tuple[Holding | None, float]:
         """
         Take a permit back.
--- a/src/sycamorehaven/decisions/scheduler.py
+++ b/src/sycamorehaven/decisions/scheduler.py
@@ -18,7 +18,6 @@
 from sycamorehaven.decisions.grants import Charge, Grant, Issue, ServiceTerms
 from sycamorehaven.decisions.holdings import Holding, Holdings, PermitName
 from sycamorehaven.decisions.occupancy import Occupancy
-from sycamorehaven.decisions.paces import ServerPaces
 from sycamorehaven.decisions.preemption import Reclaimer
 from sycamorehaven.decisions.slots import FinishedRun, ServerLimits
 from sycamorehaven.identity import RouterId
@@ -68,7 +67,6 @@
         self._classes = ClassShares(self._terms.batch_fraction)
         self._estimates = ServiceEstimates(service)
         self._limits = ServerLimits()
-        self._paces = ServerPaces()
         self._weights: Mapping[str, float] = {}
         self._share = FairShare(self._measure_received)
         self._backlog = Backlog()
@@ -221,13 +219,6 @@
                 grants.append(grant)
         return grants
 
-    def foresee_costs(self, now: float) -> None:
-        """Reserve more for what runs longer than was estimated."""
-        largest = self._terms.largest_cost
-        for holding in list(self._holdings.all.values()):
-            cost = self._paces.foresee(holding.server, now - holding.granted_at)
-            self._holdings.raise_cost(holding, min(cost, largest))
-
     def preempt(self, now: float, turn: int) -> list[Holding]:
         """
         Return the permits whose streams make way now.
@@ -357,7 +348,6 @@
         units = float(message.runs) if self._terms.in_seconds else message.cost
         run = FinishedRun(holding.granted_at, now, units)
         self._limits.take_finish(holding.server, run)
-        self._paces.learn(holding.server, message.cost, now - holding.granted_at)
 
     def _drop_predecessors(self, edge: RouterId, now: float) -> None:
         for other in self._backlog.list_edges():
