Split messages by topic and what a scheduler learns from its grants

Change: transport/messages/ has a module a topic and kinds.py with their order; decisions/experience.py keeps estimates, limits and what permits were granted on. No behaviour changes; the order of the kinds is the same.

--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -18,7 +18,7 @@
 from sycamorehaven.configuration.history import TextHistory
 from sycamorehaven.identity import RouterId
 from sycamorehaven.transport.codec import Codec
-from sycamorehaven.transport.messages import (
+from sycamorehaven.transport.messages.configuration import (
     ConfigurationNotice,
     ConfigurationRequest,
 )
--- a/benchmarks/decision_cost.py
+++ b/benchmarks/decision_cost.py
@@ -8,7 +8,11 @@
 from sycamorehaven.decisions.grants import ServiceTerms
 from sycamorehaven.decisions.scheduler import ServiceScheduler
 from sycamorehaven.identity import RouterId
-from sycamorehaven.transport.messages import DemandReport, DemandRow, PermitReturn
+from sycamorehaven.transport.messages.permits import (
+    DemandReport,
+    DemandRow,
+    PermitReturn,
+)
 
 CYCLES = 200
 """Returns, each followed by the grants that it allows."""
--- a/benchmarks/edge.py
+++ b/benchmarks/edge.py
@@ -24,7 +24,7 @@
 from sycamorehaven.decisions.roles import choose_scheduler
 from sycamorehaven.identity import RouterId
 from sycamorehaven.transport.codec import Codec, Delivery
-from sycamorehaven.transport.messages import PermitAck, PermitGrant
+from sycamorehaven.transport.messages.permits import PermitAck, PermitGrant
 from tests.support.large_texts import write_large_configuration
 
 if TYPE_CHECKING:
--- a/benchmarks/exchange.py
+++ b/benchmarks/exchange.py
@@ -18,7 +18,7 @@
 from sycamorehaven.controllers.counters import POLICY, CounterController
 from sycamorehaven.decisions.recipients import map_schedulers
 from sycamorehaven.transport.codec import Delivery
-from sycamorehaven.transport.messages import CounterAck, CounterUpdate
+from sycamorehaven.transport.messages.counters import CounterAck, CounterUpdate
 
 SECONDS = 10.0
 COST = TARGET.tokens / TARGET.requests
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -28,7 +28,7 @@
 )
 from sycamorehaven.controllers.scheduling import TICK, SchedulingController
 from sycamorehaven.identity import RouterId
-from sycamorehaven.transport.messages import CounterRow, CounterUpdate
+from sycamorehaven.transport.messages.counters import CounterRow, CounterUpdate
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/benchmarks/messages.py
+++ b/benchmarks/messages.py
@@ -10,8 +10,8 @@
 
 from benchmarks.measuring import measure_time
 from sycamorehaven.identity import RouterId, create_incarnation
-from sycamorehaven.transport import messages
 from sycamorehaven.transport.codec import Codec
+from sycamorehaven.transport.messages.kinds import MESSAGE_KINDS
 
 REPEATS = 2_000
 HOST = "router-euw1-b-000123"
@@ -95,9 +95,7 @@
 
 def measure_kinds() -> dict[str, MessageCost]:
     """Return what a message of each kind costs, with one row in each list."""
-    return {
-        kind.__name__: measure_message(fill_in(kind)) for kind in messages.MESSAGE_KINDS
-    }
+    return {kind.__name__: measure_message(fill_in(kind)) for kind in MESSAGE_KINDS}
 
 
 def main() -> None:
--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -25,12 +25,8 @@
 from sycamorehaven.identity import RouterId
 from sycamorehaven.transport.codec import Codec
 from sycamorehaven.transport.dealers import DealerPool
-from sycamorehaven.transport.messages import (
-    CounterAck,
-    CounterUpdate,
-    MemberRecord,
-    Probe,
-)
+from sycamorehaven.transport.messages.counters import CounterAck, CounterUpdate
+from sycamorehaven.transport.messages.membership import MemberRecord, Probe
 from tests.support.fleet import find_address
 from tests.support.members import Swarm, create_settings
 
--- a/benchmarks/promptness.py
+++ b/benchmarks/promptness.py
@@ -17,7 +17,7 @@
 from sycamorehaven.controllers.scheduling import RECLAIM_PERIOD
 from sycamorehaven.decisions.preemption import is_preemptible
 from sycamorehaven.identity import RouterId
-from sycamorehaven.transport.messages import Preemption
+from sycamorehaven.transport.messages.permits import Preemption
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/benchmarks/roles.py
+++ b/benchmarks/roles.py
@@ -20,7 +20,7 @@
 from sycamorehaven.decisions.roles import choose_scheduler
 from sycamorehaven.identity import RouterId
 from sycamorehaven.transport.codec import Delivery
-from sycamorehaven.transport.messages import (
+from sycamorehaven.transport.messages.permits import (
     DemandReport,
     DemandRow,
     PermitGrant,
--- a/benchmarks/sharing.py
+++ b/benchmarks/sharing.py
@@ -31,10 +31,12 @@
 )
 from sycamorehaven.identity import RouterId
 from sycamorehaven.transport.codec import Codec
-from sycamorehaven.transport.messages import (
+from sycamorehaven.transport.messages.counters import (
     CounterAck,
     CounterRow,
     CounterUpdate,
+)
+from sycamorehaven.transport.messages.permits import (
     DemandReport,
     DemandRow,
     HeldPermit,
--- a/benchmarks/wire.py
+++ b/benchmarks/wire.py
@@ -14,7 +14,7 @@
 from benchmarks.messages import fill_in
 from sycamorehaven.blackboard.board import Blackboard
 from sycamorehaven.identity import RouterId
-from sycamorehaven.transport.messages import DemandReport
+from sycamorehaven.transport.messages.permits import DemandReport
 from sycamorehaven.transport.peers import ZmqPeers
 from tests.support.fleet import find_address
 from tests.support.members import create_settings
--- a/src/sycamorehaven/configuration/history.py
+++ b/src/sycamorehaven/configuration/history.py
@@ -10,7 +10,7 @@
     pack_delta,
     pack_text,
 )
-from sycamorehaven.transport.messages import ConfigurationReply
+from sycamorehaven.transport.messages.configuration import ConfigurationReply
 
 if TYPE_CHECKING:
     from array import array
--- a/src/sycamorehaven/controllers/adoption.py
+++ b/src/sycamorehaven/controllers/adoption.py
@@ -7,7 +7,7 @@
 from sycamorehaven.controllers.tokens import describe_refusal, replay
 from sycamorehaven.decisions.token_table import Action, State
 from sycamorehaven.decisions.tokens import fingerprint_request
-from sycamorehaven.transport.messages import TokenStateReply
+from sycamorehaven.transport.messages.tokens import TokenStateReply
 
 if TYPE_CHECKING:
     from sycamorehaven.blackboard.board import Blackboard
--- a/src/sycamorehaven/controllers/counters.py
+++ b/src/sycamorehaven/controllers/counters.py
@@ -20,7 +20,7 @@
     allot_rows,
 )
 from sycamorehaven.identity import RouterId
-from sycamorehaven.transport.messages import (
+from sycamorehaven.transport.messages.counters import (
     CounterAck,
     CounterRequest,
     CounterUpdate,
--- a/src/sycamorehaven/controllers/exchanges.py
+++ b/src/sycamorehaven/controllers/exchanges.py
@@ -7,7 +7,7 @@
 from sycamorehaven.blackboard.signal import Signal
 from sycamorehaven.exceptions.backends import ServerLost
 from sycamorehaven.exceptions.refusals import create_refusal
-from sycamorehaven.transport.messages import RelayContinue
+from sycamorehaven.transport.messages.relays import RelayContinue
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -15,7 +15,11 @@
     from sycamorehaven.exceptions.refusals import Refusal
     from sycamorehaven.identity import RouterId
     from sycamorehaven.transport.codec import Delivery
-    from sycamorehaven.transport.messages import RelayCall, RelayRefusal, RelayReply
+    from sycamorehaven.transport.messages.relays import (
+        RelayCall,
+        RelayRefusal,
+        RelayReply,
+    )
 
 RESEND = 0.5
 """Seconds without news after which a message is sent again."""
--- a/src/sycamorehaven/controllers/handover.py
+++ b/src/sycamorehaven/controllers/handover.py
@@ -14,7 +14,7 @@
 from sycamorehaven.decisions.token_routes import SUCCESSORS, rank_successors
 from sycamorehaven.decisions.token_table import RecordedAnswer, State
 from sycamorehaven.decisions.tokens import parse_token
-from sycamorehaven.transport.messages import (
+from sycamorehaven.transport.messages.tokens import (
     TokenHandover,
     TokenHandoverAck,
     TokenRecord,
--- a/src/sycamorehaven/controllers/membership.py
+++ b/src/sycamorehaven/controllers/membership.py
@@ -13,7 +13,7 @@
 from sycamorehaven.controllers.view_exchange import ViewExchange
 from sycamorehaven.decisions.membership import Membership
 from sycamorehaven.decisions.probing import PROBE_PERIOD, Attempt, Prober
-from sycamorehaven.transport.messages import (
+from sycamorehaven.transport.messages.membership import (
     MemberRecord,
     Probe,
     ProbeAck,
--- a/src/sycamorehaven/controllers/notices.py
+++ b/src/sycamorehaven/controllers/notices.py
@@ -25,7 +25,11 @@
     update_view,
 )
 from sycamorehaven.decisions.revisions import FANOUT, choose_targets
-from sycamorehaven.transport.messages import NoticeRequest, ServerNews, ServerNotice
+from sycamorehaven.transport.messages.servers import (
+    NoticeRequest,
+    ServerNews,
+    ServerNotice,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
--- a/src/sycamorehaven/controllers/permits.py
+++ b/src/sycamorehaven/controllers/permits.py
@@ -21,7 +21,7 @@
 from sycamorehaven.decisions.rendezvous import rank_candidates
 from sycamorehaven.decisions.roles import choose_scheduler
 from sycamorehaven.identity import RouterId
-from sycamorehaven.transport.messages import PermitAck, PermitGrant, Preemption
+from sycamorehaven.transport.messages.permits import PermitAck, PermitGrant, Preemption
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/sycamorehaven/controllers/relay_sessions.py
+++ b/src/sycamorehaven/controllers/relay_sessions.py
@@ -21,15 +21,14 @@
     TokenOwnerUnreachable,
     UnknownService,
 )
-from sycamorehaven.transport.messages import (
+from sycamorehaven.transport.messages.relays import (
     RelayCall,
     RelayContinue,
     RelayRefusal,
     RelayReply,
     RelayStatus,
-    TokenStateReply,
-    TokenStateRequest,
 )
+from sycamorehaven.transport.messages.tokens import TokenStateReply, TokenStateRequest
 from sycamorehaven.transport.requests import choose_rule
 
 if TYPE_CHECKING:
--- a/src/sycamorehaven/controllers/relays.py
+++ b/src/sycamorehaven/controllers/relays.py
@@ -26,14 +26,13 @@
     TokenOwnerUnreachable,
 )
 from sycamorehaven.identity import RouterId
-from sycamorehaven.transport.messages import (
+from sycamorehaven.transport.messages.relays import (
     RelayCall,
     RelayRefusal,
     RelayReply,
     RelayStatus,
-    TokenStateReply,
-    TokenStateRequest,
 )
+from sycamorehaven.transport.messages.tokens import TokenStateReply, TokenStateRequest
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/sycamorehaven/controllers/reports.py
+++ b/src/sycamorehaven/controllers/reports.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from sycamorehaven.transport.messages import (
+from sycamorehaven.transport.messages.permits import (
     DemandReport,
     DemandRow,
     HeldPermit,
--- a/src/sycamorehaven/controllers/scheduling.py
+++ b/src/sycamorehaven/controllers/scheduling.py
@@ -14,7 +14,7 @@
 from sycamorehaven.decisions.scheduler import ServiceScheduler
 from sycamorehaven.decisions.silence import SILENT_REPEATS, SilentEdges
 from sycamorehaven.identity import RouterId
-from sycamorehaven.transport.messages import (
+from sycamorehaven.transport.messages.permits import (
     DemandReport,
     PermitAck,
     PermitGrant,
--- a/src/sycamorehaven/controllers/servers.py
+++ b/src/sycamorehaven/controllers/servers.py
@@ -20,7 +20,7 @@
     compute_avoidance,
 )
 from sycamorehaven.decisions.roles import choose_scheduler
-from sycamorehaven.transport.messages import LoadReply, LoadRequest
+from sycamorehaven.transport.messages.servers import LoadReply, LoadRequest
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/sycamorehaven/controllers/suspects.py
+++ b/src/sycamorehaven/controllers/suspects.py
@@ -18,7 +18,7 @@
     Loss,
 )
 from sycamorehaven.decisions.rendezvous import choose_candidate
-from sycamorehaven.transport.messages import (
+from sycamorehaven.transport.messages.suspects import (
     Acquittal,
     Strike,
     SuspectReply,
--- a/src/sycamorehaven/controllers/texts.py
+++ b/src/sycamorehaven/controllers/texts.py
@@ -16,13 +16,12 @@
 from sycamorehaven.configuration.history import TextHistory
 from sycamorehaven.configuration.model import Version
 from sycamorehaven.decisions.revisions import FANOUT, choose_targets, is_conflict
-from sycamorehaven.transport.messages import (
+from sycamorehaven.transport.messages.configuration import (
     ConfigurationNotice,
     ConfigurationReply,
     ConfigurationRequest,
-    Probe,
-    ProbeAck,
 )
+from sycamorehaven.transport.messages.membership import Probe, ProbeAck
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/sycamorehaven/controllers/tokens.py
+++ b/src/sycamorehaven/controllers/tokens.py
@@ -32,7 +32,7 @@
     TokenRequired,
     TokenTableFull,
 )
-from sycamorehaven.transport.messages import LARGEST_MESSAGE
+from sycamorehaven.transport.messages.envelope import LARGEST_MESSAGE
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/sycamorehaven/controllers/unserved.py
+++ b/src/sycamorehaven/controllers/unserved.py
@@ -14,7 +14,7 @@
 
 from sycamorehaven.decisions.roles import choose_scheduler
 from sycamorehaven.exceptions.refusals import NoBackendServer
-from sycamorehaven.transport.messages import ServiceUnserved
+from sycamorehaven.transport.messages.permits import ServiceUnserved
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/sycamorehaven/controllers/view_exchange.py
+++ b/src/sycamorehaven/controllers/view_exchange.py
@@ -11,7 +11,7 @@
     select_bucket,
     select_newer,
 )
-from sycamorehaven.transport.messages import ViewDigest, ViewRecords
+from sycamorehaven.transport.messages.membership import ViewDigest, ViewRecords
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -19,7 +19,7 @@
     from sycamorehaven.decisions.membership import Membership
     from sycamorehaven.transport.codec import Delivery
     from sycamorehaven.transport.links import PeerLink
-    from sycamorehaven.transport.messages import MemberRecord
+    from sycamorehaven.transport.messages.membership import MemberRecord
 
 
 class ViewExchange:
--- a/src/sycamorehaven/decisions/backlog.py
+++ b/src/sycamorehaven/decisions/backlog.py
@@ -11,7 +11,7 @@
     from collections.abc import Iterable
 
     from sycamorehaven.identity import RouterId
-    from sycamorehaven.transport.messages import DemandReport
+    from sycamorehaven.transport.messages.permits import DemandReport
 
 CLASSES = (INTERACTIVE, BATCH)
 SPARE_ENTRIES = 16
--- a/src/sycamorehaven/decisions/counter_rows.py
+++ b/src/sycamorehaven/decisions/counter_rows.py
@@ -6,7 +6,7 @@
 
 from sycamorehaven.decisions.sharing import Place
 from sycamorehaven.identity import RouterId
-from sycamorehaven.transport.messages import CounterRow
+from sycamorehaven.transport.messages.counters import CounterRow
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
--- a/src/sycamorehaven/decisions/dissemination.py
+++ b/src/sycamorehaven/decisions/dissemination.py
@@ -8,7 +8,7 @@
 from sycamorehaven.decisions.records import measure_record
 
 if TYPE_CHECKING:
-    from sycamorehaven.transport.messages import MemberRecord
+    from sycamorehaven.transport.messages.membership import MemberRecord
 
 RETRANSMISSIONS = 3
 """Sends of a record per natural logarithm of the count of members."""
--- a/src/sycamorehaven/decisions/holdings.py
+++ b/src/sycamorehaven/decisions/holdings.py
@@ -14,7 +14,7 @@
 from sycamorehaven.identity import RouterId
 
 if TYPE_CHECKING:
-    from sycamorehaven.transport.messages import HeldPermit, PermitReturn
+    from sycamorehaven.transport.messages.permits import HeldPermit, PermitReturn
 
 MOST_REMEMBERED = 4_096
 """Settled or abandoned permits remembered per service."""
--- a/src/sycamorehaven/decisions/leaving.py
+++ b/src/sycamorehaven/decisions/leaving.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from sycamorehaven.transport.messages import ServerNews
+    from sycamorehaven.transport.messages.servers import ServerNews
 
 LEAVING = "leaving"
 SERVING = "serving"
--- a/src/sycamorehaven/decisions/membership.py
+++ b/src/sycamorehaven/decisions/membership.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from sycamorehaven.transport.messages import MemberRecord
+    from sycamorehaven.transport.messages.membership import MemberRecord
 
 SUSPICION_TIMEOUT = 2.0
 """Seconds of suspicion per decimal logarithm of the count of members."""
--- a/src/sycamorehaven/decisions/probing.py
+++ b/src/sycamorehaven/decisions/probing.py
@@ -15,7 +15,7 @@
     from collections.abc import Collection, Mapping
     from random import Random
 
-    from sycamorehaven.transport.messages import MemberRecord
+    from sycamorehaven.transport.messages.membership import MemberRecord
 
 PROBE_PERIOD = 0.5
 """Seconds between two targets."""
--- a/src/sycamorehaven/decisions/reconciliation.py
+++ b/src/sycamorehaven/decisions/reconciliation.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    from sycamorehaven.transport.messages import MemberRecord
+    from sycamorehaven.transport.messages.membership import MemberRecord
 
 BUCKETS = 32
 MOST_IN_MESSAGE = 32
--- a/src/sycamorehaven/decisions/records.py
+++ b/src/sycamorehaven/decisions/records.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from sycamorehaven.transport.messages import MemberRecord
+    from sycamorehaven.transport.messages.membership import MemberRecord
 
 STATE_RANKS = {"alive": 0, "suspect": 1, "leaving": 2, "dead": 3}
 """Which state wins between records of equal incarnation and refutation."""
--- a/src/sycamorehaven/decisions/scheduler.py
+++ b/src/sycamorehaven/decisions/scheduler.py
@@ -13,20 +13,20 @@
 from sycamorehaven.call import INTERACTIVE
 from sycamorehaven.decisions.backlog import Backlog
 from sycamorehaven.decisions.classes import ClassShares
-from sycamorehaven.decisions.estimates import CostBounds, ServiceEstimates
+from sycamorehaven.decisions.estimates import CostBounds
+from sycamorehaven.decisions.experience import Experience
 from sycamorehaven.decisions.fair_share import FairShare
 from sycamorehaven.decisions.grants import Charge, Grant, Issue, ServiceTerms
 from sycamorehaven.decisions.holdings import Holding, Holdings, PermitName
 from sycamorehaven.decisions.occupancy import Occupancy
 from sycamorehaven.decisions.preemption import Reclaimer
-from sycamorehaven.decisions.slots import FinishedRun, ServerLimits
 from sycamorehaven.identity import RouterId
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 
     from sycamorehaven.decisions.grants import Ledger
-    from sycamorehaven.transport.messages import (
+    from sycamorehaven.transport.messages.permits import (
         DemandReport,
         HeldPermit,
         PermitReturn,
@@ -65,15 +65,13 @@
         self._terms = ServiceTerms()
         self._peer_factor = 1.0
         self._classes = ClassShares(self._terms.batch_fraction)
-        self._estimates = ServiceEstimates(service)
-        self._limits = ServerLimits()
+        self._experience = Experience(service, self._classes)
         self._weights: Mapping[str, float] = {}
         self._share = FairShare(self._measure_received)
         self._backlog = Backlog()
         self._holdings = Holdings(own)
         self._occupancy = Occupancy()
         self._reclaimer = Reclaimer(self._share, self._backlog, self._holdings)
-        self._issues: dict[PermitName, Issue] = {}
         self._numbers = numbers or itertools.count(1)
         self._last_round: float | None = None
 
@@ -112,7 +110,7 @@
         :param closed: servers that take no work for now. What is known of
             their slots is kept, so that they need not be learned again.
         """
-        limits = self._limits.replace(slots, ceilings or {})
+        limits = self._experience.limits.replace(slots, ceilings or {})
         limits.update(dict.fromkeys(closed, 0))
         self._occupancy.replace(limits, now)
 
@@ -126,7 +124,8 @@
         self._terms = terms
         self._peer_factor = max(PEER_LIKENESS * terms.schedulers, 1.0)
         self._classes.configure(terms.batch_fraction, terms.schedulers)
-        self._estimates.configure(CostBounds(terms.expected_cost, terms.largest_cost))
+        bounds = CostBounds(terms.expected_cost, terms.largest_cost)
+        self._experience.estimates.configure(bounds)
 
     def learn_load(
         self, server: str, running: int, reported_at: float, now: float
@@ -212,7 +211,7 @@
         while (workspace := self._share.choose()) is not None:
             server = self._occupancy.find_free(now)
             if server is None:
-                self._limits.note_saturation()
+                self._experience.limits.note_saturation()
                 break
             grant = self._grant_one(workspace, server, now)
             if grant is not None:
@@ -230,7 +229,7 @@
             return []
         cost = self._list_costs(workspace).get(INTERACTIVE, 0.0)
         cost /= self._weights.get(workspace, 1.0)
-        guaranteed = {n for n, issue in self._issues.items() if issue.choice.guaranteed}
+        guaranteed = self._experience.list_guaranteed()
         orders = self._reclaimer.choose(cost, guaranteed, now, turn)
         return [self._holdings.all[order.permit] for order in orders]
 
@@ -264,7 +263,7 @@
         )
         self._share.note_grant(workspace)
         self._holdings.add(holding)
-        self._issues[name] = Issue(row.cost, choice)
+        self._experience.note_issue(name, Issue(row.cost, choice))
         self._occupancy.occupy(server, now)
         self._classes.charge(workspace, choice, holding.cost, contended=len(costs) > 1)
         elapsed = now - report.received_at
@@ -272,7 +271,7 @@
 
     def _list_costs(self, workspace: str) -> dict[str, float]:
         return {
-            priority: self._estimates.estimate(workspace, priority, hint)
+            priority: self._experience.estimates.estimate(workspace, priority, hint)
             for priority, hint in self._backlog.list_costs(workspace).items()
         }
 
@@ -325,29 +324,15 @@
 
     def _abandon(self, holding: Holding, now: float, *, lost: bool) -> None:
         self._holdings.abandon(holding)
-        self._issues.pop(holding.name, None)
+        self._experience.forget(holding.name)
         self._reclaimer.forget(holding.name)
         self._occupancy.vacate(holding.server, now, lost=lost)
         self._share.touch(holding.workspace)
 
     def _learn(self, holding: Holding, message: PermitReturn, now: float) -> None:
         self._reclaimer.forget(holding.name)
-        issue = self._issues.pop(holding.name, None)
-        if message.failed:
-            self._limits.take_failure(holding.server, holding.granted_at, now)
-        elif issue is not None and message.runs > 0:
-            self._learn_run(holding, message, issue, now)
-        elif issue is not None:
-            self._classes.refund(holding.workspace, issue.choice, holding.cost)
-
-    def _learn_run(
-        self, holding: Holding, message: PermitReturn, issue: Issue, now: float
-    ) -> None:
-        cost = message.cost / message.runs
-        self._estimates.learn(holding.workspace, holding.priority, issue.hint, cost)
-        units = float(message.runs) if self._terms.in_seconds else message.cost
-        run = FinishedRun(holding.granted_at, now, units)
-        self._limits.take_finish(holding.server, run)
+        in_seconds = self._terms.in_seconds
+        self._experience.take_return(holding, message, now, in_seconds=in_seconds)
 
     def _drop_predecessors(self, edge: RouterId, now: float) -> None:
         for other in self._backlog.list_edges():
--- a/src/sycamorehaven/telemetry/demand.py
+++ b/src/sycamorehaven/telemetry/demand.py
@@ -9,7 +9,7 @@
 
     from sycamorehaven.identity import RouterId
     from sycamorehaven.transport.codec import Delivery
-    from sycamorehaven.transport.messages import DemandReport
+    from sycamorehaven.transport.messages.permits import DemandReport
 
 
 class ReportedBacklog(NamedTuple):
--- a/src/sycamorehaven/telemetry/monitor.py
+++ b/src/sycamorehaven/telemetry/monitor.py
@@ -13,7 +13,7 @@
 from sycamorehaven.telemetry.demand import DemandWatch
 from sycamorehaven.telemetry.fairness import GapTracker
 from sycamorehaven.telemetry.metrics import BoardCollector
-from sycamorehaven.transport.messages import DemandReport
+from sycamorehaven.transport.messages.permits import DemandReport
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/sycamorehaven/transport/codec.py
+++ b/src/sycamorehaven/transport/codec.py
@@ -8,15 +8,14 @@
 
 from sycamorehaven.exceptions.base import SycamorehavenError
 from sycamorehaven.identity import RouterId
-from sycamorehaven.transport.messages import (
-    BULK_KINDS,
+from sycamorehaven.transport.messages.envelope import (
     LARGEST_CONTROL_MESSAGE,
     LARGEST_MESSAGE,
-    LARGEST_NAME,
-    MESSAGE_KINDS,
     PROTOCOL_VERSION,
     Envelope,
 )
+from sycamorehaven.transport.messages.kinds import BULK_KINDS, MESSAGE_KINDS
+from sycamorehaven.transport.messages.names import LARGEST_NAME
 
 ENVELOPE_BYTES = 320
 """Most that an envelope adds to a message, bytes."""
--- a/src/sycamorehaven/transport/dealers.py
+++ b/src/sycamorehaven/transport/dealers.py
@@ -7,7 +7,7 @@
 
 import zmq
 
-from sycamorehaven.transport.messages import LARGEST_MESSAGE
+from sycamorehaven.transport.messages.envelope import LARGEST_MESSAGE
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
--- /dev/null
+++ b/src/sycamorehaven/transport/messages/kinds.py
@@ -0,0 +1,98 @@
+"""
+The kinds of message.
+
+Their order is part of the protocol: a new kind is appended.
+"""
+
+from __future__ import annotations
+
+from sycamorehaven.transport.messages.configuration import (
+    ConfigurationNotice,
+    ConfigurationReply,
+    ConfigurationRequest,
+)
+from sycamorehaven.transport.messages.counters import (
+    CounterAck,
+    CounterRequest,
+    CounterUpdate,
+)
+from sycamorehaven.transport.messages.membership import (
+    Probe,
+    ProbeAck,
+    ProbeRequest,
+    ViewDigest,
+    ViewRecords,
+)
+from sycamorehaven.transport.messages.permits import (
+    DemandReport,
+    PermitAck,
+    PermitGrant,
+    PermitReturn,
+    Preemption,
+    ServiceUnserved,
+)
+from sycamorehaven.transport.messages.relays import (
+    RelayCall,
+    RelayContinue,
+    RelayRefusal,
+    RelayReply,
+    RelayStatus,
+)
+from sycamorehaven.transport.messages.servers import (
+    LoadReply,
+    LoadRequest,
+    NoticeRequest,
+    ServerNotice,
+)
+from sycamorehaven.transport.messages.suspects import (
+    Acquittal,
+    Strike,
+    SuspectReply,
+    SuspectRequest,
+)
+from sycamorehaven.transport.messages.tokens import (
+    TokenHandover,
+    TokenHandoverAck,
+    TokenStateReply,
+    TokenStateRequest,
+)
+
+MESSAGE_KINDS: tuple[type, ...] = (
+    Probe,
+    ProbeAck,
+    ProbeRequest,
+    ConfigurationRequest,
+    ConfigurationReply,
+    DemandReport,
+    PermitGrant,
+    PermitReturn,
+    Preemption,
+    CounterUpdate,
+    CounterAck,
+    ServerNotice,
+    RelayCall,
+    RelayReply,
+    Strike,
+    SuspectRequest,
+    SuspectReply,
+    TokenHandover,
+    Acquittal,
+    ConfigurationNotice,
+    PermitAck,
+    ViewDigest,
+    ViewRecords,
+    RelayRefusal,
+    RelayContinue,
+    RelayStatus,
+    TokenHandoverAck,
+    TokenStateRequest,
+    TokenStateReply,
+    NoticeRequest,
+    LoadRequest,
+    LoadReply,
+    CounterRequest,
+    ServiceUnserved,
+)
+
+BULK_KINDS = frozenset({ConfigurationReply, RelayCall, RelayReply, TokenHandover})
+"""Kinds that may be as large as ``LARGEST_MESSAGE``."""
--- a/tests/controllers/test_configuration.py
+++ b/tests/controllers/test_configuration.py
@@ -13,7 +13,7 @@
 from sycamorehaven.configuration.model import Version
 from sycamorehaven.controllers.configuration import ConfigurationController
 from sycamorehaven.controllers.texts import MOST_TELLERS
-from sycamorehaven.transport.messages import (
+from sycamorehaven.transport.messages.configuration import (
     ConfigurationNotice,
     ConfigurationReply,
     ConfigurationRequest,
--- a/tests/controllers/test_counters.py
+++ b/tests/controllers/test_counters.py
@@ -10,7 +10,7 @@
 from sycamorehaven.decisions.recipients import LOST_LIFETIME, SUPERSEDED_GRACE
 from sycamorehaven.identity import RouterId
 from sycamorehaven.transport.codec import Codec, Delivery
-from sycamorehaven.transport.messages import CounterRow, CounterUpdate
+from sycamorehaven.transport.messages.counters import CounterRow, CounterUpdate
 from tests.support.sharing import LARGEST, SERVICE, Sharers
 
 HOSTS = ["a1", "b1", "c1"]
--- a/tests/controllers/test_permits.py
+++ b/tests/controllers/test_permits.py
@@ -10,7 +10,11 @@
 from sycamorehaven.configuration.acceptance import accept_text
 from sycamorehaven.controllers.permits import PermitController
 from sycamorehaven.controllers.scheduling import SchedulingController
-from sycamorehaven.transport.messages import PermitAck, PermitGrant, PermitReturn
+from sycamorehaven.transport.messages.permits import (
+    PermitAck,
+    PermitGrant,
+    PermitReturn,
+)
 from tests.support.doubles import ManualClock, MemoryLink, MemoryNetwork, create_board
 from tests.support.texts import ServerPlan, write_configuration
 
--- a/tests/controllers/test_scheduling.py
+++ b/tests/controllers/test_scheduling.py
@@ -6,7 +6,7 @@
 from sycamorehaven.configuration.acceptance import accept_text
 from sycamorehaven.controllers.scheduling import REPEAT_AFTER, SchedulingController
 from sycamorehaven.decisions.silence import LOST_AFTER
-from sycamorehaven.transport.messages import (
+from sycamorehaven.transport.messages.permits import (
     DemandReport,
     DemandRow,
     PermitAck,
--- a/tests/controllers/test_suspects.py
+++ b/tests/controllers/test_suspects.py
@@ -10,7 +10,7 @@
 from sycamorehaven.controllers.suspects import SuspectController
 from sycamorehaven.decisions.quarantine import LEASE_TIME
 from sycamorehaven.decisions.rendezvous import choose_candidate
-from sycamorehaven.transport.messages import Acquittal, Strike
+from sycamorehaven.transport.messages.suspects import Acquittal, Strike
 from tests.support.doubles import MemoryLink, create_board
 
 if TYPE_CHECKING:
--- a/tests/controllers/test_unserved.py
+++ b/tests/controllers/test_unserved.py
@@ -12,7 +12,7 @@
 )
 from sycamorehaven.decisions.roles import choose_scheduler
 from sycamorehaven.exceptions.refusals import NoBackendServer
-from sycamorehaven.transport.messages import ServiceUnserved
+from sycamorehaven.transport.messages.permits import ServiceUnserved
 from tests.support.doubles import MemoryLink, create_board
 from tests.support.texts import ServerPlan, write_configuration
 
--- a/tests/decisions/test_leaving.py
+++ b/tests/decisions/test_leaving.py
@@ -22,7 +22,7 @@
     judge_report,
     update_view,
 )
-from sycamorehaven.transport.messages import ServerNews
+from sycamorehaven.transport.messages.servers import ServerNews
 
 ROWS = st.builds(
     ServerNews,
--- a/tests/decisions/test_membership.py
+++ b/tests/decisions/test_membership.py
@@ -20,7 +20,7 @@
     measure_record,
     rank_record,
 )
-from sycamorehaven.transport.messages import MemberRecord
+from sycamorehaven.transport.messages.membership import MemberRecord
 
 if TYPE_CHECKING:
     import random
--- a/tests/decisions/test_scheduler.py
+++ b/tests/decisions/test_scheduler.py
@@ -7,7 +7,7 @@
 from sycamorehaven.decisions.grants import LEASE, Grant, ServiceTerms
 from sycamorehaven.decisions.scheduler import LAG_LIMIT, ServiceScheduler
 from sycamorehaven.identity import RouterId
-from sycamorehaven.transport.messages import (
+from sycamorehaven.transport.messages.permits import (
     DemandReport,
     DemandRow,
     HeldPermit,
--- a/tests/telemetry/test_fairness.py
+++ b/tests/telemetry/test_fairness.py
@@ -8,7 +8,7 @@
 from sycamorehaven.telemetry.demand import DemandWatch
 from sycamorehaven.telemetry.fairness import GapTracker
 from sycamorehaven.transport.codec import Delivery
-from sycamorehaven.transport.messages import DemandReport, DemandRow
+from sycamorehaven.transport.messages.permits import DemandReport, DemandRow
 
 if TYPE_CHECKING:
     from tests.support.doubles import ManualClock
--- a/tests/transport/test_codec.py
+++ b/tests/transport/test_codec.py
@@ -10,15 +10,13 @@
 
 from sycamorehaven.identity import RouterId
 from sycamorehaven.transport.codec import Codec, Delivery, MessageError
-from sycamorehaven.transport.messages import (
+from sycamorehaven.transport.messages.configuration import ConfigurationReply
+from sycamorehaven.transport.messages.envelope import (
     LARGEST_CONTROL_MESSAGE,
     LARGEST_MESSAGE,
-    MESSAGE_KINDS,
-    ConfigurationReply,
-    MemberRecord,
-    Probe,
-    ViewDigest,
 )
+from sycamorehaven.transport.messages.kinds import MESSAGE_KINDS
+from sycamorehaven.transport.messages.membership import MemberRecord, Probe, ViewDigest
 
 RECORD = MemberRecord("a1", 5, 0, "10.0.0.1:7000", "a", "alive")
 PROBE = Probe(7, "", 3, "digest", [RECORD])
--- a/tests/transport/test_peers.py
+++ b/tests/transport/test_peers.py
@@ -18,7 +18,8 @@
     STRANGER_IDLE,
     DealerPool,
 )
-from sycamorehaven.transport.messages import Preemption, Probe
+from sycamorehaven.transport.messages.membership import Probe
+from sycamorehaven.transport.messages.permits import Preemption
 from sycamorehaven.transport.peers import ZmqPeers
 from tests.support.fleet import find_address
 from tests.support.members import create_settings
