--- a/src/sycamorehaven/console/commands/configuration.py
+++ b/src/sycamorehaven/console/commands/configuration.py
@@ -9,7 +9,7 @@
 
 from sycamorehaven.configuration.acceptance import accept_text
 from sycamorehaven.console.options import JsonOption
-from sycamorehaven.console.output import EXIT_INVALID, print_json
+from sycamorehaven.console.output import report_faults
 from sycamorehaven.exceptions.faults import ConfigurationError, Fault
 
 configuration_commands = typer.Typer(
@@ -30,16 +30,7 @@
     json: JsonOption = False,
 ) -> None:
     """Check a text as every router would; exit 0 if it is right, 2 if not."""
-    faults = find_faults(file)
-    if json:
-        print_json({"valid": not faults, "faults": [f._asdict() for f in faults]})
-    else:
-        for fault in faults:
-            typer.echo(fault.format(), err=True)
-    if faults:
-        raise typer.Exit(EXIT_INVALID)
-    if not json:
-        typer.echo("the configuration is valid")
+    report_faults(find_faults(file), "the configuration is valid", json=json)
 
 
 def find_faults(file: Path) -> list[Fault]:
--- a/src/sycamorehaven/console/commands/settings.py
+++ b/src/sycamorehaven/console/commands/settings.py
@@ -8,7 +8,7 @@
 import typer
 
 from sycamorehaven.console.options import JsonOption
-from sycamorehaven.console.output import EXIT_INVALID, print_json
+from sycamorehaven.console.output import report_faults
 from sycamorehaven.exceptions.faults import Fault, SettingsError
 from sycamorehaven.settings import RouterSettings
 
@@ -26,16 +26,7 @@
     json: JsonOption = False,
 ) -> None:
     """Check a settings file; exit 0 if it is right, 2 if not."""
-    faults = find_faults(file)
-    if json:
-        print_json({"valid": not faults, "faults": [f._asdict() for f in faults]})
-    else:
-        for fault in faults:
-            typer.echo(fault.format(), err=True)
-    if faults:
-        raise typer.Exit(EXIT_INVALID)
-    if not json:
-        typer.echo("the settings are valid")
+    report_faults(find_faults(file), "the settings are valid", json=json)
 
 
 def find_faults(file: Path) -> list[Fault]:
--- a/src/sycamorehaven/console/output.py
+++ b/src/sycamorehaven/console/output.py
@@ -17,6 +17,8 @@
 
     from rich.console import JustifyMethod
 
+    from sycamorehaven.exceptions.faults import Fault
+
 EXIT_FAILED = 1
 EXIT_INVALID = 2
 PIPE_WIDTH = 160
@@ -68,3 +70,20 @@
 
 def _is_number(text: str) -> bool:
     return text.replace(".", "", 1).replace("-", "", 1).isdigit()
+
+
+def report_faults(faults: list[Fault], verdict: str, *, json: bool) -> None:
+    """
+    Print the faults of a text, or the verdict if there is none.
+
+    :raises typer.Exit: with ``EXIT_INVALID`` if there are faults.
+    """
+    if json:
+        print_json({"valid": not faults, "faults": [f._asdict() for f in faults]})
+    else:
+        for fault in faults:
+            typer.echo(fault.format(), err=True)
+    if faults:
+        raise typer.Exit(EXIT_INVALID)
+    if not json:
+        typer.echo(verdict)
