Name two modules after what they hold

controllers/exchanges.py held one relayed call and controllers/texts.py the exchange of configurations; both names had to be explained.

--- a/src/sycamorehaven/controllers/configuration.py
+++ b/src/sycamorehaven/controllers/configuration.py
@@ -12,7 +12,7 @@
 
 from sycamorehaven.configuration.acceptance import accept_text
 from sycamorehaven.configuration.model import Version
-from sycamorehaven.controllers.texts import TextExchange
+from sycamorehaven.controllers.configuration_exchange import TextExchange
 from sycamorehaven.decisions.revisions import (
     ColdStart,
     ReadState,
--- a/src/sycamorehaven/controllers/relay_sessions.py
+++ b/src/sycamorehaven/controllers/relay_sessions.py
@@ -11,7 +11,7 @@
 
 from sycamorehaven.blackboard.signal import Signal
 from sycamorehaven.call import Call
-from sycamorehaven.controllers.exchanges import WINDOW
+from sycamorehaven.controllers.relayed_calls import WINDOW
 from sycamorehaven.controllers.tokens import read_token
 from sycamorehaven.exceptions.refusals import (
     InvalidToken,
--- a/src/sycamorehaven/controllers/relays.py
+++ b/src/sycamorehaven/controllers/relays.py
@@ -11,7 +11,7 @@
 
 from sycamorehaven.blackboard.signal import Signal
 from sycamorehaven.call import Answer
-from sycamorehaven.controllers.exchanges import (
+from sycamorehaven.controllers.relayed_calls import (
     RESEND,
     Exchange,
     RelayedBody,
--- a/tests/controllers/test_configuration.py
+++ b/tests/controllers/test_configuration.py
@@ -12,7 +12,7 @@
 from sycamorehaven.configuration.acceptance import accept_text
 from sycamorehaven.configuration.model import Version
 from sycamorehaven.controllers.configuration import ConfigurationController
-from sycamorehaven.controllers.texts import MOST_TELLERS
+from sycamorehaven.controllers.configuration_exchange import MOST_TELLERS
 from sycamorehaven.transport.messages.configuration import (
     ConfigurationNotice,
     ConfigurationReply,
