Sleep without the service's bookkeeping in the quick loops

Cause: a router at rest took up to 4.8 % of a core; mode's sleep makes tasks for each call, and five loops run 20 to 40 times a second.

Change: those loops sleep by asyncio; they look at should_stop each round, so a stop waits for 50 ms at most.

Measured: python -m benchmarks.relay, one run each in turn on an otherwise idle machine: 4.20 % of a core at rest before, 3.40 % after.

--- a/src/sycamorehaven/controllers/counters.py
+++ b/src/sycamorehaven/controllers/counters.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from typing import TYPE_CHECKING
 
@@ -101,7 +102,7 @@
     @Service.task
     async def _run(self) -> None:
         while not self.should_stop:
-            await self.sleep(self._policy.period)
+            await asyncio.sleep(self._policy.period)
             self.run_round()
 
     def run_round(self) -> None:
--- a/src/sycamorehaven/controllers/permits.py
+++ b/src/sycamorehaven/controllers/permits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from collections import OrderedDict
 from typing import TYPE_CHECKING
@@ -116,14 +117,14 @@
         sleep = LONGEST_SLEEP
         while not self.should_stop:
             await self._board.queues.changed.wait(sleep)
-            await self.sleep(COALESCE)
+            await asyncio.sleep(COALESCE)
             sleep = min(self.report() - self._clock(), LONGEST_SLEEP)
             sleep = max(sleep, COALESCE)
 
     @Service.task
     async def _repeat(self) -> None:
         while not self.should_stop:
-            await self.sleep(REPEAT_AFTER)
+            await asyncio.sleep(REPEAT_AFTER)
             self.repeat()
 
     def _assign(self) -> None:
--- a/src/sycamorehaven/controllers/scheduling.py
+++ b/src/sycamorehaven/controllers/scheduling.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import time
 from typing import TYPE_CHECKING, NamedTuple
@@ -132,13 +133,13 @@
     @Service.task
     async def _repeat(self) -> None:
         while not self.should_stop:
-            await self.sleep(REPEAT_AFTER / 2)
+            await asyncio.sleep(REPEAT_AFTER / 2)
             self.repeat()
 
     @Service.task
     async def _reclaim(self) -> None:
         while not self.should_stop:
-            await self.sleep(RECLAIM_PERIOD)
+            await asyncio.sleep(RECLAIM_PERIOD)
             self.reclaim()
 
     def _assign(self) -> None:
