Carry the trace of a relayed call to its owner

Cause: RelayCall bore no traceparent, so the owner's spans and the backend server's traceparent belonged to no trace of the caller's.

Change: the asking router adds the headers of its trace to those of the call; the owner reads them, opens a span and keeps them out of the call, whose fingerprint must not change with them. The two ways of a relayed call stand in a module of their own.

--- a/src/sycamorehaven/controllers/relay_sessions.py
+++ b/src/sycamorehaven/controllers/relay_sessions.py
@@ -8,18 +8,16 @@
 
 import xxhash
 from mode import Service
+from opentelemetry import propagate, trace
 
 from sycamorehaven.blackboard.signal import Signal
-from sycamorehaven.call import Call
+from sycamorehaven.controllers.relay_requests import read_call
 from sycamorehaven.controllers.relayed_calls import WINDOW
 from sycamorehaven.controllers.tokens import read_token
 from sycamorehaven.exceptions.refusals import (
     InvalidToken,
-    InvalidWorkspaceKey,
-    NotReady,
     Refusal,
     TokenOwnerUnreachable,
-    UnknownService,
 )
 from sycamorehaven.transport.messages.relays import (
     RelayCall,
@@ -29,13 +27,12 @@
     RelayStatus,
 )
 from sycamorehaven.transport.messages.tokens import TokenStateReply, TokenStateRequest
-from sycamorehaven.transport.requests import choose_rule
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
     from sycamorehaven.blackboard.board import Blackboard
-    from sycamorehaven.call import Answer
+    from sycamorehaven.call import Answer, Call
     from sycamorehaven.controllers.adoption import Adoption
     from sycamorehaven.controllers.tokens import TokenStatus
     from sycamorehaven.decisions.tokens import Token
@@ -61,6 +58,9 @@
 SessionKey = tuple["RouterId", int]
 
 
+tracer = trace.get_tracer("sycamorehaven")
+
+
 class TokenUser(Protocol):
     """Runs calls with tokens of this process."""
 
@@ -258,7 +258,12 @@
         self._board.lifecycle.enter()
         answer: Answer | None = None
         try:
-            answer = await self._answer(message, attempt)
+            with tracer.start_as_current_span(
+                "relayed call",
+                context=propagate.extract(dict(message.headers)),
+                kind=trace.SpanKind.SERVER,
+            ):
+                answer = await self._answer(message, attempt)
             if answer is None:
                 self._forget(session)
             else:
@@ -280,7 +285,8 @@
 
     async def _answer(self, message: RelayCall, attempt: bytes) -> Answer | None:
         try:
-            call = self._build_call(message)
+            configuration = self._board.configuration.current
+            call = read_call(message, configuration, self._clock())
             token = read_token(message.token)
         except Refusal as refusal:
             refusal.doubt()
@@ -289,32 +295,6 @@
             return self._adoption.answer(call)
         return await self._tokens.use(call, token, attempt)
 
-    def _build_call(self, message: RelayCall) -> Call:
-        configuration = self._board.configuration.current
-        if configuration is None:
-            raise NotReady("no configuration yet", retry_after=RETRY_AFTER)
-        workspace = configuration.workspaces.get(message.workspace)
-        service = configuration.services.get(message.service)
-        if workspace is None:
-            raise InvalidWorkspaceKey("the workspace is not known to the owner")
-        if service is None:
-            raise UnknownService(f"no service {message.service!r}")
-        rule = choose_rule(service, message.method, message.path)
-        return Call(
-            request_id=message.request_id,
-            workspace=workspace,
-            service=service,
-            rule=rule._replace(idempotent=False, resumable=False),
-            method=message.method,
-            path=message.path,
-            headers=tuple((name, value) for name, value in message.headers),
-            body=message.body,
-            priority=message.priority,
-            deadline=self._clock() + message.timeout,
-            cost_hint=message.cost_hint,
-            token=message.token,
-        )
-
     def _take_continue(self, delivery: Delivery) -> None:
         message: RelayContinue = delivery.message
         session = self._sessions.get((delivery.sender, message.relay))
--- a/src/sycamorehaven/controllers/relays.py
+++ b/src/sycamorehaven/controllers/relays.py
@@ -11,6 +11,7 @@
 
 from sycamorehaven.blackboard.signal import Signal
 from sycamorehaven.call import Answer
+from sycamorehaven.controllers.relay_requests import write_headers
 from sycamorehaven.controllers.relayed_calls import (
     RESEND,
     Exchange,
@@ -173,7 +174,7 @@
             service=call.service.name,
             method=call.method,
             path=call.path,
-            headers=list(call.headers),
+            headers=write_headers(call),
             body=call.body,
             priority=call.priority,
             timeout=call.deadline - self._clock(),
--- a/tests/telemetry/test_traces.py
+++ b/tests/telemetry/test_traces.py
@@ -87,6 +87,31 @@
     assert seen == [f"00-{TRACE}-{attempt['span_id']}-01"]
 
 
+async def test_relayed_booking_is_one_trace(fleet: Fleet) -> None:
+    minted = fleet.build_request(1, "/v1/idempotency-tokens")
+    async with fleet.client.post(**minted) as response:
+        token = (await response.json())["idempotency_token"]
+    headers = {
+        "traceparent": f"00-{TRACE}-{PARENT}-01",
+        "Idempotency-Token": token,
+    }
+    booking = fleet.build_request(0, "/v1/services/bookings/bookings", headers=headers)
+    async with fleet.client.post(data=b"washer 3", **booking) as response:
+        assert response.status == 201, await response.text()
+
+    async def list_spans(router: int) -> dict[str, dict[str, Any]]:
+        rows = (await fleet.admin(router, f"/v1/traces?trace_id={TRACE}"))["spans"]
+        return {row["name"]: row for row in rows}
+
+    async def is_finished() -> bool:
+        return "relay" in await list_spans(0) and "relayed call" in await list_spans(1)
+
+    await wait_for(is_finished)
+    asked, owned = await list_spans(0), await list_spans(1)
+    assert owned["relayed call"]["parent_id"] == asked["relay"]["span_id"]
+    assert owned["backend attempt"]["trace_id"] == TRACE
+
+
 async def report_load(_request: web.Request) -> web.Response:
     return web.json_response({"running": 0, "capacity": 4, "leaving": False})
 
