Choose the ports of test fleets below those of outgoing connections

Cause: tests.failures.test_refusals.test_service_without_its_dependency_runs_nothing timed out once while its fleet started, four test files side by side: ports were taken from the range of outgoing connections (32768 to 60999), where another connection may take one before the router binds it.

Change: fleets listen on free ports from 10000 to 30000, chosen at random.

--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import os
+import secrets
 import signal
 import socket
 import sys
@@ -24,6 +25,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
+FIRST_PORT, LAST_PORT = 10_000, 30_000
+"""Ports that a fleet listens on."""
 START_TIMEOUT = 20.0
 """Seconds in which a process must answer."""
 POLL = 0.05
@@ -31,10 +34,17 @@
 
 
 def find_port() -> int:
-    """Return a free port of the loopback interface."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """
+    Return a free port of the loopback interface.
+
+    It lies below the ports that the kernel gives to outgoing connections, so
+    that none of those takes it before it is bound.
+    """
+    while True:
+        port = FIRST_PORT + secrets.randbelow(LAST_PORT - FIRST_PORT)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
 
 
 def find_address() -> str:
