--- a/src/sycamorehaven/blackboard/board.py
+++ b/src/sycamorehaven/blackboard/board.py
@@ -7,6 +7,7 @@
 from sycamorehaven.blackboard.admission import AdmissionSection
 from sycamorehaven.blackboard.configuration import ConfigurationSection
 from sycamorehaven.blackboard.counters import CountersSection
+from sycamorehaven.blackboard.fleet import FleetSection
 from sycamorehaven.blackboard.leaving import LeavingSection
 from sycamorehaven.blackboard.lifecycle import LifecycleSection
 from sycamorehaven.blackboard.members import Member, MembersSection
@@ -14,18 +15,24 @@
 from sycamorehaven.blackboard.pauses import PausesSection
 from sycamorehaven.blackboard.permits import PermitsSection
 from sycamorehaven.blackboard.queues import QueuesSection
+from sycamorehaven.blackboard.routing import RoutingSection
 from sycamorehaven.blackboard.seeds import SeedsSection
 from sycamorehaven.blackboard.servers import ServersSection
 from sycamorehaven.blackboard.suspects import SuspectsSection
 from sycamorehaven.blackboard.tokens import TokensSection
 from sycamorehaven.blackboard.traffic import TrafficSection
 from sycamorehaven.blackboard.unserved import UnservedSection
+from sycamorehaven.decisions.shares import UsageWindow
 from sycamorehaven.identity import RouterId, create_incarnation
 
 if TYPE_CHECKING:
     from sycamorehaven.settings import RouterSettings
 
 
+DEFAULT_QUOTA_WINDOW = 4.0
+"""Seconds over which shares are counted where the settings do not say."""
+
+
 class Blackboard:
     """
     The state that controllers share.
@@ -33,9 +40,16 @@
     :param identity: this router.
     :param address: its peer address.
     :param failure_domain: where it stands.
+    :param quota_window: seconds over which shares of capacity are counted.
     """
 
-    def __init__(self, identity: RouterId, address: str, failure_domain: str) -> None:
+    def __init__(
+        self,
+        identity: RouterId,
+        address: str,
+        failure_domain: str,
+        quota_window: float = DEFAULT_QUOTA_WINDOW,
+    ) -> None:
         own = Member(
             identity.host, identity.incarnation, address, failure_domain, "alive"
         )
@@ -56,12 +70,17 @@
         self._counters = CountersSection(identity)
         self._tokens = TokensSection()
         self._suspects = SuspectsSection()
+        self._routing = RoutingSection()
+        self._fleet = FleetSection(UsageWindow(quota_window))
 
     @classmethod
     def from_settings(cls, settings: RouterSettings) -> Blackboard:
         """Return the empty state of a new process."""
         identity = RouterId(settings.host, create_incarnation())
-        return cls(identity, settings.peers_address, settings.failure_domain)
+        window = DEFAULT_QUOTA_WINDOW
+        if settings.gateway is not None:
+            window = settings.gateway.quota_window
+        return cls(identity, settings.peers_address, settings.failure_domain, window)
 
     @property
     def identity(self) -> RouterId:
@@ -147,3 +166,13 @@
     def suspects(self) -> SuspectsSection:
         """Requests suspected of crashing backend servers."""
         return self._suspects
+
+    @property
+    def routing(self) -> RoutingSection:
+        """Published routes and servers."""
+        return self._routing
+
+    @property
+    def fleet(self) -> FleetSection:
+        """Load of the servers of published routes."""
+        return self._fleet
--- /dev/null
+++ b/src/sycamorehaven/blackboard/routing.py
@@ -0,0 +1,97 @@
+"""Published routes and servers; written by the routing controller."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sycamorehaven.blackboard.signal import Signal
+from sycamorehaven.decisions.directory import Directory, DirectoryChange
+from sycamorehaven.routing.table import RouteTable
+
+if TYPE_CHECKING:
+    from sycamorehaven.routing.model import (
+        RoutingConfiguration,
+        ServerRecord,
+        Snapshot,
+    )
+
+
+class RoutingSection:
+    """The newest snapshot, from the platform or a peer."""
+
+    def __init__(self) -> None:
+        self._snapshot: Snapshot | None = None
+        self._configuration: RoutingConfiguration | None = None
+        self._table = RouteTable(())
+        self._directory = Directory()
+        self._taken_at = 0.0
+        self._changed = Signal()
+
+    @property
+    def snapshot(self) -> Snapshot | None:
+        """The newest snapshot."""
+        return self._snapshot
+
+    @property
+    def configuration(self) -> RoutingConfiguration | None:
+        """The configuration in force."""
+        return self._configuration
+
+    @property
+    def table(self) -> RouteTable:
+        """The routes in force."""
+        return self._table
+
+    @property
+    def revision(self) -> int:
+        """Revision of the newest snapshot, 0 for none."""
+        return self._snapshot.revision if self._snapshot else 0
+
+    @property
+    def taken_at(self) -> float:
+        """When the newest snapshot came, monotonic seconds."""
+        return self._taken_at
+
+    @property
+    def changed(self) -> Signal:
+        """Raised when routes or servers change."""
+        return self._changed
+
+    @property
+    def ready(self) -> bool:
+        """Whether requests can be served."""
+        return self._configuration is not None and bool(self._directory.servers)
+
+    def list_servers(self, service: str) -> list[ServerRecord]:
+        """Return the servers of a service that take new work."""
+        return [
+            server
+            for server in self._directory.servers.values()
+            if server.service == service and not server.draining
+        ]
+
+    def find_server(self, name: str) -> ServerRecord | None:
+        """Return a server by its id."""
+        return self._directory.servers.get(name)
+
+    def list_ids(self) -> set[str]:
+        """Return the ids of all servers."""
+        return set(self._directory.servers)
+
+    def take(self, snapshot: Snapshot, now: float) -> DirectoryChange | None:
+        """
+        Take in a snapshot; return what changed, ``None`` if it is too old.
+
+        A configuration never gives way to one of a lower revision.
+        """
+        if snapshot.revision < self.revision:
+            return None
+        self._snapshot, self._taken_at = snapshot, now
+        change = self._directory.take(snapshot, now)
+        known = self._configuration.revision if self._configuration else 0
+        newest = snapshot.configuration
+        if newest is not None and newest.revision > known:
+            self._configuration = newest
+            self._table = RouteTable(newest.routes)
+        self._changed.notify()
+        return change
--- /dev/null
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -0,0 +1,330 @@
+"""Finds a backend server for each request, or turns it away."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, NamedTuple
+
+from mode import Service
+
+from sycamorehaven.decisions.placement import (
+    Candidate,
+    Placement,
+    place_plain,
+    place_prompt,
+)
+from sycamorehaven.decisions.prefixes import chain_parts
+from sycamorehaven.decisions.rendezvous import rank_candidates
+from sycamorehaven.decisions.turning_away import (
+    Demand,
+    choose_return,
+    decide_plain,
+    decide_prompt,
+)
+from sycamorehaven.exceptions.refusals import DeadlineUnreachable, NoBackendServer
+from sycamorehaven.routing.requests import RoutedRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
+
+    from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.decisions.server_model import Reading, ServerModel
+    from sycamorehaven.decisions.turning_away import Action
+    from sycamorehaven.routing.model import ServerRecord
+    from sycamorehaven.telemetry.decision_log import DecisionLog
+    from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
+
+LOOK_PERIOD = 0.02
+"""Seconds between two looks at the waiting requests."""
+ABSENT_RETURN = 1.0
+"""Seconds after which to come back when no server is known."""
+OUTPUT_WEIGHT = 2.0
+"""What a generated token counts against one that is read."""
+
+
+def measure_cost(request: RoutedRequest) -> float:
+    """Return the tokens that a request is charged with."""
+    parts = request.head.parts
+    own = parts[-1].tokens if parts else request.head.prompt_tokens
+    return own + OUTPUT_WEIGHT * request.head.output_tokens
+
+
+class Lease:
+    """
+    A request's place at a backend server.
+
+    :param board: the state of this router.
+    :param server: the server.
+    :param model: what is believed of it.
+    :param reading: the prompt that it reads.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        server: ServerRecord,
+        model: ServerModel,
+        reading: Reading,
+    ) -> None:
+        self._board = board
+        self._server = server
+        self._model = model
+        self._reading: Reading | None = reading
+        self._ended = False
+
+    @property
+    def server(self) -> ServerRecord:
+        """The server."""
+        return self._server
+
+    @property
+    def model(self) -> ServerModel:
+        """What is believed of the server."""
+        return self._model
+
+    def note_first_token(self, now: float) -> None:
+        """Note that the prompt was read."""
+        if self._reading is None:
+            return
+        self._model.note_first_token(self._reading, now)
+        self._reading = None
+        self._announce()
+
+    def end(self) -> None:
+        """Give the place back; again changes nothing."""
+        if self._ended:
+            return
+        self._ended = True
+        if self._reading is not None:
+            self._model.give_up(self._reading)
+            self._reading = None
+        self._model.end()
+        self._announce()
+
+    def _announce(self) -> None:
+        self._board.fleet.touch(self._server.id)
+        self._board.fleet.changed.notify()
+
+
+class Waiting(NamedTuple):
+    """
+    A request that waits.
+
+    :ivar request: the request.
+    :ivar chain: parts of its prompt.
+    :ivar spared: servers that it was sent to before.
+    :ivar since: monotonic seconds from which it waits.
+    :ivar lease: gets its place.
+    """
+
+    request: RoutedRequest
+    chain: tuple[tuple[int, int], ...]
+    spared: frozenset[str]
+    since: float
+    lease: asyncio.Future[Lease]
+
+
+class Dispatcher(Service):
+    """
+    Keeps the requests that wait, in the order of their workspaces' shares.
+
+    :param board: the state of this router.
+    :param log: takes decisions.
+    :param metrics: takes waiting times.
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        log: DecisionLog,
+        metrics: GatewayMetrics,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        super().__init__()
+        self._board = board
+        self._decisions = log
+        self._metrics = metrics
+        self._clock = clock
+        self._waiting: list[Waiting] = []
+
+    async def acquire(
+        self, request: RoutedRequest, spared: Collection[str] = ()
+    ) -> Lease:
+        """
+        Return a place at a server.
+
+        :param spared: servers that are not to get the request again.
+        :raises DeadlineUnreachable: if it cannot be served in time.
+        :raises NoBackendServer: if no server of its service is known.
+        """
+        now = self._clock()
+        chain = chain_parts(request.head.model, request.head.parts)
+        if request.workspace and not spared:
+            cost = measure_cost(request)
+            self._board.fleet.add_usage(request.workspace, cost, 0.0, now)
+        future: asyncio.Future[Lease] = asyncio.get_running_loop().create_future()
+        waiting = Waiting(request, chain, frozenset(spared), now, future)
+        self._waiting.append(waiting)
+        self._look()
+        try:
+            return await future
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled() and not future.exception():
+                future.result().end()
+            raise
+        finally:
+            if waiting in self._waiting:
+                self._waiting.remove(waiting)
+
+    @Service.task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            if self._waiting:
+                self._look()
+                await asyncio.sleep(LOOK_PERIOD)
+            else:
+                await self._board.fleet.changed.wait(LOOK_PERIOD * 10)
+
+    def _look(self) -> None:
+        """Place what can be placed, turn away what waits in vain."""
+        now = self._clock()
+        usage = self._board.fleet.usage
+        share = usage.find_share(now)
+        self._waiting = [one for one in self._waiting if not one.lease.done()]
+
+        def order(one: Waiting) -> tuple[bool, float]:
+            given = usage.find_given(one.request.workspace, now)
+            return given > share, one.since
+
+        for one in sorted(self._waiting, key=order):
+            within = not order(one)[0]
+            self._settle(one, within, now)
+        self._waiting = [one for one in self._waiting if not one.lease.done()]
+        self._metrics.waiting.set(len(self._waiting))
+
+    def _settle(self, one: Waiting, within: bool, now: float) -> None:
+        request = one.request
+        candidates = self._list_candidates(one, now)
+        if not candidates:
+            refusal = NoBackendServer(
+                f"no server of {request.service} takes work",
+                retry_after=min(ABSENT_RETURN, (request.deadline - now) * 0.3),
+            )
+            self._refuse(one, refusal, "no_server", None, within, now)
+            return
+        demand = Demand(one.since, request.route.target, request.deadline, within)
+        action, best = self._decide(demand, candidates, bool(one.chain), now)
+        if action == "place" and best is not None:
+            self._place(one, best, within, now)
+        elif action == "reject":
+            wait = min(candidate.unread / candidate.rate for candidate in candidates)
+            refusal_late = DeadlineUnreachable(
+                "more work waits than the servers can do in time",
+                retry_after=choose_return(demand, wait, now),
+            )
+            self._refuse(one, refusal_late, "overload", best, within, now)
+
+    def _decide(
+        self, demand: Demand, candidates: list[Candidate], prompt: bool, now: float
+    ) -> tuple[Action, Placement | None]:
+        if prompt:
+            best = place_prompt(candidates)
+            return decide_prompt(demand, best, now), best
+        best = place_plain(candidates)
+        return decide_plain(demand, best, now), best
+
+    def _place(self, one: Waiting, best: Placement, within: bool, now: float) -> None:
+        request, fleet = one.request, self._board.fleet
+        model = fleet.find_model(best.server.id)
+        reading = model.begin(best.uncached, now)
+        model.cache.note(one.chain)
+        fleet.note_placed(one.chain, best.server.id)
+        fleet.touch(best.server.id)
+        if request.workspace:
+            fleet.add_usage(request.workspace, 0.0, measure_cost(request), now)
+        waited = now - one.since
+        self._metrics.queueing.labels(request.service, request.route.kind).observe(
+            waited
+        )
+        self._decisions.record(
+            "placed",
+            request=request.head.attempt,
+            workspace=request.workspace,
+            server=best.server.id,
+            waited=round(waited, 3),
+            expected=round(best.first_token, 3),
+            uncached=best.uncached,
+            running=model.count_running(now),
+            within_share=within,
+            snapshot=self._board.routing.revision,
+            snapshot_age=round(now - self._board.routing.taken_at, 3),
+        )
+        one.lease.set_result(Lease(self._board, best.server, model, reading))
+
+    def _refuse(
+        self,
+        one: Waiting,
+        refusal: DeadlineUnreachable | NoBackendServer,
+        reason: str,
+        best: Placement | None,
+        within: bool,
+        now: float,
+    ) -> None:
+        self._decisions.record(
+            "turned_away",
+            request=one.request.head.attempt,
+            workspace=one.request.workspace,
+            reason=reason,
+            waited=round(now - one.since, 3),
+            expected=round(best.first_token, 3) if best else None,
+            within_share=within,
+            retry_after=refusal.retry_after,
+            snapshot_age=round(now - self._board.routing.taken_at, 3),
+        )
+        one.lease.set_exception(refusal)
+
+    def _list_candidates(self, one: Waiting, now: float) -> list[Candidate]:
+        request = one.request
+        servers = self._board.routing.list_servers(request.service)
+        left = [server for server in servers if server.id not in one.spared]
+        models = {server.id: self._find_model(server) for server in left or servers}
+        open_ = {
+            name: model
+            for name, model in models.items()
+            if model.health.paused_until <= now
+        }
+        if not open_ and models:
+            first = min(models, key=lambda name: models[name].health.paused_until)
+            open_ = {first: models[first]}
+        ranks = self._rank(one, models)
+        total = request.head.prompt_tokens
+        domain = self._board.members.own.failure_domain
+        return [
+            Candidate(
+                server=server,
+                running=open_[server.id].count_running(now),
+                unread=open_[server.id].count_unread(now),
+                uncached=max(total - open_[server.id].cache.match(one.chain), 1),
+                rate=open_[server.id].rate,
+                errors=open_[server.id].health.errors,
+                near=server.failure_domain == domain,
+                rank=ranks[server.id],
+            )
+            for server in left or servers
+            if server.id in open_
+        ]
+
+    def _rank(self, one: Waiting, names: Collection[str]) -> dict[str, int]:
+        # The last part belongs to the request itself; the one before it is
+        # what requests about one subject share.
+        shared = one.chain[-2:-1] or one.chain
+        key = str(shared[0][0]) if shared else one.request.head.attempt
+        return {name: place for place, name in enumerate(rank_candidates(key, names))}
+
+    def _find_model(self, server: ServerRecord) -> ServerModel:
+        configuration = self._board.routing.configuration
+        service = configuration.services.get(server.service) if configuration else None
+        memory = service.engine.memory if service and service.engine else 0
+        return self._board.fleet.find_model(server.id, memory)
--- /dev/null
+++ b/src/sycamorehaven/controllers/fleet_news.py
@@ -0,0 +1,127 @@
+"""Tells other routers what this one placed, and hears it from them."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from mode import Service
+
+from sycamorehaven.decisions.server_model import RemoteLoad
+from sycamorehaven.transport.messages.fleet import (
+    FleetNews,
+    PlacedPart,
+    ServerShare,
+    WorkspaceUsage,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.identity import RouterId
+    from sycamorehaven.transport.codec import Delivery
+    from sycamorehaven.transport.links import PeerLink
+
+PERIOD_PER_MEMBER = 0.005
+"""Seconds between two tellings for each router that is told."""
+SHORTEST_PERIOD = 0.02
+"""Seconds between two tellings, at least."""
+REFRESH_PERIOD = 0.5
+"""Seconds after which everything is told again; messages may be lost."""
+
+
+class FleetNewsController(Service):
+    """
+    Exchanges load, placements and use of shares.
+
+    :param board: the state of this router.
+    :param link: connection to other routers.
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        link: PeerLink,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        super().__init__()
+        self._board = board
+        self._link = link
+        self._clock = clock
+        self._refreshed_at = 0.0
+        self._told: dict[str, tuple[int, int]] = {}
+        self._heard: dict[tuple[RouterId, str], tuple[int, int]] = {}
+        link.subscribe(FleetNews, self._take)
+
+    @Service.task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            self.tell()
+            members = len(self._board.members.list())
+            await asyncio.sleep(max(members * PERIOD_PER_MEMBER, SHORTEST_PERIOD))
+
+    def tell(self) -> None:
+        """Tell every other router what has changed."""
+        news = self._compose()
+        if news is None:
+            return
+        own = self._board.members.own.host
+        for member in self._board.members.list():
+            if member.host != own:
+                self._link.send_to(member.address, news)
+
+    def _compose(self) -> FleetNews | None:
+        fleet, now = self._board.fleet, self._clock()
+        refresh = now - self._refreshed_at >= REFRESH_PERIOD
+        touched, placed = fleet.take_news()
+        names = sorted(self._board.routing.list_ids()) if refresh else touched
+        if refresh:
+            self._refreshed_at = now
+        elif not touched and not placed:
+            return None
+        shares = []
+        for name in names:
+            model = fleet.find_model(name)
+            if model.running or name in touched:
+                shares.append(ServerShare(name, model.running, int(model.unread)))
+        return FleetNews(
+            self._board.routing.revision,
+            shares,
+            [PlacedPart(*part) for part in placed],
+            self._list_usage(),
+        )
+
+    def _list_usage(self) -> list[WorkspaceUsage]:
+        fleet, changed = self._board.fleet, []
+        for workspace, asked in fleet.asked.items():
+            total = asked, fleet.given[workspace]
+            if self._told.get(workspace) != total:
+                self._told[workspace] = total
+                changed.append(WorkspaceUsage(workspace, *total))
+        return changed
+
+    def _take(self, delivery: Delivery) -> None:
+        news: FleetNews = delivery.message
+        fleet, now = self._board.fleet, self._clock()
+        for share in news.servers:
+            load = RemoteLoad(share.running, share.unread, now)
+            fleet.find_model(share.server).note_remote(delivery.sender.host, load)
+        for part in news.placed:
+            fleet.find_model(part.server).cache.note([(part.key, part.tokens)])
+        for usage in news.usage:
+            self._add_usage(delivery.sender, usage, now)
+        if news.servers:
+            fleet.changed.notify()
+
+    def _add_usage(self, sender: RouterId, usage: WorkspaceUsage, now: float) -> None:
+        key = sender, usage.workspace
+        known = self._heard.get(key)
+        self._heard[key] = usage.asked, usage.given
+        if known is None:
+            return
+        asked, given = usage.asked - known[0], usage.given - known[1]
+        if asked > 0 or given > 0:
+            self._board.fleet.usage.add(usage.workspace, asked, given, now)
--- /dev/null
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -0,0 +1,410 @@
+"""One request on a published route, from first attempt to last byte."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from typing import TYPE_CHECKING
+
+from sycamorehaven.call import Answer
+from sycamorehaven.decisions.repeats import (
+    AttemptHistory,
+    SilenceLimits,
+    choose_silence,
+    find_obstacle,
+)
+from sycamorehaven.decisions.streams import EventSplitter
+from sycamorehaven.decisions.strikes import compute_fingerprint
+from sycamorehaven.exceptions.backends import (
+    AnswerInvalid,
+    BackendError,
+    ConnectFailed,
+    ServerLeaving,
+    ServerLost,
+    ServerOverloaded,
+    ServerSilent,
+)
+from sycamorehaven.exceptions.refusals import (
+    AttemptsExhausted,
+    BackendTimeout,
+    DeadlineUnreachable,
+    NoBackendServer,
+    Refusal,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+    from sycamorehaven.controllers.dispatch import Lease
+    from sycamorehaven.controllers.forwarding import ForwardingController
+    from sycamorehaven.routing.requests import RoutedRequest
+    from sycamorehaven.transport.upstream import RoutedAnswer
+
+EVENT_ID = re.compile(rb"^id: ?(\d+)", re.MULTILINE)
+RETURN_AFTER = 0.3
+"""Seconds after which a client may come back if no server could be reached."""
+FULL_PAUSE = 0.15
+"""Seconds without requests for a server that said it is full."""
+
+
+QUARANTINE_RETURN = 30.0
+"""Seconds after which a request that crashes servers may come back."""
+
+
+class RunBody:
+    """
+    The body of an answer on its way to the client.
+
+    Closing it ends the run also if nothing was read from it, which closing a
+    generator that has not started would not do.
+
+    :param run: the request.
+    :param chunks: the body.
+    """
+
+    def __init__(self, run: RoutedRun, chunks: AsyncGenerator[bytes, None]) -> None:
+        self._run = run
+        self._chunks = chunks
+
+    def __aiter__(self) -> RunBody:
+        return self
+
+    async def __anext__(self) -> bytes:
+        return await anext(self._chunks)
+
+    async def aclose(self) -> None:
+        """End the run unless it has ended."""
+        try:
+            await self._chunks.aclose()
+        finally:
+            self._run.close()
+
+
+async def yield_once(body: bytes) -> AsyncGenerator[bytes, None]:
+    """Yield a body that is whole."""
+    if body:
+        yield body
+
+
+class RoutedRun:
+    """
+    A request in progress.
+
+    :param controller: budget, strikes and tools.
+    :param request: the request.
+    """
+
+    def __init__(
+        self, controller: ForwardingController, request: RoutedRequest
+    ) -> None:
+        self._controller = controller
+        self._tools = controller.tools
+        self._request = request
+        self._fingerprint = compute_fingerprint(request)
+        self._history = AttemptHistory()
+        self._spared: set[str] = set()
+        self._lease: Lease | None = None
+        self._answer: RoutedAnswer | None = None
+        self._splitter = EventSplitter()
+        last = request.head.last_event
+        self._event = -1 if last is None else last
+        route = request.route
+        self._silence = choose_silence(
+            repeatable=route.repeatable,
+            target=route.target,
+            longest_pause=route.longest_pause,
+        )
+        self._failed_answer: Answer | None = None
+        self._sending = False
+        self._streaming = False
+
+    async def start(self) -> Answer:
+        """
+        Return the answer once its first bytes are there.
+
+        :raises Refusal: if there is none.
+        """
+        if self._controller.is_banned(self._fingerprint):
+            raise NoBackendServer(
+                "backend servers were lost each time they ran this request",
+                retry_after=QUARANTINE_RETURN,
+            )
+        try:
+            async with asyncio.timeout_at(self._request.deadline):
+                if self._request.route.streaming:
+                    return await self._start_stream()
+                return await self._fetch()
+        except TimeoutError:
+            raise self._describe_timeout() from None
+        except Refusal:
+            if self._failed_answer is None:
+                raise
+            return self._failed_answer
+        finally:
+            if not self._streaming:
+                self.close()
+
+    async def _fetch(self) -> Answer:
+        """Return a whole answer."""
+        while True:
+            answer = await self._attempt()
+            try:
+                body = b"".join([chunk async for chunk in answer.body.read_chunks()])
+            except BackendError as error:
+                self._fail(error)
+                continue
+            self._note_answer(failed=answer.status >= 500)
+            chunks = RunBody(self, yield_once(body))
+            whole = Answer(answer.status, answer.headers, chunks)
+            if answer.status < 500 or not self._may_try_other():
+                return whole
+            self._failed_answer = whole
+
+    def _may_try_other(self) -> bool:
+        """Return whether another try may follow a server's own error."""
+        arrived = self._history.arrived + 1
+        history = self._history._replace(arrived=arrived, may_have_run=True)
+        if self._find_obstacle(history) or not self._take_repeat():
+            return False
+        self._history = history
+        if self._lease is not None:
+            self._spared.add(self._lease.server.id)
+        self.close()
+        return True
+
+    async def _start_stream(self) -> Answer:
+        """Return a stream whose first event is there."""
+        while True:
+            answer = await self._attempt()
+            if answer.status >= 300:
+                self._note_answer(failed=answer.status >= 500)
+                if answer.status >= 500 and self._may_try_other():
+                    continue
+                return self._stream(answer, self._relay_rest())
+            try:
+                first = await self._read_first(answer)
+            except BackendError as error:
+                self._fail(error)
+                continue
+            return self._stream(answer, self._relay_events(first))
+
+    def _stream(
+        self, answer: RoutedAnswer, chunks: AsyncGenerator[bytes, None]
+    ) -> Answer:
+        self._streaming = True
+        return Answer(answer.status, answer.headers, RunBody(self, chunks))
+
+    async def _read_first(self, answer: RoutedAnswer) -> bytes:
+        chunks = answer.body.read_chunks()
+        async for chunk in chunks:
+            if self._lease is not None:
+                self._lease.note_first_token(self._tools.clock())
+            events = self._splitter.feed(chunk)
+            if events.data:
+                return self._take_events(events.data)
+        return self._splitter.flush()
+
+    async def _relay_rest(self) -> AsyncGenerator[bytes, None]:
+        """Yield a body as it comes; it breaks where the server's breaks."""
+        async for chunk in self._read_until_deadline():
+            yield chunk
+
+    async def _relay_events(self, first: bytes) -> AsyncGenerator[bytes, None]:
+        """Yield whole events; go on elsewhere if the route allows it."""
+        if first:
+            yield first
+        while True:
+            try:
+                async for chunk in self._read_until_deadline():
+                    events = self._splitter.feed(chunk)
+                    if events.data:
+                        yield self._take_events(events.data)
+            except BackendError as error:
+                await self._resume(error)
+                continue
+            break
+        if rest := self._splitter.flush():
+            yield rest
+        self._note_answer(failed=False)
+
+    async def _read_until_deadline(self) -> AsyncGenerator[bytes, None]:
+        assert self._answer is not None
+        chunks = self._answer.body.read_chunks()
+        while True:
+            try:
+                async with asyncio.timeout_at(self._request.deadline):
+                    chunk = await anext(chunks, b"")
+            except TimeoutError:
+                raise BackendTimeout(
+                    "the stream did not end in time", was_run="yes"
+                ) from None
+            if not chunk:
+                return
+            yield chunk
+
+    async def _resume(self, error: BackendError) -> None:
+        """
+        Go on with a broken stream at another server.
+
+        :raises Refusal: if it cannot go on.
+        """
+        self._splitter.drop_partial()
+        while True:
+            self._fail(error)
+            async with asyncio.timeout_at(self._request.deadline):
+                answer = await self._attempt()
+            if answer.status == 200:
+                self._tools.log.record(
+                    "stream_resumed",
+                    request=self._request.head.attempt,
+                    server=self._lease.server.id if self._lease else "",
+                    event_id=self._event,
+                )
+                return
+            error = AnswerInvalid(f"status {answer.status} to a resume", sent=True)
+
+    def _take_events(self, data: bytes) -> bytes:
+        if found := EVENT_ID.findall(data):
+            self._event = int(found[-1])
+        if self._lease is not None:
+            self._lease.note_first_token(self._tools.clock())
+        return data
+
+    async def _attempt(self) -> RoutedAnswer:
+        """
+        Send the request until a server answers.
+
+        :raises Refusal: if no further attempt is possible.
+        """
+        while True:
+            self._lease = await self._acquire()
+            now = self._tools.clock()
+            left = self._request.deadline - now
+            silence = self._choose_silence(self._lease, now)
+            self._sending = True
+            try:
+                self._answer = await self._tools.backends.send(
+                    self._lease.server,
+                    self._request,
+                    left=left,
+                    silence=silence,
+                    event=self._event,
+                )
+            except BackendError as error:
+                self._sending = False
+                self._fail(error)
+                continue
+            return self._answer
+
+    async def _acquire(self) -> Lease:
+        try:
+            return await self._tools.dispatcher.acquire(self._request, self._spared)
+        except Refusal as refusal:
+            if self._history.may_have_run:
+                raise AttemptsExhausted(
+                    f"an attempt failed and no other server is free: {refusal.detail}",
+                    was_run="unknown",
+                ) from refusal
+            raise
+
+    def _choose_silence(self, lease: Lease, now: float) -> float:
+        limits: SilenceLimits = self._silence
+        if not self._request.route.streaming:
+            return limits.first
+        wait = lease.model.count_unread(now) / lease.model.rate
+        return limits.next + wait
+
+    def _fail(self, error: BackendError) -> None:
+        """
+        Take in a failed attempt.
+
+        :raises Refusal: if there is no further one.
+        """
+        assert self._lease is not None
+        server, health = self._lease.server, self._lease.model.health
+        now = self._tools.clock()
+        if isinstance(error, ServerOverloaded):
+            health.note_full(now, FULL_PAUSE)
+        elif isinstance(
+            error, (ConnectFailed, ServerLost, ServerSilent, ServerLeaving)
+        ):
+            health.note_break(now)
+        else:
+            health.note_answer(failed=True)
+        if isinstance(error, ServerLost) and error.sent:
+            self._controller.strike(self._fingerprint, server.id, 0.0)
+        self.close()
+        self._spared.add(server.id)
+        arrived = not isinstance(error, ConnectFailed)
+        self._history = AttemptHistory(
+            self._history.arrived + arrived,
+            self._history.unreached + (not arrived),
+            self._history.may_have_run or error.sent,
+        )
+        obstacle = self._find_obstacle(self._history)
+        if not obstacle and arrived and not self._take_repeat():
+            obstacle = "budget"
+        self._tools.metrics.failures.labels(self._request.service, error.code).inc()
+        self._tools.log.record(
+            "attempt_failed",
+            request=self._request.head.attempt,
+            server=server.id,
+            code=error.code,
+            detail=error.detail,
+            may_have_run=self._history.may_have_run,
+            arrived=self._history.arrived,
+            left=round(self._request.deadline - now, 3),
+            outcome=obstacle or "try_another",
+        )
+        if obstacle:
+            raise self._describe_failure(error, obstacle)
+
+    def _find_obstacle(self, history: AttemptHistory) -> str:
+        if self._controller.is_banned(self._fingerprint):
+            return "attempts"
+        route = self._request.route
+        return find_obstacle(
+            history,
+            route.attempts,
+            self._request.deadline - self._tools.clock(),
+            repeatable=route.repeatable,
+        )
+
+    def _take_repeat(self) -> bool:
+        return self._controller.take_repeat(self._request.service)
+
+    def _note_answer(self, *, failed: bool) -> None:
+        if self._lease is not None:
+            self._lease.model.health.note_answer(failed=failed)
+            self._lease.note_first_token(self._tools.clock())
+        self._controller.acquit(self._fingerprint)
+
+    def close(self) -> None:
+        """Give the connection and the place at the server back."""
+        if self._answer is not None:
+            self._answer.close()
+            self._answer = None
+        if self._lease is not None:
+            self._lease.end()
+            self._lease = None
+
+    def _describe_failure(self, error: BackendError, obstacle: str) -> Refusal:
+        if self._history.may_have_run:
+            return AttemptsExhausted(
+                f"{error.detail}; no further attempt: {obstacle}", was_run="unknown"
+            )
+        return DeadlineUnreachable(
+            f"no server took the request: {error.detail}",
+            retry_after=self._choose_return(),
+        )
+
+    def _describe_timeout(self) -> Refusal:
+        if self._history.may_have_run or self._sending:
+            return BackendTimeout("no answer in time", was_run="unknown")
+        return DeadlineUnreachable(
+            "no server took the request in time", retry_after=self._choose_return()
+        )
+
+    def _choose_return(self) -> float:
+        left = max(self._request.deadline - self._tools.clock(), 0.0)
+        return min(RETURN_AFTER, left * 0.3)
--- a/src/sycamorehaven/daemon.py
+++ b/src/sycamorehaven/daemon.py
@@ -6,7 +6,7 @@
 import signal
 import sys
 from pathlib import Path
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated
 
 import typer
 from absl import logging
@@ -14,11 +14,15 @@
 from sycamorehaven.draining import Drain
 from sycamorehaven.exceptions.faults import SettingsError
 from sycamorehaven.exceptions.starting import StartFailed
+from sycamorehaven.gateway import Gateway
 from sycamorehaven.router import Router
 from sycamorehaven.settings import RouterSettings
 from sycamorehaven.telemetry.logs import configure_logs
 from sycamorehaven.telemetry.traces import Tracing
 
+if TYPE_CHECKING:
+    from sycamorehaven.gateway_settings import GatewaySettings
+
 EXIT_CUT = 1
 """Exit status if a forced or late end cut requests off."""
 EXIT_START = 1
@@ -27,6 +31,12 @@
 """Exit status for wrong settings."""
 
 
+END_MARGIN = 0.6
+"""Seconds of the grace period that are left for closing."""
+BALANCER_NOTICE = 3.5
+"""Seconds in which the balancer finds out that the router is not ready."""
+
+
 class StopSignals:
     """The first SIGTERM or SIGINT asks for an end, the second forces it."""
 
@@ -70,6 +80,32 @@
     return 0 if whole else EXIT_CUT
 
 
+async def run_gateway(settings: RouterSettings, gateway: GatewaySettings) -> int:
+    """
+    Run a router of published routes until SIGTERM or SIGINT, then drain it.
+
+    :returns: exit status: 0, or ``EXIT_CUT`` if requests were cut off.
+    """
+    signals = StopSignals()
+    signals.install()
+    router = Gateway.from_settings(settings, gateway)
+    router.decisions.record("starting", settings=gateway._asdict())
+    await router.start()
+    router.decisions.record("started", identity=router.board.identity.format())
+    await signals.asked.wait()
+    in_progress = router.board.lifecycle.in_progress
+    router.decisions.record("draining", in_progress=in_progress, grace=gateway.grace)
+    timeout = max(gateway.grace - END_MARGIN, END_MARGIN)
+    drain = Drain(
+        router.board.lifecycle, router, timeout, notice=min(BALANCER_NOTICE, timeout)
+    )
+    whole = await drain.run(signals.forced)
+    await router.stop()
+    router.decisions.record("stopped", cut=router.board.lifecycle.in_progress)
+    router.decisions.flush()
+    return 0 if whole else EXIT_CUT
+
+
 def serve(
     settings: Annotated[Path, typer.Option(help="TOML file with the settings.")],
 ) -> None:
@@ -81,6 +117,8 @@
             print(fault.format(), file=sys.stderr)
         raise typer.Exit(EXIT_USAGE) from error
     configure_logs(checked)
+    if checked.gateway is not None:
+        raise typer.Exit(asyncio.run(run_gateway(checked, checked.gateway)))
     raise typer.Exit(asyncio.run(run_router(checked)))
 
 
--- a/src/sycamorehaven/draining.py
+++ b/src/sycamorehaven/draining.py
@@ -39,6 +39,8 @@
     :param router: hands over what it knows.
     :param timeout: seconds for all of it.
     :param clock: monotonic seconds.
+    :param notice: seconds between the word that the router leaves and its
+        end, at least.
     """
 
     def __init__(
@@ -47,11 +49,13 @@
         router: Successor,
         timeout: float,
         clock: Callable[[], float] = time.monotonic,
+        notice: float = LEAVE_NOTICE,
     ) -> None:
         self._lifecycle = lifecycle
         self._router = router
         self._timeout = timeout
         self._clock = clock
+        self._notice = notice
 
     async def run(self, forced: asyncio.Event) -> bool:
         """
@@ -77,7 +81,7 @@
         return not self._lifecycle.in_progress
 
     async def _finish(self) -> None:
-        ends = self._clock() + LEAVE_NOTICE
+        ends = self._clock() + self._notice
         await self._wait_until_idle()
         while (left := ends - self._clock()) > 0.0:
             await asyncio.sleep(left)
--- /dev/null
+++ b/src/sycamorehaven/gateway.py
@@ -0,0 +1,114 @@
+"""A router of published routes: its sections, controllers and connections."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from mode import Service
+from zmq import ZMQError
+
+from sycamorehaven.blackboard.board import Blackboard
+from sycamorehaven.controllers.dispatch import Dispatcher
+from sycamorehaven.controllers.fleet_news import FleetNewsController
+from sycamorehaven.controllers.forwarding import ForwardingController, ForwardingTools
+from sycamorehaven.controllers.membership import MembershipController
+from sycamorehaven.controllers.routing import RoutingController
+from sycamorehaven.exceptions.starting import StartFailed
+from sycamorehaven.platform.dialect import PlatformDialect
+from sycamorehaven.platform.store import PlatformStore
+from sycamorehaven.telemetry.decision_log import DecisionLog
+from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
+from sycamorehaven.transport.checks import CheckListener
+from sycamorehaven.transport.front import FrontListener
+from sycamorehaven.transport.peers import ZmqPeers
+from sycamorehaven.transport.upstream import RoutedBackends
+
+if TYPE_CHECKING:
+    from mode.types import ServiceT
+
+    from sycamorehaven.gateway_settings import GatewaySettings
+    from sycamorehaven.settings import RouterSettings
+
+
+class Gateway(Service):
+    """
+    All services of one router of published routes.
+
+    :param settings: settings of this process.
+    :param gateway: its ``[gateway]`` table.
+    :param log: takes decisions and changes of belief.
+    """
+
+    def __init__(
+        self, settings: RouterSettings, gateway: GatewaySettings, log: DecisionLog
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._gateway = gateway
+        self._decisions = log
+        self._board = Blackboard.from_settings(settings)
+        self._store = PlatformStore.from_settings(settings)
+        self._dialect = PlatformDialect()
+        self._backends = RoutedBackends(self._dialect)
+        self._metrics = GatewayMetrics()
+
+    @classmethod
+    def from_settings(
+        cls, settings: RouterSettings, gateway: GatewaySettings
+    ) -> Gateway:
+        """Return a router that has not started, logging to standard output."""
+        log = DecisionLog.from_standard_output(settings.host)
+        return cls(settings, gateway, log)
+
+    @property
+    def board(self) -> Blackboard:
+        """The state of this router."""
+        return self._board
+
+    @property
+    def decisions(self) -> DecisionLog:
+        """Takes decisions and changes of belief."""
+        return self._decisions
+
+    async def start(self) -> None:
+        """
+        Start every service.
+
+        :raises StartFailed: if a listener cannot be opened.
+        """
+        try:
+            await super().start()
+        except (OSError, ZMQError) as error:
+            await self.stop()
+            raise StartFailed(f"the router cannot start: {error}") from error
+
+    def on_init_dependencies(self) -> list[ServiceT]:
+        """Return the services, in the order in which they start."""
+        board, log, metrics = self._board, self._decisions, self._metrics
+        peers = ZmqPeers(board, self._settings)
+        dispatcher = Dispatcher(board, log, metrics)
+        tools = ForwardingTools(
+            dispatcher, self._backends, log, metrics, time.monotonic
+        )
+        forwarding = ForwardingController(board, peers, self._gateway, tools)
+        return [
+            CheckListener(board, self._gateway, log, metrics),
+            peers,
+            MembershipController(board, peers, self._settings),
+            RoutingController(board, peers, self._store, log, metrics),
+            FleetNewsController(board, peers),
+            dispatcher,
+            FrontListener(
+                board, self._settings, forwarding, self._dialect, log, metrics
+            ),
+        ]
+
+    async def hand_over(self) -> bool:
+        """Return ``True``: nothing of this router outlives it."""
+        return True
+
+    async def on_shutdown(self) -> None:
+        """Close the connections that services share."""
+        await self._backends.close()
+        await self._store.close()
--- /dev/null
+++ b/src/sycamorehaven/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the users' platform and this project's own types."""
--- /dev/null
+++ b/src/sycamorehaven/platform/decoding.py
@@ -0,0 +1,112 @@
+"""Turns documents of the platform's store into the project's own types."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, cast
+
+import msgspec
+
+from sycamorehaven.platform.documents import (
+    WireConfiguration,
+    WireItem,
+    WireRoute,
+    WireServer,
+)
+from sycamorehaven.routing.model import (
+    Engine,
+    RequestLimits,
+    Route,
+    RoutedService,
+    RoutingConfiguration,
+    ServerRecord,
+    Split,
+)
+
+if TYPE_CHECKING:
+    from sycamorehaven.routing.model import RouteKind
+
+KINDS = ("idempotent", "non_idempotent", "streaming")
+STATES = ("ready", "draining")
+SERVERS = "servers/"
+
+_configurations = msgspec.json.Decoder(WireConfiguration)
+_servers = msgspec.json.Decoder(WireServer)
+
+
+def decode_configuration(item: WireItem) -> RoutingConfiguration:
+    """
+    Return the operators' configuration.
+
+    :raises msgspec.MsgspecError: if the item is not one.
+    """
+    wire = _configurations.decode(item.value)
+    keys = None
+    if wire.tenants is not None:
+        keys = {key: tenant.name for tenant in wire.tenants for key in tenant.api_keys}
+    services = {
+        service.name: RoutedService(
+            service.name,
+            service.max_connections,
+            Engine(service.engine.slots, service.engine.kv_capacity)
+            if service.engine
+            else None,
+        )
+        for service in wire.services
+    }
+    limits = RequestLimits(
+        wire.limits.max_header_bytes,
+        wire.limits.max_body_bytes,
+        wire.limits.header_timeout_ms / 1_000,
+        wire.limits.idle_timeout_ms / 1_000,
+        wire.limits.tokens_per_s,
+    )
+    routes = tuple(_build_route(route) for route in wire.routes)
+    return RoutingConfiguration(
+        item.revision, wire.version, routes, services, limits, keys
+    )
+
+
+def _build_route(wire: WireRoute) -> Route:
+    if wire.route_type not in KINDS:
+        raise msgspec.ValidationError(
+            f"route {wire.name!r} is of the unknown kind {wire.route_type!r}"
+        )
+    splits = tuple(Split(part.service, part.weight) for part in wire.split)
+    return Route(
+        name=wire.name,
+        host=wire.host,
+        prefix=wire.path_prefix,
+        kind=cast("RouteKind", wire.route_type),
+        timeout=wire.timeout_ms / 1_000,
+        target=wire.target_latency_ms / 1_000,
+        longest_pause=wire.itl_target_ms / 1_000,
+        splits=splits or (Split(wire.service, 1.0),),
+        attempts=wire.max_attempts,
+        priority=wire.priority,
+        public=wire.public,
+        resumable=wire.resumable,
+    )
+
+
+def decode_server(item: WireItem) -> ServerRecord | None:
+    """Return a backend server, ``None`` if the item does not name one."""
+    try:
+        wire = _servers.decode(item.value)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
+    if wire.state not in STATES or not _is_address(wire.address):
+        return None
+    return ServerRecord(
+        id=item.key.removeprefix(SERVERS),
+        started=wire.born,
+        service=wire.service,
+        address=wire.address,
+        failure_domain=wire.zone,
+        slots=max(wire.slots, 1),
+        draining=wire.state == "draining",
+    )
+
+
+def _is_address(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    return host.count(".") == 3 and port.isdigit()
--- /dev/null
+++ b/src/sycamorehaven/routing/requests.py
@@ -0,0 +1,144 @@
+"""A request on a route and what a backend server's answer says of itself."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple, Protocol
+
+from sycamorehaven.routing.model import Route
+from sycamorehaven.transport.headers import Headers
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sycamorehaven.routing.model import ServerRecord
+
+
+class PromptPart(NamedTuple):
+    """
+    A part of a prompt that other requests may share.
+
+    :ivar key: names the part.
+    :ivar tokens: its length.
+    """
+
+    key: str
+    tokens: int
+
+
+class RequestHead(NamedTuple):
+    """
+    What the headers of a request say.
+
+    :ivar attempt: id of this attempt of the client.
+    :ivar patience: seconds that the client waits, ``None`` if it does not say.
+    :ivar key: the client's key, or "".
+    :ivar model: model that is asked, or "".
+    :ivar parts: parts of the prompt in their order; the last one belongs to
+        the request or its session.
+    :ivar prompt_tokens: tokens of the prompt.
+    :ivar output_tokens: tokens that are likely generated.
+    :ivar last_event: last event that the client already has, ``None`` if it
+        does not resume.
+    """
+
+    attempt: str
+    patience: float | None
+    key: str
+    model: str
+    parts: tuple[PromptPart, ...]
+    prompt_tokens: int
+    output_tokens: int
+    last_event: int | None
+
+
+class RoutedRequest(NamedTuple):
+    """
+    A request that was read whole and may be sent to a backend server.
+
+    :ivar head: what its headers say.
+    :ivar method: HTTP method.
+    :ivar target: path with the query, as it came.
+    :ivar headers: headers to pass on.
+    :ivar body: the whole body.
+    :ivar route: its route.
+    :ivar service: the service that serves it.
+    :ivar workspace: whose it is, "" on a public route.
+    :ivar received: monotonic seconds at which it came.
+    :ivar deadline: monotonic seconds at which the client or the route gives up.
+    """
+
+    head: RequestHead
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    route: Route
+    service: str
+    workspace: str
+    received: float
+    deadline: float
+
+
+class ServerLoad(NamedTuple):
+    """
+    The load that a backend server reports of itself.
+
+    :ivar running: requests that run.
+    :ivar waiting: requests that wait there.
+    :ivar slots: requests that may run at once.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class AnswerHead(NamedTuple):
+    """
+    What the headers of a backend server's answer say.
+
+    :ivar attempt: id of the request that it answers, or "".
+    :ivar signed: whether a server vouches for it.
+    :ivar executed: ``False`` if the server says that the request did not run.
+    :ivar load: the server's load, if it tells.
+    :ivar closing: whether the server closes the connection.
+    """
+
+    attempt: str
+    signed: bool
+    executed: bool
+    load: ServerLoad | None
+    closing: bool
+
+
+class RequestDialect(Protocol):
+    """How requests and answers carry what the router needs to know."""
+
+    def read_request(self, headers: Iterable[tuple[str, str]]) -> RequestHead:
+        """
+        Return what the headers of a request say.
+
+        :raises BadRequest: for headers that cannot be read.
+        """
+        ...
+
+    def filter_request(self, headers: Iterable[tuple[str, str]]) -> Headers:
+        """Return the headers of a request that may be passed on."""
+        ...
+
+    def build_request(
+        self, request: RoutedRequest, server: ServerRecord, left: float, event: int
+    ) -> Headers:
+        """
+        Return the headers of a request to a backend server.
+
+        :param left: seconds that the server may take.
+        :param event: last event that the client has, -1 for none of them.
+        """
+        ...
+
+    def read_answer(
+        self, status: int, headers: Iterable[tuple[str, str]]
+    ) -> AnswerHead:
+        """Return what the headers of an answer say."""
+        ...
--- a/src/sycamorehaven/settings.py
+++ b/src/sycamorehaven/settings.py
@@ -10,6 +10,7 @@
 
 from sycamorehaven.checking import convert_table, find_unknown_keys
 from sycamorehaven.exceptions.faults import Fault, SettingsError
+from sycamorehaven.gateway_settings import GatewaySettings, GatewayTable
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -108,6 +109,8 @@
     :ivar drain_timeout: longest graceful shutdown, seconds.
     :ivar peer_faults: path of a file of faults to inject, for tests, or "".
     :ivar trace_ratio: part of the requests without a parent that are traced.
+    :ivar gateway: settings of a router that serves published routes, ``None``
+        for one that serves the operators' text.
     """
 
     host: str
@@ -128,6 +131,7 @@
     drain_timeout: float
     peer_faults: str
     trace_ratio: float = DEFAULT_TRACE_RATIO
+    gateway: GatewaySettings | None = None
 
     @classmethod
     def from_file(cls, path: Path) -> RouterSettings:
@@ -170,8 +174,9 @@
     "telemetry": TelemetryTable,
     "shutdown": ShutdownTable,
     "testing": TestingTable,
+    "gateway": GatewayTable,
 }
-_OPTIONAL = {"telemetry", "shutdown", "testing"}
+_OPTIONAL = {"telemetry", "shutdown", "testing", "gateway"}
 
 
 def _convert_tables(
@@ -287,6 +292,7 @@
 
 def _assemble(tables: dict[str, Any]) -> RouterSettings:
     callers, peers, admin = (tables[name] for name in _LISTENERS)
+    gateway = tables["gateway"]
     return RouterSettings(
         host=tables["router"]["host"],
         failure_domain=tables["router"]["failure_domain"],
@@ -306,4 +312,5 @@
         trace_ratio=tables["telemetry"].get("trace_ratio", DEFAULT_TRACE_RATIO),
         drain_timeout=tables["shutdown"].get("drain_timeout", DEFAULT_DRAIN_TIMEOUT),
         peer_faults=tables["testing"].get("peer_faults", ""),
+        gateway=GatewaySettings.from_table(gateway) if gateway else None,
     )
--- a/src/sycamorehaven/transport/answers.py
+++ b/src/sycamorehaven/transport/answers.py
@@ -76,6 +76,8 @@
         self._timeout = timeout
         self._on_break = on_break
         self._on_close = on_close
+        connection = response.connection
+        self._protocol = connection.protocol if connection is not None else None
         self._scope: asyncio.Timeout | None = None
         self._interrupted = False
         self._closed = False
@@ -115,7 +117,10 @@
             raise RunPreempted
         try:
             async with asyncio.timeout(self._timeout) as self._scope:
-                return await read()
+                chunk = await read()
+            if not chunk:
+                self._check_end()
+            return chunk
         except TimeoutError as error:
             if self._interrupted:
                 raise RunPreempted from error
@@ -128,3 +133,11 @@
             raise AnswerInvalid(repr(error), sent=True) from error
         finally:
             self._scope = None
+
+    def _check_end(self) -> None:
+        """Raise if a body that ends with its connection was reset."""
+        if self._protocol is None or self._protocol.transport is not None:
+            return
+        error = self._protocol.exception()
+        if isinstance(error, aiohttp.ClientOSError):
+            raise error
--- a/src/sycamorehaven/transport/backends.py
+++ b/src/sycamorehaven/transport/backends.py
@@ -20,17 +20,16 @@
     ServerSilent,
 )
 from sycamorehaven.transport.answers import BROKEN, HttpAnswer
-from sycamorehaven.transport.generations import Generation
+from sycamorehaven.transport.pools import ConnectionPools
 
 if TYPE_CHECKING:
     from sycamorehaven.call import Call
     from sycamorehaven.configuration.model import BackendServer
     from sycamorehaven.transport.answers import BackendAnswer
+    from sycamorehaven.transport.generations import Generation
 
 WAS_RUN_HEADER = "Was-Run"
 """Header by which a server that answers 503 says that the call did not run."""
-LARGEST_HEADER = 32_768
-"""Longest header of an answer, bytes."""
 
 
 class ProgressTimeouts(NamedTuple):
@@ -74,14 +73,14 @@
 
     def __init__(self, timeouts: ProgressTimeouts | None = None) -> None:
         self._timeouts = timeouts or ProgressTimeouts()
-        self._generations: dict[str, Generation] = {}
-        self._single: Generation | None = None
+        self._pools = ConnectionPools(self._timeouts.connect)
 
     async def send(
         self, server: BackendServer, call: Call, *, resume_from: int = 0
     ) -> HttpAnswer:
         """Send a call and return the answer once its headers are read."""
-        generation = self._find_generation(server, fresh=not call.rule.idempotent)
+        fresh = not call.rule.idempotent
+        generation = self._pools.find(server.address, fresh=fresh)
         generation.enter()
         response: aiohttp.ClientResponse | None = None
         try:
@@ -92,17 +91,14 @@
                 response.close()
             generation.leave()
             if isinstance(error, (ServerSilent, ServerLost)):
-                self._retire(server, generation)
+                self._pools.retire(server.address, generation)
             raise
-        on_break = functools.partial(self._retire, server, generation)
+        on_break = functools.partial(self._pools.retire, server.address, generation)
         return HttpAnswer(response, self._timeouts.chunk, on_break, generation.leave)
 
     async def close(self) -> None:
         """Close every connection."""
-        generations = [*self._generations.values(), self._single]
-        for generation in generations:
-            if generation is not None:
-                await generation.client.close()
+        await self._pools.close()
 
     async def _request(
         self, generation: Generation, server: BackendServer, call: Call, resume: int
@@ -119,39 +115,6 @@
         except Exception as error:
             raise classify(error) from error
 
-    def _retire(self, server: BackendServer, broken: Generation) -> None:
-        current = self._generations.get(server.address)
-        if current is not None and broken in (current, self._single):
-            current.retire()
-
-    def _find_generation(self, server: BackendServer, *, fresh: bool) -> Generation:
-        if fresh:
-            if self._single is None:
-                self._single = Generation(self._create_client(force_close=True))
-            return self._single
-        generation = self._generations.get(server.address)
-        if generation is None or generation.retired:
-            generation = Generation(self._create_client(force_close=False))
-            self._generations[server.address] = generation
-        return generation
-
-    def _create_client(self, *, force_close: bool) -> aiohttp.ClientSession:
-        connector = aiohttp.TCPConnector(limit=0, force_close=force_close)
-        connect = self._timeouts.connect
-        client = aiohttp.ClientSession(
-            connector=connector,
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect),
-            auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent"),
-            max_field_size=LARGEST_HEADER,
-            max_line_size=LARGEST_HEADER,
-        )
-        # A resend inside the library would escape the retry budget, and hide
-        # that the first attempt may have run.
-        client._retry_connection = False
-        return client
-
 
 def build_headers(call: Call, resume_from: int) -> list[tuple[str, str]]:
     """Return the headers of a call as a backend server gets them."""
--- a/src/sycamorehaven/transport/callers.py
+++ b/src/sycamorehaven/transport/callers.py
@@ -234,7 +234,7 @@
         )
 
 
-def abort(request: web.Request) -> None:
+def abort(request: web.BaseRequest) -> None:
     """Break the connection, so that no answer looks whole."""
     if request.transport is not None:
         request.transport.abort()
--- /dev/null
+++ b/src/sycamorehaven/transport/checks.py
@@ -0,0 +1,87 @@
+"""Readiness for the balancer and metrics for operators, on ports of their own."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+from mode import Service
+
+from sycamorehaven.settings import split_address
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from aiohttp.web_request import BaseRequest
+
+    from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.gateway_settings import GatewaySettings
+    from sycamorehaven.telemetry.decision_log import DecisionLog
+    from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
+
+
+class CheckListener(Service):
+    """
+    Answers readiness checks and serves the metrics.
+
+    :param board: the state of this router.
+    :param settings: addresses.
+    :param log: takes changes of readiness.
+    :param metrics: what is served.
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        settings: GatewaySettings,
+        log: DecisionLog,
+        metrics: GatewayMetrics,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        super().__init__()
+        self._board = board
+        self._settings = settings
+        self._decisions = log
+        self._metrics = metrics
+        self._clock = clock
+        self._ready = False
+        self._runners: list[web.ServerRunner] = []
+
+    async def on_start(self) -> None:
+        """Bind both listeners."""
+        await self._bind(self._settings.readiness, self._answer_readiness)
+        await self._bind(self._settings.metrics, self._answer_metrics)
+
+    async def on_stop(self) -> None:
+        """Close both listeners."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def _bind(
+        self, address: str, handler: Callable[[BaseRequest], web.StreamResponse]
+    ) -> None:
+        async def handle(request: BaseRequest) -> web.StreamResponse:
+            return handler(request)
+
+        runner = web.ServerRunner(web.Server(handle, access_log=None))
+        await runner.setup()
+        self._runners.append(runner)
+        await web.TCPSite(runner, *split_address(address)).start()
+
+    def _answer_readiness(self, _request: BaseRequest) -> web.StreamResponse:
+        ready = self._board.routing.ready and not self._board.lifecycle.draining
+        if ready != self._ready:
+            self._ready = ready
+            self._decisions.record(
+                "ready" if ready else "not_ready",
+                draining=self._board.lifecycle.draining,
+                snapshot=self._board.routing.revision,
+            )
+        return web.Response(status=200 if ready else 503)
+
+    def _answer_metrics(self, _request: BaseRequest) -> web.StreamResponse:
+        age = self._clock() - self._board.routing.taken_at
+        self._metrics.snapshot_age.set(age)
+        return web.Response(body=self._metrics.format(), content_type="text/plain")
--- /dev/null
+++ b/src/sycamorehaven/transport/messages/fleet.py
@@ -0,0 +1,90 @@
+"""Messages by which routers of published routes know the fleet's load."""
+
+from __future__ import annotations
+
+from typing import Annotated, NamedTuple
+
+import msgspec
+
+from sycamorehaven.routing.model import Snapshot
+from sycamorehaven.transport.messages.names import ServerName
+
+Count = Annotated[int, msgspec.Meta(ge=0, lt=2**62)]
+
+
+class ServerShare(NamedTuple):
+    """
+    The sender's load of a backend server.
+
+    :ivar server: id of the server.
+    :ivar running: its requests there.
+    :ivar unread: prompt tokens of those without a first token.
+    """
+
+    server: ServerName
+    running: Count
+    unread: Count
+
+
+class PlacedPart(NamedTuple):
+    """
+    A part of a prompt that a server reads.
+
+    :ivar key: names the part and those before it.
+    :ivar tokens: its length.
+    :ivar server: id of the server.
+    """
+
+    key: Count
+    tokens: Count
+    server: ServerName
+
+
+class WorkspaceUsage(NamedTuple):
+    """
+    What a workspace asked and got at the sender since its start, tokens.
+
+    :ivar workspace: name of the workspace.
+    :ivar asked: tokens asked.
+    :ivar given: tokens of placed requests.
+    """
+
+    workspace: str
+    asked: Count
+    given: Count
+
+
+class FleetNews(NamedTuple):
+    """
+    What has changed at a router since it last told.
+
+    :ivar revision: of its newest snapshot.
+    :ivar servers: its load of servers.
+    :ivar placed: prompts that it placed.
+    :ivar usage: workspaces whose use has changed.
+    """
+
+    revision: Count
+    servers: list[ServerShare]
+    placed: list[PlacedPart]
+    usage: list[WorkspaceUsage]
+
+
+class SnapshotRequest(NamedTuple):
+    """
+    A request for a snapshot that is newer than the sender's.
+
+    :ivar revision: of the sender's snapshot, 0 for none.
+    """
+
+    revision: Count
+
+
+class SnapshotReply(NamedTuple):
+    """
+    The answer to ``SnapshotRequest``.
+
+    :ivar snapshot: the newer snapshot.
+    """
+
+    snapshot: Snapshot
--- a/src/sycamorehaven/transport/messages/kinds.py
+++ b/src/sycamorehaven/transport/messages/kinds.py
@@ -16,6 +16,11 @@
     CounterRequest,
     CounterUpdate,
 )
+from sycamorehaven.transport.messages.fleet import (
+    FleetNews,
+    SnapshotReply,
+    SnapshotRequest,
+)
 from sycamorehaven.transport.messages.membership import (
     Probe,
     ProbeAck,
@@ -92,7 +97,12 @@
     LoadReply,
     CounterRequest,
     ServiceUnserved,
+    FleetNews,
+    SnapshotRequest,
+    SnapshotReply,
 )
 
-BULK_KINDS = frozenset({ConfigurationReply, RelayCall, RelayReply, TokenHandover})
+BULK_KINDS = frozenset(
+    {ConfigurationReply, RelayCall, RelayReply, TokenHandover, SnapshotReply}
+)
 """Kinds that may be as large as ``LARGEST_MESSAGE``."""
