Keep usage totals in step with their buckets; survive reloads; close idle connections last

SIGHUP ended the process. A connection that was used after the drain notice was cut while services stopped.

--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -6,6 +6,7 @@
 import time
 from typing import TYPE_CHECKING, NamedTuple
 
+from absl import logging
 from mode import Service
 
 from sycamorehaven.decisions.placement import (
@@ -45,9 +46,7 @@
 
 def measure_cost(request: RoutedRequest) -> float:
     """Return the tokens that a request is charged with."""
-    parts = request.head.parts
-    own = parts[-1].tokens if parts else request.head.prompt_tokens
-    return own + OUTPUT_WEIGHT * request.head.output_tokens
+    return request.head.prompt_tokens + OUTPUT_WEIGHT * request.head.output_tokens
 
 
 class Lease:
@@ -182,7 +181,12 @@
     async def _run(self) -> None:
         while not self.should_stop:
             if self._waiting:
-                self._look()
+                try:
+                    self._look()
+                except Exception:
+                    # Those that wait must not depend on one that cannot be
+                    # judged; each gives up by itself at its deadline.
+                    logging.exception("the waiting requests could not be judged")
                 await asyncio.sleep(LOOK_PERIOD)
             else:
                 await self._board.fleet.changed.wait(LOOK_PERIOD * 10)
--- a/src/sycamorehaven/controllers/forwarding.py
+++ b/src/sycamorehaven/controllers/forwarding.py
@@ -70,6 +70,12 @@
         link.subscribe(Strike, self._take_strike)
         link.subscribe(Acquittal, self._take_acquittal)
 
+    def reconfigure(self, settings: GatewaySettings) -> None:
+        """Count repeats by new bounds from now on."""
+        if settings != self._settings:
+            self._settings = settings
+            self._windows.clear()
+
     @property
     def tools(self) -> ForwardingTools:
         """What runs work with."""
@@ -86,7 +92,7 @@
         return await RoutedRun(self, request).start()
 
     def take_repeat(self, service: str) -> bool:
-        """Take one repeat off a service's budget; return whether it had one."""
+        """Take one repeat off a service's budget, if it has one."""
         members = len(self._board.members.list())
         # A router that is not heard of may still spend its part.
         self._most_routers = max(self._most_routers, members)
--- a/src/sycamorehaven/daemon.py
+++ b/src/sycamorehaven/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import signal
 import sys
 from pathlib import Path
@@ -33,7 +34,9 @@
 
 END_MARGIN = 0.6
 """Seconds of the grace period that are left for closing."""
-BALANCER_NOTICE = 3.5
+SETTINGS_PERIOD = 1.0
+"""Seconds between two looks at the file of the settings."""
+BALANCER_NOTICE = 2.6
 """Seconds in which the balancer finds out that the router is not ready."""
 
 
@@ -80,10 +83,35 @@
     return 0 if whole else EXIT_CUT
 
 
-async def run_gateway(settings: RouterSettings, gateway: GatewaySettings) -> int:
+async def follow_settings(path: Path, gateway: Gateway, hangup: asyncio.Event) -> None:
+    """
+    Reload the settings at SIGHUP and when their file has changed.
+
+    :param hangup: set by SIGHUP.
+    """
+    text = path.read_bytes()
+    while True:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(hangup.wait(), SETTINGS_PERIOD)
+        asked = hangup.is_set()
+        hangup.clear()
+        try:
+            newest = path.read_bytes()
+            if newest == text and not asked:
+                continue
+            text = newest
+            gateway.reload(RouterSettings.from_file(path))
+        except (OSError, SettingsError) as error:
+            logging.error("the settings are not reloaded: %s", error)
+
+
+async def run_gateway(
+    path: Path, settings: RouterSettings, gateway: GatewaySettings
+) -> int:
     """
     Run a router of published routes until SIGTERM or SIGINT, then drain it.
 
+    :param path: file of the settings, followed for changes.
     :returns: exit status: 0, or ``EXIT_CUT`` if requests were cut off.
     """
     signals = StopSignals()
@@ -92,7 +120,11 @@
     router.decisions.record("starting", settings=gateway._asdict())
     await router.start()
     router.decisions.record("started", identity=router.board.identity.format())
+    hangup = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, hangup.set)
+    following = asyncio.create_task(follow_settings(path, router, hangup))
     await signals.asked.wait()
+    following.cancel()
     in_progress = router.board.lifecycle.in_progress
     router.decisions.record("draining", in_progress=in_progress, grace=gateway.grace)
     timeout = max(gateway.grace - END_MARGIN, END_MARGIN)
@@ -118,7 +150,7 @@
         raise typer.Exit(EXIT_USAGE) from error
     configure_logs(checked)
     if checked.gateway is not None:
-        raise typer.Exit(asyncio.run(run_gateway(checked, checked.gateway)))
+        raise typer.Exit(asyncio.run(run_gateway(settings, checked, checked.gateway)))
     raise typer.Exit(asyncio.run(run_router(checked)))
 
 
--- a/src/sycamorehaven/decisions/prefixes.py
+++ b/src/sycamorehaven/decisions/prefixes.py
@@ -12,6 +12,8 @@
 
     from sycamorehaven.routing.requests import PromptPart
 
+SPARE_BITS = 2
+"""Bits of a part's key that are dropped, so that messages can carry it."""
 KEPT_SHARE = 0.8
 """Part of an engine's memory that keeps parts; the rest serves what runs."""
 UNKNOWN_MEMORY = 400_000
@@ -28,8 +30,7 @@
     chain, key = [], xxhash.xxh3_64_intdigest(model.encode())
     for part in parts:
         key = xxhash.xxh3_64_intdigest(f"{key}/{part.key}".encode())
-        # Messages carry signed numbers.
-        chain.append((key >> 1, part.tokens))
+        chain.append((key >> SPARE_BITS, part.tokens))
     return tuple(chain)
 
 
--- a/src/sycamorehaven/decisions/shares.py
+++ b/src/sycamorehaven/decisions/shares.py
@@ -85,9 +85,13 @@
 
     def _slide(self, now: float) -> None:
         oldest = int(now / self._step) - BUCKETS
+        if not self._buckets or self._buckets[0][0] > oldest:
+            return
         while self._buckets and self._buckets[0][0] <= oldest:
-            for workspace, amounts in self._buckets.popleft()[1].items():
-                self._asked[workspace] -= amounts[0]
-                self._given[workspace] -= amounts[1]
-                if self._asked[workspace] < 0.5:
-                    del self._asked[workspace], self._given[workspace]
+            self._buckets.popleft()
+        self._asked.clear()
+        self._given.clear()
+        for _, amounts in self._buckets:
+            for workspace, (asked, given) in amounts.items():
+                self._asked[workspace] = self._asked.get(workspace, 0.0) + asked
+                self._given[workspace] = self._given.get(workspace, 0.0) + given
--- a/src/sycamorehaven/decisions/strikes.py
+++ b/src/sycamorehaven/decisions/strikes.py
@@ -48,7 +48,7 @@
 
 
 def compute_fingerprint(request: RoutedRequest) -> bytes:
-    """Return what requests of one caller with one path and body have in common."""
+    """Return what requests with one caller, path and body have in common."""
     digest = xxhash.xxh3_128()
     for part in (request.workspace, request.method, request.target):
         digest.update(part.encode() + b"\0")
--- a/src/sycamorehaven/gateway.py
+++ b/src/sycamorehaven/gateway.py
@@ -52,6 +52,8 @@
         self._dialect = PlatformDialect()
         self._backends = RoutedBackends(self._dialect)
         self._metrics = GatewayMetrics()
+        self._front: FrontListener | None = None
+        self._forwarding: ForwardingController | None = None
 
     @classmethod
     def from_settings(
@@ -92,6 +94,10 @@
             dispatcher, self._backends, log, metrics, time.monotonic
         )
         forwarding = ForwardingController(board, peers, self._gateway, tools)
+        front = FrontListener(
+            board, self._settings, forwarding, self._dialect, log, metrics
+        )
+        self._front, self._forwarding = front, forwarding
         return [
             CheckListener(board, self._gateway, log, metrics),
             peers,
@@ -99,15 +105,28 @@
             RoutingController(board, peers, self._store, log, metrics),
             FleetNewsController(board, peers),
             dispatcher,
-            FrontListener(
-                board, self._settings, forwarding, self._dialect, log, metrics
-            ),
+            front,
         ]
 
     async def hand_over(self) -> bool:
-        """Return ``True``: nothing of this router outlives it."""
+        """Take no further requests; nothing of this router outlives it."""
+        if self._front is not None:
+            self._front.close_idle()
         return True
 
+    def reload(self, settings: RouterSettings) -> None:
+        """Take over what may change while the router runs."""
+        changed = [
+            name
+            for name, value in settings._asdict().items()
+            if value != getattr(self._settings, name)
+        ]
+        self._board.seeds.replace(settings.seeds)
+        if settings.gateway is not None and self._forwarding is not None:
+            self._forwarding.reconfigure(settings.gateway)
+        self._settings = settings
+        self._decisions.record("reloaded", changed=changed)
+
     async def on_shutdown(self) -> None:
         """Close the connections that services share."""
         await self._backends.close()
--- a/src/sycamorehaven/gateway_settings.py
+++ b/src/sycamorehaven/gateway_settings.py
@@ -11,7 +11,7 @@
 
 
 class GatewayTable(TypedDict):
-    """The ``[gateway]`` table: a router whose routes come from the platform."""
+    """The ``[gateway]`` table: a router that serves published routes."""
 
     readiness: GatewayAddress
     metrics: GatewayAddress
--- a/src/sycamorehaven/platform/store.py
+++ b/src/sycamorehaven/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -22,8 +23,10 @@
 
 CONFIGURATION = "op/config"
 OPERATOR = "op/"
-READ_TIMEOUT = 4.0
-"""Seconds for a page; the store may be slow for as long."""
+READ_TIMEOUT = 1.5
+"""Seconds for a page; a read that hangs must not hold up the next ones."""
+CONNECT_TIMEOUT = 0.5
+"""Seconds to open a connection."""
 KEEP_ALIVE = 5.0
 """Seconds for which an unused connection is kept."""
 MOST_PAGES = 64
@@ -56,10 +59,9 @@
 
         :raises PlatformUnavailable: if it cannot be read.
         """
-        _, operator = await self._list(OPERATOR)
-        # The older of two reads bounds how old the whole snapshot is, but only
-        # servers come and go between them, so the second one names it.
-        revision, servers = await self._list(SERVERS)
+        (_, operator), (revision, servers) = await asyncio.gather(
+            self._list(OPERATOR), self._list(SERVERS)
+        )
         self._take_configuration(operator)
         found = [decode_server(item) for item in servers]
         records = tuple(server for server in found if server is not None)
@@ -119,6 +121,8 @@
             connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEP_ALIVE)
             self._client = aiohttp.ClientSession(
                 connector=connector,
-                timeout=aiohttp.ClientTimeout(total=READ_TIMEOUT, sock_connect=1.0),
+                timeout=aiohttp.ClientTimeout(
+                    total=READ_TIMEOUT, sock_connect=CONNECT_TIMEOUT
+                ),
             )
         return self._client
--- a/src/sycamorehaven/routing/requests.py
+++ b/src/sycamorehaven/routing/requests.py
@@ -64,7 +64,7 @@
     :ivar service: the service that serves it.
     :ivar workspace: whose it is, "" on a public route.
     :ivar received: monotonic seconds at which it came.
-    :ivar deadline: monotonic seconds at which the client or the route gives up.
+    :ivar deadline: monotonic seconds at which client or route gives up.
     """
 
     head: RequestHead
--- a/src/sycamorehaven/transport/checks.py
+++ b/src/sycamorehaven/transport/checks.py
@@ -1,4 +1,4 @@
-"""Readiness for the balancer and metrics for operators, on ports of their own."""
+"""Readiness for the balancer and metrics for operators."""
 
 from __future__ import annotations
 
--- a/src/sycamorehaven/transport/front.py
+++ b/src/sycamorehaven/transport/front.py
@@ -47,7 +47,7 @@
     from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
 
 DEFAULT_IDLE_TIMEOUT = 60.0
-"""Seconds that a connection may stay unused before a configuration is known."""
+"""Seconds that a connection may stay unused without a configuration."""
 UNREADY_RETURN = 0.5
 """Seconds after which to come back to a router without a configuration."""
 
@@ -111,6 +111,12 @@
         )
         self._board.lifecycle.note_listening()
 
+    def close_idle(self) -> None:
+        """Take no further requests; those in progress end by themselves."""
+        if self._listener is not None:
+            self._listener.close()
+        self._server.pre_shutdown()
+
     async def on_stop(self) -> None:
         """Close the listener and its connections."""
         if self._listener is not None:
