Bound what an engine runs by the pauses of its streams; copy prompt parts between engines

Cause: engines that always have prompts to read make every stream pause past its limit, run 40 to 60 requests at once and forget shared parts. The limit follows the gaps between events. A part that another engine keeps is copied from there.

--- a/src/sycamorehaven/blackboard/fleet.py
+++ b/src/sycamorehaven/blackboard/fleet.py
@@ -51,11 +51,17 @@
         """Tokens that each workspace got here since the start."""
         return self._given
 
-    def find_model(self, server: str, memory: int = 0) -> ServerModel:
+    def find_model(self, server: str) -> ServerModel:
         """Return the model of a server."""
         model = self._models.get(server)
         if model is None:
-            model = self._models[server] = ServerModel(memory)
+            model = self._models[server] = ServerModel()
+        return model
+
+    def describe(self, server: str, memory: int, slots: int) -> ServerModel:
+        """Return the model of a server that is like this."""
+        model = self.find_model(server)
+        model.describe(memory, slots)
         return model
 
     def retain(self, servers: set[str]) -> None:
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -38,6 +38,8 @@
 
 LOOK_PERIOD = 0.02
 """Seconds between two looks at the waiting requests."""
+SHORTEST_COPY = 1_000
+"""Tokens of a prompt below which they are read rather than copied."""
 ABSENT_RETURN = 1.0
 """Seconds after which to come back when no server is known."""
 OUTPUT_WEIGHT = 2.0
@@ -57,6 +59,7 @@
     :param server: the server.
     :param model: what is believed of it.
     :param reading: the prompt that it reads.
+    :param source: address of the server from which it copies a part, or "".
     """
 
     def __init__(
@@ -65,9 +68,11 @@
         server: ServerRecord,
         model: ServerModel,
         reading: Reading,
+        source: str = "",
     ) -> None:
         self._board = board
         self._server = server
+        self._source = source
         self._model = model
         self._reading: Reading | None = reading
         self._ended = False
@@ -77,6 +82,11 @@
         """The server."""
         return self._server
 
+    @property
+    def source(self) -> str:
+        """Address of the server from which it copies a part, or ""."""
+        return self._source
+
     @property
     def model(self) -> ServerModel:
         """What is believed of the server."""
@@ -90,6 +100,10 @@
         self._reading = None
         self._announce()
 
+    def note_gap(self, gap: float, longest: float, now: float) -> None:
+        """Note the time between two events of a stream."""
+        self._model.concurrency.note_gap(gap, longest, now)
+
     def end(self) -> None:
         """Give the place back; again changes nothing."""
         if self._ended:
@@ -260,12 +274,15 @@
             waited=round(waited, 3),
             expected=round(best.first_token, 3),
             uncached=best.uncached,
+            source=best.source,
             running=model.count_running(now),
             within_share=within,
             snapshot=self._board.routing.revision,
             snapshot_age=round(now - self._board.routing.taken_at, 3),
         )
-        one.lease.set_result(Lease(self._board, best.server, model, reading))
+        one.lease.set_result(
+            Lease(self._board, best.server, model, reading, best.source)
+        )
 
     def _refuse(
         self,
@@ -303,22 +320,42 @@
             first = min(models, key=lambda name: models[name].health.paused_until)
             open_ = {first: models[first]}
         ranks = self._rank(one, models)
-        total = request.head.prompt_tokens
+        kept = {name: model.cache.match(one.chain) for name, model in open_.items()}
+        holder = max(kept, key=lambda name: kept[name], default="")
         domain = self._board.members.own.failure_domain
-        return [
-            Candidate(
-                server=server,
-                running=open_[server.id].count_running(now),
-                unread=open_[server.id].count_unread(now),
-                uncached=max(total - open_[server.id].cache.match(one.chain), 1),
-                rate=open_[server.id].rate,
-                errors=open_[server.id].health.errors,
-                near=server.failure_domain == domain,
-                rank=ranks[server.id],
+        addresses = {server.id: server.address for server in left or servers}
+        candidates = []
+        for server in left or servers:
+            model = open_.get(server.id)
+            if model is None:
+                continue
+            copied = kept[holder] - kept[server.id] if self._copies(request) else 0
+            if copied < SHORTEST_COPY:
+                copied = 0
+            candidates.append(
+                Candidate(
+                    server=server,
+                    running=model.count_running(now),
+                    limit=model.concurrency.limit,
+                    unread=model.count_unread(now),
+                    uncached=max(
+                        request.head.prompt_tokens - kept[server.id] - copied, 1
+                    ),
+                    copied=copied,
+                    source=addresses[holder] if copied else "",
+                    rate=model.rate,
+                    errors=model.health.errors,
+                    near=server.failure_domain == domain,
+                    rank=ranks[server.id],
+                )
             )
-            for server in left or servers
-            if server.id in open_
-        ]
+        return candidates
+
+    def _copies(self, request: RoutedRequest) -> bool:
+        configuration = self._board.routing.configuration
+        services = configuration.services if configuration else {}
+        service = services.get(request.service)
+        return bool(service and service.engine and service.engine.transfer_rate)
 
     def _rank(self, one: Waiting, names: Collection[str]) -> dict[str, int]:
         # The last part belongs to the request itself; the one before it is
@@ -331,4 +368,4 @@
         configuration = self._board.routing.configuration
         service = configuration.services.get(server.service) if configuration else None
         memory = service.engine.memory if service and service.engine else 0
-        return self._board.fleet.find_model(server.id, memory)
+        return self._board.fleet.describe(server.id, memory, server.slots)
--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -31,6 +31,7 @@
     NoBackendServer,
     Refusal,
 )
+from sycamorehaven.routing.requests import SendPlan
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
@@ -117,6 +118,7 @@
         self._failed_answer: Answer | None = None
         self._sending = False
         self._streaming = False
+        self._event_at = 0.0
 
     async def start(self) -> Answer:
         """
@@ -249,6 +251,7 @@
         :raises Refusal: if it cannot go on.
         """
         self._splitter.drop_partial()
+        self._event_at = 0.0
         while True:
             self._fail(error)
             async with asyncio.timeout_at(self._request.deadline):
@@ -266,8 +269,13 @@
     def _take_events(self, data: bytes) -> bytes:
         if found := EVENT_ID.findall(data):
             self._event = int(found[-1])
+        now = self._tools.clock()
         if self._lease is not None:
-            self._lease.note_first_token(self._tools.clock())
+            self._lease.note_first_token(now)
+            if self._event_at:
+                longest = self._request.route.longest_pause
+                self._lease.note_gap(now - self._event_at, longest, now)
+        self._event_at = now
         return data
 
     async def _attempt(self) -> RoutedAnswer:
@@ -284,11 +292,10 @@
             self._sending = True
             try:
                 self._answer = await self._tools.backends.send(
-                    self._lease.server,
+                    SendPlan(self._lease.server, self._lease.source, self._event),
                     self._request,
                     left=left,
                     silence=silence,
-                    event=self._event,
                 )
             except BackendError as error:
                 self._sending = False
--- a/src/sycamorehaven/decisions/placement.py
+++ b/src/sycamorehaven/decisions/placement.py
@@ -22,14 +22,16 @@
 """Weight of reading a part again: it delays this request and those behind."""
 HOME_STEP = 0.03
 """Seconds that each rank in the common order puts a server behind."""
+COPY_COST = 0.008
+"""Seconds that copying a thousand tokens of a prompt puts a server behind."""
 FAR_COST = 0.004
 """Seconds that another failure domain costs a plain request."""
 ERROR_COST = 1.0
 """Seconds that a server which only answers with errors is put behind."""
 SLOT_COST = 0.05
 """Seconds that a plain server with all slots taken is put behind."""
-RUNNING_COST = 0.004
-"""Seconds that each running request of an engine delays another one."""
+RUNNING_COST = 0.2
+"""Seconds that an engine which runs all that it may is put behind."""
 
 
 class Candidate(NamedTuple):
@@ -38,8 +40,11 @@
 
     :ivar server: the server.
     :ivar running: requests that it runs.
+    :ivar limit: requests that it may run.
     :ivar unread: prompt tokens that it has still to read.
-    :ivar uncached: prompt tokens of the request that it does not keep.
+    :ivar uncached: prompt tokens of the request that it has to read.
+    :ivar copied: prompt tokens that it copies from another server.
+    :ivar source: address of that server, or "".
     :ivar rate: prompt tokens that it reads a second.
     :ivar errors: recent share of errors, 0 to 1.
     :ivar near: whether it stands in the router's failure domain.
@@ -48,8 +53,11 @@
 
     server: ServerRecord
     running: int
+    limit: float
     unread: float
     uncached: int
+    copied: int
+    source: str
     rate: float
     errors: float
     near: bool
@@ -64,12 +72,14 @@
     :ivar wait: seconds until it begins to read the prompt.
     :ivar reading: seconds that it reads the prompt.
     :ivar uncached: prompt tokens that it has to read.
+    :ivar source: address of the server from which it copies others, or "".
     """
 
     server: ServerRecord
     wait: float
     reading: float
     uncached: int
+    source: str = ""
 
     @property
     def first_token(self) -> float:
@@ -79,7 +89,7 @@
 
 def place_prompt(candidates: Sequence[Candidate]) -> Placement | None:
     """Return the engine for a prompt, ``None`` if all slots are taken."""
-    free = [one for one in candidates if one.running < one.server.slots]
+    free = [one for one in candidates if one.running < one.limit]
     if not free:
         return None
     best = min(free, key=_rate_engine)
@@ -88,6 +98,7 @@
         best.unread / best.rate,
         best.uncached / best.rate,
         best.uncached,
+        best.source,
     )
 
 
@@ -104,7 +115,8 @@
     return (
         one.unread / one.rate
         + REREAD_WEIGHT * one.uncached / one.rate
-        + RUNNING_COST * one.running
+        + COPY_COST * one.copied / 1_000
+        + RUNNING_COST * one.running / one.limit
         + HOME_STEP * min(one.rank, 4)
         + ERROR_COST * one.errors
     )
--- a/src/sycamorehaven/decisions/prefixes.py
+++ b/src/sycamorehaven/decisions/prefixes.py
@@ -46,6 +46,10 @@
         self._parts: OrderedDict[int, int] = OrderedDict()
         self._total = 0
 
+    def resize(self, capacity: int) -> None:
+        """Keep ``capacity`` tokens from now on."""
+        self._capacity = capacity * KEPT_SHARE
+
     def match(self, chain: Iterable[tuple[int, int]]) -> int:
         """Return the tokens of a prompt that need not be read again."""
         kept = 0
--- a/src/sycamorehaven/decisions/server_model.py
+++ b/src/sycamorehaven/decisions/server_model.py
@@ -9,6 +9,7 @@
 
 from typing import NamedTuple
 
+from sycamorehaven.decisions.concurrency import ConcurrencyLimit
 from sycamorehaven.decisions.outliers import ServerHealth
 from sycamorehaven.decisions.prefixes import PrefixCache
 
@@ -60,15 +61,15 @@
     """
     The load, speed, memory and health of one server.
 
-    :param memory: tokens that its memory holds, 0 if unknown.
     """
 
-    def __init__(self, memory: int = 0) -> None:
+    def __init__(self) -> None:
+        self._concurrency = ConcurrencyLimit(1)
         self._running = 0
         self._unread = 0.0
         self._remote: dict[str, RemoteLoad] = {}
         self._rate = FIRST_RATE
-        self._cache = PrefixCache(memory) if memory else PrefixCache()
+        self._cache = PrefixCache()
         self._health = ServerHealth()
 
     @property
@@ -76,6 +77,11 @@
         """Parts of prompts that it keeps."""
         return self._cache
 
+    @property
+    def concurrency(self) -> ConcurrencyLimit:
+        """How many requests it may run."""
+        return self._concurrency
+
     @property
     def health(self) -> ServerHealth:
         """What became of its requests."""
@@ -96,6 +102,18 @@
         """Prompt tokens of this router's requests without a first token."""
         return self._unread
 
+    def describe(self, memory: int, slots: int) -> None:
+        """
+        Take in what the server is like.
+
+        :param memory: tokens that its memory holds, 0 if unknown.
+        :param slots: requests that it can run at once.
+        """
+        if memory:
+            self._cache.resize(memory)
+        if slots != self._concurrency.slots:
+            self._concurrency = ConcurrencyLimit(slots)
+
     def count_running(self, now: float) -> int:
         """Return the requests of all routers."""
         return self._running + sum(load.running for load in self._list_remote(now))
--- a/src/sycamorehaven/decisions/turning_away.py
+++ b/src/sycamorehaven/decisions/turning_away.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from sycamorehaven.decisions.placement import Placement
 
-DUE_SHARE = 0.9
+DUE_SHARE = 0.75
 """Part of the target that may pass before the first token is expected."""
 SPARE_SHARE = 0.4
 """The same for a workspace that has had its share."""
--- a/src/sycamorehaven/platform/decoding.py
+++ b/src/sycamorehaven/platform/decoding.py
@@ -8,6 +8,7 @@
 
 from sycamorehaven.platform.documents import (
     WireConfiguration,
+    WireEngine,
     WireItem,
     WireRoute,
     WireServer,
@@ -47,9 +48,7 @@
         service.name: RoutedService(
             service.name,
             service.max_connections,
-            Engine(service.engine.slots, service.engine.kv_capacity)
-            if service.engine
-            else None,
+            _build_engine(service.engine) if service.engine else None,
         )
         for service in wire.services
     }
@@ -66,6 +65,12 @@
     )
 
 
+def _build_engine(wire: WireEngine) -> Engine:
+    bits = wire.kv_token_bytes * 8
+    rate = wire.link_mbps * 1e6 / bits if bits else 0.0
+    return Engine(wire.slots, wire.kv_capacity, rate, max(wire.stride, 1))
+
+
 def _build_route(wire: WireRoute) -> Route:
     if wire.route_type not in KINDS:
         raise msgspec.ValidationError(
--- a/src/sycamorehaven/platform/dialect.py
+++ b/src/sycamorehaven/platform/dialect.py
@@ -18,8 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from sycamorehaven.routing.model import ServerRecord
-    from sycamorehaven.routing.requests import RoutedRequest
+    from sycamorehaven.routing.requests import RoutedRequest, SendPlan
     from sycamorehaven.transport.headers import Headers
 
 ATTEMPT = "Sycamorehaven-Attempt-Id"
@@ -37,6 +36,8 @@
 SIGNATURE = "Sycamorehaven-Response-Signature"
 NOT_EXECUTED = "Sycamorehaven-Not-Executed"
 LOAD = "Sycamorehaven-Server-Load"
+# Address of a server whose memory of the prompt is copied first.
+SOURCE = "Kv-Fetch"
 MISDIRECTED = 421
 
 SET_BY_ROUTER = frozenset(
@@ -48,7 +49,7 @@
         INSTANCE,
         WORKSPACE,
         "Content-Length",
-        "Kv-Fetch",
+        SOURCE,
         "Kv-From",
         "Sycamorehaven-Cache-Retain",
         "Sycamorehaven-Kv-Backup",
@@ -93,14 +94,16 @@
         )
 
     def build_request(
-        self, request: RoutedRequest, server: ServerRecord, left: float, event: int
+        self, request: RoutedRequest, send: SendPlan, left: float
     ) -> Headers:
         """Return the headers of a request to a backend server."""
-        own = [(DEADLINE, str(max(int(left * 1_000), 1))), (INSTANCE, server.id)]
+        own = [(DEADLINE, str(max(int(left * 1_000), 1))), (INSTANCE, send.server.id)]
         if request.workspace:
             own.append((WORKSPACE, request.workspace))
-        if event >= 0:
-            own.append((LAST_EVENT, str(event)))
+        if send.event >= 0:
+            own.append((LAST_EVENT, str(send.event)))
+        if send.source:
+            own.append((SOURCE, send.source))
         return (*request.headers, *own)
 
     def read_answer(
--- a/src/sycamorehaven/routing/model.py
+++ b/src/sycamorehaven/routing/model.py
@@ -68,10 +68,15 @@
 
     :ivar slots: requests that run at once.
     :ivar memory: tokens that fit in the memory of one engine.
+    :ivar transfer_rate: tokens a second that an engine copies from another, 0
+        if it cannot.
+    :ivar stride: tokens in one event of a stream.
     """
 
     slots: int
     memory: int
+    transfer_rate: float
+    stride: int
 
 
 class RoutedService(NamedTuple):
--- a/src/sycamorehaven/routing/requests.py
+++ b/src/sycamorehaven/routing/requests.py
@@ -4,14 +4,12 @@
 
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
-from sycamorehaven.routing.model import Route
+from sycamorehaven.routing.model import Route, ServerRecord
 from sycamorehaven.transport.headers import Headers
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from sycamorehaven.routing.model import ServerRecord
-
 
 class PromptPart(NamedTuple):
     """
@@ -93,6 +91,21 @@
     slots: int
 
 
+class SendPlan(NamedTuple):
+    """
+    How a request is sent to a backend server.
+
+    :ivar server: the server.
+    :ivar source: address of a server from which it copies what it does not
+        keep of the prompt, or "".
+    :ivar event: last event that the client has, -1 for none of them.
+    """
+
+    server: ServerRecord
+    source: str = ""
+    event: int = -1
+
+
 class AnswerHead(NamedTuple):
     """
     What the headers of a backend server's answer say.
@@ -127,13 +140,13 @@
         ...
 
     def build_request(
-        self, request: RoutedRequest, server: ServerRecord, left: float, event: int
+        self, request: RoutedRequest, send: SendPlan, left: float
     ) -> Headers:
         """
         Return the headers of a request to a backend server.
 
+        :param send: where it goes and how.
         :param left: seconds that the server may take.
-        :param event: last event that the client has, -1 for none of them.
         """
         ...
 
--- a/src/sycamorehaven/transport/upstream.py
+++ b/src/sycamorehaven/transport/upstream.py
@@ -27,6 +27,7 @@
         AnswerHead,
         RequestDialect,
         RoutedRequest,
+        SendPlan,
     )
     from sycamorehaven.transport.generations import Generation
     from sycamorehaven.transport.headers import Headers
@@ -90,26 +91,25 @@
 
     async def send(
         self,
-        server: ServerRecord,
+        send: SendPlan,
         request: RoutedRequest,
         *,
         left: float,
         silence: float,
-        event: int = -1,
     ) -> RoutedAnswer:
         """
         Send a request and return the answer once its headers are read.
 
+        :param send: where it goes and how.
         :param left: seconds that the server may take.
         :param silence: seconds without a byte after which it is given up.
-        :param event: last event that the client has, -1 for none.
         :raises BackendError: if the attempt failed.
         """
-        fresh = not request.route.repeatable
+        server, fresh = send.server, not request.route.repeatable
         generation = self._pools.find(server.address, fresh=fresh)
         generation.enter()
         response: aiohttp.ClientResponse | None = None
-        headers = self._dialect.build_request(request, server, left, event)
+        headers = self._dialect.build_request(request, send, left)
         try:
             response = await _request(generation, server, request, headers, silence)
             head = self._dialect.read_answer(response.status, response.headers.items())
