--- a/src/sycamorehaven/decisions/concurrency.py
+++ b/src/sycamorehaven/decisions/concurrency.py
@@ -10,9 +10,9 @@
 
 from __future__ import annotations
 
-FIRST_SHARE = 0.5
+FIRST_SHARE = 0.3
 """Part of an engine's slots that are used before anything was learned."""
-LEAST_SHARE = 0.3
+LEAST_SHARE = 0.15
 """Part of an engine's slots that are always used."""
 LATE_SHARE = 0.8
 """Part of the longest pause from which an event counts as late."""
--- a/src/sycamorehaven/decisions/placement.py
+++ b/src/sycamorehaven/decisions/placement.py
@@ -22,7 +22,7 @@
 """Weight of reading a part again: it delays this request and those behind."""
 HOME_STEP = 0.03
 """Seconds that each rank in the common order puts a server behind."""
-COPY_COST = 0.008
+COPY_COST = 0.015
 """Seconds that copying a thousand tokens of a prompt puts a server behind."""
 FAR_COST = 0.004
 """Seconds that another failure domain costs a plain request."""
--- a/src/sycamorehaven/decisions/prefixes.py
+++ b/src/sycamorehaven/decisions/prefixes.py
@@ -14,7 +14,7 @@
 
 SPARE_BITS = 2
 """Bits of a part's key that are dropped, so that messages can carry it."""
-KEPT_SHARE = 0.8
+KEPT_SHARE = 1.0
 """Part of an engine's memory that keeps parts; the rest serves what runs."""
 UNKNOWN_MEMORY = 400_000
 """Tokens assumed for an engine that does not tell its memory."""
