--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -9,6 +9,7 @@
 from absl import logging
 from mode import Service
 
+from sycamorehaven.decisions.patience import PatienceTable
 from sycamorehaven.decisions.placement import (
     Candidate,
     Placement,
@@ -161,6 +162,7 @@
         self._metrics = metrics
         self._clock = clock
         self._waiting: list[Waiting] = []
+        self._patiences = PatienceTable()
 
     async def acquire(
         self, request: RoutedRequest, spared: Collection[str] = ()
@@ -173,6 +175,7 @@
         :raises NoBackendServer: if no server of its service is known.
         """
         now = self._clock()
+        self._patiences.note(request)
         chain = chain_parts(request.head.model, request.head.parts)
         if request.workspace and not spared:
             cost = measure_cost(request)
@@ -232,7 +235,13 @@
             )
             self._refuse(one, refusal, "no_server", None, within, now)
             return
-        demand = Demand(one.since, request.route.target, request.deadline, within)
+        demand = Demand(
+            one.since - self._patiences.find_spent(request),
+            one.since,
+            request.route.target,
+            request.deadline,
+            within,
+        )
         action, best = self._decide(demand, candidates, bool(one.chain), now)
         if action == "place" and best is not None:
             self._place(one, best, within, now)
--- a/src/sycamorehaven/decisions/concurrency.py
+++ b/src/sycamorehaven/decisions/concurrency.py
@@ -14,7 +14,7 @@
 """Part of an engine's slots that are used before anything was learned."""
 LEAST_SHARE = 0.15
 """Part of an engine's slots that are always used."""
-LATE_SHARE = 0.8
+LATE_SHARE = 0.6
 """Part of the longest pause from which an event counts as late."""
 SHRINK = 0.93
 """Factor for a late event."""
--- a/src/sycamorehaven/decisions/turning_away.py
+++ b/src/sycamorehaven/decisions/turning_away.py
@@ -35,12 +35,15 @@
     """
     What a waiting request asks.
 
+    :ivar asked: monotonic seconds at which the client first asked; a client
+        that was refused asks again.
     :ivar received: monotonic seconds at which it came.
     :ivar target: seconds to the first token that are on time.
     :ivar deadline: monotonic seconds at which the client gives up.
     :ivar within_share: whether its workspace has not had its share.
     """
 
+    asked: float
     received: float
     target: float
     deadline: float
@@ -53,14 +56,13 @@
 
     :param best: where it would go, ``None`` if all slots are taken.
     """
-    waited = now - demand.received
     if best is not None:
         share = DUE_SHARE if demand.within_share else SPARE_SHARE
         reading = min(best.reading, demand.target / 2)
-        if best.wait <= IDLE_WAIT or best.wait + reading + waited <= (
-            share * demand.target
-        ):
+        expected = best.wait + reading + now - demand.asked
+        if best.wait <= IDLE_WAIT or expected <= share * demand.target:
             return "place"
+    waited = now - demand.received
     return "wait" if waited < WAITING_SHARE * demand.target else "reject"
 
 
