--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -128,6 +128,7 @@
     :ivar request: the request.
     :ivar chain: parts of its prompt.
     :ivar spared: servers that it was sent to before.
+    :ivar resumes: whether the client already has a part of its answer.
     :ivar since: monotonic seconds from which it waits.
     :ivar lease: gets its place.
     """
@@ -135,6 +136,7 @@
     request: RoutedRequest
     chain: tuple[tuple[int, int], ...]
     spared: frozenset[str]
+    resumes: bool
     since: float
     lease: asyncio.Future[Lease]
 
@@ -165,12 +167,17 @@
         self._patiences = PatienceTable()
 
     async def acquire(
-        self, request: RoutedRequest, spared: Collection[str] = ()
+        self,
+        request: RoutedRequest,
+        spared: Collection[str] = (),
+        *,
+        resumes: bool = False,
     ) -> Lease:
         """
         Return a place at a server.
 
         :param spared: servers that are not to get the request again.
+        :param resumes: whether the client already has a part of its answer.
         :raises DeadlineUnreachable: if it cannot be served in time.
         :raises NoBackendServer: if no server of its service is known.
         """
@@ -181,7 +188,7 @@
             cost = measure_cost(request)
             self._board.fleet.add_usage(request.workspace, cost, 0.0, now)
         future: asyncio.Future[Lease] = asyncio.get_running_loop().create_future()
-        waiting = Waiting(request, chain, frozenset(spared), now, future)
+        waiting = Waiting(request, chain, frozenset(spared), resumes, now, future)
         self._waiting.append(waiting)
         self._look()
         try:
@@ -217,7 +224,7 @@
 
         def order(one: Waiting) -> tuple[bool, float]:
             given = usage.find_given(one.request.workspace, now)
-            return given > share, one.since
+            return given > share and not one.resumes, one.since
 
         for one in sorted(self._waiting, key=order):
             within = not order(one)[0]
@@ -241,6 +248,7 @@
             request.route.target,
             request.deadline,
             within,
+            one.resumes,
         )
         action, best = self._decide(demand, candidates, bool(one.chain), now)
         if action == "place" and best is not None:
--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -305,7 +305,9 @@
 
     async def _acquire(self) -> Lease:
         try:
-            return await self._tools.dispatcher.acquire(self._request, self._spared)
+            return await self._tools.dispatcher.acquire(
+                self._request, self._spared, resumes=self._streaming
+            )
         except Refusal as refusal:
             if self._history.may_have_run:
                 raise AttemptsExhausted(
--- a/src/sycamorehaven/decisions/placement.py
+++ b/src/sycamorehaven/decisions/placement.py
@@ -88,7 +88,7 @@
 
 
 def place_prompt(candidates: Sequence[Candidate]) -> Placement | None:
-    """Return the engine for a prompt, ``None`` if all slots are taken."""
+    """Return the engine for a prompt, ``None`` if all are full."""
     free = [one for one in candidates if one.running < one.limit]
     if not free:
         return None
--- a/src/sycamorehaven/decisions/turning_away.py
+++ b/src/sycamorehaven/decisions/turning_away.py
@@ -21,6 +21,8 @@
 """The same for a workspace that has had its share."""
 WAITING_SHARE = 0.35
 """Part of the target for which a request waits at the router."""
+RESUME_WAIT = 1.0
+"""Seconds that a broken stream waits; clients wait two for an event."""
 IDLE_WAIT = 0.03
 """Seconds of reading below which an engine counts as idle."""
 SHORTEST_RETURN = 0.25
@@ -41,6 +43,7 @@
     :ivar target: seconds to the first token that are on time.
     :ivar deadline: monotonic seconds at which the client gives up.
     :ivar within_share: whether its workspace has not had its share.
+    :ivar resumes: whether the client already has a part of the stream.
     """
 
     asked: float
@@ -48,6 +51,7 @@
     target: float
     deadline: float
     within_share: bool
+    resumes: bool = False
 
 
 def decide_prompt(demand: Demand, best: Placement | None, now: float) -> Action:
@@ -56,6 +60,10 @@
 
     :param best: where it would go, ``None`` if all slots are taken.
     """
+    if demand.resumes:
+        if best is not None:
+            return "place"
+        return "wait" if now - demand.received < RESUME_WAIT else "reject"
     if best is not None:
         share = DUE_SHARE if demand.within_share else SPARE_SHARE
         reading = min(best.reading, demand.target / 2)
