--- a/src/sycamorehaven/decisions/turning_away.py
+++ b/src/sycamorehaven/decisions/turning_away.py
@@ -25,7 +25,7 @@
 """Seconds that a broken stream waits; clients wait two for an event."""
 IDLE_WAIT = 0.03
 """Seconds of reading below which an engine counts as idle."""
-SHORTEST_RETURN = 0.25
+SHORTEST_RETURN = 1.0
 """Seconds after which a client may come back, at least."""
 LARGEST_RETURN_SHARE = 0.3
 """Part of the time left in which a client comes back; a third is the limit."""
--- a/src/sycamorehaven/gateway_settings.py
+++ b/src/sycamorehaven/gateway_settings.py
@@ -16,9 +16,6 @@
     readiness: GatewayAddress
     metrics: GatewayAddress
     grace: Seconds
-    configuration_deadline: Seconds
-    drain_deadline: Seconds
-    contact: Seconds
     retry_ratio: Annotated[float, Meta(ge=0, le=1)]
     retry_window: Seconds
     retry_slack: Annotated[float, Meta(ge=0)]
@@ -32,9 +29,6 @@
     :ivar readiness: ``ip:port`` of the readiness check.
     :ivar metrics: ``ip:port`` of the metrics.
     :ivar grace: seconds from SIGTERM to the end of the process.
-    :ivar configuration_deadline: seconds in which a configuration takes force.
-    :ivar drain_deadline: seconds in which a leaving server gets no more work.
-    :ivar contact: seconds after which a lost dependency counts as lost.
     :ivar retry_ratio: repeats for each fresh request, fleet-wide.
     :ivar retry_window: seconds over which repeats are counted.
     :ivar retry_slack: further repeats in a window, fleet-wide.
@@ -44,9 +38,6 @@
     readiness: str
     metrics: str
     grace: float
-    configuration_deadline: float
-    drain_deadline: float
-    contact: float
     retry_ratio: float
     retry_window: float
     retry_slack: float
@@ -59,9 +50,6 @@
             readiness=table["readiness"],
             metrics=table["metrics"],
             grace=table["grace"],
-            configuration_deadline=table["configuration_deadline"],
-            drain_deadline=table["drain_deadline"],
-            contact=table["contact"],
             retry_ratio=table["retry_ratio"],
             retry_window=table["retry_window"],
             retry_slack=table["retry_slack"],
--- a/src/sycamorehaven/transport/front.py
+++ b/src/sycamorehaven/transport/front.py
@@ -61,7 +61,18 @@
 
 
 class FrontProtocol(ProblemProtocol):
-    """A client's connection."""
+    """
+    A client's connection.
+
+    :ivar serving: whether a request on it is in progress.
+    """
+
+    serving = False
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request on it is in progress."""
+        if not self.serving and self.transport is not None:
+            self.transport.close()
 
     def set_idle_timeout(self, timeout: float) -> None:
         """Close the connection after ``timeout`` seconds without a request."""
@@ -115,7 +126,9 @@
         """Take no further requests; those in progress end by themselves."""
         if self._listener is not None:
             self._listener.close()
-        self._server.pre_shutdown()
+        for connection in self._server.connections:
+            if isinstance(connection, FrontProtocol):
+                connection.close_if_idle()
 
     async def on_stop(self) -> None:
         """Close the listener and its connections."""
@@ -138,15 +151,17 @@
     async def _serve(self, request: BaseRequest) -> web.StreamResponse:
         received = self._clock()
         self._board.lifecycle.enter()
+        protocol = request.protocol
+        assert isinstance(protocol, FrontProtocol)
+        protocol.serving = True
         try:
-            protocol = request.protocol
-            if isinstance(protocol, FrontProtocol):
-                protocol.set_idle_timeout(self._find_idle_timeout())
+            protocol.set_idle_timeout(self._find_idle_timeout())
             response = await self._answer(request, received)
             if self._board.lifecycle.draining:
                 response.force_close()
             return response
         finally:
+            protocol.serving = False
             self._board.lifecycle.leave()
 
     async def _answer(
@@ -162,7 +177,7 @@
             answer = await self._handler.answer(routed)
         except Refusal as refusal:
             self._note_end(name, routed, received, refusal.status, refusal)
-            return build_problem(refusal, name)
+            return build_refusal(refusal, name)
         except asyncio.CancelledError:
             self._note_client_gone(name, received)
             raise
@@ -274,6 +289,14 @@
         )
 
 
+def build_refusal(refusal: Refusal, request_id: str) -> web.Response:
+    """Return the answer for a refusal, its ``Retry-After`` with fractions."""
+    response = build_problem(refusal, request_id)
+    if refusal.retry_after is not None:
+        response.headers["Retry-After"] = f"{refusal.retry_after:.3f}"
+    return response
+
+
 def find_workspace(
     configuration: RoutingConfiguration, route: Route, head: RequestHead
 ) -> str:
--- /dev/null
+++ b/tests/support/platform.py
@@ -0,0 +1,265 @@
+"""Stand-ins of the users' platform: its store and its backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from aiohttp import web
+
+from sycamorehaven.gateway import Gateway
+from sycamorehaven.gateway_settings import GatewaySettings
+from sycamorehaven.settings import RouterSettings
+from sycamorehaven.telemetry.decision_log import DecisionLog
+from tests.support.fixtures import async_fixture
+from tests.support.fleet import find_port
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+    from aiohttp.web_request import BaseRequest
+
+    from sycamorehaven.blackboard.board import Blackboard
+
+KEY = "key-of-oakcourt"
+HOST = "fleet.example"
+
+
+async def wait_until(condition: Callable[[], object]) -> None:
+    """Wait until a condition holds, 10 s at most."""
+    async with asyncio.timeout(10.0):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+
+class FakeStore:
+    """A store with revisions that can be down or hold foreign entries."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, tuple[int, bytes]] = {}
+        self.revision = 0
+        self.reads = 0
+        self.status = 200
+        self.address = ""
+
+    def put(self, key: str, value: object) -> None:
+        """Write an item; bytes are taken as they are."""
+        self.revision += 1
+        raw = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        self.items[key] = self.revision, raw
+
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        self.revision += 1
+        del self.items[key]
+
+    async def answer(self, request: BaseRequest) -> web.StreamResponse:
+        """Answer a read."""
+        self.reads += 1
+        if self.status != 200:
+            return web.Response(status=self.status)
+        prefix = request.query["pathPrefix"]
+        entries = [
+            {"key": key, "value": base64.b64encode(raw).decode(), "revision": revision}
+            for key, (revision, raw) in sorted(self.items.items())
+            if key.startswith(prefix)
+        ]
+        page = {"entries": entries, "hasMore": False, "at": self.revision}
+        return web.Response(body=msgspec.json.encode(page))
+
+
+class FakeServer:
+    """
+    A backend server that does what a test tells it.
+
+    :ivar behaviour: ``"answer"``, ``"shed"``, ``"lose"`` (run it, then close
+        without an answer), ``"break"`` (break a stream after two events), ``"hang"``.
+    :ivar ran: ids of the requests that ran.
+    """
+
+    def __init__(self, name: str, service: str) -> None:
+        self.name = name
+        self.service = service
+        self.address = ""
+        self.behaviour = "answer"
+        self.ran: list[str] = []
+        self.headers: list[dict[str, str]] = []
+        self.cancelled = 0
+        self.status = 200
+
+    def describe(self, state: str = "ready") -> dict[str, Any]:
+        """Return its entry of the store."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "north",
+            "slots": 8,
+            "state": state,
+            "born": 1,
+        }
+
+    async def answer(self, request: BaseRequest) -> web.StreamResponse:
+        """Answer a request."""
+        attempt = request.headers["Sycamorehaven-Attempt-Id"]
+        self.headers.append(dict(request.headers))
+        if self.behaviour == "shed":
+            return web.Response(status=503, headers={"Sycamorehaven-Not-Executed": "1"})
+        self.ran.append(attempt)
+        if self.behaviour == "lose":
+            assert request.transport is not None
+            request.transport.abort()
+        if self.behaviour == "hang":
+            try:
+                await asyncio.sleep(30.0)
+            except asyncio.CancelledError:
+                self.cancelled += 1
+                raise
+        headers = {
+            "Sycamorehaven-Attempt-Id": attempt,
+            "Sycamorehaven-Response-Signature": f"by-{self.name}",
+        }
+        if "stream" not in request.path:
+            body = b"by " + self.name.encode()
+            return web.Response(status=self.status, headers=headers, body=body)
+        return await self._stream(request, headers)
+
+    async def _stream(
+        self, request: BaseRequest, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers=headers)
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        for number in range(first, 6):
+            if self.behaviour == "break" and number == 3:
+                await response.write(b"id: 3\nda")
+                assert request.transport is not None
+                request.transport.abort()
+                return response
+            await response.write(b"id: %d\ndata: x\n\n" % number)
+        return response
+
+
+def build_configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Return a configuration with a route of each kind."""
+
+    def route(name: str, kind: str, **more: Any) -> dict[str, Any]:
+        return {
+            "name": name,
+            "host": HOST,
+            "pathPrefix": f"/{name}/",
+            "routeType": kind,
+            "timeoutMs": 3000,
+            "targetLatencyMs": 400,
+            "maxAttempts": 2,
+            "service": "plain",
+            **more,
+        }
+
+    return {
+        "version": version,
+        "routes": [
+            route("look", "idempotent"),
+            route("book", "non_idempotent", maxAttempts=1),
+            route("open", "idempotent", public=True),
+            route("stream", "streaming", resumable=True, itlTargetMs=400),
+            route("once-stream", "streaming", itlTargetMs=400),
+        ],
+        "services": [{"name": "plain", "maxConnections": 10}],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100_000},
+        "tenants": [{"name": "oakcourt", "apiKeys": [KEY]}],
+        **changes,
+    }
+
+
+class GatewayScene:
+    """A store, two servers and a router of published routes."""
+
+    def __init__(self) -> None:
+        self.store = FakeStore()
+        self.servers = [FakeServer("s1", "plain"), FakeServer("s2", "plain")]
+        self.front = ""
+        self.readiness = ""
+        self.gateway: Gateway | None = None
+        self._runners: list[web.ServerRunner] = []
+
+    @property
+    def board(self) -> Blackboard:
+        """The state of the router."""
+        assert self.gateway is not None
+        return self.gateway.board
+
+    def register(self, server: FakeServer, state: str = "ready") -> None:
+        """Write a server's entry."""
+        self.store.put(f"servers/{server.name}", server.describe(state))
+
+    async def start(self) -> None:
+        """Start everything and wait until the router has read the store."""
+        self.store.address = await self._listen(self.store)
+        for server in self.servers:
+            server.address = await self._listen(server)
+            self.register(server)
+        self.store.put("op/config", build_configuration())
+        settings = build_settings(self.store.address)
+        assert settings.gateway is not None
+        self.front = settings.callers_address
+        self.readiness = settings.gateway.readiness
+        log = DecisionLog("router", None)
+        self.gateway = Gateway(settings, settings.gateway, log)
+        await self.gateway.start()
+        await wait_until(lambda: self.board.routing.ready)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        if self.gateway is not None:
+            await self.gateway.stop()
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def _listen(self, served: FakeStore | FakeServer) -> str:
+        port = find_port()
+        server = web.Server(served.answer, handler_cancellation=True)
+        runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await runner.setup()
+        self._runners.append(runner)
+        await web.TCPSite(runner, "127.0.0.1", port).start()
+        return f"127.0.0.1:{port}"
+
+
+def build_settings(store: str) -> RouterSettings:
+    """Return the settings of a router on loopback."""
+    front, peers, admin, ready, metrics = (f"127.0.0.1:{find_port()}" for _ in range(5))
+    gateway = GatewaySettings(ready, metrics, 8.0, 0.2, 10.0, 50.0, 4.0)
+    return RouterSettings(
+        host="router",
+        failure_domain="north",
+        callers_address=front,
+        body_limit=1_000_000,
+        certificate="",
+        private_key="",
+        peers_address=peers,
+        seeds=(),
+        public_key="",
+        secret_key="",
+        admin_address=admin,
+        admin_key_sha256="",
+        platform_url=f"http://{store}",
+        level="error",
+        otlp_url="",
+        drain_timeout=1.0,
+        peer_faults="",
+        gateway=gateway,
+    )
+
+
+@async_fixture
+async def scene() -> AsyncIterator[GatewayScene]:
+    """Yield a started scene."""
+    made = GatewayScene()
+    try:
+        await made.start()
+        yield made
+    finally:
+        await made.stop()
--- a/tests/support/runner.py
+++ b/tests/support/runner.py
@@ -15,6 +15,7 @@
     doubles,  # noqa: F401
     edge,  # noqa: F401
     fleet,  # noqa: F401
+    platform,  # noqa: F401
 )
 from tests.support.loader import ROOT, load_cases
 
