--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -75,7 +75,8 @@
     A backend server that does what a test tells it.
 
     :ivar behaviour: ``"answer"``, ``"shed"``, ``"lose"`` (run it, then close
-        without an answer), ``"break"`` (break a stream after two events), ``"hang"``.
+        without an answer), ``"break"`` (break a stream after two events) or
+        ``"hang"``.
     :ivar ran: ids of the requests that ran.
     """
 
