--- a/src/sycamorehaven/console/application.py
+++ b/src/sycamorehaven/console/application.py
@@ -6,6 +6,7 @@
 
 from sycamorehaven.console.commands.configuration import configuration_commands
 from sycamorehaven.console.commands.demo import run_demo
+from sycamorehaven.console.commands.explain import explain_request
 from sycamorehaven.console.commands.keys import keys_commands
 from sycamorehaven.console.commands.load import drive_load
 from sycamorehaven.console.commands.members import show_members
@@ -29,6 +30,7 @@
 application.command("queues")(show_queues)
 application.command("workspaces")(show_workspaces)
 application.command("traces")(show_traces)
+application.command("explain")(explain_request)
 application.command("load")(drive_load)
 application.command("demo")(run_demo)
 
--- /dev/null
+++ b/tests/console/test_explain.py
@@ -0,0 +1,61 @@
+"""The story of one request from the logs of routers."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from typer.testing import CliRunner
+
+from sycamorehaven.console.application import application
+from tests.support.fixtures import fixture
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+LINES = [
+    {
+        "time": 12.0,
+        "host": "r1",
+        "event": "request_ended",
+        "request": "a",
+        "status": 502,
+    },
+    {"time": 11.0, "host": "r1", "event": "placed", "request": "a", "server": "s1"},
+    {"time": 11.2, "host": "r1", "event": "server_left", "server": "s1"},
+    {"time": 11.2, "host": "r2", "event": "server_left", "server": "s1"},
+    {"time": 90.0, "host": "r1", "event": "server_left", "server": "s2"},
+    {"time": 11.1, "host": "r1", "event": "placed", "request": "b", "server": "s1"},
+]
+
+
+@fixture
+def log_file() -> Iterator[Path]:
+    """Give a log with lines that are none of the decision log's."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "log"
+        text = "".join(f"collector: {json.dumps(line)}\n" for line in LINES)
+        path.write_text("not JSON {\n[1]\n" + text)
+        yield path
+
+
+def test_story_has_the_request_and_what_its_router_learned(log_file: Path) -> None:
+    result = CliRunner().invoke(application, ["explain", "a", str(log_file), "--json"])
+    story = [(line["event"], line["host"]) for line in json.loads(result.output)]
+    assert story == [("placed", "r1"), ("server_left", "r1"), ("request_ended", "r1")]
+
+
+def test_logs_come_from_standard_input_too(log_file: Path) -> None:
+    result = CliRunner().invoke(
+        application, ["explain", "b"], input=log_file.read_bytes()
+    )
+    assert result.exit_code == 0
+    assert "placed" in result.output
+
+
+def test_unknown_request_is_an_error(log_file: Path) -> None:
+    result = CliRunner().invoke(application, ["explain", "z", str(log_file)])
+    assert result.exit_code == 1
+    assert "no line of these logs is about request z" in result.output
