Make a look at a server cost the same in a fleet of any size

Sums are kept now, the common order is worked out once a request, and a look may take a fifth of the time.

--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -41,6 +41,8 @@
 """Seconds between two looks at the waiting requests."""
 SHORTEST_COPY = 1_000
 """Tokens of a prompt below which they are read rather than copied."""
+LOOK_SPACING = 4.0
+"""Pause after a look, in times of what it took; the rest serves answers."""
 ABSENT_RETURN = 1.0
 """Seconds after which to come back when no server is known."""
 OUTPUT_WEIGHT = 2.0
@@ -127,6 +129,7 @@
 
     :ivar request: the request.
     :ivar chain: parts of its prompt.
+    :ivar ranks: place of each server in the order that routers share.
     :ivar spared: servers that it was sent to before.
     :ivar resumes: whether the client already has a part of its answer.
     :ivar since: monotonic seconds from which it waits.
@@ -135,6 +138,7 @@
 
     request: RoutedRequest
     chain: tuple[tuple[int, int], ...]
+    ranks: dict[str, int]
     spared: frozenset[str]
     resumes: bool
     since: float
@@ -165,6 +169,7 @@
         self._clock = clock
         self._waiting: list[Waiting] = []
         self._patiences = PatienceTable()
+        self._arrived = asyncio.Event()
 
     async def acquire(
         self,
@@ -188,9 +193,14 @@
             cost = measure_cost(request)
             self._board.fleet.add_usage(request.workspace, cost, 0.0, now)
         future: asyncio.Future[Lease] = asyncio.get_running_loop().create_future()
-        waiting = Waiting(request, chain, frozenset(spared), resumes, now, future)
+        ranks = self._rank(request, chain)
+        waiting = Waiting(
+            request, chain, ranks, frozenset(spared), resumes, now, future
+        )
         self._waiting.append(waiting)
-        self._look()
+        if len(self._waiting) == 1:
+            self._look()
+        self._arrived.set()
         try:
             return await future
         except asyncio.CancelledError:
@@ -204,16 +214,19 @@
     @Service.task
     async def _run(self) -> None:
         while not self.should_stop:
-            if self._waiting:
-                try:
-                    self._look()
-                except Exception:
-                    # Those that wait must not depend on one that cannot be
-                    # judged; each gives up by itself at its deadline.
-                    logging.exception("the waiting requests could not be judged")
-                await asyncio.sleep(LOOK_PERIOD)
-            else:
-                await self._board.fleet.changed.wait(LOOK_PERIOD * 10)
+            if not self._waiting:
+                self._arrived.clear()
+                await self.wait(self._arrived.wait())
+                continue
+            began = self._clock()
+            try:
+                self._look()
+            except Exception:
+                # Those that wait must not depend on one that cannot be judged;
+                # each gives up by itself at its deadline.
+                logging.exception("the waiting requests could not be judged")
+            took = self._clock() - began
+            await asyncio.sleep(max(LOOK_PERIOD, took * LOOK_SPACING))
 
     def _look(self) -> None:
         """Place what can be placed, turn away what waits in vain."""
@@ -336,7 +349,6 @@
         if not open_ and models:
             first = min(models, key=lambda name: models[name].health.paused_until)
             open_ = {first: models[first]}
-        ranks = self._rank(one, models)
         kept = {name: model.cache.match(one.chain) for name, model in open_.items()}
         holder = max(kept, key=lambda name: kept[name], default="")
         domain = self._board.members.own.failure_domain
@@ -363,7 +375,7 @@
                     rate=model.rate,
                     errors=model.health.errors,
                     near=server.failure_domain == domain,
-                    rank=ranks[server.id],
+                    rank=one.ranks.get(server.id, len(one.ranks)),
                 )
             )
         return candidates
@@ -374,11 +386,16 @@
         service = services.get(request.service)
         return bool(service and service.engine and service.engine.transfer_rate)
 
-    def _rank(self, one: Waiting, names: Collection[str]) -> dict[str, int]:
+    def _rank(
+        self, request: RoutedRequest, chain: tuple[tuple[int, int], ...]
+    ) -> dict[str, int]:
+        names = [
+            server.id for server in self._board.routing.list_servers(request.service)
+        ]
         # The last part belongs to the request itself; the one before it is
         # what requests about one subject share.
-        shared = one.chain[-2:-1] or one.chain
-        key = str(shared[0][0]) if shared else one.request.head.attempt
+        shared = chain[-2:-1] or chain
+        key = str(shared[0][0]) if shared else request.head.attempt
         return {name: place for place, name in enumerate(rank_candidates(key, names))}
 
     def _find_model(self, server: ServerRecord) -> ServerModel:
--- a/src/sycamorehaven/decisions/server_model.py
+++ b/src/sycamorehaven/decisions/server_model.py
@@ -29,6 +29,10 @@
 """Seconds after which a router that says nothing counts for nothing."""
 
 
+EXPIRY_PERIOD = 0.25
+"""Seconds between two looks for routers that say nothing any more."""
+
+
 class RemoteLoad(NamedTuple):
     """
     What another router has at a server.
@@ -39,7 +43,7 @@
     """
 
     running: int
-    unread: float
+    unread: int
     heard: float
 
 
@@ -68,6 +72,9 @@
         self._running = 0
         self._unread = 0.0
         self._remote: dict[str, RemoteLoad] = {}
+        self._remote_running = 0
+        self._remote_unread = 0
+        self._expired_at = 0.0
         self._rate = FIRST_RATE
         self._cache = PrefixCache()
         self._health = ServerHealth()
@@ -116,11 +123,13 @@
 
     def count_running(self, now: float) -> int:
         """Return the requests of all routers."""
-        return self._running + sum(load.running for load in self._list_remote(now))
+        self._expire(now)
+        return self._running + self._remote_running
 
     def count_unread(self, now: float) -> float:
         """Return the prompt tokens that it has still to read."""
-        return self._unread + sum(load.unread for load in self._list_remote(now))
+        self._expire(now)
+        return self._unread + self._remote_unread
 
     def begin(self, tokens: int, now: float) -> Reading:
         """Count a request in; ``tokens`` of its prompt have to be read."""
@@ -149,17 +158,28 @@
 
     def note_remote(self, host: str, load: RemoteLoad) -> None:
         """Take in what another router has there."""
+        self._drop(host)
         if load.running or load.unread:
             self._remote[host] = load
-        else:
-            self._remote.pop(host, None)
+            self._remote_running += load.running
+            self._remote_unread += load.unread
 
     def restart(self) -> None:
         """Forget what its earlier life kept."""
         self._cache.clear()
         self._health = ServerHealth()
 
-    def _list_remote(self, now: float) -> list[RemoteLoad]:
-        return [
-            load for load in self._remote.values() if now - load.heard < REPORT_LIFETIME
-        ]
+    def _expire(self, now: float) -> None:
+        # Sums make a look at a server cost the same in a fleet of any size.
+        if now - self._expired_at < EXPIRY_PERIOD:
+            return
+        self._expired_at = now
+        for host, load in list(self._remote.items()):
+            if now - load.heard >= REPORT_LIFETIME:
+                self._drop(host)
+
+    def _drop(self, host: str) -> None:
+        load = self._remote.pop(host, None)
+        if load is not None:
+            self._remote_running -= load.running
+            self._remote_unread -= load.unread
