Split the dispatcher and the run of a request by job; drop what nothing reads

Read as a newcomer: leases, candidates, bodies and endings have modules of their own; the servers' reported load, the stride and a lookup by id were decoded and never used. No decision changed; tests.platform, tests.decisions.test_published_routes and tests.console pass as before.

--- a/src/sycamorehaven/blackboard/routing.py
+++ b/src/sycamorehaven/blackboard/routing.py
@@ -70,10 +70,6 @@
             if server.service == service and not server.draining
         ]
 
-    def find_server(self, name: str) -> ServerRecord | None:
-        """Return a server by its id."""
-        return self._directory.servers.get(name)
-
     def list_ids(self) -> set[str]:
         """Return the ids of all servers."""
         return set(self._directory.servers)
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import time
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from absl import logging
 from mode import Service
 
+from sycamorehaven.controllers.candidates import CandidateFinder, Waiting
+from sycamorehaven.controllers.leases import Lease
 from sycamorehaven.decisions.patience import PatienceTable
 from sycamorehaven.decisions.placement import (
     Candidate,
@@ -17,7 +19,6 @@
     place_prompt,
 )
 from sycamorehaven.decisions.prefixes import chain_parts
-from sycamorehaven.decisions.rendezvous import rank_candidates
 from sycamorehaven.decisions.turning_away import (
     Demand,
     choose_return,
@@ -25,22 +26,18 @@
     decide_prompt,
 )
 from sycamorehaven.exceptions.refusals import DeadlineUnreachable, NoBackendServer
-from sycamorehaven.routing.requests import RoutedRequest
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
     from sycamorehaven.blackboard.board import Blackboard
-    from sycamorehaven.decisions.server_model import Reading, ServerModel
     from sycamorehaven.decisions.turning_away import Action
-    from sycamorehaven.routing.model import ServerRecord
+    from sycamorehaven.routing.requests import RoutedRequest
     from sycamorehaven.telemetry.decision_log import DecisionLog
     from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
 
 LOOK_PERIOD = 0.02
 """Seconds between two looks at the waiting requests."""
-SHORTEST_COPY = 1_000
-"""Tokens of a prompt below which they are read rather than copied."""
 LOOK_SPACING = 4.0
 """Pause after a look, in times of what it took; the rest serves answers."""
 ABSENT_RETURN = 1.0
@@ -54,97 +51,6 @@
     return request.head.prompt_tokens + OUTPUT_WEIGHT * request.head.output_tokens
 
 
-class Lease:
-    """
-    A request's place at a backend server.
-
-    :param board: the state of this router.
-    :param server: the server.
-    :param model: what is believed of it.
-    :param reading: the prompt that it reads.
-    :param source: address of the server from which it copies a part, or "".
-    """
-
-    def __init__(
-        self,
-        board: Blackboard,
-        server: ServerRecord,
-        model: ServerModel,
-        reading: Reading,
-        source: str = "",
-    ) -> None:
-        self._board = board
-        self._server = server
-        self._source = source
-        self._model = model
-        self._reading: Reading | None = reading
-        self._ended = False
-
-    @property
-    def server(self) -> ServerRecord:
-        """The server."""
-        return self._server
-
-    @property
-    def source(self) -> str:
-        """Address of the server from which it copies a part, or ""."""
-        return self._source
-
-    @property
-    def model(self) -> ServerModel:
-        """What is believed of the server."""
-        return self._model
-
-    def note_first_token(self, now: float) -> None:
-        """Note that the prompt was read."""
-        if self._reading is None:
-            return
-        self._model.note_first_token(self._reading, now)
-        self._reading = None
-        self._announce()
-
-    def note_gap(self, gap: float, longest: float, now: float) -> None:
-        """Note the time between two events of a stream."""
-        self._model.concurrency.note_gap(gap, longest, now)
-
-    def end(self) -> None:
-        """Give the place back; again changes nothing."""
-        if self._ended:
-            return
-        self._ended = True
-        if self._reading is not None:
-            self._model.give_up(self._reading)
-            self._reading = None
-        self._model.end()
-        self._announce()
-
-    def _announce(self) -> None:
-        self._board.fleet.touch(self._server.id)
-        self._board.fleet.changed.notify()
-
-
-class Waiting(NamedTuple):
-    """
-    A request that waits.
-
-    :ivar request: the request.
-    :ivar chain: parts of its prompt.
-    :ivar ranks: place of each server in the order that routers share.
-    :ivar spared: servers that it was sent to before.
-    :ivar resumes: whether the client already has a part of its answer.
-    :ivar since: monotonic seconds from which it waits.
-    :ivar lease: gets its place.
-    """
-
-    request: RoutedRequest
-    chain: tuple[tuple[int, int], ...]
-    ranks: dict[str, int]
-    spared: frozenset[str]
-    resumes: bool
-    since: float
-    lease: asyncio.Future[Lease]
-
-
 class Dispatcher(Service):
     """
     Keeps the requests that wait, in the order of their workspaces' shares.
@@ -169,6 +75,7 @@
         self._clock = clock
         self._waiting: list[Waiting] = []
         self._patiences = PatienceTable()
+        self._finder = CandidateFinder(board)
         self._arrived = asyncio.Event()
 
     async def acquire(
@@ -193,7 +100,7 @@
             cost = measure_cost(request)
             self._board.fleet.add_usage(request.workspace, cost, 0.0, now)
         future: asyncio.Future[Lease] = asyncio.get_running_loop().create_future()
-        ranks = self._rank(request, chain)
+        ranks = self._finder.rank(request, chain)
         waiting = Waiting(
             request, chain, ranks, frozenset(spared), resumes, now, future
         )
@@ -247,7 +154,7 @@
 
     def _settle(self, one: Waiting, within: bool, now: float) -> None:
         request = one.request
-        candidates = self._list_candidates(one, now)
+        candidates = self._finder.list(one, now)
         if not candidates:
             refusal = NoBackendServer(
                 f"no server of {request.service} takes work",
@@ -335,71 +242,3 @@
             snapshot_age=round(now - self._board.routing.taken_at, 3),
         )
         one.lease.set_exception(refusal)
-
-    def _list_candidates(self, one: Waiting, now: float) -> list[Candidate]:
-        request = one.request
-        servers = self._board.routing.list_servers(request.service)
-        left = [server for server in servers if server.id not in one.spared]
-        models = {server.id: self._find_model(server) for server in left or servers}
-        open_ = {
-            name: model
-            for name, model in models.items()
-            if model.health.paused_until <= now
-        }
-        if not open_ and models:
-            first = min(models, key=lambda name: models[name].health.paused_until)
-            open_ = {first: models[first]}
-        kept = {name: model.cache.match(one.chain) for name, model in open_.items()}
-        holder = max(kept, key=lambda name: kept[name], default="")
-        domain = self._board.members.own.failure_domain
-        addresses = {server.id: server.address for server in left or servers}
-        candidates = []
-        for server in left or servers:
-            model = open_.get(server.id)
-            if model is None:
-                continue
-            copied = kept[holder] - kept[server.id] if self._copies(request) else 0
-            if copied < SHORTEST_COPY:
-                copied = 0
-            candidates.append(
-                Candidate(
-                    server=server,
-                    running=model.count_running(now),
-                    limit=model.concurrency.limit,
-                    unread=model.count_unread(now),
-                    uncached=max(
-                        request.head.prompt_tokens - kept[server.id] - copied, 1
-                    ),
-                    copied=copied,
-                    source=addresses[holder] if copied else "",
-                    rate=model.rate,
-                    errors=model.health.errors,
-                    near=server.failure_domain == domain,
-                    rank=one.ranks.get(server.id, len(one.ranks)),
-                )
-            )
-        return candidates
-
-    def _copies(self, request: RoutedRequest) -> bool:
-        configuration = self._board.routing.configuration
-        services = configuration.services if configuration else {}
-        service = services.get(request.service)
-        return bool(service and service.engine and service.engine.transfer_rate)
-
-    def _rank(
-        self, request: RoutedRequest, chain: tuple[tuple[int, int], ...]
-    ) -> dict[str, int]:
-        names = [
-            server.id for server in self._board.routing.list_servers(request.service)
-        ]
-        # The last part belongs to the request itself; the one before it is
-        # what requests about one subject share.
-        shared = chain[-2:-1] or chain
-        key = str(shared[0][0]) if shared else request.head.attempt
-        return {name: place for place, name in enumerate(rank_candidates(key, names))}
-
-    def _find_model(self, server: ServerRecord) -> ServerModel:
-        configuration = self._board.routing.configuration
-        service = configuration.services.get(server.service) if configuration else None
-        memory = service.engine.memory if service and service.engine else 0
-        return self._board.fleet.describe(server.id, memory, server.slots)
--- /dev/null
+++ b/src/sycamorehaven/controllers/leases.py
@@ -0,0 +1,103 @@
+"""Places of requests at backend servers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sycamorehaven.exceptions.backends import (
+    ConnectFailed,
+    ServerLeaving,
+    ServerLost,
+    ServerOverloaded,
+    ServerSilent,
+)
+
+if TYPE_CHECKING:
+    from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.decisions.server_model import Reading, ServerModel
+    from sycamorehaven.exceptions.backends import BackendError
+    from sycamorehaven.routing.model import ServerRecord
+
+BROKEN_CONTACT = (ConnectFailed, ServerLeaving, ServerLost, ServerSilent)
+"""Failures after which a server is left out for a while."""
+FULL_PAUSE = 0.15
+"""Seconds without requests for a server that said it is full."""
+
+
+class Lease:
+    """
+    A request's place at a backend server.
+
+    :param board: the state of this router.
+    :param server: the server.
+    :param model: what is believed of it.
+    :param reading: the prompt that it reads.
+    :param source: address of the server from which it copies a part, or "".
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        server: ServerRecord,
+        model: ServerModel,
+        reading: Reading,
+        source: str = "",
+    ) -> None:
+        self._board = board
+        self._server = server
+        self._source = source
+        self._model = model
+        self._reading: Reading | None = reading
+        self._ended = False
+
+    @property
+    def server(self) -> ServerRecord:
+        """The server."""
+        return self._server
+
+    @property
+    def source(self) -> str:
+        """Address of the server from which it copies a part, or ""."""
+        return self._source
+
+    @property
+    def model(self) -> ServerModel:
+        """What is believed of the server."""
+        return self._model
+
+    def note_first_token(self, now: float) -> None:
+        """Note that the prompt was read."""
+        if self._reading is None:
+            return
+        self._model.note_first_token(self._reading, now)
+        self._reading = None
+        self._announce()
+
+    def note_failure(self, error: BackendError, now: float) -> None:
+        """Note that the server failed the request."""
+        health = self._model.health
+        if isinstance(error, ServerOverloaded):
+            health.note_full(now, FULL_PAUSE)
+        elif isinstance(error, BROKEN_CONTACT):
+            health.note_break(now)
+        else:
+            health.note_answer(failed=True)
+
+    def note_gap(self, gap: float, longest: float, now: float) -> None:
+        """Note the time between two events of a stream."""
+        self._model.concurrency.note_gap(gap, longest, now)
+
+    def end(self) -> None:
+        """Give the place back; again changes nothing."""
+        if self._ended:
+            return
+        self._ended = True
+        if self._reading is not None:
+            self._model.give_up(self._reading)
+            self._reading = None
+        self._model.end()
+        self._announce()
+
+    def _announce(self) -> None:
+        self._board.fleet.touch(self._server.id)
+        self._board.fleet.changed.notify()
--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING
 
 from sycamorehaven.call import Answer
+from sycamorehaven.controllers.run_body import RunBody, yield_once
+from sycamorehaven.controllers.run_endings import describe_failure, describe_timeout
 from sycamorehaven.decisions.repeats import (
     AttemptHistory,
     SilenceLimits,
@@ -19,15 +21,11 @@
     AnswerInvalid,
     BackendError,
     ConnectFailed,
-    ServerLeaving,
     ServerLost,
-    ServerOverloaded,
-    ServerSilent,
 )
 from sycamorehaven.exceptions.refusals import (
     AttemptsExhausted,
     BackendTimeout,
-    DeadlineUnreachable,
     NoBackendServer,
     Refusal,
 )
@@ -36,57 +34,16 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
 
-    from sycamorehaven.controllers.dispatch import Lease
     from sycamorehaven.controllers.forwarding import ForwardingController
+    from sycamorehaven.controllers.leases import Lease
     from sycamorehaven.routing.requests import RoutedRequest
     from sycamorehaven.transport.upstream import RoutedAnswer
 
 EVENT_ID = re.compile(rb"^id: ?(\d+)", re.MULTILINE)
-RETURN_AFTER = 0.3
-"""Seconds after which a client may come back if no server could be reached."""
-FULL_PAUSE = 0.15
-"""Seconds without requests for a server that said it is full."""
-
-
 QUARANTINE_RETURN = 30.0
 """Seconds after which a request that crashes servers may come back."""
 
 
-class RunBody:
-    """
-    The body of an answer on its way to the client.
-
-    Closing it ends the run also if nothing was read from it, which closing a
-    generator that has not started would not do.
-
-    :param run: the request.
-    :param chunks: the body.
-    """
-
-    def __init__(self, run: RoutedRun, chunks: AsyncGenerator[bytes, None]) -> None:
-        self._run = run
-        self._chunks = chunks
-
-    def __aiter__(self) -> RunBody:
-        return self
-
-    async def __anext__(self) -> bytes:
-        return await anext(self._chunks)
-
-    async def aclose(self) -> None:
-        """End the run unless it has ended."""
-        try:
-            await self._chunks.aclose()
-        finally:
-            self._run.close()
-
-
-async def yield_once(body: bytes) -> AsyncGenerator[bytes, None]:
-    """Yield a body that is whole."""
-    if body:
-        yield body
-
-
 class RoutedRun:
     """
     A request in progress.
@@ -137,7 +94,8 @@
                     return await self._start_stream()
                 return await self._fetch()
         except TimeoutError:
-            raise self._describe_timeout() from None
+            sent = self._history.may_have_run or self._sending
+            raise describe_timeout(may_have_run=sent) from None
         except Refusal:
             if self._failed_answer is None:
                 raise
@@ -164,8 +122,7 @@
 
     def _may_try_other(self) -> bool:
         """Return whether another try may follow a server's own error."""
-        arrived = self._history.arrived + 1
-        history = self._history._replace(arrived=arrived, may_have_run=True)
+        history = self._history.add(arrived=True, may_have_run=True)
         if self._find_obstacle(history) or not self._take_repeat():
             return False
         self._history = history
@@ -330,26 +287,15 @@
         :raises Refusal: if there is no further one.
         """
         assert self._lease is not None
-        server, health = self._lease.server, self._lease.model.health
-        now = self._tools.clock()
-        if isinstance(error, ServerOverloaded):
-            health.note_full(now, FULL_PAUSE)
-        elif isinstance(
-            error, (ConnectFailed, ServerLost, ServerSilent, ServerLeaving)
-        ):
-            health.note_break(now)
-        else:
-            health.note_answer(failed=True)
+        server, now = self._lease.server, self._tools.clock()
+        left = self._request.deadline - now
+        self._lease.note_failure(error, now)
         if isinstance(error, ServerLost) and error.sent:
             self._controller.strike(self._fingerprint, server.id, 0.0)
         self.close()
         self._spared.add(server.id)
         arrived = not isinstance(error, ConnectFailed)
-        self._history = AttemptHistory(
-            self._history.arrived + arrived,
-            self._history.unreached + (not arrived),
-            self._history.may_have_run or error.sent,
-        )
+        self._history = self._history.add(arrived=arrived, may_have_run=error.sent)
         obstacle = self._find_obstacle(self._history)
         if not obstacle and arrived and not self._take_repeat():
             obstacle = "budget"
@@ -362,11 +308,13 @@
             detail=error.detail,
             may_have_run=self._history.may_have_run,
             arrived=self._history.arrived,
-            left=round(self._request.deadline - now, 3),
+            left=round(left, 3),
             outcome=obstacle or "try_another",
         )
         if obstacle:
-            raise self._describe_failure(error, obstacle)
+            raise describe_failure(
+                error, obstacle, may_have_run=self._history.may_have_run, left=left
+            )
 
     def _find_obstacle(self, history: AttemptHistory) -> str:
         if self._controller.is_banned(self._fingerprint):
@@ -396,24 +344,3 @@
         if self._lease is not None:
             self._lease.end()
             self._lease = None
-
-    def _describe_failure(self, error: BackendError, obstacle: str) -> Refusal:
-        if self._history.may_have_run:
-            return AttemptsExhausted(
-                f"{error.detail}; no further attempt: {obstacle}", was_run="unknown"
-            )
-        return DeadlineUnreachable(
-            f"no server took the request: {error.detail}",
-            retry_after=self._choose_return(),
-        )
-
-    def _describe_timeout(self) -> Refusal:
-        if self._history.may_have_run or self._sending:
-            return BackendTimeout("no answer in time", was_run="unknown")
-        return DeadlineUnreachable(
-            "no server took the request in time", retry_after=self._choose_return()
-        )
-
-    def _choose_return(self) -> float:
-        left = max(self._request.deadline - self._tools.clock(), 0.0)
-        return min(RETURN_AFTER, left * 0.3)
--- a/src/sycamorehaven/decisions/repeats.py
+++ b/src/sycamorehaven/decisions/repeats.py
@@ -25,6 +25,14 @@
     unreached: int = 0
     may_have_run: bool = False
 
+    def add(self, *, arrived: bool, may_have_run: bool) -> AttemptHistory:
+        """Return the history with one more attempt."""
+        return AttemptHistory(
+            self.arrived + arrived,
+            self.unreached + (not arrived),
+            self.may_have_run or may_have_run,
+        )
+
 
 def find_obstacle(
     history: AttemptHistory, attempts: int, left: float, *, repeatable: bool
--- a/src/sycamorehaven/platform/decoding.py
+++ b/src/sycamorehaven/platform/decoding.py
@@ -68,7 +68,7 @@
 def _build_engine(wire: WireEngine) -> Engine:
     bits = wire.kv_token_bytes * 8
     rate = wire.link_mbps * 1e6 / bits if bits else 0.0
-    return Engine(wire.slots, wire.kv_capacity, rate, max(wire.stride, 1))
+    return Engine(wire.slots, wire.kv_capacity, rate)
 
 
 def _build_route(wire: WireRoute) -> Route:
--- a/src/sycamorehaven/platform/dialect.py
+++ b/src/sycamorehaven/platform/dialect.py
@@ -11,7 +11,6 @@
     AnswerHead,
     PromptPart,
     RequestHead,
-    ServerLoad,
 )
 from sycamorehaven.transport.headers import HOP_BY_HOP, list_named
 
@@ -35,7 +34,6 @@
 WORKSPACE = "Sycamorehaven-Tenant"
 SIGNATURE = "Sycamorehaven-Response-Signature"
 NOT_EXECUTED = "Sycamorehaven-Not-Executed"
-LOAD = "Sycamorehaven-Server-Load"
 # Address of a server whose memory of the prompt is copied first.
 SOURCE = "Kv-Fetch"
 MISDIRECTED = 421
@@ -115,7 +113,6 @@
             attempt=found.get(ATTEMPT, ""),
             signed=SIGNATURE in found,
             executed=status != MISDIRECTED and NOT_EXECUTED not in found,
-            load=_read_load(found.get(LOAD, "")),
             closing=found.get("Connection", "").lower() == "close",
         )
 
@@ -133,11 +130,3 @@
         return 0, 0
     prompt, _, output = text.partition(",")
     return int(prompt), int(output or 0)
-
-
-def _read_load(text: str) -> ServerLoad | None:
-    numbers = text.split(",")
-    if len(numbers) != 3 or not all(number.strip().isdigit() for number in numbers):
-        return None
-    running, waiting, slots = map(int, numbers)
-    return ServerLoad(running, waiting, slots)
--- a/src/sycamorehaven/platform/documents.py
+++ b/src/sycamorehaven/platform/documents.py
@@ -39,8 +39,6 @@
     kv_capacity: int = 0
     kv_token_bytes: float = 0.0
     link_mbps: float = 0.0
-    # Tokens in one event, not a step of an index.
-    stride: int = 1
 
 
 class WireService(msgspec.Struct, rename="camel"):
--- a/src/sycamorehaven/routing/model.py
+++ b/src/sycamorehaven/routing/model.py
@@ -70,13 +70,11 @@
     :ivar memory: tokens that fit in the memory of one engine.
     :ivar transfer_rate: tokens a second that an engine copies from another, 0
         if it cannot.
-    :ivar stride: tokens in one event of a stream.
     """
 
     slots: int
     memory: int
     transfer_rate: float
-    stride: int
 
 
 class RoutedService(NamedTuple):
--- a/src/sycamorehaven/routing/requests.py
+++ b/src/sycamorehaven/routing/requests.py
@@ -77,20 +77,6 @@
     deadline: float
 
 
-class ServerLoad(NamedTuple):
-    """
-    The load that a backend server reports of itself.
-
-    :ivar running: requests that run.
-    :ivar waiting: requests that wait there.
-    :ivar slots: requests that may run at once.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-
-
 class SendPlan(NamedTuple):
     """
     How a request is sent to a backend server.
@@ -113,14 +99,12 @@
     :ivar attempt: id of the request that it answers, or "".
     :ivar signed: whether a server vouches for it.
     :ivar executed: ``False`` if the server says that the request did not run.
-    :ivar load: the server's load, if it tells.
     :ivar closing: whether the server closes the connection.
     """
 
     attempt: str
     signed: bool
     executed: bool
-    load: ServerLoad | None
     closing: bool
 
 
