Close the door of a draining router while requests are in progress

A router closed its listener and idle connections only once nothing was in progress, so long streams let new requests in until the process ended. They are closed after the balancer's notice now. The new test fails without the change and passes with it.

--- a/src/sycamorehaven/daemon.py
+++ b/src/sycamorehaven/daemon.py
@@ -105,6 +105,28 @@
             logging.error("the settings are not reloaded: %s", error)
 
 
+async def drain_gateway(
+    router: Gateway, grace: float, notice: float, forced: asyncio.Event
+) -> bool:
+    """
+    Drain a router of published routes.
+
+    :param grace: seconds until the process has to end.
+    :param notice: seconds in which the balancer finds out; requests are taken
+        for as long, whether others are in progress or not.
+    :param forced: set to end it at once.
+    :returns: whether every request ended by itself.
+    """
+    timeout = max(grace - END_MARGIN, END_MARGIN)
+    notice = min(notice, timeout)
+    timer = asyncio.get_running_loop().call_later(notice, router.close_idle)
+    drain = Drain(router.board.lifecycle, router, timeout, notice=notice)
+    try:
+        return await drain.run(forced)
+    finally:
+        timer.cancel()
+
+
 async def run_gateway(
     path: Path, settings: RouterSettings, gateway: GatewaySettings
 ) -> int:
@@ -127,11 +149,7 @@
     following.cancel()
     in_progress = router.board.lifecycle.in_progress
     router.decisions.record("draining", in_progress=in_progress, grace=gateway.grace)
-    timeout = max(gateway.grace - END_MARGIN, END_MARGIN)
-    drain = Drain(
-        router.board.lifecycle, router, timeout, notice=min(BALANCER_NOTICE, timeout)
-    )
-    whole = await drain.run(signals.forced)
+    whole = await drain_gateway(router, gateway.grace, BALANCER_NOTICE, signals.forced)
     await router.stop()
     router.decisions.record("stopped", cut=router.board.lifecycle.in_progress)
     router.decisions.flush()
--- a/src/sycamorehaven/gateway.py
+++ b/src/sycamorehaven/gateway.py
@@ -110,9 +110,13 @@
 
     async def hand_over(self) -> bool:
         """Take no further requests; nothing of this router outlives it."""
+        self.close_idle()
+        return True
+
+    def close_idle(self) -> None:
+        """Take no further requests; those in progress end by themselves."""
         if self._front is not None:
             self._front.close_idle()
-        return True
 
     def reload(self, settings: RouterSettings) -> None:
         """Take over what may change while the router runs."""
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from sycamorehaven.daemon import drain_gateway
 from tests.support.platform import HOST, KEY, build_configuration, wait_until
 
 if TYPE_CHECKING:
@@ -216,3 +217,24 @@
         scene.board.lifecycle.begin_draining()
         async with client.get(url) as got:
             assert got.status == 503
+
+
+async def test_long_request_does_not_keep_a_draining_router_open(
+    scene: GatewayScene,
+) -> None:
+    for server in scene.servers:
+        server.behaviour = "hang"
+    asking = asyncio.create_task(ask(scene, "/book/1", "POST"))
+    await wait_until(lambda: list_runs(scene))
+    assert scene.gateway is not None
+    forced = asyncio.Event()
+    draining = asyncio.create_task(drain_gateway(scene.gateway, 8.0, 0.1, forced))
+    await asyncio.sleep(0.5)
+    try:
+        await ask(scene, "/open/1", attempt="a2")
+        raise AssertionError("a draining router took another request")
+    except aiohttp.ClientConnectionError:
+        assert not asking.done()
+    forced.set()
+    assert not await draining
+    asking.cancel()
