--- a/tests/telemetry/test_decision_log.py
+++ b/tests/telemetry/test_decision_log.py
@@ -64,4 +64,5 @@
     log = DecisionLog("h", target)
     log.record("placed")
     log.record("placed")
+    assert not log.left_out
     os.close(target)
