--- a/benchmarks/edge.py
+++ b/benchmarks/edge.py
@@ -91,6 +91,10 @@
         self.sizes[kind] += len(self._codec.encode(message))
         self.sequence = getattr(message, "sequence", self.sequence)
 
+    def broadcast(self, message: Any) -> None:
+        """Count one message."""
+        self.send_to("", message)
+
     def subscribe(self, kind: type, handler: Handler) -> None:
         """Call a handler with every delivery of a kind."""
         self._handlers.setdefault(kind, []).append(handler)
--- a/benchmarks/network.py
+++ b/benchmarks/network.py
@@ -100,6 +100,12 @@
         """Send to an address; hosts are named by theirs."""
         self.send(address.partition(":")[0], message)
 
+    def broadcast(self, message: Any) -> None:
+        """Send to every other member."""
+        for member in self._board.members.list():
+            if member.host != self._board.identity.host:
+                self.send(member.host, message)
+
     def subscribe(self, kind: type, handler: Handler) -> None:
         """Call a handler with every delivery of a kind."""
         self._handlers.setdefault(kind, []).append(handler)
--- a/src/sycamorehaven/blackboard/routing.py
+++ b/src/sycamorehaven/blackboard/routing.py
@@ -24,7 +24,7 @@
         self._configuration: RoutingConfiguration | None = None
         self._table = RouteTable(())
         self._directory = Directory()
-        self._taken_at = 0.0
+        self._read_at = 0.0
         self._changed = Signal()
 
     @property
@@ -48,9 +48,9 @@
         return self._snapshot.revision if self._snapshot else 0
 
     @property
-    def taken_at(self) -> float:
-        """When the newest snapshot came, monotonic seconds."""
-        return self._taken_at
+    def read_at(self) -> float:
+        """When the newest snapshot was last read, monotonic seconds."""
+        return self._read_at
 
     @property
     def changed(self) -> Signal:
@@ -74,16 +74,18 @@
         """Return the ids of all servers."""
         return set(self._directory.servers)
 
-    def take(self, snapshot: Snapshot, now: float) -> DirectoryChange | None:
+    def take(self, snapshot: Snapshot, read_at: float) -> DirectoryChange | None:
         """
         Take in a snapshot; return what changed, ``None`` if it is too old.
 
         A configuration never gives way to one of a lower revision.
+
+        :param read_at: when it was read, here or elsewhere, monotonic seconds.
         """
-        if snapshot.revision < self.revision:
+        if (snapshot.revision, read_at) < (self.revision, self._read_at):
             return None
-        self._snapshot, self._taken_at = snapshot, now
-        change = self._directory.take(snapshot, now)
+        self._snapshot, self._read_at = snapshot, max(read_at, self._read_at)
+        change = self._directory.take(snapshot, self._read_at)
         known = self._configuration.revision if self._configuration else 0
         newest = snapshot.configuration
         if newest is not None and newest.revision > known:
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -215,7 +215,7 @@
             running=model.count_running(now),
             within_share=within,
             snapshot=self._board.routing.revision,
-            snapshot_age=round(now - self._board.routing.taken_at, 3),
+            snapshot_age=round(now - self._board.routing.read_at, 3),
         )
         one.lease.set_result(
             Lease(self._board, best.server, model, reading, best.source)
@@ -239,6 +239,6 @@
             expected=round(best.first_token, 3) if best else None,
             within_share=within,
             retry_after=refusal.retry_after,
-            snapshot_age=round(now - self._board.routing.taken_at, 3),
+            snapshot_age=round(now - self._board.routing.read_at, 3),
         )
         one.lease.set_exception(refusal)
--- a/src/sycamorehaven/controllers/fleet_news.py
+++ b/src/sycamorehaven/controllers/fleet_news.py
@@ -9,6 +9,7 @@
 from mode import Service
 
 from sycamorehaven.decisions.server_model import RemoteLoad
+from sycamorehaven.identity import RouterId
 from sycamorehaven.transport.messages.fleet import (
     FleetNews,
     PlacedPart,
@@ -20,7 +21,6 @@
     from collections.abc import Callable
 
     from sycamorehaven.blackboard.board import Blackboard
-    from sycamorehaven.identity import RouterId
     from sycamorehaven.transport.codec import Delivery
     from sycamorehaven.transport.links import PeerLink
 
@@ -55,6 +55,7 @@
         self._told: dict[str, tuple[int, int]] = {}
         self._heard: dict[tuple[RouterId, str], tuple[int, int]] = {}
         link.subscribe(FleetNews, self._take)
+        board.members.changed.subscribe(self._forget_dead)
 
     @Service.task
     async def _run(self) -> None:
@@ -68,10 +69,7 @@
         news = self._compose()
         if news is None:
             return
-        own = self._board.members.own.host
-        for member in self._board.members.list():
-            if member.host != own:
-                self._link.send_to(member.address, news)
+        self._link.broadcast(news)
 
     def _compose(self) -> FleetNews | None:
         fleet, now = self._board.fleet, self._clock()
@@ -87,8 +85,10 @@
             model = fleet.find_model(name)
             if model.running or name in touched:
                 shares.append(ServerShare(name, model.running, int(model.unread)))
+        routing = self._board.routing
         return FleetNews(
-            self._board.routing.revision,
+            routing.revision,
+            max(now - routing.read_at, 0.0),
             shares,
             [PlacedPart(*part) for part in placed],
             self._list_usage(),
@@ -103,6 +103,12 @@
                 changed.append(WorkspaceUsage(workspace, *total))
         return changed
 
+    def _forget_dead(self) -> None:
+        live = {RouterId(m.host, m.incarnation) for m in self._board.members.list()}
+        self._heard = {
+            key: total for key, total in self._heard.items() if key[0] in live
+        }
+
     def _take(self, delivery: Delivery) -> None:
         news: FleetNews = delivery.message
         fleet, now = self._board.fleet, self._clock()
--- a/src/sycamorehaven/controllers/forwarding.py
+++ b/src/sycamorehaven/controllers/forwarding.py
@@ -107,18 +107,12 @@
         self._strikes.add(fingerprint, server, self._tools.clock())
         number = xxhash.xxh3_64_intdigest(server.encode())
         strike = Strike(fingerprint, number, 0.0, server, ran, alone=False)
-        self._tell(strike)
+        self._link.broadcast(strike)
 
     def acquit(self, fingerprint: bytes) -> None:
         """Note that a request was served."""
         if self._strikes.clear(fingerprint):
-            self._tell(Acquittal(fingerprint, 0.0))
-
-    def _tell(self, message: Strike | Acquittal) -> None:
-        own = self._board.members.own.host
-        for member in self._board.members.list():
-            if member.host != own:
-                self._link.send_to(member.address, message)
+            self._link.broadcast(Acquittal(fingerprint, 0.0))
 
     def _take_strike(self, delivery: Delivery) -> None:
         strike: Strike = delivery.message
--- a/src/sycamorehaven/controllers/routing.py
+++ b/src/sycamorehaven/controllers/routing.py
@@ -33,8 +33,10 @@
 """Reads under way at once; a slow one does not hold up the next."""
 SMALL_FLEET = 12
 """Routers up to which each reads the platform itself."""
-SILENCE = 1.2
-"""Seconds without a snapshot after which a router reads or asks by itself."""
+SILENCE = 1.5
+"""Age of a snapshot from which a router reads by itself, seconds."""
+CONFIRM_PERIOD = 0.25
+"""Seconds between two confirmations of one snapshot that are taken in."""
 ASK_PERIOD = 0.25
 """Seconds between two requests for a peer's snapshot."""
 
@@ -95,18 +97,19 @@
     @Service.task
     async def _follow(self) -> None:
         while not self.should_stop:
-            if self._is_due() and len(self._reads) < MOST_READS:
+            if self.is_due() and len(self._reads) < MOST_READS:
                 task = asyncio.create_task(self.read())
                 self._reads.add(task)
                 task.add_done_callback(self._reads.discard)
             await asyncio.sleep(READ_PERIOD)
 
-    def _is_due(self) -> bool:
+    def is_due(self) -> bool:
+        """Return whether this router is to read the platform by itself."""
         members = self._board.members
         domains = members.map_domains()
         if len(domains) <= SMALL_FLEET or is_reader(members.own, domains):
             return True
-        return self._clock() - self._board.routing.taken_at > SILENCE
+        return self._clock() - self._board.routing.read_at > SILENCE
 
     async def read(self) -> None:
         """Read the platform once."""
@@ -129,13 +132,13 @@
             "dependency_regained" if available else "dependency_lost",
             dependency="platform",
             detail=detail,
-            snapshot_age=round(self._clock() - self._board.routing.taken_at, 3),
+            snapshot_age=round(self._clock() - self._board.routing.read_at, 3),
         )
 
     def _take(self, snapshot: Snapshot, origin: str, age: float) -> None:
         routing = self._board.routing
         before = routing.configuration.revision if routing.configuration else 0
-        change = routing.take(snapshot, self._clock())
+        change = routing.take(snapshot, self._clock() - age)
         if change is None:
             return
         self._forget(change)
@@ -170,19 +173,30 @@
     def _take_news(self, delivery: Delivery) -> None:
         news: FleetNews = delivery.message
         routing, now = self._board.routing, self._clock()
-        if news.revision <= routing.revision or now - self._asked_at < ASK_PERIOD:
+        if news.revision == routing.revision:
+            self._take_confirmation(delivery.sender.host, news.age)
+            return
+        if news.revision < routing.revision or now - self._asked_at < ASK_PERIOD:
             return
         if now - self._read_at < 2 * READ_PERIOD:
             return
         self._asked_at = now
         self._link.send_to(delivery.address, SnapshotRequest(routing.revision))
 
+    def _take_confirmation(self, host: str, age: float) -> None:
+        routing = self._board.routing
+        later = self._clock() - age - routing.read_at
+        if routing.snapshot is not None and later > CONFIRM_PERIOD:
+            self._take(routing.snapshot, host, age)
+
     def _take_request(self, delivery: Delivery) -> None:
         request: SnapshotRequest = delivery.message
-        snapshot = self._board.routing.snapshot
+        routing = self._board.routing
+        snapshot = routing.snapshot
         if snapshot is not None and snapshot.revision > request.revision:
-            self._link.send_to(delivery.address, SnapshotReply(snapshot))
+            age = max(self._clock() - routing.read_at, 0.0)
+            self._link.send_to(delivery.address, SnapshotReply(snapshot, age))
 
     def _take_reply(self, delivery: Delivery) -> None:
         reply: SnapshotReply = delivery.message
-        self._take(reply.snapshot, delivery.sender.host, 0.0)
+        self._take(reply.snapshot, delivery.sender.host, reply.age)
--- a/src/sycamorehaven/transport/checks.py
+++ b/src/sycamorehaven/transport/checks.py
@@ -82,6 +82,6 @@
         return web.Response(status=200 if ready else 503)
 
     def _answer_metrics(self, _request: BaseRequest) -> web.StreamResponse:
-        age = self._clock() - self._board.routing.taken_at
+        age = self._clock() - self._board.routing.read_at
         self._metrics.snapshot_age.set(age)
         return web.Response(body=self._metrics.format(), content_type="text/plain")
--- a/src/sycamorehaven/transport/links.py
+++ b/src/sycamorehaven/transport/links.py
@@ -27,6 +27,10 @@
         """Send to a peer address, member or not."""
         ...
 
+    def broadcast(self, message: Any) -> None:
+        """Send to every other member."""
+        ...
+
     def subscribe(self, kind: type, handler: Handler) -> None:
         """Call ``handler`` with every delivery of one kind of message."""
         ...
--- a/src/sycamorehaven/transport/messages/fleet.py
+++ b/src/sycamorehaven/transport/messages/fleet.py
@@ -10,6 +10,7 @@
 from sycamorehaven.transport.messages.names import ServerName
 
 Count = Annotated[int, msgspec.Meta(ge=0, lt=2**62)]
+Age = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
 
 
 class ServerShare(NamedTuple):
@@ -59,12 +60,14 @@
     What has changed at a router since it last told.
 
     :ivar revision: of its newest snapshot.
+    :ivar age: seconds since the platform showed that snapshot.
     :ivar servers: its load of servers.
     :ivar placed: prompts that it placed.
     :ivar usage: workspaces whose use has changed.
     """
 
     revision: Count
+    age: Age
     servers: list[ServerShare]
     placed: list[PlacedPart]
     usage: list[WorkspaceUsage]
@@ -85,6 +88,8 @@
     The answer to ``SnapshotRequest``.
 
     :ivar snapshot: the newer snapshot.
+    :ivar age: seconds since the platform showed it.
     """
 
     snapshot: Snapshot
+    age: Age
--- a/src/sycamorehaven/transport/peers.py
+++ b/src/sycamorehaven/transport/peers.py
@@ -96,19 +96,19 @@
 
     def send_to(self, address: str, message: Any) -> None:
         """Send to a peer address, member or not; never raises or blocks."""
-        kind = type(message).__name__
-        try:
-            data = self._codec.encode(message)
-            if self._filter.admits(self._address, address):
-                self._dealers.send(address, data)
-        except MessageError as error:
-            self._drop("unencodable", error)
-        except zmq.Again:
-            self._board.traffic.count_dropped("queue_full")
-        except zmq.ZMQError as error:
-            self._drop("unreachable", error)
-        else:
-            self._board.traffic.count_sent(kind, len(data))
+        data = self._encode(message)
+        if data is not None:
+            self._send_bytes(address, type(message).__name__, data)
+
+    def broadcast(self, message: Any) -> None:
+        """Send to every other member; never raises or blocks."""
+        data = self._encode(message)
+        if data is None:
+            return
+        own, kind = self._board.identity.host, type(message).__name__
+        for member in self._board.members.list():
+            if member.host != own:
+                self._send_bytes(member.address, kind, data)
 
     async def on_start(self) -> None:
         """Bind the receiving socket."""
@@ -140,6 +140,24 @@
         self._router.curve_publickey = public_key.encode()
         self._router.curve_secretkey = self._settings.secret_key.encode()
 
+    def _encode(self, message: Any) -> bytes | None:
+        try:
+            return self._codec.encode(message)
+        except MessageError as error:
+            self._drop("unencodable", error)
+            return None
+
+    def _send_bytes(self, address: str, kind: str, data: bytes) -> None:
+        try:
+            if self._filter.admits(self._address, address):
+                self._dealers.send(address, data)
+        except zmq.Again:
+            self._board.traffic.count_dropped("queue_full")
+        except zmq.ZMQError as error:
+            self._drop("unreachable", error)
+        else:
+            self._board.traffic.count_sent(kind, len(data))
+
     def _follow_members(self) -> None:
         addresses = {member.address for member in self._board.members.list()}
         for address in self._members - addresses:
--- a/tests/support/doubles.py
+++ b/tests/support/doubles.py
@@ -90,6 +90,12 @@
         delivery = Delivery(self._board.identity, self._address, message)
         self._network.pending.append((address, delivery))
 
+    def broadcast(self, message: Any) -> None:
+        """Queue a message for every other member."""
+        for member in self._board.members.list():
+            if member.address != self._address:
+                self.send_to(member.address, message)
+
     def subscribe(self, kind: type, handler: Handler) -> None:
         """Call a handler with every delivery of a kind."""
         self._handlers.setdefault(kind, []).append(handler)
