Share what schedulers have reserved with their counters

Cause: a scheduler knew of the others' grants only once they were charged, so two of them favoured one workspace together until its requests ended.

Change: rows of counters carry what the sender has reserved; a scheduler adds it to what was charged. The likeness of other schedulers stays as the least.

--- a/benchmarks/decision_cost.py
+++ b/benchmarks/decision_cost.py
@@ -33,6 +33,10 @@
         self.reads += 1
         return self.totals.get(workspace, 0.0)
 
+    def sum_reserved(self, service: str, workspace: str) -> float:  # noqa: ARG002
+        """Return 0; no other scheduler has reserved anything."""
+        return 0.0
+
 
 class Size(NamedTuple):
     """
--- a/benchmarks/sharing.py
+++ b/benchmarks/sharing.py
@@ -167,6 +167,10 @@
             total += reading.extrapolate(until)
         return total
 
+    def sum_reserved(self, service: str, workspace: str) -> float:  # noqa: ARG002
+        """Return 0; only totals are shared here."""
+        return 0.0
+
 
 HOSTS = tuple(f"router-{index}" for index in range(len(SPEEDS)))
 
--- a/src/sycamorehaven/blackboard/counters.py
+++ b/src/sycamorehaven/blackboard/counters.py
@@ -41,6 +41,7 @@
         self._sums: dict[tuple[str, str], float] = {}
         self._bases: dict[tuple[str, str], float] = {}
         self._folded: dict[str, int] = {}
+        self._reserved: dict[RouterId, dict[tuple[str, str], float]] = {own: {}}
 
     @property
     def totals(self) -> dict[CounterKey, float]:
@@ -56,6 +57,11 @@
         """This router's totals, by service and workspace."""
         return self._totals[self._own]
 
+    @property
+    def own_reserved(self) -> Mapping[tuple[str, str], float]:
+        """What this router's schedulers reserved, by service and workspace."""
+        return self._reserved[self._own]
+
     @property
     def schedulers(self) -> Collection[RouterId]:
         """Schedulers whose totals are in memory."""
@@ -97,6 +103,30 @@
                 self._bases[place] = self._bases.get(place, 0.0) + base
         self._raise_total(key.scheduler, place, total)
 
+    def reserve(self, service: str, workspace: str, amount: float) -> None:
+        """Note what this router's schedulers have reserved for a workspace."""
+        self._reserved[self._own][service, workspace] = amount
+
+    def note_reserved(self, key: CounterKey, amount: float) -> None:
+        """Note what another scheduler has reserved for a workspace."""
+        if key.scheduler != self._own:
+            places = self._reserved.setdefault(key.scheduler, {})
+            places[key.service, key.workspace] = amount
+
+    def retain_reserved(self, live: Collection[RouterId]) -> None:
+        """Forget what schedulers have reserved that are gone."""
+        for scheduler in self._reserved.keys() - {self._own, *live}:
+            del self._reserved[scheduler]
+
+    def sum_reserved(self, service: str, workspace: str) -> float:
+        """Return what other schedulers have reserved for a workspace."""
+        place = service, workspace
+        return sum(
+            places.get(place, 0.0)
+            for scheduler, places in self._reserved.items()
+            if scheduler != self._own
+        )
+
     def fold(self, scheduler: RouterId, *, may_return: bool) -> None:
         """
         Forget the totals of a scheduler that is gone; keep the sums.
--- a/src/sycamorehaven/controllers/counters.py
+++ b/src/sycamorehaven/controllers/counters.py
@@ -78,6 +78,7 @@
         self._policy = policy
         self._readings: dict[str, dict[Place, Reading]] = {}
         self._feeds: dict[RouterId, PeerFeed] = {}
+        self._heard: dict[RouterId, int] = {}
         self._absences = AbsenceLog()
         self._assigned_for: tuple[Version, dict[str, str]] | None = None
         self._schedulers: dict[str, set[str]] = {}
@@ -124,6 +125,11 @@
         if self._assigned_for != (configuration.version, domains):
             self._assigned_for = configuration.version, domains
             self._place(map_schedulers(configuration, domains))
+        live = {RouterId(m.host, m.incarnation) for m in self._board.members.list()}
+        self._board.counters.retain_reserved(live)
+        self._heard = {
+            router: number for router, number in self._heard.items() if router in live
+        }
         self._feeds = {
             router: self._feeds.get(router) or self._create_feed()
             for router in self._list_recipients()
@@ -172,11 +178,16 @@
             self._tell(router, told)
 
     def _read_totals(self, now: float) -> None:
-        for key, total in self._board.counters.own_totals.items():
+        totals, reserved = (
+            self._board.counters.own_totals,
+            self._board.counters.own_reserved,
+        )
+        for key in (*totals, *(key for key in reserved if key not in totals)):
+            total, running = totals.get(key, 0.0), reserved.get(key, 0.0)
             rows = self._readings.setdefault(key[0], {})
             known = rows.get(key)  # type: ignore[call-overload]
-            if known is None or known.total != total:
-                rows[Place(*key)] = Reading(total, 0.0, now)
+            if known is None or (known.total, known.reserved) != (total, running):
+                rows[Place(*key)] = Reading(total, 0.0, now, running)
 
     def _take_turns(self) -> list[RouterId]:
         routers = list(self._feeds)
@@ -197,7 +208,7 @@
         feed.record(self._sequence, told, self._clock())
         own = self._board.identity
         totals = [
-            Total(own, place, reading.total, feed.find_base(place))
+            Total(own, place, reading.total, feed.find_base(place), reading.reserved)
             for place, reading in told.items()
         ]
         update = CounterUpdate(self._sequence, shorten_rows(own, totals))
@@ -228,10 +239,17 @@
 
     def _take_update(self, delivery: Delivery) -> None:
         update: CounterUpdate = delivery.message
-        for total in expand_rows(delivery.sender, update.rows):
-            if total.scheduler != self._board.identity:
-                key = CounterKey(total.scheduler, *total.place)
-                self._board.counters.merge(key, total.total, total.base)
+        counters, sender = self._board.counters, delivery.sender
+        newer = update.sequence > self._heard.get(sender, 0)
+        if newer:
+            self._heard[sender] = update.sequence
+        for total in expand_rows(sender, update.rows):
+            if total.scheduler == self._board.identity:
+                continue
+            key = CounterKey(total.scheduler, *total.place)
+            counters.merge(key, total.total, total.base)
+            if newer and total.scheduler == sender:
+                counters.note_reserved(key, total.reserved)
         if update.sequence:
             self._link.send(delivery.sender.host, CounterAck(update.sequence))
 
--- a/src/sycamorehaven/controllers/scheduling.py
+++ b/src/sycamorehaven/controllers/scheduling.py
@@ -262,6 +262,8 @@
         scheduler = self._schedulers[service]
         now = self._clock()
         grants = scheduler.grant(now)
+        for workspace, reserved in scheduler.take_reserved().items():
+            self._board.counters.reserve(service, workspace, reserved)
         free = scheduler.count_free(now) if grants else 0
         for grant in grants:
             message = _write_grant(service, grant, free)
--- a/src/sycamorehaven/decisions/counter_rows.py
+++ b/src/sycamorehaven/decisions/counter_rows.py
@@ -25,12 +25,14 @@
     :ivar place: of what.
     :ivar total: in the service's unit.
     :ivar base: the part that was given before the receiver was told.
+    :ivar reserved: cost of what runs and is not in the total.
     """
 
     scheduler: RouterId
     place: Place
     total: float
     base: float = 0
+    reserved: float = 0
 
 
 def shorten_rows(sender: RouterId, totals: Iterable[Total]) -> list[CounterRow]:
@@ -50,6 +52,7 @@
                 total.place.workspace,
                 total.total,
                 total.base,
+                total.reserved,
             )
         )
     return rows
@@ -65,4 +68,6 @@
         if not 0.0 <= row.total <= LARGEST_TOTAL or not service:
             continue
         base = row.base if 0.0 <= row.base <= row.total else 0.0
-        yield Total(scheduler, Place(service, row.workspace), row.total, base)
+        reserved = row.reserved if 0.0 <= row.reserved <= LARGEST_TOTAL else 0.0
+        place = Place(service, row.workspace)
+        yield Total(scheduler, place, row.total, base, reserved)
--- a/src/sycamorehaven/decisions/grants.py
+++ b/src/sycamorehaven/decisions/grants.py
@@ -28,6 +28,10 @@
         """Return the service a workspace has received, in units."""
         ...
 
+    def sum_reserved(self, service: str, workspace: str) -> float:
+        """Return what other schedulers have reserved for it, in units."""
+        ...
+
 
 class Issue(NamedTuple):
     """
--- a/src/sycamorehaven/decisions/holdings.py
+++ b/src/sycamorehaven/decisions/holdings.py
@@ -79,6 +79,7 @@
         self._holdings: dict[PermitName, Holding] = {}
         self._by_edge: dict[RouterId, set[PermitName]] = {}
         self._reserved: dict[str, float] = {}
+        self._touched: set[str] = set()
         self._abandoned: OrderedDict[PermitName, Holding] = OrderedDict()
         self._settled: OrderedDict[PermitName, None] = OrderedDict()
 
@@ -91,6 +92,12 @@
         """Return what is reserved for a workspace, in the service's unit."""
         return self._reserved.get(workspace, 0.0)
 
+    def take_changes(self) -> dict[str, float]:
+        """Return the reservations that have changed, once."""
+        changes = {name: self.measure_reserved(name) for name in self._touched}
+        self._touched.clear()
+        return changes
+
     def list_of(self, edge: RouterId) -> list[Holding]:
         """Return the permits that an edge holds."""
         return [self._holdings[name] for name in sorted(self._by_edge.get(edge, ()))]
@@ -189,6 +196,7 @@
         return holding
 
     def _reserve(self, workspace: str, change: float) -> None:
+        self._touched.add(workspace)
         total = self._reserved.get(workspace, 0.0) + change
         if total > 1e-9:
             self._reserved[workspace] = total
--- a/src/sycamorehaven/decisions/scheduler.py
+++ b/src/sycamorehaven/decisions/scheduler.py
@@ -39,7 +39,7 @@
 LAG_LIMIT = 4.0
 """Largest requests by which a workspace may lag the one furthest ahead."""
 PEER_LIKENESS = 0.4
-"""Part of own reservations that each other scheduler is taken to have."""
+"""Part of own reservations that each scheduler is taken to have at least."""
 
 
 class ServiceScheduler:
@@ -90,6 +90,10 @@
         """Workspaces that wait."""
         return self._share.waiting
 
+    def take_reserved(self) -> dict[str, float]:
+        """Return the reservations by workspace that have changed, once."""
+        return self._holdings.take_changes()
+
     def list_edges(self) -> list[RouterId]:
         """Return the edges that have reported."""
         return self._backlog.list_edges()
@@ -279,12 +283,14 @@
         """
         Return the weighted service received, reservations included.
 
-        Other schedulers' reservations are known here only once charged. They
-        are taken to be like those made here; else all would favour the same
-        workspace until they heard of each other's grants.
+        Other schedulers tell theirs, but not each change to everyone. They
+        are taken to be like those made here at least; else all would favour
+        the same workspace until they heard of each other's grants.
         """
         total = self._ledger.sum_service(self._service, workspace)
-        total += self._peer_factor * self._holdings.measure_reserved(workspace)
+        own = self._holdings.measure_reserved(workspace)
+        told = self._ledger.sum_reserved(self._service, workspace)
+        total += max(own + told, self._peer_factor * own)
         return total / self._weights.get(workspace, 1.0)
 
     def _update_waiting(self, workspaces: Iterable[str], now: float) -> None:
--- a/src/sycamorehaven/decisions/sharing.py
+++ b/src/sycamorehaven/decisions/sharing.py
@@ -79,15 +79,22 @@
     :ivar total: in the service's unit.
     :ivar rate: units per second lately.
     :ivar at: monotonic seconds.
+    :ivar reserved: cost of what runs and is not in the total.
     """
 
     total: float
     rate: float
     at: float
+    reserved: float = 0.0
+
+    @property
+    def committed(self) -> float:
+        """The total once all that runs has ended."""
+        return self.total + self.reserved
 
     def extrapolate(self, now: float) -> float:
-        """Return the total that is expected at a later time."""
-        return self.total + self.rate * min(now - self.at, HORIZON)
+        """Return what is expected to be committed at a later time."""
+        return self.committed + self.rate * min(now - self.at, HORIZON)
 
 
 class DueRow(NamedTuple):
@@ -177,10 +184,10 @@
             if known is None or self._is_stale(known, reading, now):
                 due.append(DueRow(-math.inf, place))
                 continue
-            expected = known.total
+            expected = known.committed
             if policy.extrapolate:
                 expected = known.extrapolate(now)
-            error = abs(reading.total - expected) / scales.get(place.service, 1.0)
+            error = abs(reading.committed - expected) / scales.get(place.service, 1.0)
             if error > limit * policy.ride_along:
                 due.append(DueRow(-error / (limit or 1.0), place))
         due.sort()
--- a/src/sycamorehaven/transport/messages/counters.py
+++ b/src/sycamorehaven/transport/messages/counters.py
@@ -17,6 +17,8 @@
     :ivar total: service given since the incarnation's start.
     :ivar base: the total when the sender began to tell the receiver, for a
         receiver that has not heard of it yet; 0 once it has.
+    :ivar reserved: estimated cost of what runs and is not in the total; told
+        by the scheduler itself only, 0 from others.
     """
 
     host: str
@@ -25,11 +27,12 @@
     workspace: str
     total: float
     base: float = 0
+    reserved: float = 0
 
 
 class CounterUpdate(NamedTuple):
     """
-    Totals that the receiver merges by maximum.
+    Totals that the receiver merges by maximum, and reservations.
 
     :ivar sequence: rises with every update of this sender; 0 wants no
         acknowledgement.
--- a/tests/decisions/test_scheduler.py
+++ b/tests/decisions/test_scheduler.py
@@ -34,6 +34,10 @@
         """Return the service received."""
         return self.received.get(workspace, 0.0)
 
+    def sum_reserved(self, service: str, workspace: str) -> float:  # noqa: ARG002
+        """Return 0; no other scheduler has reserved anything."""
+        return 0.0
+
     def load(self, running: int, now: float) -> None:
         """Let the server report its load."""
         self.scheduler.learn_load("engine-1", running, now + 0.001, now + 0.001)
