Add a fault soak of real processes; count crashes of a restarted server

The soak runs three routers and five backend servers as processes, each behind a loopback proxy, plays faults that a seed chooses and checks what callers and backend servers saw. tests.soak.test_promises shows that each check finds what it is for. Not proxied: connections between routers.

Found while writing tests.failures.test_gateways: strikes were kept by the id of a server, so a request that crashed one server at each of its starts had one strike. They are kept by the server's life now; the test failed before and passes after.

--- a/src/sycamorehaven/controllers/forwarding.py
+++ b/src/sycamorehaven/controllers/forwarding.py
@@ -103,7 +103,11 @@
         return self._strikes.is_banned(fingerprint, self._tools.clock())
 
     def strike(self, fingerprint: bytes, server: str, ran: float) -> None:
-        """Note that a server was lost while it ran a request."""
+        """
+        Note that a server was lost while it ran a request.
+
+        :param server: one life of the server; a crash is its end.
+        """
         self._strikes.add(fingerprint, server, self._tools.clock())
         number = xxhash.xxh3_64_intdigest(server.encode())
         strike = Strike(fingerprint, number, 0.0, server, ran, alone=False)
--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -291,7 +291,7 @@
         left = self._request.deadline - now
         self._lease.note_failure(error, now)
         if isinstance(error, ServerLost) and error.sent:
-            self._controller.strike(self._fingerprint, server.id, 0.0)
+            self._controller.strike(self._fingerprint, server.life, 0.0)
         self.close()
         self._spared.add(server.id)
         arrived = not isinstance(error, ConnectFailed)
--- a/src/sycamorehaven/decisions/strikes.py
+++ b/src/sycamorehaven/decisions/strikes.py
@@ -29,7 +29,12 @@
         self._strikes: dict[bytes, dict[str, float]] = {}
 
     def add(self, fingerprint: bytes, server: str, now: float) -> None:
-        """Take in that a server was lost while it ran a request."""
+        """
+        Take in that a server was lost while it ran a request.
+
+        :param server: one life of the server, so that what it ran together
+            counts once, and a crash after its restart counts again.
+        """
         if fingerprint not in self._strikes and len(self._strikes) >= MOST_REQUESTS:
             del self._strikes[next(iter(self._strikes))]
         self._strikes.setdefault(fingerprint, {})[server] = now
--- a/src/sycamorehaven/routing/model.py
+++ b/src/sycamorehaven/routing/model.py
@@ -151,6 +151,11 @@
     slots: int
     draining: bool
 
+    @property
+    def life(self) -> str:
+        """What tells this start of the server from others under its id."""
+        return f"{self.id}/{self.started}"
+
 
 class Snapshot(NamedTuple):
     """
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,53 @@
+"""
+Plays seeds: ``python -m tests.soak --first 1 --count 50 --seconds 20``.
+
+The logs of a seed that broke a promise are kept in a folder of its own.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from tests.soak.player import play_seed
+
+
+def play(
+    first: Annotated[int, typer.Option(help="The first seed.")] = 1,
+    count: Annotated[int, typer.Option(help="How many seeds.")] = 1,
+    seconds: Annotated[float, typer.Option(help="Seconds of faults.")] = 20.0,
+    folder: Annotated[
+        Path, typer.Option(help="Where logs of broken promises are kept.")
+    ] = Path(".soak"),
+) -> None:
+    """Play seeds one after the other; fail if one broke a promise."""
+    broken = 0
+    for seed in range(first, first + count):
+        logs = folder / str(seed)
+        shutil.rmtree(logs, ignore_errors=True)
+        logs.mkdir(parents=True)
+        outcome = asyncio.run(play_seed(seed, seconds, logs))
+        print(
+            f"seed {seed}: {len(outcome.findings)} findings,"
+            f" {outcome.served} of {outcome.requests} requests served,"
+            f" {outcome.troubles} faults",
+            flush=True,
+        )
+        for finding in outcome.findings:
+            print(f"  {finding}", flush=True)
+        if outcome.findings:
+            broken += 1
+        else:
+            shutil.rmtree(logs)
+    if broken:
+        print(f"{broken} of {count} seeds broke a promise; logs in {folder}")
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    typer.run(play)
--- /dev/null
+++ b/tests/soak/fleet.py
@@ -0,0 +1,299 @@
+"""Routers and backend servers as processes, each behind a proxy."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import functools
+import os
+import signal
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from tests.soak.proxy import FaultyProxy
+from tests.soak.records import Record, Run, Trouble
+from tests.support.fixtures import async_fixture
+from tests.support.fleet import START_TIMEOUT, find_port, wait_for
+from tests.support.loader import ROOT
+from tests.support.platform import FakeStore, build_configuration
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+GRACE = 8.0
+"""Seconds from SIGTERM to the end of a router."""
+RETRY_RATIO = 0.2
+RETRY_SLACK = 50.0
+RETRY_WINDOW = 10.0
+SERVICES = {"s1": "plain", "s2": "plain", "s3": "plain", "e1": "model", "e2": "model"}
+"""Service of each backend server."""
+ROUTERS = ("north1", "north2", "south1")
+
+SETTINGS = """
+[router]
+host = "{host}"
+failure_domain = "{domain}"
+[callers]
+address = "127.0.0.1:{ports[0]}"
+[peers]
+address = "127.0.0.1:{ports[1]}"
+seeds = {seeds}
+allow_plaintext = true
+[admin]
+address = "127.0.0.1:{ports[2]}"
+[platform]
+url = "http://{platform}"
+[telemetry]
+level = "warning"
+trace_ratio = 0.0
+[gateway]
+readiness = "127.0.0.1:{ports[3]}"
+metrics = "127.0.0.1:{ports[4]}"
+grace = {grace}
+retry_ratio = {ratio}
+retry_window = {window}
+retry_slack = {slack}
+quota_window = 4.0
+"""
+
+
+class SoakFleet:
+    """
+    Everything that runs, and what was seen of it.
+
+    :param folder: for settings and logs.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self.store = FakeStore()
+        self.ports = {host: [find_port() for _ in range(5)] for host in ROUTERS}
+        self.doors: dict[str, FaultyProxy] = {}
+        self.store_links: dict[str, FaultyProxy] = {}
+        self.server_links: dict[str, FaultyProxy] = {}
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.troubles: list[Trouble] = []
+        self._expected_ends: set[int] = set()
+        self._ends: list[str] = []
+        self._watches: list[asyncio.Task[None]] = []
+        self._runner: web.ServerRunner | None = None
+        self._version = 0
+        self.born = 0
+
+    @property
+    def version(self) -> int:
+        """Version of the newest configuration."""
+        return self._version
+
+    def find_key(self) -> str:
+        """Return the key of the newest configuration."""
+        return f"key-{self._version}"
+
+    async def start(self) -> None:
+        """Start everything and wait until every router is ready."""
+        store = f"127.0.0.1:{find_port()}"
+        self._runner = web.ServerRunner(web.Server(self.store.answer))
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", int(store.split(":")[1])).start()
+        self.publish()
+        for name in SERVICES:
+            self.server_links[name] = await _open(f"127.0.0.1:{find_port()}")
+            await self.start_server(name)
+        for host in ROUTERS:
+            self.doors[host] = await _open(f"127.0.0.1:{self.ports[host][0]}")
+            self.store_links[host] = await _open(store)
+            await self.start_router(host)
+        for host in ROUTERS:
+            await self.wait_until_ready(host)
+
+    async def stop(self) -> None:
+        """End what this fleet started."""
+        for watch in self._watches:
+            watch.cancel()
+        for process in self.processes.values():
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+        for process in self.processes.values():
+            await process.wait()
+        links = (*self.doors.values(), *self.store_links.values())
+        for link in (*links, *self.server_links.values()):
+            await link.stop()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def publish(self) -> None:
+        """Publish a configuration with a new key; the last one still holds."""
+        known, self._version = self._version, self._version + 1
+        keys = [f"key-{known}", f"key-{self._version}"]
+        configuration = build_configuration(self._version)
+        for route in configuration["routes"]:
+            if "stream" in route["name"]:
+                route["service"] = "model"
+        engine = {"slots": 12, "kvCapacity": 400_000}
+        configuration["services"] += [
+            {"name": "model", "maxConnections": 64, "engine": engine}
+        ]
+        configuration["tenants"] = [{"name": "oakcourt", "apiKeys": keys}]
+        self.store.put("op/config", configuration)
+
+    def register(self, name: str, state: str = "ready") -> None:
+        """Write a server's entry."""
+        entry: dict[str, Any] = {
+            "service": SERVICES[name],
+            "address": self.server_links[name].address,
+            "zone": "north",
+            "slots": 12,
+            "state": state,
+            "born": self.born,
+        }
+        self.store.put(f"servers/{name}", entry)
+
+    async def start_server(self, name: str) -> None:
+        """Start a backend server and register it."""
+        port = self.server_links[name].target.rpartition(":")[2]
+        await self._spawn(
+            name,
+            "tests.soak.backend",
+            *("--name", name, "--service", SERVICES[name], "--port", port),
+        )
+        await _wait_for_port(int(port))
+        self.born += 1
+        self.register(name)
+
+    async def start_router(self, host: str) -> None:
+        """Start a router."""
+        path = self.write_settings(host)
+        await self._spawn(host, "sycamorehaven.daemon", "--settings", str(path))
+
+    def write_settings(self, host: str, ratio: float = RETRY_RATIO) -> Path:
+        """Write the settings of a router; return their file."""
+        path = self._folder / f"{host}.toml"
+        seeds = [f"127.0.0.1:{self.ports[h][1]}" for h in ROUTERS if h != host]
+        text = SETTINGS.format(
+            host=host,
+            domain=host[:5],
+            ports=self.ports[host],
+            seeds=msgspec.json.encode(seeds).decode(),
+            platform=self.store_links[host].address,
+            grace=GRACE,
+            ratio=ratio,
+            window=RETRY_WINDOW,
+            slack=RETRY_SLACK,
+        )
+        path.write_text(text)
+        return path
+
+    def list_events(self, host: str, event: str) -> list[dict[str, Any]]:
+        """Return the lines of one kind that a router wrote."""
+        lines = _read_lines(self._folder / f"{host}.log")
+        return [line for line in lines if line["event"] == event]
+
+    async def wait_until_ready(self, host: str) -> None:
+        """Wait until a router says that it is ready."""
+        await wait_for(functools.partial(self.is_ready, host))
+
+    async def is_ready(self, host: str) -> bool:
+        """Return whether a router says that it is ready."""
+        url = f"http://127.0.0.1:{self.ports[host][3]}/readyz"
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        try:
+            async with aiohttp.ClientSession(timeout=timeout) as client:
+                return (await client.get(url)).status == 200
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process that this fleet started."""
+        if number in (signal.SIGKILL, signal.SIGTERM):
+            self._expected_ends.add(self.processes[name].pid)
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(self.processes[name].pid, number)
+
+    async def end(self, name: str, number: signal.Signals) -> float:
+        """Send a signal that ends a process; return how long that took."""
+        began = time.monotonic()
+        self.send_signal(name, number)
+        await self.processes[name].wait()
+        return time.monotonic() - began
+
+    async def _spawn(self, name: str, module: str, *arguments: str) -> None:
+        with (self._folder / f"{name}.log").open("ab") as out:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", module, *arguments, cwd=ROOT, stdout=out
+            )
+        self.processes[name] = process
+        self._watches.append(asyncio.create_task(self._watch(name, process)))
+
+    async def _watch(self, name: str, process: asyncio.subprocess.Process) -> None:
+        status = await process.wait()
+        if process.pid not in self._expected_ends:
+            self._ends.append(f"{name} ended by itself, status {status}")
+
+    def gather(self) -> Record:
+        """Return what servers, routers and the soak itself saw."""
+        runs: dict[tuple[str, str, float], Run] = {}
+        open_runs: dict[tuple[str, str], tuple[str, str, float]] = {}
+        for name in SERVICES:
+            for line in _read_lines(self._folder / f"{name}.log"):
+                what, attempt, server, service, path, at = line
+                if what == "began":
+                    key = attempt, server, at
+                    open_runs[attempt, server] = key
+                    runs[key] = Run(attempt, server, service, path, at)
+                else:
+                    key = open_runs[attempt, server]
+                    runs[key] = runs[key]._replace(ended_at=at, cut=what == "cut")
+        lines: dict[str, list[str]] = {}
+        for host in ROUTERS:
+            for line in _read_lines(self._folder / f"{host}.log"):
+                if "request" in line:
+                    lines.setdefault(line["request"], []).append(line["event"])
+                elif line["event"] == "lines_left_out":
+                    lines.setdefault("", []).append(line["event"])
+        return Record([], list(runs.values()), self.troubles, lines, self._ends)
+
+
+@async_fixture
+async def gateways() -> AsyncIterator[SoakFleet]:
+    """Give a started fleet without faults."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = SoakFleet(Path(folder))
+        try:
+            await fleet.start()
+            yield fleet
+        finally:
+            await fleet.stop()
+
+
+async def _open(target: str) -> FaultyProxy:
+    proxy = FaultyProxy(target)
+    await proxy.start()
+    return proxy
+
+
+async def _wait_for_port(port: int) -> None:
+    async with asyncio.timeout(START_TIMEOUT):
+        while True:
+            try:
+                _, writer = await asyncio.open_connection("127.0.0.1", port)
+            except OSError:
+                await asyncio.sleep(0.02)
+            else:
+                writer.close()
+                return
+
+
+def _read_lines(path: Path) -> list[Any]:
+    """Return a process's lines; one that was cut by a kill is left out."""
+    found = []
+    for line in path.read_bytes().splitlines():
+        with contextlib.suppress(msgspec.DecodeError):
+            found.append(msgspec.json.decode(line))
+    return found
