--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -7,7 +7,6 @@
 import functools
 import os
 import signal
-import sys
 import tempfile
 import time
 from pathlib import Path
@@ -21,8 +20,8 @@
 from tests.soak.records import Record, Run, Trouble
 from tests.support.fixtures import async_fixture
 from tests.support.fleet import START_TIMEOUT, find_port, wait_for
-from tests.support.loader import ROOT
 from tests.support.platform import FakeStore, build_configuration
+from tests.support.processes import ChildProcess
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -78,7 +77,7 @@
         self.doors: dict[str, FaultyProxy] = {}
         self.store_links: dict[str, FaultyProxy] = {}
         self.server_links: dict[str, FaultyProxy] = {}
-        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.processes: dict[str, ChildProcess] = {}
         self.troubles: list[Trouble] = []
         self._expected_ends: set[int] = set()
         self._ends: list[str] = []
@@ -224,14 +223,12 @@
         return time.monotonic() - began
 
     async def _spawn(self, name: str, module: str, *arguments: str) -> None:
-        with (self._folder / f"{name}.log").open("ab") as out:
-            process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", module, *arguments, cwd=ROOT, stdout=out
-            )
+        with (self._folder / f"{name}.log").open("ab") as log:
+            process = await ChildProcess.start(module, *arguments, log=log)
         self.processes[name] = process
         self._watches.append(asyncio.create_task(self._watch(name, process)))
 
-    async def _watch(self, name: str, process: asyncio.subprocess.Process) -> None:
+    async def _watch(self, name: str, process: ChildProcess) -> None:
         status = await process.wait()
         if process.pid not in self._expected_ends:
             self._ends.append(f"{name} ended by itself, status {status}")
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -8,7 +8,6 @@
 import secrets
 import signal
 import socket
-import sys
 import tempfile
 from collections import Counter
 from pathlib import Path
@@ -19,7 +18,7 @@
 
 from sycamorehaven.standins.journal import read_journal
 from tests.support.fixtures import async_fixture
-from tests.support.loader import ROOT
+from tests.support.processes import ChildProcess
 from tests.support.texts import ServerPlan, derive_key, write_configuration
 
 if TYPE_CHECKING:
@@ -111,7 +110,7 @@
         # Another fleet may get a port that this one has given up.
         public, secret = zmq.curve_keypair()
         self._keys = public.decode(), secret.decode()
-        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.processes: dict[str, ChildProcess] = {}
         self.faults_file = folder / "faults.toml"
         self._cuts: list[list[str]] = []
         self._disturbance = ""
@@ -145,17 +144,10 @@
 
     async def run_module(self, name: str, module: str, *arguments: str) -> None:
         """Start a Python module as a process."""
-        log = (self._folder / f"{name}.log").open("ab")
-        self.processes[name] = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            module,
-            *arguments,
-            cwd=ROOT,
-            stdout=log,
-            stderr=log,
-        )
-        log.close()
+        with (self._folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = await ChildProcess.start(
+                module, *arguments, log=log, errors=log
+            )
 
     async def start_server(self, plan: ServerPlan) -> None:
         """Start a stand-in backend server."""
--- /dev/null
+++ b/tests/support/processes.py
@@ -0,0 +1,79 @@
+"""Child processes whose start does not hold up the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import subprocess
+import sys
+from typing import IO, Any
+
+from tests.support.loader import ROOT
+
+
+class ChildProcess:
+    """
+    A Python module that runs as a process.
+
+    :param popen: the started process.
+    """
+
+    def __init__(self, popen: subprocess.Popen[bytes]) -> None:
+        self._popen = popen
+        self._ended = asyncio.Event()
+        self._descriptor = os.pidfd_open(popen.pid)
+        asyncio.get_running_loop().add_reader(self._descriptor, self._note_end)
+
+    @classmethod
+    async def start(
+        cls, module: str, *arguments: str, log: IO[Any], errors: IO[Any] | None = None
+    ) -> ChildProcess:
+        """
+        Start ``python -m module``.
+
+        On a busy machine it takes the child a second to begin, for which
+        ``asyncio.create_subprocess_exec`` would hold up every other task.
+
+        :param log: takes what it writes to standard output.
+        :param errors: the same for standard error; that of this process if
+            not given.
+        """
+        popen = await asyncio.to_thread(
+            subprocess.Popen,
+            [sys.executable, "-m", module, *arguments],
+            cwd=ROOT,
+            stdout=log,
+            stderr=errors,
+            # Rules out vfork, which stops this process until the child runs.
+            preexec_fn=_do_nothing,
+        )
+        return cls(popen)
+
+    @property
+    def pid(self) -> int:
+        """Id of the process."""
+        return self._popen.pid
+
+    @property
+    def returncode(self) -> int | None:
+        """Its exit status, ``None`` while it runs."""
+        return self._popen.returncode
+
+    def kill(self) -> None:
+        """End it with SIGKILL."""
+        self._popen.kill()
+
+    async def wait(self) -> int:
+        """Return its exit status once it has ended."""
+        await self._ended.wait()
+        return self._popen.wait()
+
+    def _note_end(self) -> None:
+        asyncio.get_running_loop().remove_reader(self._descriptor)
+        os.close(self._descriptor)
+        self._popen.wait()
+        self._ended.set()
+
+
+def _do_nothing() -> None:
+    pass
