Survey the servers of a service once a look, not once a waiting request

Change: a look surveys a service's servers once and again after a placement; candidates are built only of servers with room.

--- a/src/sycamorehaven/controllers/candidates.py
+++ b/src/sycamorehaven/controllers/candidates.py
@@ -8,12 +8,14 @@
 from sycamorehaven.controllers.leases import Lease
 from sycamorehaven.decisions.placement import Candidate
 from sycamorehaven.decisions.rendezvous import rank_candidates
+from sycamorehaven.decisions.server_model import ServerModel
+from sycamorehaven.routing.model import ServerRecord
 from sycamorehaven.routing.requests import RoutedRequest
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from sycamorehaven.blackboard.board import Blackboard
-    from sycamorehaven.decisions.server_model import ServerModel
-    from sycamorehaven.routing.model import ServerRecord
 
 SHORTEST_COPY = 1_000
 """Tokens of a prompt below which they are read rather than copied."""
@@ -41,6 +43,32 @@
     lease: asyncio.Future[Lease]
 
 
+class ServerView(NamedTuple):
+    """
+    What is believed of a server at one moment.
+
+    :ivar server: the server.
+    :ivar model: what its belief is made of.
+    :ivar running: requests that it runs.
+    :ivar unread: prompt tokens that it has still to read.
+    """
+
+    server: ServerRecord
+    model: ServerModel
+    running: int
+    unread: float
+
+    @property
+    def wait(self) -> float:
+        """Seconds until it has read what it was sent."""
+        return self.unread / self.model.rate
+
+    def has_room(self, *, prompt: bool) -> bool:
+        """Return whether it may run one more request."""
+        limit = self.model.concurrency.limit if prompt else self.server.slots
+        return self.running < limit
+
+
 class CandidateFinder:
     """
     Turns what is believed of servers into candidates.
@@ -51,43 +79,49 @@
     def __init__(self, board: Blackboard) -> None:
         self._board = board
 
-    def list(self, one: Waiting, now: float) -> list[Candidate]:
-        """Return the servers that may get a request now."""
-        request = one.request
-        servers = self._board.routing.list_servers(request.service)
-        left = [server for server in servers if server.id not in one.spared]
-        models = {server.id: self._find_model(server) for server in left or servers}
-        open_ = {
-            name: model
-            for name, model in models.items()
-            if model.health.paused_until <= now
-        }
-        if not open_ and models:
-            first = min(models, key=lambda name: models[name].health.paused_until)
-            open_ = {first: models[first]}
-        kept = {name: model.cache.match(one.chain) for name, model in open_.items()}
-        holder = max(kept, key=lambda name: kept[name], default="")
+    def survey(self, service: str, now: float) -> list[ServerView]:
+        """Return what is believed of the servers of a service."""
+        views = []
+        for server in self._board.routing.list_servers(service):
+            model = self._find_model(server)
+            running, unread = model.count_running(now), model.count_unread(now)
+            views.append(ServerView(server, model, running, unread))
+        return views
+
+    def list(
+        self, one: Waiting, views: Sequence[ServerView], now: float
+    ) -> list[Candidate]:
+        """
+        Return the servers with room for a request.
+
+        :param views: the servers of its service, at least one.
+        """
+        left = [view for view in views if view.server.id not in one.spared]
+        usable = _choose_open(left or views, now)
+        prompt = bool(one.chain)
+        free = [view for view in usable if view.has_room(prompt=prompt)]
+        if not free:
+            return []
+        kept = {view.server.id: view.model.cache.match(one.chain) for view in usable}
+        holder = max(usable, key=lambda view: kept[view.server.id]).server
+        copies = self._copies(one.request.service)
         domain = self._board.members.own.failure_domain
-        addresses = {server.id: server.address for server in left or servers}
         candidates = []
-        for server in left or servers:
-            model = open_.get(server.id)
-            if model is None:
-                continue
-            copied = kept[holder] - kept[server.id] if self._copies(request) else 0
+        for view in free:
+            server, model = view.server, view.model
+            copied = kept[holder.id] - kept[server.id] if copies else 0
             if copied < SHORTEST_COPY:
                 copied = 0
+            uncached = one.request.head.prompt_tokens - kept[server.id] - copied
             candidates.append(
                 Candidate(
                     server=server,
-                    running=model.count_running(now),
+                    running=view.running,
                     limit=model.concurrency.limit,
-                    unread=model.count_unread(now),
-                    uncached=max(
-                        request.head.prompt_tokens - kept[server.id] - copied, 1
-                    ),
+                    unread=view.unread,
+                    uncached=max(uncached, 1),
                     copied=copied,
-                    source=addresses[holder] if copied else "",
+                    source=holder.address if copied else "",
                     rate=model.rate,
                     errors=model.health.errors,
                     near=server.failure_domain == domain,
@@ -96,10 +130,10 @@
             )
         return candidates
 
-    def _copies(self, request: RoutedRequest) -> bool:
+    def _copies(self, name: str) -> bool:
         configuration = self._board.routing.configuration
         services = configuration.services if configuration else {}
-        service = services.get(request.service)
+        service = services.get(name)
         return bool(service and service.engine and service.engine.transfer_rate)
 
     def rank(
@@ -120,3 +154,9 @@
         service = configuration.services.get(server.service) if configuration else None
         memory = service.engine.memory if service and service.engine else 0
         return self._board.fleet.describe(server.id, memory, server.slots)
+
+
+def _choose_open(views: Sequence[ServerView], now: float) -> Sequence[ServerView]:
+    """Return the servers in use; if none is, the first that will be again."""
+    found = [view for view in views if view.model.health.paused_until <= now]
+    return found or [min(views, key=lambda view: view.model.health.paused_until)]
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -9,7 +9,11 @@
 from absl import logging
 from mode import Service
 
-from sycamorehaven.controllers.candidates import CandidateFinder, Waiting
+from sycamorehaven.controllers.candidates import (
+    CandidateFinder,
+    ServerView,
+    Waiting,
+)
 from sycamorehaven.controllers.leases import Lease
 from sycamorehaven.decisions.patience import PatienceTable
 from sycamorehaven.decisions.placement import (
@@ -146,22 +150,28 @@
             given = usage.find_given(one.request.workspace, now)
             return given > share and not one.resumes, one.since
 
+        views: dict[str, list[ServerView]] = {}
         for one in sorted(self._waiting, key=order):
             within = not order(one)[0]
-            self._settle(one, within, now)
+            service = one.request.service
+            if service not in views:
+                views[service] = self._finder.survey(service, now)
+            if self._settle(one, views[service], within, now) == "place":
+                del views[service]
         self._waiting = [one for one in self._waiting if not one.lease.done()]
         self._metrics.waiting.set(len(self._waiting))
 
-    def _settle(self, one: Waiting, within: bool, now: float) -> None:
+    def _settle(
+        self, one: Waiting, views: list[ServerView], within: bool, now: float
+    ) -> Action:
         request = one.request
-        candidates = self._finder.list(one, now)
-        if not candidates:
+        if not views:
             refusal = NoBackendServer(
                 f"no server of {request.service} takes work",
                 retry_after=min(ABSENT_RETURN, (request.deadline - now) * 0.3),
             )
             self._refuse(one, refusal, "no_server", None, within, now)
-            return
+            return "reject"
         demand = Demand(
             one.since - self._patiences.find_spent(request),
             one.since,
@@ -170,16 +180,18 @@
             within,
             one.resumes,
         )
+        candidates = self._finder.list(one, views, now)
         action, best = self._decide(demand, candidates, bool(one.chain), now)
         if action == "place" and best is not None:
             self._place(one, best, within, now)
         elif action == "reject":
-            wait = min(candidate.unread / candidate.rate for candidate in candidates)
+            wait = min(view.wait for view in views)
             refusal_late = DeadlineUnreachable(
                 "more work waits than the servers can do in time",
                 retry_after=choose_return(demand, wait, now),
             )
             self._refuse(one, refusal_late, "overload", best, within, now)
+        return action
 
     def _decide(
         self, demand: Demand, candidates: list[Candidate], prompt: bool, now: float
