Agree on what engines may run; leave places to workspaces that got less

Change: routers tell and approach each other's bounds; they tell what waits with the least satisfaction, and leave it as many places.

--- a/src/sycamorehaven/blackboard/fleet.py
+++ b/src/sycamorehaven/blackboard/fleet.py
@@ -3,16 +3,33 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from sycamorehaven.blackboard.signal import Signal
 from sycamorehaven.decisions.server_model import ServerModel
+from sycamorehaven.decisions.shares import YIELD_MARGIN
 
 if TYPE_CHECKING:
     from sycamorehaven.decisions.shares import UsageWindow
 
 MOST_NEWS = 400
 """Placements that wait to be told to other routers."""
+CONTENTION_MEMORY = 0.3
+"""Seconds for which a wait counts that nobody speaks of any more."""
+
+
+class Contention(NamedTuple):
+    """
+    What waits for a service at one router.
+
+    :ivar satisfaction: the least of the workspaces whose requests wait.
+    :ivar waiting: requests of those that have about as little.
+    :ivar at: when it was noted, monotonic seconds.
+    """
+
+    satisfaction: float
+    waiting: int
+    at: float
 
 
 class FleetSection:
@@ -29,6 +46,7 @@
         self._placed: list[tuple[int, int, str]] = []
         self._asked: Counter[str] = Counter()
         self._given: Counter[str] = Counter()
+        self._contentions: dict[str, dict[str, Contention]] = {}
         self._changed = Signal()
 
     @property
@@ -85,6 +103,39 @@
         self._touched, self._placed = set(), []
         return touched, placed
 
+    def note_contention(
+        self, service: str, contention: Contention, host: str = ""
+    ) -> None:
+        """
+        Note what waits for a service.
+
+        :param host: the router that told, "" for this one.
+        """
+        self._contentions.setdefault(service, {})[host] = contention
+
+    def list_contended(self, now: float) -> dict[str, Contention]:
+        """Return what has waited here lately, by service."""
+        return {
+            service: hosts[""]
+            for service, hosts in sorted(self._contentions.items())
+            if "" in hosts and now - hosts[""].at < CONTENTION_MEMORY
+        }
+
+    def count_ahead(self, service: str, satisfaction: float, now: float) -> int:
+        """
+        Return the requests, at all routers, to which others have to yield.
+
+        :param satisfaction: of the workspace that asks.
+        """
+        hosts = self._contentions.get(service, {})
+        for host in [h for h, c in hosts.items() if now - c.at >= CONTENTION_MEMORY]:
+            del hosts[host]
+        return sum(
+            one.waiting
+            for one in hosts.values()
+            if one.satisfaction + YIELD_MARGIN < satisfaction
+        )
+
     def add_usage(self, workspace: str, asked: float, given: float, now: float) -> None:
         """Count what a workspace asked and got at this router."""
         self._asked[workspace] += int(asked)
--- a/src/sycamorehaven/controllers/candidates.py
+++ b/src/sycamorehaven/controllers/candidates.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from sycamorehaven.controllers.leases import Lease
@@ -68,6 +69,11 @@
         limit = self.model.concurrency.limit if prompt else self.server.slots
         return self.running < limit
 
+    @property
+    def room(self) -> int:
+        """Prompts that it may run besides."""
+        return max(math.ceil(self.model.concurrency.limit - self.running), 0)
+
 
 class CandidateFinder:
     """
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from absl import logging
 from mode import Service
 
+from sycamorehaven.blackboard.fleet import Contention
 from sycamorehaven.controllers.candidates import (
     CandidateFinder,
     ServerView,
@@ -23,6 +24,7 @@
     place_prompt,
 )
 from sycamorehaven.decisions.prefixes import chain_parts
+from sycamorehaven.decisions.shares import YIELD_MARGIN
 from sycamorehaven.decisions.turning_away import (
     Demand,
     choose_return,
@@ -50,6 +52,18 @@
 """What a generated token counts against one that is read."""
 
 
+class Standing(NamedTuple):
+    """
+    What a workspace got against what it is due.
+
+    :ivar within: whether it has not had its share.
+    :ivar satisfaction: what it got as a part of what it is due.
+    """
+
+    within: bool
+    satisfaction: float
+
+
 def measure_cost(request: RoutedRequest) -> float:
     """Return the tokens that a request is charged with."""
     return request.head.prompt_tokens + OUTPUT_WEIGHT * request.head.output_tokens
@@ -110,7 +124,7 @@
         )
         self._waiting.append(waiting)
         if len(self._waiting) == 1:
-            self._look()
+            self.look()
         self._arrived.set()
         try:
             return await future
@@ -131,7 +145,7 @@
                 continue
             began = self._clock()
             try:
-                self._look()
+                self.look()
             except Exception:
                 # Those that wait must not depend on one that cannot be judged;
                 # each gives up by itself at its deadline.
@@ -139,60 +153,94 @@
             took = self._clock() - began
             await asyncio.sleep(max(LOOK_PERIOD, took * LOOK_SPACING))
 
-    def _look(self) -> None:
+    def look(self) -> None:
         """Place what can be placed, turn away what waits in vain."""
         now = self._clock()
-        usage = self._board.fleet.usage
-        share = usage.find_share(now)
         self._waiting = [one for one in self._waiting if not one.lease.done()]
+        standings = self._list_standings(now)
+        self._note_contention(standings, now)
 
         def order(one: Waiting) -> tuple[bool, float]:
-            given = usage.find_given(one.request.workspace, now)
-            return given > share and not one.resumes, one.since
+            within = standings[one.request.workspace].within or one.resumes
+            return not within, one.since
 
         views: dict[str, list[ServerView]] = {}
         for one in sorted(self._waiting, key=order):
-            within = not order(one)[0]
             service = one.request.service
             if service not in views:
                 views[service] = self._finder.survey(service, now)
-            if self._settle(one, views[service], within, now) == "place":
+            standing = standings[one.request.workspace]
+            if self._settle(one, views[service], standing, now) == "place":
                 del views[service]
         self._waiting = [one for one in self._waiting if not one.lease.done()]
         self._metrics.waiting.set(len(self._waiting))
 
+    def _list_standings(self, now: float) -> dict[str, Standing]:
+        usage = self._board.fleet.usage
+        share = usage.find_share(now)
+        return {
+            workspace: Standing(
+                usage.find_given(workspace, now) <= share,
+                usage.find_satisfaction(workspace, share, now),
+            )
+            for workspace in {one.request.workspace for one in self._waiting}
+        }
+
+    def _note_contention(self, standings: dict[str, Standing], now: float) -> None:
+        waiting: dict[str, list[float]] = {}
+        for one in self._waiting:
+            satisfaction = standings[one.request.workspace].satisfaction
+            waiting.setdefault(one.request.service, []).append(satisfaction)
+        for service, found in waiting.items():
+            least = min(found)
+            count = sum(one <= least + YIELD_MARGIN for one in found)
+            contention = Contention(least, count, now)
+            self._board.fleet.note_contention(service, contention)
+
     def _settle(
-        self, one: Waiting, views: list[ServerView], within: bool, now: float
+        self, one: Waiting, views: list[ServerView], standing: Standing, now: float
     ) -> Action:
         request = one.request
+        demand = self._describe(one, views, standing, now)
         if not views:
             refusal = NoBackendServer(
                 f"no server of {request.service} takes work",
                 retry_after=min(ABSENT_RETURN, (request.deadline - now) * 0.3),
             )
-            self._refuse(one, refusal, "no_server", None, within, now)
+            self._refuse(one, refusal, "no_server", demand, None, now)
             return "reject"
-        demand = Demand(
-            one.since - self._patiences.find_spent(request),
-            one.since,
-            request.route.target,
-            request.deadline,
-            within,
-            one.resumes,
-        )
         candidates = self._finder.list(one, views, now)
         action, best = self._decide(demand, candidates, bool(one.chain), now)
         if action == "place" and best is not None:
-            self._place(one, best, within, now)
+            self._place(one, best, demand, now)
         elif action == "reject":
             wait = min(view.wait for view in views)
             refusal_late = DeadlineUnreachable(
                 "more work waits than the servers can do in time",
                 retry_after=choose_return(demand, wait, now),
             )
-            self._refuse(one, refusal_late, "overload", best, within, now)
+            self._refuse(one, refusal_late, "overload", demand, best, now)
         return action
 
+    def _describe(
+        self, one: Waiting, views: list[ServerView], standing: Standing, now: float
+    ) -> Demand:
+        request = one.request
+        room = sum(view.room for view in views)
+        ahead = self._board.fleet.count_ahead(
+            request.service, standing.satisfaction, now
+        )
+        return Demand(
+            asked=one.since - self._patiences.find_spent(request),
+            received=one.since,
+            target=request.route.target,
+            deadline=request.deadline,
+            within_share=standing.within or one.resumes,
+            resumes=one.resumes,
+            satisfaction=standing.satisfaction,
+            yields=0 < room <= ahead,
+        )
+
     def _decide(
         self, demand: Demand, candidates: list[Candidate], prompt: bool, now: float
     ) -> tuple[Action, Placement | None]:
@@ -202,7 +250,7 @@
         best = place_plain(candidates)
         return decide_plain(demand, best, now), best
 
-    def _place(self, one: Waiting, best: Placement, within: bool, now: float) -> None:
+    def _place(self, one: Waiting, best: Placement, demand: Demand, now: float) -> None:
         request, fleet = one.request, self._board.fleet
         model = fleet.find_model(best.server.id)
         reading = model.begin(best.uncached, now)
@@ -225,7 +273,8 @@
             uncached=best.uncached,
             source=best.source,
             running=model.count_running(now),
-            within_share=within,
+            within_share=demand.within_share,
+            satisfaction=round(demand.satisfaction, 2),
             snapshot=self._board.routing.revision,
             snapshot_age=round(now - self._board.routing.read_at, 3),
         )
@@ -238,8 +287,8 @@
         one: Waiting,
         refusal: DeadlineUnreachable | NoBackendServer,
         reason: str,
+        demand: Demand,
         best: Placement | None,
-        within: bool,
         now: float,
     ) -> None:
         self._decisions.record(
@@ -249,7 +298,9 @@
             reason=reason,
             waited=round(now - one.since, 3),
             expected=round(best.first_token, 3) if best else None,
-            within_share=within,
+            within_share=demand.within_share,
+            satisfaction=round(demand.satisfaction, 2),
+            yields=demand.yields,
             retry_after=refusal.retry_after,
             snapshot_age=round(now - self._board.routing.read_at, 3),
         )
--- a/src/sycamorehaven/controllers/fleet_news.py
+++ b/src/sycamorehaven/controllers/fleet_news.py
@@ -8,12 +8,14 @@
 
 from mode import Service
 
+from sycamorehaven.blackboard.fleet import Contention
 from sycamorehaven.decisions.server_model import RemoteLoad
 from sycamorehaven.identity import RouterId
 from sycamorehaven.transport.messages.fleet import (
     FleetNews,
     PlacedPart,
     ServerShare,
+    ServiceContention,
     WorkspaceUsage,
 )
 
@@ -75,16 +77,24 @@
         fleet, now = self._board.fleet, self._clock()
         refresh = now - self._refreshed_at >= REFRESH_PERIOD
         touched, placed = fleet.take_news()
+        contended = fleet.list_contended(now)
         names = sorted(self._board.routing.list_ids()) if refresh else touched
         if refresh:
             self._refreshed_at = now
-        elif not touched and not placed:
+        elif not touched and not placed and not contended:
             return None
         shares = []
         for name in names:
             model = fleet.find_model(name)
             if model.running or name in touched:
-                shares.append(ServerShare(name, model.running, int(model.unread)))
+                shares.append(
+                    ServerShare(
+                        name,
+                        model.running,
+                        int(model.unread),
+                        round(model.concurrency.limit, 2),
+                    )
+                )
         routing = self._board.routing
         return FleetNews(
             routing.revision,
@@ -92,6 +102,10 @@
             shares,
             [PlacedPart(*part) for part in placed],
             self._list_usage(),
+            [
+                ServiceContention(service, one.satisfaction, one.waiting)
+                for service, one in contended.items()
+            ],
         )
 
     def _list_usage(self) -> list[WorkspaceUsage]:
@@ -114,11 +128,17 @@
         fleet, now = self._board.fleet, self._clock()
         for share in news.servers:
             load = RemoteLoad(share.running, share.unread, now)
-            fleet.find_model(share.server).note_remote(delivery.sender.host, load)
+            model = fleet.find_model(share.server)
+            model.note_remote(delivery.sender.host, load)
+            model.concurrency.hear(share.limit, share.running, model.running)
         for part in news.placed:
             fleet.find_model(part.server).cache.note([(part.key, part.tokens)])
         for usage in news.usage:
             self._add_usage(delivery.sender, usage, now)
+        host = delivery.sender.host
+        for service, satisfaction, waiting in news.contended:
+            contention = Contention(satisfaction, waiting, now)
+            fleet.note_contention(service, contention, host)
         if news.servers:
             fleet.changed.notify()
 
--- a/src/sycamorehaven/decisions/concurrency.py
+++ b/src/sycamorehaven/decisions/concurrency.py
@@ -6,6 +6,9 @@
 to read makes every stream pause, holds the memory of all of them for longer
 and forgets the prompt parts that others share. The limit shrinks while events
 come later than the route allows and grows slowly while they don't.
+
+Routers see the events of their own streams only, so they agree on a limit:
+else the one with most streams learns the highest and takes every slot.
 """
 
 from __future__ import annotations
@@ -22,6 +25,8 @@
 """Seconds between two reductions; late events come together."""
 GROWTH = 0.02
 """Requests by which an event that is not late raises the limit."""
+AGREEMENT = 0.3
+"""Part of the way to the limit of a router that runs all there is to run."""
 
 
 class ConcurrencyLimit:
@@ -46,6 +51,19 @@
         """Requests that it may run now."""
         return self._limit
 
+    def hear(self, limit: float, running: int, own: int) -> None:
+        """
+        Approach the limit of another router.
+
+        :param running: its requests at the engine.
+        :param own: those of this router.
+        """
+        if running <= 0:
+            return
+        pull = AGREEMENT * running / (running + own)
+        limit = min(max(limit, self._slots * LEAST_SHARE), float(self._slots))
+        self._limit += (limit - self._limit) * pull
+
     def note_gap(self, gap: float, longest: float, now: float) -> None:
         """
         Take in the time between two events of a stream.
--- a/src/sycamorehaven/decisions/shares.py
+++ b/src/sycamorehaven/decisions/shares.py
@@ -16,6 +16,8 @@
 
 SPARE = 1.1
 """Room above what was given, for requests that are on their way."""
+YIELD_MARGIN = 0.15
+"""Difference between the parts of their due that two workspaces got."""
 BUCKETS = 8
 """Steps in which the window slides."""
 
@@ -72,6 +74,16 @@
         self._slide(now)
         return self._given.get(workspace, 0.0)
 
+    def find_satisfaction(self, workspace: str, share: float, now: float) -> float:
+        """
+        Return what a workspace got as a part of what it is due.
+
+        :param share: the most that a workspace is due.
+        """
+        self._slide(now)
+        due = min(self._asked.get(workspace, 0.0), share)
+        return self._given.get(workspace, 0.0) / due if due > 0.0 else 1.0
+
     def find_share(self, now: float) -> float:
         """
         Return the most that a workspace is due in the window.
--- a/src/sycamorehaven/decisions/turning_away.py
+++ b/src/sycamorehaven/decisions/turning_away.py
@@ -5,7 +5,10 @@
 its order, so what would wait there waits at the router, and only as long as it
 can still be on time. While an engine has nothing to read, nothing is refused.
 A workspace that has had its share only gets what the others leave: its
-requests are placed while little waits.
+requests are placed while little waits. While a workspace that got a smaller
+part of what it is due waits for the same servers, here or at another router,
+the others leave it as many places as it has requests: a router knows first of
+the places that its own requests give up, and would take them all.
 """
 
 from __future__ import annotations
@@ -44,6 +47,9 @@
     :ivar deadline: monotonic seconds at which the client gives up.
     :ivar within_share: whether its workspace has not had its share.
     :ivar resumes: whether the client already has a part of the stream.
+    :ivar satisfaction: what its workspace got as a part of what it is due.
+    :ivar yields: whether all free places are left to workspaces that got a
+        smaller part of what they are due.
     """
 
     asked: float
@@ -52,6 +58,8 @@
     deadline: float
     within_share: bool
     resumes: bool = False
+    satisfaction: float = 1.0
+    yields: bool = False
 
 
 def decide_prompt(demand: Demand, best: Placement | None, now: float) -> Action:
@@ -64,7 +72,7 @@
         if best is not None:
             return "place"
         return "wait" if now - demand.received < RESUME_WAIT else "reject"
-    if best is not None:
+    if best is not None and not demand.yields:
         share = DUE_SHARE if demand.within_share else SPARE_SHARE
         reading = min(best.reading, demand.target / 2)
         expected = best.wait + reading + now - demand.asked
--- a/src/sycamorehaven/transport/messages/fleet.py
+++ b/src/sycamorehaven/transport/messages/fleet.py
@@ -10,7 +10,7 @@
 from sycamorehaven.transport.messages.names import ServerName
 
 Count = Annotated[int, msgspec.Meta(ge=0, lt=2**62)]
-Age = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
+Amount = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
 
 
 class ServerShare(NamedTuple):
@@ -20,11 +20,13 @@
     :ivar server: id of the server.
     :ivar running: its requests there.
     :ivar unread: prompt tokens of those without a first token.
+    :ivar limit: requests of all routers that the sender lets it run.
     """
 
     server: ServerName
     running: Count
     unread: Count
+    limit: Amount
 
 
 class PlacedPart(NamedTuple):
@@ -55,6 +57,21 @@
     given: Count
 
 
+class ServiceContention(NamedTuple):
+    """
+    A service for which requests wait at the sender.
+
+    :ivar service: name of the service.
+    :ivar satisfaction: the least of the workspaces that wait: what one got
+        as a part of what it is due.
+    :ivar waiting: requests of those that have about as little.
+    """
+
+    service: str
+    satisfaction: Amount
+    waiting: Count
+
+
 class FleetNews(NamedTuple):
     """
     What has changed at a router since it last told.
@@ -64,13 +81,15 @@
     :ivar servers: its load of servers.
     :ivar placed: prompts that it placed.
     :ivar usage: workspaces whose use has changed.
+    :ivar contended: services for which requests have waited lately.
     """
 
     revision: Count
-    age: Age
+    age: Amount
     servers: list[ServerShare]
     placed: list[PlacedPart]
     usage: list[WorkspaceUsage]
+    contended: list[ServiceContention]
 
 
 class SnapshotRequest(NamedTuple):
@@ -92,4 +111,4 @@
     """
 
     snapshot: Snapshot
-    age: Age
+    age: Amount
--- a/tests/controllers/test_fleet_news.py
+++ b/tests/controllers/test_fleet_news.py
@@ -128,3 +128,23 @@
         fleet.tell()
     given = fleet.boards["a2"].fleet.usage.find_given("oakcourt", clock())
     assert given <= 700.0
+
+
+def test_routers_agree_on_what_an_engine_may_run(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    fleet = NewsFleet(network, clock)
+    models = [board.fleet.describe("s1", 0, 20) for board in fleet.boards.values()]
+    for _ in range(10):
+        fleet.begin("a1", 1_000)
+    fleet.begin("a2", 1_000)
+    for _ in range(600):
+        models[0].concurrency.note_gap(0.01, 0.5, clock())
+    for _ in range(40):
+        clock.advance(0.03)
+        for host in HOSTS:
+            fleet.boards[host].fleet.touch("s1")
+        fleet.tell()
+    limits = [model.concurrency.limit for model in models]
+    assert max(limits) - min(limits) < 0.1 * max(limits)
+    assert min(limits) > 10
