Send fewer heartbeats with many peers

Cause: with 70 routers each of 4,830 connections carried four heartbeat messages a second, more than the news that they carry.

Change: the heartbeats of all outgoing connections of a router stay within 20 a second beyond 20 peers; incoming ones are tested each 5 s.

--- a/src/sycamorehaven/transport/dealers.py
+++ b/src/sycamorehaven/transport/dealers.py
@@ -18,6 +18,9 @@
 """Messages queued for one peer that does not take them."""
 HEARTBEAT_MILLISECONDS = 1_000
 """Milliseconds between two heartbeats of a connection."""
+HEARTBEATS_PER_SECOND = 20
+"""Heartbeats that all connections to peers may send; with more connections
+each sends fewer."""
 SILENCE_MILLISECONDS = 3_000
 """Milliseconds without a byte after which a connection is replaced."""
 CONNECT_MILLISECONDS = 2_000
@@ -32,9 +35,20 @@
 """Milliseconds that queued messages get when the router stops."""
 
 
-def set_heartbeat(socket: zmq.Socket[Any]) -> None:
-    """Make a socket replace connections that have gone silent."""
-    socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MILLISECONDS)
+def choose_heartbeat(connections: int) -> int:
+    """Return the milliseconds between two heartbeats of one connection."""
+    return max(HEARTBEAT_MILLISECONDS, 1_000 * connections // HEARTBEATS_PER_SECOND)
+
+
+def set_heartbeat(
+    socket: zmq.Socket[Any], period: int = HEARTBEAT_MILLISECONDS
+) -> None:
+    """
+    Make a socket replace connections that have gone silent.
+
+    :param period: milliseconds between two heartbeats.
+    """
+    socket.setsockopt(zmq.HEARTBEAT_IVL, period)
     socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, SILENCE_MILLISECONDS)
     socket.setsockopt(zmq.HANDSHAKE_IVL, SILENCE_MILLISECONDS)
     socket.setsockopt(zmq.MAXMSGSIZE, 2 * LARGEST_MESSAGE)
@@ -104,7 +118,7 @@
         dealer.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MILLISECONDS)
         dealer.setsockopt(zmq.RECONNECT_IVL_MAX, LONGEST_RECONNECT_MILLISECONDS)
         dealer.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_MILLISECONDS)
-        set_heartbeat(dealer)
+        set_heartbeat(dealer, choose_heartbeat(len(self._dealers)))
         if self._settings.secret_key:
             dealer.curve_serverkey = self._settings.public_key.encode()
             dealer.curve_publickey = self._settings.public_key.encode()
--- a/src/sycamorehaven/transport/peers.py
+++ b/src/sycamorehaven/transport/peers.py
@@ -22,6 +22,9 @@
 
 RECEIVE_QUEUE = 1_000
 """Messages queued from one peer."""
+INCOMING_HEARTBEAT = 5_000
+"""Milliseconds between two heartbeats of an incoming connection; nothing is
+sent on it, so only its memory depends on them."""
 BATCH = 64
 """Messages handled before other tasks of the event loop run."""
 SWEEP_PERIOD = 5.0
@@ -115,7 +118,7 @@
         self._router: zmq.asyncio.Socket = self._context.socket(zmq.ROUTER)
         self._router.linger = 0
         self._router.rcvhwm = RECEIVE_QUEUE
-        set_heartbeat(self._router)
+        set_heartbeat(self._router, INCOMING_HEARTBEAT)
         if self._settings.secret_key:
             self._require_key()
         self._router.bind(f"tcp://{self._address}")
