Log streams that end by an unexpected error or the deadline as such

Cause: a stream whose resumption was not answered by the deadline ended with a TimeoutError that the front did not note; its last line said answered.

Change: the deadline of a resumption is a refusal like any other, and the front notes every error that ends a stream.

Test: tests.platform.test_gateway, a stream that cannot go on in time; it failed before.

--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -11,7 +11,6 @@
 from sycamorehaven.controllers.run_endings import describe_failure, describe_timeout
 from sycamorehaven.decisions.repeats import (
     AttemptHistory,
-    SilenceLimits,
     choose_silence,
     find_obstacle,
 )
@@ -211,8 +210,13 @@
         self._event_at = 0.0
         while True:
             self._fail(error)
-            async with asyncio.timeout_at(self._request.deadline):
-                answer = await self._attempt()
+            try:
+                async with asyncio.timeout_at(self._request.deadline):
+                    answer = await self._attempt()
+            except TimeoutError:
+                raise BackendTimeout(
+                    "the stream could not go on in time", was_run="yes"
+                ) from None
             if answer.status == 200:
                 self._tools.log.record(
                     "stream_resumed",
@@ -274,11 +278,10 @@
             raise
 
     def _choose_silence(self, lease: Lease, now: float) -> float:
-        limits: SilenceLimits = self._silence
         if not self._request.route.streaming:
-            return limits.first
+            return self._silence.first
         wait = lease.model.count_unread(now) / lease.model.rate
-        return limits.next + wait
+        return self._silence.next + wait
 
     def _fail(self, error: BackendError) -> None:
         """
--- a/src/sycamorehaven/transport/front.py
+++ b/src/sycamorehaven/transport/front.py
@@ -245,7 +245,8 @@
             problem = error
             abort(request)
             raise
-        except BaseException:
+        except BaseException as error:
+            problem = error
             abort(request)
             raise
         finally:
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -238,3 +238,24 @@
     forced.set()
     assert not await draining
     asking.cancel()
+
+
+async def test_stream_that_cannot_go_on_in_time_is_logged_as_late(
+    scene: GatewayScene,
+) -> None:
+    scene.store.remove("servers/s2")
+    await read_again(scene, scene.store.revision)
+    scene.servers[0].behaviour, scene.servers[0].later = "break", "hang"
+    lines: list[tuple[str, dict[str, Any]]] = []
+    assert scene.gateway is not None
+    scene.gateway.decisions.record = (  # type: ignore[method-assign]
+        lambda event, **fields: lines.append((event, fields))
+    )
+    broken = False
+    try:
+        await ask(scene, "/stream/1", "POST", **{"Sycamorehaven-Deadline-Ms": "900"})
+    except aiohttp.ClientError:
+        broken = True
+    assert broken
+    ends = [fields for event, fields in lines if event == "request_ended"]
+    assert [end["outcome"] for end in ends] == ["backend_timeout"]
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -77,6 +77,7 @@
     :ivar behaviour: ``"answer"``, ``"shed"``, ``"lose"`` (run it, then close
         without an answer), ``"break"`` (break a stream after two events) or
         ``"hang"``.
+    :ivar later: what it does after it broke a stream; the same if empty.
     :ivar ran: ids of the requests that ran.
     """
 
@@ -85,6 +86,7 @@
         self.service = service
         self.address = ""
         self.behaviour = "answer"
+        self.later = ""
         self.ran: list[str] = []
         self.headers: list[dict[str, str]] = []
         self.cancelled = 0
@@ -136,6 +138,7 @@
         for number in range(first, 6):
             if self.behaviour == "break" and number == 3:
                 await response.write(b"id: 3\nda")
+                self.behaviour = self.later or self.behaviour
                 assert request.transport is not None
                 request.transport.abort()
                 return response
