--- /dev/null
+++ b/benchmarks/routed_cost.py
@@ -0,0 +1,279 @@
+"""
+Processor time of decisions on published routes.
+
+``python -m benchmarks.routed_cost`` prints microseconds a call at fleets of
+the users' size today, grown, and at the target.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import os
+import time
+from typing import TYPE_CHECKING, NamedTuple
+
+from rich.console import Console
+from rich.table import Table
+
+from benchmarks.measuring import measure_time
+from sycamorehaven.blackboard.board import Blackboard
+from sycamorehaven.blackboard.members import Member
+from sycamorehaven.controllers.dispatch import Dispatcher
+from sycamorehaven.controllers.fleet_news import FleetNewsController
+from sycamorehaven.decisions.placement import Candidate, place_prompt
+from sycamorehaven.decisions.shares import UsageWindow
+from sycamorehaven.identity import RouterId
+from sycamorehaven.routing.model import (
+    Engine,
+    RequestLimits,
+    Route,
+    RoutedService,
+    RoutingConfiguration,
+    ServerRecord,
+    Snapshot,
+    Split,
+)
+from sycamorehaven.routing.requests import PromptPart, RequestHead, RoutedRequest
+from sycamorehaven.telemetry.decision_log import DecisionLog
+from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
+from sycamorehaven.transport.codec import Codec
+from sycamorehaven.transport.messages.fleet import (
+    FleetNews,
+    PlacedPart,
+    ServerShare,
+    WorkspaceUsage,
+)
+
+if TYPE_CHECKING:
+    from sycamorehaven.transport.links import Handler
+
+WAITING = 20
+"""Requests that wait at once."""
+SLOTS = 16
+ROUTE = Route(
+    "chat",
+    "fleet.example",
+    "/",
+    "streaming",
+    3_600.0,
+    3_600.0,
+    0.5,
+    (Split("model", 1.0),),
+    2,
+    0,
+    public=False,
+    resumable=True,
+)
+
+
+class Size(NamedTuple):
+    """
+    Size of a fleet.
+
+    :ivar routers: routers.
+    :ivar servers: engines.
+    :ivar workspaces: workspaces that ask.
+    """
+
+    routers: int
+    servers: int
+    workspaces: int
+
+
+class Costs(NamedTuple):
+    """
+    Microseconds a call.
+
+    :ivar look: a look at one request that waits, all engines full.
+    :ivar choice: choosing among all engines.
+    :ivar share: computing what a workspace is due.
+    :ivar news: reading and taking in the news of one router.
+    """
+
+    look: float
+    choice: float
+    share: float
+    news: float
+
+
+SIZES = (Size(6, 8, 12), Size(70, 140, 30), Size(420, 800, 1_400))
+
+
+class SilentLink:
+    """A ``PeerLink`` that leads nowhere."""
+
+    def __init__(self) -> None:
+        self.handlers: dict[type, Handler] = {}
+
+    def send(self, host: str, message: object) -> bool:  # noqa: ARG002
+        """Drop a message."""
+        return True
+
+    def send_to(self, address: str, message: object) -> None:
+        """Drop a message."""
+
+    def broadcast(self, message: object) -> None:
+        """Drop a message."""
+
+    def subscribe(self, kind: type, handler: Handler) -> None:
+        """Keep a handler."""
+        self.handlers[kind] = handler
+
+
+def build_board(size: Size) -> Blackboard:
+    """Return the state of a router in a fleet whose engines are full."""
+    board = Blackboard(RouterId("r0", 1), "10.0.0.1:1", "a")
+    board.members.replace(
+        {
+            f"r{n}": Member(f"r{n}", 1, f"10.0.{n // 250}.{n % 250}:1", "a", "alive")
+            for n in range(size.routers)
+        }
+    )
+    services = {"model": RoutedService("model", 64, Engine(SLOTS, 500_000, 1e6))}
+    limits = RequestLimits(16_384, 100_000, 3.0, 15.0, 0.0)
+    configuration = RoutingConfiguration(1, 1, (ROUTE,), services, limits, None)
+    servers = tuple(build_server(number) for number in range(size.servers))
+    board.routing.take(Snapshot(1, configuration, servers), time.monotonic())
+    for server in servers:
+        model = board.fleet.describe(server.id, 500_000, SLOTS)
+        for _ in range(SLOTS):
+            model.begin(1_000, time.monotonic())
+    return board
+
+
+def build_server(number: int) -> ServerRecord:
+    """Return an engine."""
+    address = f"10.1.{number // 250}.{number % 250}:80"
+    return ServerRecord(
+        f"i-{number:010x}", 1, "model", address, "a", SLOTS, draining=False
+    )
+
+
+def build_request(number: int) -> RoutedRequest:
+    """Return a request that can wait for long."""
+    parts = PromptPart(f"s{number % 8}", 13_300), PromptPart(f"o{number}", 3_720)
+    head = RequestHead(f"x{number}", None, "", "m", parts, 17_020, 120, None)
+    now = time.monotonic()
+    workspace = f"w{number % 12}"
+    return RoutedRequest(
+        head, "POST", "/", (), b"", ROUTE, "model", workspace, now, now + 3_600.0
+    )
+
+
+async def measure_look(size: Size) -> float:
+    """Return the seconds of a look at one request that waits."""
+    dispatcher = Dispatcher(
+        build_board(size), DecisionLog("r0", None), GatewayMetrics()
+    )
+    tasks = [
+        asyncio.create_task(dispatcher.acquire(build_request(number)))
+        for number in range(WAITING)
+    ]
+    await asyncio.sleep(0)
+    seconds = measure_time(dispatcher.look, 20) / WAITING
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    return seconds
+
+
+def measure_choice(size: Size) -> float:
+    """Return the seconds of choosing among all engines."""
+    candidates = [
+        Candidate(
+            server=build_server(number),
+            running=number % SLOTS,
+            limit=float(SLOTS),
+            unread=1_000.0 * number,
+            uncached=4_000,
+            copied=0,
+            source="",
+            rate=50_000.0,
+            errors=0.0,
+            near=True,
+            rank=number,
+        )
+        for number in range(size.servers)
+    ]
+    return measure_time(lambda: place_prompt(candidates), 50)
+
+
+def measure_share(size: Size) -> float:
+    """Return the seconds of computing what a workspace is due."""
+    usage = UsageWindow(math.inf)
+    for number in range(size.workspaces):
+        usage.add(f"w{number}", 100.0 * number, 50.0 * number, 1.0)
+    return measure_time(lambda: usage.find_share(1.0), 50)
+
+
+def measure_news(size: Size) -> float:
+    """Return the seconds of reading and taking in one router's news."""
+    link = SilentLink()
+    FleetNewsController(build_board(size), link)
+    take = link.handlers[FleetNews]
+    news = FleetNews(
+        1,
+        0.2,
+        [ServerShare(f"i-{number:010x}", 2, 5_000, 8.0) for number in range(6)],
+        [PlacedPart(number * 7_919, 3_000, f"i-{number:010x}") for number in range(8)],
+        [WorkspaceUsage(f"w{number}", 1_000, 900) for number in range(3)],
+        [],
+    )
+    data = Codec(RouterId("r1", 1), "10.0.0.2:1").encode(news)
+    codec = Codec(RouterId("r0", 1), "10.0.0.1:1")
+    return measure_time(lambda: take(codec.decode(data)), 500)
+
+
+def measure_line() -> tuple[float, float]:
+    """Return the seconds of one line of the log, with the log on and off."""
+    descriptor = os.open(os.devnull, os.O_WRONLY)
+    try:
+        found = []
+        for log in (DecisionLog("r0", descriptor), DecisionLog("r0", None)):
+            log.record("placed", request="x")
+            found.append(
+                measure_time(
+                    lambda log=log: log.record(  # type: ignore[misc]
+                        "placed",
+                        request="9c41d07be2a35f68",
+                        workspace="oakcourt",
+                        server="i-7f3a91c2",
+                        waited=0.012,
+                        expected=0.31,
+                        uncached=2_240,
+                        running=7,
+                        within_share=True,
+                        satisfaction=0.93,
+                    ),
+                    150,
+                )
+            )
+    finally:
+        os.close(descriptor)
+    return found[0], found[1]
+
+
+def measure_costs(size: Size) -> Costs:
+    """Return what decisions cost at a size."""
+    return Costs(
+        asyncio.run(measure_look(size)) * 1e6,
+        measure_choice(size) * 1e6,
+        measure_share(size) * 1e6,
+        measure_news(size) * 1e6,
+    )
+
+
+def main() -> None:
+    """Print the table."""
+    table = Table("routers", "servers", "workspaces", "look", "choice", "share", "news")
+    for size in SIZES:
+        costs = measure_costs(size)
+        table.add_row(*map(str, size), *(f"{cost:.0f}" for cost in costs))
+    Console(width=88).print(table)
+    on, off = measure_line()
+    print(f"a line of the log: {on * 1e6:.1f} us, off {off * 1e6:.2f} us")
+
+
+if __name__ == "__main__":
+    main()
