Add sycamorehaven replay: overload with each mechanism left out

The model of engines on given clocks and the replay move from the benchmarks into the package; the command prints a table with a bar, or JSON.

--- a/src/sycamorehaven/console/application.py
+++ b/src/sycamorehaven/console/application.py
@@ -11,6 +11,7 @@
 from sycamorehaven.console.commands.load import drive_load
 from sycamorehaven.console.commands.members import show_members
 from sycamorehaven.console.commands.queues import show_queues
+from sycamorehaven.console.commands.replay import replay_overload
 from sycamorehaven.console.commands.settings import settings_commands
 from sycamorehaven.console.commands.status import show_status
 from sycamorehaven.console.commands.traces import show_traces
@@ -32,6 +33,7 @@
 application.command("traces")(show_traces)
 application.command("explain")(explain_request)
 application.command("load")(drive_load)
+application.command("replay")(replay_overload)
 application.command("demo")(run_demo)
 
 
--- /dev/null
+++ b/src/sycamorehaven/console/commands/replay.py
@@ -0,0 +1,93 @@
+"""``sycamorehaven replay``: overload of model engines on a given clock."""
+
+from __future__ import annotations
+
+from typing import Annotated, NamedTuple
+
+import typer
+
+from sycamorehaven.console.options import JsonOption
+from sycamorehaven.console.output import EXIT_INVALID, print_json, print_table
+from sycamorehaven.replay.overload import Load, Outcome, Policy, replay
+
+BAR_WIDTH = 30
+"""Characters of the longest bar."""
+LONGEST_REPLAY = 600.0
+"""Seconds of load, at most."""
+HIGHEST_RATE = 1_000.0
+"""Requests a second, at most."""
+
+RateOption = Annotated[
+    float, typer.Option(min=0.1, max=HIGHEST_RATE, help="Requests a second.")
+]
+SecondsOption = Annotated[
+    float, typer.Option(min=1.0, max=LONGEST_REPLAY, help="Seconds of load.")
+]
+SubjectsOption = Annotated[
+    int, typer.Option(min=1, help="Subjects that requests are about.")
+]
+SeedOption = Annotated[int, typer.Option(help="Of arrivals and sizes.")]
+WithoutOption = Annotated[
+    list[str] | None,
+    typer.Option(help="Mechanism to leave out in every row; repeat for more."),
+]
+
+
+class Row(NamedTuple):
+    """
+    One run.
+
+    :ivar name: what it leaves out.
+    :ivar outcome: what became of the requests.
+    """
+
+    name: str
+    outcome: Outcome
+
+
+def replay_overload(
+    rate: RateOption = 80.0,
+    seconds: SecondsOption = 12.0,
+    subjects: SubjectsOption = 110,
+    seed: SeedOption = 1,
+    without: WithoutOption = None,
+    json: JsonOption = False,
+) -> None:
+    """Replay overload with all mechanisms, and with each of them left out."""
+    left_out = without or []
+    for name in left_out:
+        if name not in Policy._fields:
+            known = ", ".join(Policy._fields)
+            typer.echo(
+                f'error: mechanism "{name}" does not exist; there are {known}', err=True
+            )
+            raise typer.Exit(EXIT_INVALID)
+    load = Load(rate, seconds, subjects, seed)
+    base = Policy()._replace(**dict.fromkeys(left_out, False))
+    rows = [Row("nothing" if not left_out else ", ".join(left_out), replay(base, load))]
+    for name in Policy._fields:
+        if getattr(base, name):
+            policy = base._replace(**{name: False})
+            rows.append(Row(name, replay(policy, load)))
+    if json:
+        print_json([{"without": row.name, **row.outcome._asdict()} for row in rows])
+        return
+    print_table(
+        f"{rate:g} requests a second for {seconds:g} s",
+        ("without", "asked", "on time", "late", "tokens read", "on time"),
+        [
+            (
+                row.name,
+                str(row.outcome.asked),
+                str(row.outcome.on_time),
+                str(row.outcome.late),
+                f"{row.outcome.read:,}",
+                _draw_bar(row.outcome),
+            )
+            for row in rows
+        ],
+    )
+
+
+def _draw_bar(outcome: Outcome) -> str:
+    return "█" * round(BAR_WIDTH * outcome.on_time / max(outcome.asked, 1))
--- /dev/null
+++ b/src/sycamorehaven/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Load patterns replayed against model engines on a given clock."""
--- a/benchmarks/routed_load.py
+++ b/src/sycamorehaven/replay/overload.py
@@ -12,11 +12,11 @@
 import random
 from typing import Any, NamedTuple
 
-from benchmarks.engines import Event, ModelEngine, Prompt
 from sycamorehaven.decisions.placement import Candidate, Placement, place_prompt
 from sycamorehaven.decisions.prefixes import chain_parts
 from sycamorehaven.decisions.server_model import Reading, ServerModel
 from sycamorehaven.decisions.turning_away import Demand, choose_return, decide_prompt
+from sycamorehaven.replay.engines import Event, ModelEngine, Prompt
 from sycamorehaven.routing.model import ServerRecord
 from sycamorehaven.routing.requests import PromptPart
 
--- a/tests/decisions/test_routed_load.py
+++ b/tests/decisions/test_routed_load.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from benchmarks.routed_load import Load, Policy, replay
+from sycamorehaven.replay.overload import Load, Policy, replay
 
 OVERLOAD = Load(rate=80.0, length=12.0)
 """About twice what the engines can read."""
