--- a/src/sycamorehaven/decisions/shares.py
+++ b/src/sycamorehaven/decisions/shares.py
@@ -17,7 +17,8 @@
 SPARE = 1.1
 """Room above what was given, for requests that are on their way."""
 YIELD_MARGIN = 0.15
-"""Difference between the parts of their due that two workspaces got."""
+"""Difference in the parts of their due that two workspaces got, from which
+one yields to the other."""
 BUCKETS = 8
 """Steps in which the window slides."""
 
