Tell the soak's own stalls from late answers

Change: the soak notes when its own loop is late by more than 0.25 s; bounds of time don't count around that.

--- a/tests/soak/player.py
+++ b/tests/soak/player.py
@@ -6,6 +6,7 @@
 import contextlib
 import random
 import tempfile
+import time
 from pathlib import Path
 from typing import NamedTuple
 
@@ -15,6 +16,7 @@
 from tests.soak.faults import FaultPlayer
 from tests.soak.fleet import SoakFleet
 from tests.soak.promises import check_record
+from tests.soak.records import SOAK, Trouble
 
 CALLERS = 24
 CALM_BEFORE = 1.0
@@ -25,6 +27,12 @@
 """Seconds between two faults, on average."""
 
 
+STALL = 0.25
+"""Seconds that the soak's own loop may be late."""
+TICK = 0.05
+"""Seconds between two looks at the soak's own loop."""
+
+
 class Outcome(NamedTuple):
     """
     What one seed showed.
@@ -66,6 +74,7 @@
             for n in range(CALLERS)
         ]
         tasks = [asyncio.create_task(caller.run()) for caller in callers]
+        tasks.append(asyncio.create_task(_watch_loop(fleet.troubles)))
         await asyncio.sleep(CALM_BEFORE)
         player = FaultPlayer(fleet, random.Random(seed))
         await player.play(seconds, PAUSE)
@@ -83,4 +92,20 @@
     findings = [*check_record(seen), *player.slow_ends]
     findings += [f"a caller failed: {error!r}" for error in faults]
     served = sum(s.status == 200 and s.outcome == "whole" for s in sendings)  # noqa: PLR2004
-    return Outcome(seed, findings, len(sendings), served, len(seen.troubles))
+    faults_played = sum(trouble.target != SOAK for trouble in seen.troubles)
+    return Outcome(seed, findings, len(sendings), served, faults_played)
+
+
+async def _watch_loop(troubles: list[Trouble]) -> None:
+    """
+    Note when this process stands still.
+
+    Callers and proxies are part of it: starting a process on a busy machine
+    holds them up for seconds, and what comes meanwhile is seen late.
+    """
+    while True:
+        began = time.monotonic()
+        await asyncio.sleep(TICK)
+        ended = time.monotonic()
+        if ended - began > STALL:
+            troubles.append(Trouble("stall", SOAK, began, ended))
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -10,6 +10,7 @@
 from tests.soak.backend import EVENTS, write_body, write_event
 from tests.soak.faults import OPERATOR, STORE
 from tests.soak.fleet import RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW, SERVICES
+from tests.soak.records import SOAK
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -187,7 +188,8 @@
 
 def check_recovery(record: Record) -> Iterator[str]:
     """Requests are served once all faults are over."""
-    over = max((trouble.ends for trouble in record.troubles), default=0.0)
+    played = [trouble for trouble in record.troubles if trouble.target != SOAK]
+    over = max((trouble.ends for trouble in played), default=0.0)
     last = [s for s in record.sendings if s.sent_at > over + CONTACT]
     served = [s for s in last if s.status == 200 and s.outcome == "whole"]  # noqa: PLR2004
     if not last or len(served) < RECOVERED_SHARE * len(last):
@@ -217,5 +219,5 @@
 
 def _is_settled(record: Record, sending: Sending, *others: str) -> bool:
     """Return whether a router was out of trouble long before a request."""
-    targets = sending.router, f"door/{sending.router}", *others
+    targets = sending.router, f"door/{sending.router}", SOAK, *others
     return record.is_calm(sending.sent_at, sending.done_at, *targets, before=CONTACT)
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -57,6 +57,10 @@
     cut: bool = False
 
 
+SOAK = "soak"
+"""Target of the times at which the soak itself stood still."""
+
+
 class Trouble(NamedTuple):
     """
     A fault, or a change by the operator.
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -4,7 +4,7 @@
 
 from tests.soak import promises
 from tests.soak.backend import EVENTS, write_body, write_event
-from tests.soak.records import Record, Run, Sending, Trouble
+from tests.soak.records import SOAK, Record, Run, Sending, Trouble
 
 SENDING = Sending(
     "c1-1",
@@ -90,6 +90,13 @@
     assert not list_broken(record)
 
 
+def test_late_answer_counts_unless_the_soak_itself_stood_still() -> None:
+    late = SENDING._replace(done_at=14.0)
+    stall = Trouble("stall", SOAK, 10.5, 13.9)
+    record = build_record(late, SENDING._replace(sent_at=30.0), troubles=(stall,))
+    assert not list_broken(record)
+
+
 def test_run_that_outlives_its_caller() -> None:
     gone = SENDING._replace(outcome="cancelled", status=0, body=b"")
     late = RUN._replace(ended_at=11.0, cut=True)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,10 +8,12 @@
 SHORT_LENGTH = 6.0
 """Seconds of faults."""
 BROKEN_SEEDS = {
-    # Streams through a proxy stood still while the soak itself started a
-    # process; seen again with record.json. In an earlier run four answers were
-    # late at a router that was stopped for 3.1 s; that run kept no record.
+    # In each the soak itself stood still for 1.6 to 4.2 s while it started a
+    # process beside load, and saw answers late that routers gave in time.
     3: 12.0,
+    134: 8.0,
+    136: 8.0,
+    137: 8.0,
 }
 """Seconds of faults by seed."""
 
