Draw no port twice in tests

Cause: find_port returned a port that it had returned before and that nobody had bound yet. A start of the soak failed so (address already in use); with some seventeen ports drawn before the first is bound that is 0.7 % a fleet.

--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -31,18 +31,24 @@
 POLL = 0.05
 """Seconds between two looks at a condition."""
 
+_drawn_ports: set[int] = set()
+
 
 def find_port() -> int:
     """
     Return a free port of the loopback interface.
 
     It lies below the ports that the kernel gives to outgoing connections, so
-    that none of those takes it before it is bound.
+    that none of those takes it before it is bound. No port is returned twice:
+    the one who got it first may not have bound it yet.
     """
     while True:
         port = FIRST_PORT + secrets.randbelow(LAST_PORT - FIRST_PORT)
+        if port in _drawn_ports:
+            continue
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
+            _drawn_ports.add(port)
             return port
 
 
