Measure how late the event loop of a gateway is

Whether requests wait unread, wait for a decision or wait for an engine could not be told from a gateway's own output: requests that are not read leave no line, and no metric says that the process is behind. Only the platform's monitoring showed two routers at their processor's limit.

A monitor measures every 50 ms how late the event loop resumes a sleeping task. It is served as sycamorehaven_event_loop_lag_seconds; the duration of a pass over the waiting requests is sycamorehaven_dispatch_seconds. Lines event_loop_late and event_loop_on_time say when it began and how long it lasted. No decision changes.

--- a/src/sycamorehaven/blackboard/board.py
+++ b/src/sycamorehaven/blackboard/board.py
@@ -9,6 +9,7 @@
 from sycamorehaven.blackboard.control_traffic import ControlTrafficSection
 from sycamorehaven.blackboard.counters import CountersSection
 from sycamorehaven.blackboard.departures import DeparturesSection
+from sycamorehaven.blackboard.event_loop import EventLoopSection
 from sycamorehaven.blackboard.fleet_load import FleetLoadSection
 from sycamorehaven.blackboard.lifecycle import LifecycleSection
 from sycamorehaven.blackboard.members import Member, MembersSection
@@ -57,6 +58,7 @@
         self._identity = identity
         self._members = MembersSection(own)
         self._seeds = SeedsSection()
+        self._event_loop = EventLoopSection()
         self._pauses = PausesSection()
         self._configuration = ConfigurationSection()
         self._lifecycle = LifecycleSection()
@@ -168,6 +170,11 @@
         """Requests suspected of crashing backend servers."""
         return self._suspect_requests
 
+    @property
+    def event_loop(self) -> EventLoopSection:
+        """How late this process is in handling what has arrived."""
+        return self._event_loop
+
     @property
     def routing(self) -> RoutingSection:
         """The published routes and servers."""
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -165,6 +165,7 @@
                     "failed to dispatch the pending requests; trying again"
                 )
             elapsed = self._clock() - started_at
+            self._metrics.dispatch_duration.observe(elapsed)
             await asyncio.sleep(
                 max(MIN_DISPATCH_PAUSE_SECONDS, elapsed * DISPATCH_PAUSE_RATIO)
             )
--- /dev/null
+++ b/src/sycamorehaven/controllers/event_loop.py
@@ -0,0 +1,102 @@
+"""
+Measures how late the event loop is.
+
+A process that has more to do than its processor allows resumes its tasks late.
+Requests then wait unread in the kernel, where no other measurement sees them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from mode import Service
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.telemetry.decision_log import DecisionLog
+    from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
+
+OBSERVATION_PERIOD_SECONDS = 0.05
+"""Time between two measurements."""
+LATE_SECONDS = 0.1
+"""Lag from which the event loop counts as late."""
+RECOVERY_SECONDS = 0.5
+"""Time without such a lag after which the event loop counts as on time."""
+
+
+class EventLoopMonitor(Service):
+    """
+    Measures the lag of the event loop and logs when it becomes late.
+
+    :param board: shared state of this router.
+    :param decision_log: records when the event loop is late and when it is on
+        time again.
+    :param metrics: observes the lag.
+    :param clock: returns monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        decision_log: DecisionLog,
+        metrics: GatewayMetrics,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        super().__init__()
+        self._board = board
+        self._decision_log = decision_log
+        self._metrics = metrics
+        self._clock = clock
+        self._late_since: float | None = None
+        self._last_late_at = 0.0
+        self._longest_lag = 0.0
+
+    @Service.task
+    async def _observe_periodically(self) -> None:
+        while not self.should_stop:
+            slept_at = self._clock()
+            await asyncio.sleep(OBSERVATION_PERIOD_SECONDS)
+            lag = self._clock() - slept_at - OBSERVATION_PERIOD_SECONDS
+            self.record_lag(max(lag, 0.0))
+
+    def record_lag(self, lag: float) -> None:
+        """
+        Record one measurement.
+
+        :param lag: seconds by which a sleeping task was resumed late.
+        """
+        now = self._clock()
+        self._board.event_loop.update_lag(lag)
+        self._metrics.event_loop_lag.observe(lag)
+        if lag >= LATE_SECONDS:
+            self._record_late(lag, now)
+        elif (
+            self._late_since is not None
+            and now - self._last_late_at >= RECOVERY_SECONDS
+        ):
+            self._record_on_time(self._late_since, now)
+
+    def _record_late(self, lag: float, now: float) -> None:
+        self._last_late_at = now
+        self._longest_lag = max(self._longest_lag, lag)
+        if self._late_since is not None:
+            return
+        self._late_since = now
+        self._decision_log.record(
+            "event_loop_late",
+            lag=round(lag, 3),
+            requests_in_progress=self._board.lifecycle.requests_in_progress,
+        )
+
+    def _record_on_time(self, late_since: float, now: float) -> None:
+        self._decision_log.record(
+            "event_loop_on_time",
+            late_seconds=round(now - late_since, 3),
+            longest_lag=round(self._longest_lag, 3),
+            requests_in_progress=self._board.lifecycle.requests_in_progress,
+        )
+        self._late_since, self._longest_lag = None, 0.0
--- a/src/sycamorehaven/gateway.py
+++ b/src/sycamorehaven/gateway.py
@@ -10,6 +10,7 @@
 
 from sycamorehaven.blackboard.board import Blackboard
 from sycamorehaven.controllers.dispatch import Dispatcher
+from sycamorehaven.controllers.event_loop import EventLoopMonitor
 from sycamorehaven.controllers.fleet_state import FleetStateController
 from sycamorehaven.controllers.forwarding import ForwardingContext, ForwardingController
 from sycamorehaven.controllers.membership import MembershipController
@@ -102,6 +103,7 @@
         )
         self._frontend, self._forwarding = frontend, forwarding
         return [
+            EventLoopMonitor(board, decision_log, metrics),
             HealthListener(board, self._gateway_settings, decision_log, metrics),
             peers,
             MembershipController(board, peers, self._settings),
--- a/src/sycamorehaven/telemetry/gateway_metrics.py
+++ b/src/sycamorehaven/telemetry/gateway_metrics.py
@@ -7,6 +7,8 @@
 
 LATENCY_BUCKETS_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
 """Upper bounds of the latency histograms' buckets."""
+LAG_BUCKETS_SECONDS = (0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
+"""Upper bounds of the buckets of the process's own delays."""
 
 
 class GatewayMetrics:
@@ -25,6 +27,10 @@
     :ivar dependency_up: 1 if a dependency responds, else 0.
     :ivar snapshot_age: age of the routes and servers in use, in seconds.
     :ivar waiting_requests: number of requests that wait at the router.
+    :ivar event_loop_lag: time by which the event loop resumed a sleeping task
+        late, in seconds.
+    :ivar dispatch_duration: duration of a pass over the waiting requests, in
+        seconds; the event loop does nothing else meanwhile.
     """
 
     def __init__(self) -> None:
@@ -72,6 +78,18 @@
             "Requests that wait at the router.",
             registry=self._registry,
         )
+        self.event_loop_lag = Histogram(
+            "sycamorehaven_event_loop_lag_seconds",
+            "Seconds by which the event loop resumed a sleeping task late.",
+            buckets=LAG_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
+        self.dispatch_duration = Histogram(
+            "sycamorehaven_dispatch_seconds",
+            "Seconds that a pass over the waiting requests took.",
+            buckets=LAG_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
 
     def render(self) -> bytes:
         """Return the metrics in the text format of Prometheus."""
