Decide on the requests of a flood in time

The dispatcher compared every waiting request with every engine in each pass, blocked the event loop for that time and paused four times as long.

A pass now ends after 20 ms. What it has not considered waits for the next ones, or is rejected at once, with the new code router_busy, if its turn would come after its wait is over; another router may serve it, so Retry-After is 0.05 s. A new request starts no pass before the pause after the last one has ended. Full services, and requests that yield their place, cost no comparison; a placement updates the state of one engine instead of all, and the ranking of engines is computed once for a subject.

--- a/src/sycamorehaven/controllers/candidates.py
+++ b/src/sycamorehaven/controllers/candidates.py
@@ -14,12 +14,14 @@
 from sycamorehaven.routing.requests import RoutedRequest
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Collection, Iterable
 
     from sycamorehaven.blackboard.board import Blackboard
 
 MIN_COPIED_TOKENS = 1_000
 """Fewer prompt tokens than this are recomputed rather than copied."""
+MAX_RANKED_SUBJECTS = 1_024
+"""Number of subjects whose ranking of servers is remembered."""
 
 
 class PendingRequest(NamedTuple):
@@ -29,8 +31,6 @@
     :ivar request: the request.
     :ivar prefixes: hash and token count of each part of its prompt, empty if
         it has no prompt. A hash also covers the parts before.
-    :ivar server_ranks: rank of each server for this prompt, the same on all
-        routers.
     :ivar excluded_servers: servers that have already failed the request.
     :ivar is_resume: whether the client already has a part of the answer.
     :ivar queued_at: when it was queued, in monotonic seconds.
@@ -39,7 +39,6 @@
 
     request: RoutedRequest
     prefixes: tuple[tuple[int, int], ...]
-    server_ranks: dict[str, int]
     excluded_servers: frozenset[str]
     is_resume: bool
     queued_at: float
@@ -84,6 +83,50 @@
         return max(math.ceil(self.model.concurrency.limit - self.running_requests), 0)
 
 
+class ServiceLoad:
+    """
+    The estimated states of a service's servers during one dispatcher pass.
+
+    :param views: the states.
+    :param now: time of the pass, in monotonic seconds.
+    """
+
+    def __init__(self, views: Iterable[ServerView], now: float) -> None:
+        self._views = {view.server.id: view for view in views}
+        self._now = now
+        self._free_slots = sum(view.free_prompt_slots for view in self._views.values())
+        self._has_capacity: dict[bool, bool] = {}
+
+    @property
+    def views(self) -> Collection[ServerView]:
+        """The states of the servers."""
+        return self._views.values()
+
+    @property
+    def free_prompt_slots(self) -> int:
+        """Number of further requests with prompts that the servers may run."""
+        return self._free_slots
+
+    def has_capacity(self, *, has_prompt: bool) -> bool:
+        """
+        Return whether a server may run one more request.
+
+        :param has_prompt: whether the request has a prompt.
+        """
+        if has_prompt not in self._has_capacity:
+            self._has_capacity[has_prompt] = any(
+                view.has_capacity(has_prompt=has_prompt) for view in self.views
+            )
+        return self._has_capacity[has_prompt]
+
+    def update(self, server: str) -> None:
+        """Update the state of a server that a request was assigned to."""
+        old = self._views[server]
+        view = self._views[server] = _observe_server(old.server, old.model, self._now)
+        self._free_slots += view.free_prompt_slots - old.free_prompt_slots
+        self._has_capacity.clear()
+
+
 class CandidateFinder:
     """
     Creates placement candidates from the estimated states of servers.
@@ -93,37 +136,40 @@
 
     def __init__(self, board: Blackboard) -> None:
         self._board = board
+        self._server_ranks: dict[tuple[str, str], dict[str, int]] = {}
+        board.routing.changed.subscribe(self._server_ranks.clear)
 
-    def list_server_views(self, service: str, now: float) -> list[ServerView]:
+    def observe_service(self, service: str, now: float) -> ServiceLoad:
         """Return the estimated states of all servers of a service."""
-        views = []
-        for server in self._board.routing.list_available_servers(service):
-            model = self._get_model(server)
-            running, pending_tokens = (
-                model.count_requests(now),
-                model.count_pending_tokens(now),
-            )
-            views.append(ServerView(server, model, running, pending_tokens))
-        return views
+        views = [
+            _observe_server(server, self._get_model(server), now)
+            for server in self._board.routing.list_available_servers(service)
+        ]
+        return ServiceLoad(views, now)
 
     def list_candidates(
-        self, pending: PendingRequest, views: Sequence[ServerView], now: float
+        self, pending: PendingRequest, load: ServiceLoad, now: float
     ) -> list[Candidate]:
         """
         Return the servers that have capacity for a request.
 
-        :param views: the servers of the request's service, at least one.
+        :param load: the servers of the request's service, at least one.
         """
+        has_prompt = bool(pending.prefixes)
+        if not load.has_capacity(has_prompt=has_prompt):
+            return []
         not_excluded = [
-            view for view in views if view.server.id not in pending.excluded_servers
+            view
+            for view in load.views
+            if view.server.id not in pending.excluded_servers
         ]
-        usable = _select_available(not_excluded or views, now)
-        has_prompt = bool(pending.prefixes)
+        usable = _select_available(not_excluded or load.views, now)
         with_capacity = [
             view for view in usable if view.has_capacity(has_prompt=has_prompt)
         ]
         if not with_capacity:
             return []
+        server_ranks = self._rank_servers(pending)
         cached_tokens = {
             view.server.id: view.model.prefix_cache.count_cached_tokens(
                 pending.prefixes
@@ -162,7 +208,7 @@
                     prefill_rate=model.prefill_rate,
                     error_ratio=model.health.error_ratio,
                     is_local=server.failure_domain == own_domain,
-                    rank=pending.server_ranks.get(server.id, len(pending.server_ranks)),
+                    rank=server_ranks.get(server.id, len(server_ranks)),
                 )
             )
         return candidates
@@ -178,24 +224,32 @@
             and service.engine_capacity.transfer_tokens_per_second
         )
 
-    def rank_servers(
-        self, request: RoutedRequest, prefixes: tuple[tuple[int, int], ...]
-    ) -> dict[str, int]:
+    def _rank_servers(self, pending: PendingRequest) -> dict[str, int]:
         """
         Return the rank of each server for the prompt of a request.
 
         All routers compute the same ranks.
         """
-        names = [
-            server.id
-            for server in self._board.routing.list_available_servers(request.service)
-        ]
+        service, prefixes = pending.request.service, pending.prefixes
         # The last part is specific to the request. The part before it is the
         # longest prefix that requests on the same subject share, so these
         # requests get the same ranking and meet the same prefix cache.
         shared_parts = prefixes[-2:-1] or prefixes
-        key = str(shared_parts[0][0]) if shared_parts else request.head.attempt_id
-        return {name: place for place, name in enumerate(rank_candidates(key, names))}
+        if not shared_parts:
+            return self._compute_ranks(service, pending.request.head.attempt_id)
+        subject = str(shared_parts[0][0])
+        ranks = self._server_ranks.get((service, subject))
+        if ranks is None:
+            if len(self._server_ranks) >= MAX_RANKED_SUBJECTS:
+                self._server_ranks.clear()
+            ranks = self._compute_ranks(service, subject)
+            self._server_ranks[service, subject] = ranks
+        return ranks
+
+    def _compute_ranks(self, service: str, subject: str) -> dict[str, int]:
+        servers = self._board.routing.list_available_servers(service)
+        ranked = rank_candidates(subject, [server.id for server in servers])
+        return {name: place for place, name in enumerate(ranked)}
 
     def _get_model(self, server: ServerRecord) -> ServerModel:
         """Return a server's model after setting its configured capacity."""
@@ -211,7 +265,15 @@
         )
 
 
-def _select_available(views: Sequence[ServerView], now: float) -> Sequence[ServerView]:
+def _observe_server(server: ServerRecord, model: ServerModel, now: float) -> ServerView:
+    return ServerView(
+        server, model, model.count_requests(now), model.count_pending_tokens(now)
+    )
+
+
+def _select_available(
+    views: Collection[ServerView], now: float
+) -> Collection[ServerView]:
     """
     Return the servers that are not ejected.
 
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -13,14 +14,17 @@
 from sycamorehaven.controllers.candidates import (
     CandidateFinder,
     PendingRequest,
-    ServerView,
+    ServiceLoad,
 )
 from sycamorehaven.controllers.reservations import ServerReservation
 from sycamorehaven.decisions.client_timeouts import ClientTimeouts
 from sycamorehaven.decisions.load_shedding import (
+    BUSY_ROUTER_RETRY_SECONDS,
+    MAX_RETRY_AFTER_RATIO,
     PlacementRequest,
     choose_retry_after,
     decide_plain_request,
+    decide_postponed_request,
     decide_prompt_request,
 )
 from sycamorehaven.decisions.placement import (
@@ -31,10 +35,14 @@
 )
 from sycamorehaven.decisions.prefix_cache import hash_prefixes
 from sycamorehaven.decisions.usage_window import YIELD_MARGIN_RATIO
-from sycamorehaven.exceptions.refusals import DeadlineUnreachable, NoBackendServer
+from sycamorehaven.exceptions.refusals import (
+    DeadlineUnreachable,
+    NoBackendServer,
+    RouterBusy,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection
+    from collections.abc import Callable, Collection, Sequence
 
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.decisions.load_shedding import Action
@@ -50,6 +58,8 @@
 
 This leaves most of the event loop's time to the relaying of answers.
 """
+MAX_PASS_SECONDS = 0.02
+"""Time after which a pass postpones the requests that are left."""
 NO_SERVER_RETRY_SECONDS = 1.0
 """Longest ``Retry-After`` of a refusal because no server is known."""
 OUTPUT_TOKEN_WEIGHT = 2.0
@@ -99,6 +109,7 @@
         self._client_timeouts = ClientTimeouts()
         self._candidate_finder = CandidateFinder(board)
         self._request_arrived = asyncio.Event()
+        self._next_pass_at = 0.0
 
     async def acquire(
         self,
@@ -124,18 +135,16 @@
         future: asyncio.Future[ServerReservation] = (
             asyncio.get_running_loop().create_future()
         )
-        server_ranks = self._candidate_finder.rank_servers(request, prefixes)
         pending = PendingRequest(
             request,
             prefixes,
-            server_ranks,
             frozenset(excluded_servers),
             is_resume,
             now,
             future,
         )
         self._pending.append(pending)
-        if len(self._pending) == 1:
+        if len(self._pending) == 1 and now >= self._next_pass_at:
             self.dispatch_pending()
         self._request_arrived.set()
         try:
@@ -155,7 +164,6 @@
                 self._request_arrived.clear()
                 await self.wait(self._request_arrived.wait())
                 continue
-            started_at = self._clock()
             try:
                 self.dispatch_pending()
             except Exception:
@@ -164,10 +172,8 @@
                 logging.exception(
                     "failed to dispatch the pending requests; trying again"
                 )
-            elapsed = self._clock() - started_at
-            self._metrics.dispatch_duration.observe(elapsed)
             await asyncio.sleep(
-                max(MIN_DISPATCH_PAUSE_SECONDS, elapsed * DISPATCH_PAUSE_RATIO)
+                max(MIN_DISPATCH_PAUSE_SECONDS, self._next_pass_at - self._clock())
             )
 
     def dispatch_pending(self) -> None:
@@ -176,8 +182,18 @@
 
         Each request that a server has capacity for is assigned, each one that
         cannot be served in time is rejected, and the others remain pending.
+        The pass is cut short if it takes too long.
         """
-        now = self._clock()
+        started_at = self._clock()
+        try:
+            self._make_pass(started_at)
+        finally:
+            ended_at = self._clock()
+            elapsed = ended_at - started_at
+            self._next_pass_at = ended_at + elapsed * DISPATCH_PAUSE_RATIO
+            self._metrics.dispatch_duration.observe(elapsed)
+
+    def _make_pass(self, now: float) -> None:
         self._pending = [
             pending for pending in self._pending if not pending.reservation.done()
         ]
@@ -191,22 +207,60 @@
             )
             return not has_priority, pending.queued_at
 
-        views: dict[str, list[ServerView]] = {}
-        for pending in sorted(self._pending, key=sort_key):
+        in_order = sorted(self._pending, key=sort_key)
+        loads: dict[str, ServiceLoad] = {}
+        considered = 0
+        for pending in in_order:
+            if considered and self._clock() - now >= MAX_PASS_SECONDS:
+                break
+            considered += 1
             service = pending.request.service
-            if service not in views:
-                views[service] = self._candidate_finder.list_server_views(service, now)
+            if service not in loads:
+                loads[service] = self._candidate_finder.observe_service(service, now)
             share_status = share_statuses[pending.request.workspace]
-            if (
-                self._place_or_reject(pending, views[service], share_status, now)
-                == "place"
-            ):
-                del views[service]
+            self._place_or_reject(pending, loads[service], share_status, now)
+        self._postpone(in_order[considered:], considered, share_statuses, now)
         self._pending = [
             pending for pending in self._pending if not pending.reservation.done()
         ]
         self._metrics.waiting_requests.set(len(self._pending))
 
+    def _postpone(
+        self,
+        postponed: Sequence[PendingRequest],
+        considered: int,
+        share_statuses: dict[str, ShareStatus],
+        started_at: float,
+    ) -> None:
+        """
+        Reject those of the postponed requests whose turn would come too late.
+
+        :param postponed: requests that the pass has not considered, in order.
+        :param considered: number of requests that it has considered.
+        :param started_at: when the pass began, in monotonic seconds.
+        """
+        if not postponed:
+            return
+        now = self._clock()
+        seconds_per_pass = (now - started_at) * (1.0 + DISPATCH_PAUSE_RATIO)
+        for index, pending in enumerate(postponed, start=1):
+            delay = math.ceil(index / considered) * seconds_per_pass
+            share_status = share_statuses[pending.request.workspace]
+            placement_request = self._build_placement_request(
+                pending, share_status, yields=False
+            )
+            if decide_postponed_request(placement_request, delay, now) == "wait":
+                continue
+            retry_after = min(
+                BUSY_ROUTER_RETRY_SECONDS,
+                (pending.request.deadline - now) * MAX_RETRY_AFTER_RATIO,
+            )
+            refusal = RouterBusy(
+                "the router has too many requests to decide on",
+                retry_after=max(retry_after, 0.0),
+            )
+            self._reject(pending, refusal, "router_busy", placement_request, None, now)
+
     def _compute_share_statuses(self, now: float) -> dict[str, ShareStatus]:
         usage = self._board.fleet_load.usage_window
         share = usage.get_fair_share(now)
@@ -241,16 +295,18 @@
     def _place_or_reject(
         self,
         pending: PendingRequest,
-        views: list[ServerView],
+        load: ServiceLoad,
         share_status: ShareStatus,
         now: float,
-    ) -> Action:
+    ) -> None:
         """Assign a request to a server, reject it, or let it wait."""
         request = pending.request
         placement_request = self._build_placement_request(
-            pending, views, share_status, now
+            pending,
+            share_status,
+            yields=self._must_yield(request.service, load, share_status, now),
         )
-        if not views:
+        if not load.views:
             refusal = NoBackendServer(
                 f"no backend server of the service '{request.service}' takes work",
                 retry_after=min(
@@ -258,15 +314,18 @@
                 ),
             )
             self._reject(pending, refusal, "no_server", placement_request, None, now)
-            return "reject"
-        candidates = self._candidate_finder.list_candidates(pending, views, now)
+            return
+        candidates: list[Candidate] = []
+        if placement_request.resumes or not placement_request.yields:
+            candidates = self._candidate_finder.list_candidates(pending, load, now)
         action, best = self._choose_action(
             placement_request, candidates, bool(pending.prefixes), now
         )
         if action == "place" and best is not None:
             self._assign_server(pending, best, placement_request, now)
+            load.update(best.server.id)
         elif action == "reject":
-            shortest_wait = min(view.estimated_wait_seconds for view in views)
+            shortest_wait = min(view.estimated_wait_seconds for view in load.views)
             late_refusal = DeadlineUnreachable(
                 "the backend servers cannot process the queued requests in time",
                 retry_after=choose_retry_after(placement_request, shortest_wait, now),
@@ -274,20 +333,24 @@
             self._reject(
                 pending, late_refusal, "overload", placement_request, best, now
             )
-        return action
+
+    def _must_yield(
+        self, service: str, load: ServiceLoad, share_status: ShareStatus, now: float
+    ) -> bool:
+        """
+        Return whether all free slots are left to less satisfied workspaces.
+        """
+        if not load.free_prompt_slots:
+            return False
+        requests_ahead = self._board.fleet_load.count_requests_ahead(
+            service, share_status.satisfaction, now
+        )
+        return load.free_prompt_slots <= requests_ahead
 
     def _build_placement_request(
-        self,
-        pending: PendingRequest,
-        views: list[ServerView],
-        share_status: ShareStatus,
-        now: float,
+        self, pending: PendingRequest, share_status: ShareStatus, *, yields: bool
     ) -> PlacementRequest:
         request = pending.request
-        free_slots = sum(view.free_prompt_slots for view in views)
-        requests_ahead = self._board.fleet_load.count_requests_ahead(
-            request.service, share_status.satisfaction, now
-        )
         return PlacementRequest(
             first_asked_at=pending.queued_at
             - self._client_timeouts.estimate_elapsed(request),
@@ -297,7 +360,7 @@
             within_share=share_status.is_within_share or pending.is_resume,
             resumes=pending.is_resume,
             satisfaction=share_status.satisfaction,
-            yields=0 < free_slots <= requests_ahead,
+            yields=yields,
         )
 
     def _choose_action(
@@ -358,7 +421,7 @@
     def _reject(
         self,
         pending: PendingRequest,
-        refusal: DeadlineUnreachable | NoBackendServer,
+        refusal: DeadlineUnreachable | NoBackendServer | RouterBusy,
         reason: str,
         placement_request: PlacementRequest,
         best: Placement | None,
--- a/src/sycamorehaven/decisions/load_shedding.py
+++ b/src/sycamorehaven/decisions/load_shedding.py
@@ -6,6 +6,10 @@
 as long as they can still be on time. While an engine is idle, nothing is
 rejected.
 
+When requests arrive at one router faster than it can decide on them, it
+rejects at once those whose turn would come too late. Other routers may have
+time for them.
+
 A workspace that has used up its fair share gets only what the others leave:
 its requests are placed only while little waits. A workspace that got a smaller
 fraction of its entitlement may be waiting for the same servers, here or at
@@ -35,6 +39,8 @@
 """Time to read its queued prompts below which an engine counts as idle."""
 MIN_RETRY_AFTER_SECONDS = 1.0
 """Minimum time after which a rejected client may try again."""
+BUSY_ROUTER_RETRY_SECONDS = 0.05
+"""Time after which a client that a busy router rejected may try another."""
 MAX_RETRY_AFTER_RATIO = 0.3
 """Fraction of the client's remaining time after which it tries again at the
 latest; the limit is a third."""
@@ -118,6 +124,22 @@
     )
 
 
+def decide_postponed_request(
+    request: PlacementRequest, delay: float, now: float
+) -> Action:
+    """
+    Decide what to do with a request that the router had no time to consider.
+
+    :param delay: seconds until its turn is expected to come.
+    """
+    max_wait = (
+        RESUME_WAIT_SECONDS
+        if request.resumes
+        else MAX_WAIT_RATIO * request.target_seconds
+    )
+    return "wait" if now + delay - request.received_at < max_wait else "reject"
+
+
 def choose_retry_after(
     request: PlacementRequest, work_seconds: float, now: float
 ) -> float:
--- a/src/sycamorehaven/exceptions/refusals.py
+++ b/src/sycamorehaven/exceptions/refusals.py
@@ -251,6 +251,14 @@
     remedy = "send again after Retry-After seconds"
 
 
+class RouterBusy(Refusal):
+    """The router has more requests than it has time to handle."""
+
+    code = "router_busy"
+    status = 503
+    remedy = "send again after Retry-After seconds; another router may have time"
+
+
 class NotReady(Refusal):
     """The router has no configuration yet."""
 
