--- a/src/sycamorehaven/controllers/event_loop.py
+++ b/src/sycamorehaven/controllers/event_loop.py
@@ -13,6 +13,8 @@
 
 from mode import Service
 
+from sycamorehaven.decisions.arrivals import MAX_LAG_SECONDS
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -22,8 +24,6 @@
 
 OBSERVATION_PERIOD_SECONDS = 0.05
 """Time between two measurements."""
-LATE_SECONDS = 0.1
-"""Lag from which the event loop counts as late."""
 RECOVERY_SECONDS = 0.5
 """Time without such a lag after which the event loop counts as on time."""
 
@@ -72,7 +72,7 @@
         now = self._clock()
         self._board.event_loop.update_lag(lag)
         self._metrics.event_loop_lag.observe(lag)
-        if lag >= LATE_SECONDS:
+        if lag >= MAX_LAG_SECONDS:
             self._record_late(lag, now)
         elif (
             self._late_since is not None
--- a/src/sycamorehaven/decisions/usage_window.py
+++ b/src/sycamorehaven/decisions/usage_window.py
@@ -78,6 +78,14 @@
         self._slide(now)
         return self._received.get(workspace, 0.0)
 
+    def demands_even_part(self, workspace: str, now: float) -> bool:
+        """
+        Return whether a workspace demands at least an even part of the total.
+        """
+        self._slide(now)
+        even_part = sum(self._demanded.values()) / max(len(self._demanded), 1)
+        return self._demanded.get(workspace, 0.0) >= even_part
+
     def get_satisfaction(self, workspace: str, fair_share: float, now: float) -> float:
         """
         Return the fraction of its entitlement that a workspace received.
--- a/src/sycamorehaven/transport/frontend_listener.py
+++ b/src/sycamorehaven/transport/frontend_listener.py
@@ -11,6 +11,8 @@
 from aiohttp import web
 from mode import Service
 
+from sycamorehaven.decisions.arrivals import ArrivalControl
+from sycamorehaven.decisions.load_shedding import BUSY_ROUTER_RETRY_SECONDS
 from sycamorehaven.exceptions.base import SycamorehavenError
 from sycamorehaven.exceptions.refusals import (
     BodyTooLarge,
@@ -19,6 +21,7 @@
     InvalidWorkspaceKey,
     NotReady,
     Refusal,
+    RouterBusy,
     UnknownPath,
 )
 from sycamorehaven.routing.requests import RoutedRequest
@@ -120,6 +123,7 @@
         self._metrics = metrics
         self._clock = clock
         self._random = random.Random(board.identity.incarnation)
+        self._arrivals = ArrivalControl(board.event_loop)
         self._server = web.Server(self._serve, handler_cancellation=True)
         self._listener: asyncio.Server | None = None
 
@@ -221,6 +225,11 @@
         if route is None:
             raise UnknownPath("no route matches the host and path of the request")
         workspace = find_workspace(configuration, route, head)
+        if not self._arrivals.admit(workspace, received_at):
+            raise RouterBusy(
+                "the router has more requests than it has time to read",
+                retry_after=BUSY_ROUTER_RETRY_SECONDS,
+            )
         body = await _read_body(request, limits.max_body_bytes)
         timeout = (
             head.client_timeout if head.client_timeout is not None else route.timeout
