Keep descriptors for servers when clients open many connections

While their router was behind, its clients opened ever more connections: the platform counted 2,380, and the router's log ends with "Too many open files" at accept(). Each such event makes asyncio 3.11 log a traceback for each connection of the accept backlog of 1,024, 0.4 ms each, on a processor that is already short, and no descriptor is left for a connection to a server, which then counts as a failure of the server.

Connections of clients may use 70 % of the descriptors. Beyond that the oldest one without a request is closed, or the new one if all have requests. Neither has a request that was read, so clients may send it again, through other routers too. The metric sycamorehaven_open_connections shows how many are open.

--- a/src/sycamorehaven/telemetry/gateway_metrics.py
+++ b/src/sycamorehaven/telemetry/gateway_metrics.py
@@ -27,6 +27,7 @@
     :ivar dependency_up: 1 if a dependency responds, else 0.
     :ivar snapshot_age: age of the routes and servers in use, in seconds.
     :ivar waiting_requests: number of requests that wait at the router.
+    :ivar open_connections: number of open connections of clients.
     :ivar event_loop_lag: time by which the event loop resumed a sleeping task
         late, in seconds.
     :ivar dispatch_duration: duration of a pass over the waiting requests, in
@@ -78,6 +79,11 @@
             "Requests that wait at the router.",
             registry=self._registry,
         )
+        self.open_connections = Gauge(
+            "sycamorehaven_open_connections",
+            "Connections of clients that were open when the last one arrived.",
+            registry=self._registry,
+        )
         self.event_loop_lag = Histogram(
             "sycamorehaven_event_loop_lag_seconds",
             "Seconds by which the event loop resumed a sleeping task late.",
--- a/src/sycamorehaven/transport/frontend_listener.py
+++ b/src/sycamorehaven/transport/frontend_listener.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import random
+import resource
 import time
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from absl import logging
 from aiohttp import web
@@ -55,6 +56,9 @@
 
 DEFAULT_IDLE_TIMEOUT_SECONDS = 60.0
 """Time limit for an unused connection until a configuration sets another."""
+CLIENT_DESCRIPTORS_RATIO = 0.7
+"""Fraction of the process's file descriptors that connections of clients may
+use; the others are for connections to servers, routers and the platform."""
 NOT_READY_RETRY_SECONDS = 0.5
 """``Retry-After`` of requests that arrive before the first configuration."""
 
@@ -75,12 +79,27 @@
     """
     The aiohttp protocol of one client connection.
 
+    :param on_connected: called with each new connection.
     :ivar has_active_request: whether a request on the connection is in
         progress.
     """
 
     has_active_request = False
 
+    def __init__(
+        self,
+        on_connected: Callable[[FrontendProtocol], None],
+        *args: Any,
+        **options: Any,
+    ) -> None:
+        super().__init__(*args, **options)
+        self._on_connected = on_connected
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Handle a new connection."""
+        super().connection_made(transport)
+        self._on_connected(self)
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request on it is in progress."""
         if not self.has_active_request and self.transport is not None:
@@ -102,6 +121,8 @@
     :param decision_log: records the end of every request.
     :param metrics: counts outcomes and observes latencies.
     :param clock: returns monotonic time, seconds.
+    :param max_connections: number of connections that are open at a time;
+        ``None`` for a fraction of the process's file descriptors.
     """
 
     def __init__(
@@ -113,6 +134,7 @@
         decision_log: DecisionLog,
         metrics: GatewayMetrics,
         clock: Callable[[], float] = time.monotonic,
+        max_connections: int | None = None,
     ) -> None:
         super().__init__()
         self._board = board
@@ -126,6 +148,7 @@
         self._arrivals = ArrivalControl(board.event_loop)
         self._server = web.Server(self._serve, handler_cancellation=True)
         self._listener: asyncio.Server | None = None
+        self._max_connections = max_connections or choose_max_connections()
 
     async def on_start(self) -> None:
         """Start listening on the callers' address."""
@@ -155,10 +178,32 @@
 
     def _create_protocol(self) -> FrontendProtocol:
         loop = asyncio.get_running_loop()
-        protocol = FrontendProtocol(self._server, loop=loop, **PROTOCOL_OPTIONS)
+        protocol = FrontendProtocol(
+            self._limit_connections, self._server, loop=loop, **PROTOCOL_OPTIONS
+        )
         protocol.set_idle_timeout(self._get_idle_timeout())
         return protocol
 
+    def _limit_connections(self, newest: FrontendProtocol) -> None:
+        """
+        Close a connection without a request if too many are open.
+
+        It is the oldest such connection, or the newest one if all others have
+        a request in progress.
+        """
+        connections = self._server.connections
+        self._metrics.open_connections.set(len(connections))
+        if len(connections) <= self._max_connections:
+            return
+        for connection in connections:
+            if (
+                isinstance(connection, FrontendProtocol)
+                and not connection.has_active_request
+            ):
+                connection.close_if_idle()
+                return
+        newest.close_if_idle()
+
     def _get_idle_timeout(self) -> float:
         configuration = self._board.routing.configuration
         if configuration is None:
@@ -337,6 +382,12 @@
     return response
 
 
+def choose_max_connections() -> int:
+    """Return how many connections of clients may be open at a time."""
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return max(int(descriptors * CLIENT_DESCRIPTORS_RATIO), 1)
+
+
 def find_workspace(
     configuration: RoutingConfiguration, route: Route, head: RequestHead
 ) -> str:
--- /dev/null
+++ b/tests/transport/test_frontend_listener.py
@@ -0,0 +1,59 @@
+"""Connections of clients to the listener for published routes."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from sycamorehaven.exceptions.refusals import NotReady
+from sycamorehaven.platform.header_codec import PlatformHeaderCodec
+from sycamorehaven.settings import split_address
+from sycamorehaven.telemetry.decision_log import DecisionLog
+from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
+from sycamorehaven.transport.frontend_listener import FrontendListener
+from tests.support.doubles import create_board
+from tests.support.gateway_harness import build_settings
+
+if TYPE_CHECKING:
+    from sycamorehaven.call import Answer
+    from sycamorehaven.routing.requests import RoutedRequest
+
+MAX_CONNECTIONS = 5
+REQUEST = b"GET /look/1 HTTP/1.1\r\nHost: fleet.example\r\n\r\n"
+
+
+class RefusingHandler:
+    """A ``RoutedRequestHandler`` that refuses every request."""
+
+    async def answer(self, request: RoutedRequest) -> Answer:
+        """Refuse a request."""
+        raise NotReady(f"no answer to {request.target}")
+
+
+async def test_idle_connections_do_not_use_up_the_descriptors() -> None:
+    settings, metrics = build_settings("127.0.0.1:1"), GatewayMetrics()
+    listener = FrontendListener(
+        create_board(),
+        settings,
+        RefusingHandler(),
+        PlatformHeaderCodec(),
+        DecisionLog("a1", None),
+        metrics,
+        max_connections=MAX_CONNECTIONS,
+    )
+    await listener.start()
+    try:
+        address = split_address(settings.callers_address)
+        connections = [
+            await asyncio.open_connection(*address) for _ in range(3 * MAX_CONNECTIONS)
+        ]
+        reader, writer = connections[-1]
+        writer.write(REQUEST)
+        assert (await reader.readline()).startswith(b"HTTP/1.1 503")
+        for closed, _ in connections[:-MAX_CONNECTIONS]:
+            assert await asyncio.wait_for(closed.read(), 1.0) == b""
+        assert not connections[-2][0].at_eof()
+        for _, writer in connections:
+            writer.close()
+    finally:
+        await listener.stop()
