Allocate no port to two test runs and show the log of a router that does not start

Two listed tests failed once because a router was not ready within 20 s, beside other test runs; its log was gone, so the cause was not shown. Ports were unique within a process, but two runs could draw the same one before either had bound it.

A run now reserves ranges of 100 ports by the name of a socket, which the kernel gives to one process at a time and frees when it ends. A router that is not ready in time fails the test with the end of its log. Whether two runs had drawn one port is not shown, so the entries stay.

--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -30,12 +30,37 @@
 
 FIRST_PORT, LAST_PORT = 10_000, 30_000
 """Range from which the ports of a fleet are drawn, the last one excluded."""
+PORTS_PER_RESERVATION = 100
+"""Number of ports that a test run reserves at a time."""
 START_TIMEOUT_SECONDS = 20.0
 """Seconds within which a started process must respond."""
+LOG_END_CHARACTERS = 4_000
+"""Characters of a log that are shown if its router does not start."""
 POLL_INTERVAL_SECONDS = 0.05
 """Seconds between two checks of a condition."""
 
-_allocated_ports: set[int] = set()
+_reservations: list[socket.socket] = []
+_unused_ports: list[int] = []
+
+
+def reserve_ports(first: int) -> bool:
+    """
+    Reserve ``PORTS_PER_RESERVATION`` ports for this process until it ends.
+
+    :param first: the first port.
+    :return: whether no process, this one included, has reserved them before.
+        The reservation is the name of a socket, which the kernel gives to one
+        process at a time.
+    """
+    reservation = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
+    try:
+        reservation.bind(f"\0sycamorehaven-test-ports-{first}")
+    except OSError:
+        reservation.close()
+        return False
+    _reservations.append(reservation)
+    _unused_ports.extend(range(first, first + PORTS_PER_RESERVATION))
+    return True
 
 
 def allocate_port() -> int:
@@ -44,16 +69,18 @@
 
     The port lies below the range from which the kernel assigns ports to
     outgoing connections, so that none of them takes the port before it is
-    bound. No port is returned twice, because the first receiver may not have
-    bound it yet.
+    bound. No port is returned twice, also not to a test run beside this one,
+    because the first receiver may not have bound it yet.
     """
     while True:
-        port = FIRST_PORT + secrets.randbelow(LAST_PORT - FIRST_PORT)
-        if port in _allocated_ports:
-            continue
+        while not _unused_ports:
+            ranges = (LAST_PORT - FIRST_PORT) // PORTS_PER_RESERVATION
+            reserve_ports(
+                FIRST_PORT + PORTS_PER_RESERVATION * secrets.randbelow(ranges)
+            )
+        port = _unused_ports.pop()
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
-            _allocated_ports.add(port)
             return port
 
 
@@ -379,7 +406,21 @@
                 return
 
     async def wait_until_ready(self, plan: RouterPlan) -> None:
-        """Wait until a router's admin interface reports that it is ready."""
+        """
+        Wait until a router's admin interface reports that it is ready.
+
+        :raises TimeoutError: with the end of the router's log, if it does not
+            become ready in time.
+        """
+        try:
+            await self._poll_readiness(plan)
+        except TimeoutError:
+            log_end = self.read_log(plan.host)[-LOG_END_CHARACTERS:]
+            raise TimeoutError(
+                f"the router {plan.host} is not ready; its log ends with: {log_end}"
+            ) from None
+
+    async def _poll_readiness(self, plan: RouterPlan) -> None:
         async with asyncio.timeout(START_TIMEOUT_SECONDS):
             while True:
                 try:
