Summarize failures to accept a connection

Where clients had used up the router's descriptors, its log had one to two thousand lines a second like "socket.accept() out of system resource" with a traceback: asyncio tries to accept as many connections as the backlog holds, 1,024, and reports each failure.

The process's event loop now has an exception handler that counts these failures and logs one line a second without a traceback. Other exceptions are reported as before.

--- a/src/sycamorehaven/daemon.py
+++ b/src/sycamorehaven/daemon.py
@@ -19,6 +19,7 @@
 from sycamorehaven.gateway import Gateway
 from sycamorehaven.router import Router
 from sycamorehaven.settings import RouterSettings
+from sycamorehaven.telemetry.accept_failures import AcceptFailureLog
 from sycamorehaven.telemetry.logs import configure_logging
 from sycamorehaven.telemetry.tracing import Tracing
 
@@ -76,6 +77,7 @@
     """
     stop_signals = StopSignals()
     stop_signals.install()
+    AcceptFailureLog().install()
     tracing = Tracing.from_settings(settings)
     tracing.install()
     router = Router.from_settings(settings, tracing.buffer)
@@ -157,6 +159,7 @@
     """
     stop_signals = StopSignals()
     stop_signals.install()
+    AcceptFailureLog().install()
     gateway = Gateway.from_settings(settings, gateway_settings)
     gateway.decision_log.record("starting", settings=gateway_settings._asdict())
     await gateway.start()
