Take the number of descriptors from the platform

Keeping descriptors for servers did not work where it was needed: the listener asked the operating system for the limit, and the platform sets another one for each host, from 1,638.

Clients get six tenths of it instead of seven: the smallest host has 1,438 descriptors for sockets, and 70 routers use up to 140 of them.

--- a/src/sycamorehaven/gateway.py
+++ b/src/sycamorehaven/gateway.py
@@ -99,7 +99,13 @@
         )
         forwarding = ForwardingController(board, peers, self._gateway_settings, context)
         frontend = FrontendListener(
-            board, self._settings, forwarding, self._header_codec, decision_log, metrics
+            board,
+            self._settings,
+            forwarding,
+            self._header_codec,
+            decision_log,
+            metrics,
+            descriptors=self._gateway_settings.descriptors,
         )
         self._frontend, self._forwarding = frontend, forwarding
         return [
--- a/src/sycamorehaven/gateway_settings.py
+++ b/src/sycamorehaven/gateway_settings.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated, NamedTuple, TypedDict
+from typing import Annotated, NamedTuple, NotRequired, TypedDict
 
 from msgspec import Meta
 
@@ -22,6 +22,7 @@
     retry_window: Seconds
     retry_slack: Annotated[float, Meta(ge=0)]
     quota_window: Seconds
+    descriptors: NotRequired[Annotated[int, Meta(ge=64)]]
 
 
 class GatewaySettings(NamedTuple):
@@ -39,6 +40,8 @@
         ``retry_ratio``, fleet-wide.
     :ivar quota_window: period over which the shares of capacity are measured,
         in seconds.
+    :ivar descriptors: number of file descriptors that the process may use;
+        ``None`` for the limit that its operating system states.
     """
 
     readiness: str
@@ -48,6 +51,7 @@
     retry_window: float
     retry_slack: float
     quota_window: float
+    descriptors: int | None = None
 
     @classmethod
     def from_table(cls, table: GatewayTable) -> GatewaySettings:
@@ -60,4 +64,5 @@
             retry_window=table["retry_window"],
             retry_slack=table["retry_slack"],
             quota_window=table["quota_window"],
+            descriptors=table.get("descriptors"),
         )
--- a/src/sycamorehaven/transport/frontend_listener.py
+++ b/src/sycamorehaven/transport/frontend_listener.py
@@ -56,7 +56,7 @@
 
 DEFAULT_IDLE_TIMEOUT_SECONDS = 60.0
 """Time limit for an unused connection until a configuration sets another."""
-CLIENT_DESCRIPTORS_RATIO = 0.7
+CLIENT_DESCRIPTORS_RATIO = 0.6
 """Fraction of the process's file descriptors that connections of clients may
 use; the others are for connections to servers, routers and the platform."""
 NOT_READY_RETRY_SECONDS = 0.5
@@ -121,8 +121,8 @@
     :param decision_log: records the end of every request.
     :param metrics: counts outcomes and observes latencies.
     :param clock: returns monotonic time, seconds.
-    :param max_connections: number of connections that are open at a time;
-        ``None`` for a fraction of the process's file descriptors.
+    :param descriptors: number of file descriptors of the process, of which
+        clients get a fraction; ``None`` for the limit of the process.
     """
 
     def __init__(
@@ -134,7 +134,7 @@
         decision_log: DecisionLog,
         metrics: GatewayMetrics,
         clock: Callable[[], float] = time.monotonic,
-        max_connections: int | None = None,
+        descriptors: int | None = None,
     ) -> None:
         super().__init__()
         self._board = board
@@ -148,7 +148,7 @@
         self._arrivals = ArrivalControl(board.event_loop)
         self._server = web.Server(self._serve, handler_cancellation=True)
         self._listener: asyncio.Server | None = None
-        self._max_connections = max_connections or choose_max_connections()
+        self._max_connections = choose_max_connections(descriptors)
 
     async def on_start(self) -> None:
         """Start listening on the callers' address."""
@@ -382,9 +382,15 @@
     return response
 
 
-def choose_max_connections() -> int:
-    """Return how many connections of clients may be open at a time."""
-    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+def choose_max_connections(descriptors: int | None) -> int:
+    """
+    Return how many connections of clients may be open at a time.
+
+    :param descriptors: number of file descriptors of the process; ``None`` for
+        the limit that the operating system states.
+    """
+    if descriptors is None:
+        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     return max(int(descriptors * CLIENT_DESCRIPTORS_RATIO), 1)
 
 
--- a/tests/transport/test_frontend_listener.py
+++ b/tests/transport/test_frontend_listener.py
@@ -10,7 +10,10 @@
 from sycamorehaven.settings import split_address
 from sycamorehaven.telemetry.decision_log import DecisionLog
 from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
-from sycamorehaven.transport.frontend_listener import FrontendListener
+from sycamorehaven.transport.frontend_listener import (
+    FrontendListener,
+    choose_max_connections,
+)
 from tests.support.doubles import create_board
 from tests.support.gateway_harness import build_settings
 
@@ -18,7 +21,8 @@
     from sycamorehaven.call import Answer
     from sycamorehaven.routing.requests import RoutedRequest
 
-MAX_CONNECTIONS = 5
+DESCRIPTORS = 10
+MAX_CONNECTIONS = choose_max_connections(DESCRIPTORS)
 REQUEST = b"GET /look/1 HTTP/1.1\r\nHost: fleet.example\r\n\r\n"
 
 
@@ -39,7 +43,7 @@
         PlatformHeaderCodec(),
         DecisionLog("a1", None),
         metrics,
-        max_connections=MAX_CONNECTIONS,
+        descriptors=DESCRIPTORS,
     )
     await listener.start()
     try:
