Accept connections in small batches

The limit counts connections that have a protocol, and asyncio accepts as many as its backlog allows, 1,024, in one turn of the event loop before it creates any. After a turn of 0.3 s that is more than the 275 descriptors that are free.

Both listeners now accept at most 64 connections a turn, so that old ones are closed in between. The kernel's queue keeps its length of 1,024, which asyncio sets by the same parameter.

--- a/src/sycamorehaven/transport/caller_listener.py
+++ b/src/sycamorehaven/transport/caller_listener.py
@@ -27,6 +27,7 @@
     authenticate,
     check_request_head,
 )
+from sycamorehaven.transport.listening import open_listener
 from sycamorehaven.transport.problem_details import (
     PROTOCOL_OPTIONS,
     ProblemProtocol,
@@ -44,9 +45,6 @@
 
 FORWARDED_METHODS = ("DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT")
 """Methods that are forwarded to backend servers."""
-ACCEPT_BACKLOG = 1_024
-"""Connections that the kernel queues until they are accepted."""
-
 SHUTDOWN_TIMEOUT_SECONDS = 1.0
 """Seconds in which open requests may finish once the listener has closed."""
 CLOSING_GRACE_SECONDS = 0.3
@@ -129,12 +127,8 @@
         )
         await self._runner.setup()
         host, port = split_address(self._settings.callers_address)
-        self._listener = await asyncio.get_running_loop().create_server(
-            self._create_protocol,
-            host,
-            port,
-            backlog=ACCEPT_BACKLOG,
-            ssl=self._create_tls_context(),
+        self._listener = await open_listener(
+            self._create_protocol, host, port, self._create_tls_context()
         )
         self._board.lifecycle.mark_listening()
 
--- a/src/sycamorehaven/transport/frontend_listener.py
+++ b/src/sycamorehaven/transport/frontend_listener.py
@@ -30,11 +30,11 @@
 from sycamorehaven.settings import split_address
 from sycamorehaven.telemetry.request_context import bind_request_id
 from sycamorehaven.transport.caller_listener import (
-    ACCEPT_BACKLOG,
     SHUTDOWN_TIMEOUT_SECONDS,
     abort_connection,
 )
 from sycamorehaven.transport.headers import measure_headers
+from sycamorehaven.transport.listening import open_listener
 from sycamorehaven.transport.problem_details import (
     PROTOCOL_OPTIONS,
     ProblemProtocol,
@@ -153,9 +153,7 @@
     async def on_start(self) -> None:
         """Start listening on the callers' address."""
         host, port = split_address(self._settings.callers_address)
-        self._listener = await asyncio.get_running_loop().create_server(
-            self._create_protocol, host, port, backlog=ACCEPT_BACKLOG
-        )
+        self._listener = await open_listener(self._create_protocol, host, port)
         self._board.lifecycle.mark_listening()
 
     def close_idle(self) -> None:
