Pause between all passes over waiting requests

A new request could start a pass right after the last one, because the dispatcher's loop woke up on its arrival without regard to the pause that is due.

--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -164,6 +164,7 @@
                 self._request_arrived.clear()
                 await self.wait(self._request_arrived.wait())
                 continue
+            await asyncio.sleep(max(self._next_pass_at - self._clock(), 0.0))
             try:
                 self.dispatch_pending()
             except Exception:
@@ -172,9 +173,7 @@
                 logging.exception(
                     "failed to dispatch the pending requests; trying again"
                 )
-            await asyncio.sleep(
-                max(MIN_DISPATCH_PAUSE_SECONDS, self._next_pass_at - self._clock())
-            )
+            await asyncio.sleep(MIN_DISPATCH_PAUSE_SECONDS)
 
     def dispatch_pending(self) -> None:
         """
