Close a different connection for each one that arrives over the limit

A transport that is closed leaves the list of connections only in the next turn of the event loop, so all connections that arrived in one turn closed the same oldest one.

Connections that are closing are passed over now.

test_idle_connections_do_not_use_up_the_descriptors opens its connections before the listener accepts the first, and fails on the code before.

--- a/src/sycamorehaven/transport/frontend_listener.py
+++ b/src/sycamorehaven/transport/frontend_listener.py
@@ -79,7 +79,7 @@
     """
     The aiohttp protocol of one client connection.
 
-    :param on_connected: called with each new connection.
+    :param on_connected: called when the connection has been made.
     :ivar has_active_request: whether a request on the connection is in
         progress.
     """
@@ -88,7 +88,7 @@
 
     def __init__(
         self,
-        on_connected: Callable[[FrontendProtocol], None],
+        on_connected: Callable[[], None],
         *args: Any,
         **options: Any,
     ) -> None:
@@ -98,12 +98,20 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Handle a new connection."""
         super().connection_made(transport)
-        self._on_connected(self)
+        self._on_connected()
 
-    def close_if_idle(self) -> None:
-        """Close the connection unless a request on it is in progress."""
-        if not self.has_active_request and self.transport is not None:
-            self.transport.close()
+    def close_if_idle(self) -> bool:
+        """
+        Close the connection unless a request on it is in progress.
+
+        :return: whether it was open and is being closed now.
+        """
+        if self.has_active_request or self.transport is None:
+            return False
+        if self.transport.is_closing():
+            return False
+        self.transport.close()
+        return True
 
     def set_idle_timeout(self, timeout: float) -> None:
         """Close the connection after ``timeout`` seconds without a request."""
@@ -182,25 +190,20 @@
         protocol.set_idle_timeout(self._get_idle_timeout())
         return protocol
 
-    def _limit_connections(self, newest: FrontendProtocol) -> None:
+    def _limit_connections(self) -> None:
         """
-        Close a connection without a request if too many are open.
+        Close the oldest connection without a request if too many are open.
 
-        It is the oldest such connection, or the newest one if all others have
-        a request in progress.
+        It may be the newest connection, if all others have a request in
+        progress.
         """
         connections = self._server.connections
         self._metrics.open_connections.set(len(connections))
         if len(connections) <= self._max_connections:
             return
         for connection in connections:
-            if (
-                isinstance(connection, FrontendProtocol)
-                and not connection.has_active_request
-            ):
-                connection.close_if_idle()
+            if isinstance(connection, FrontendProtocol) and connection.close_if_idle():
                 return
-        newest.close_if_idle()
 
     def _get_idle_timeout(self) -> float:
         configuration = self._board.routing.configuration
--- a/tests/transport/test_frontend_listener.py
+++ b/tests/transport/test_frontend_listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import TYPE_CHECKING
 
 from sycamorehaven.exceptions.refusals import NotReady
@@ -48,9 +49,11 @@
     await listener.start()
     try:
         address = split_address(settings.callers_address)
-        connections = [
-            await asyncio.open_connection(*address) for _ in range(3 * MAX_CONNECTIONS)
+        # The kernel has all connections before the listener accepts the first.
+        sockets = [
+            socket.create_connection(address) for _ in range(3 * MAX_CONNECTIONS)
         ]
+        connections = [await asyncio.open_connection(sock=sock) for sock in sockets]
         reader, writer = connections[-1]
         writer.write(REQUEST)
         assert (await reader.readline()).startswith(b"HTTP/1.1 503")
