Pass the lag of the event loop to the decision on arrivals

The decision held a section of the blackboard, and its docstring promised an order of rejection that it does not have. The same requests are rejected as before.

--- a/src/sycamorehaven/transport/frontend_listener.py
+++ b/src/sycamorehaven/transport/frontend_listener.py
@@ -153,7 +153,7 @@
         self._metrics = metrics
         self._clock = clock
         self._random = random.Random(board.identity.incarnation)
-        self._arrivals = ArrivalControl(board.event_loop)
+        self._arrivals = ArrivalControl()
         self._server = web.Server(self._serve, handler_cancellation=True)
         self._listener: asyncio.Server | None = None
         self._max_connections = choose_max_connections(descriptors)
@@ -271,7 +271,8 @@
         if route is None:
             raise UnknownPath("no route matches the host and path of the request")
         workspace = find_workspace(configuration, route, head)
-        if not self._arrivals.admit(workspace, received_at):
+        lag = self._board.event_loop.lag
+        if not self._arrivals.admit(workspace, lag, received_at):
             raise RouterBusy(
                 "the router has more requests than it has time to read",
                 retry_after=BUSY_ROUTER_RETRY_SECONDS,
--- a/tests/decisions/test_arrivals.py
+++ b/tests/decisions/test_arrivals.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from sycamorehaven.blackboard.event_loop import EventLoopSection
 from sycamorehaven.decisions.arrivals import (
     MAX_LAG_SECONDS,
     WINDOW_SECONDS,
@@ -10,35 +9,29 @@
 )
 
 
-def count_admitted(arrivals: ArrivalControl, workspace: str, number: int) -> int:
+def count_admitted(
+    arrivals: ArrivalControl, workspace: str, number: int, lag: float
+) -> int:
     """Return how many of a number of requests a router admits at one time."""
-    return sum(arrivals.admit(workspace, 1_000.0) for _ in range(number))
+    return sum(arrivals.admit(workspace, lag, 1_000.0) for _ in range(number))
 
 
 def test_late_router_rejects_the_flood_and_admits_the_others() -> None:
-    event_loop = EventLoopSection()
-    arrivals = ArrivalControl(event_loop)
-    assert count_admitted(arrivals, "hot", 100) == 100
-    event_loop.update_lag(MAX_LAG_SECONDS)
-    assert count_admitted(arrivals, "small", 10) == 10
-    assert count_admitted(arrivals, "hot", 100) == 0
-    event_loop.update_lag(0.0)
-    assert count_admitted(arrivals, "hot", 100) == 100
+    arrivals = ArrivalControl()
+    assert count_admitted(arrivals, "hot", 100, lag=0.0) == 100
+    assert count_admitted(arrivals, "small", 10, MAX_LAG_SECONDS) == 10
+    assert count_admitted(arrivals, "hot", 100, MAX_LAG_SECONDS) == 0
+    assert count_admitted(arrivals, "hot", 100, lag=0.0) == 100
 
 
 def test_late_router_rejects_the_flood_of_its_only_workspace() -> None:
-    event_loop = EventLoopSection()
-    arrivals = ArrivalControl(event_loop)
-    event_loop.update_lag(MAX_LAG_SECONDS)
-    assert count_admitted(arrivals, "hot", 10) == 0
+    assert count_admitted(ArrivalControl(), "hot", 10, MAX_LAG_SECONDS) == 0
 
 
 def test_end_of_a_flood_is_forgotten() -> None:
-    event_loop = EventLoopSection()
-    arrivals = ArrivalControl(event_loop)
-    event_loop.update_lag(MAX_LAG_SECONDS)
-    count_admitted(arrivals, "small", 10)
-    count_admitted(arrivals, "hot", 100)
+    arrivals = ArrivalControl()
+    count_admitted(arrivals, "small", 10, MAX_LAG_SECONDS)
+    count_admitted(arrivals, "hot", 100, MAX_LAG_SECONDS)
     later = 1_000.0 + 2 * WINDOW_SECONDS
-    assert not arrivals.admit("small", later)
-    assert not arrivals.admit("hot", later)
+    assert not arrivals.admit("small", MAX_LAG_SECONDS, later)
+    assert not arrivals.admit("hot", MAX_LAG_SECONDS, later)
