Send strikes against requests to routers that join

Callers of a request that crashes servers got 502 through one router, after it had already crashed three servers, while others refused it: each router that joined late let it crash further servers.

Cause: a router sends a strike once, to the members that it knows at that moment. A router that has just started knows only itself, and nothing sent the strike again.

Change: a router keeps the strikes that it reported while they are in force and sends them to each router that joins. An acquittal removes them. The exchange of strikes moves out of ForwardingController into its own class.

--- a/src/sycamorehaven/controllers/forwarding.py
+++ b/src/sycamorehaven/controllers/forwarding.py
@@ -5,15 +5,12 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
-import xxhash
-
 from sycamorehaven.controllers.dispatch import Dispatcher
 from sycamorehaven.controllers.routed_run import RoutedRun
+from sycamorehaven.controllers.strike_exchange import StrikeExchange
 from sycamorehaven.decisions.retry_window import RetryWindow
-from sycamorehaven.decisions.strikes import StrikeTable
 from sycamorehaven.telemetry.decision_log import DecisionLog
 from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
-from sycamorehaven.transport.messages.suspects import Acquittal, Strike
 from sycamorehaven.transport.routed_backend_client import RoutedBackendClient
 
 if TYPE_CHECKING:
@@ -21,7 +18,6 @@
     from sycamorehaven.call import Answer
     from sycamorehaven.gateway_settings import GatewaySettings
     from sycamorehaven.routing.requests import RoutedRequest
-    from sycamorehaven.transport.codec import Delivery
     from sycamorehaven.transport.peer_link import PeerLink
 
 
@@ -45,7 +41,7 @@
 
 class ForwardingController:
     """
-    Runs requests and keeps the retry budgets and the strikes against requests.
+    Runs requests and keeps the retry budgets.
 
     :param board: shared state of this router.
     :param link: connection to the other routers.
@@ -61,14 +57,16 @@
         context: ForwardingContext,
     ) -> None:
         self._board = board
-        self._link = link
         self._settings = settings
         self._context = context
         self._retry_windows: dict[str, RetryWindow] = {}
-        self._strike_table = StrikeTable()
+        self._strikes = StrikeExchange(board, link, context.clock)
         self._max_known_routers = 1
-        link.subscribe(Strike, self._handle_strike)
-        link.subscribe(Acquittal, self._handle_acquittal)
+
+    @property
+    def strikes(self) -> StrikeExchange:
+        """Strikes against requests that seem to crash servers."""
+        return self._strikes
 
     def reconfigure(self, settings: GatewaySettings) -> None:
         """
@@ -109,46 +107,6 @@
             self._max_known_routers, self._context.clock()
         )
 
-    def is_quarantined(self, fingerprint: bytes) -> bool:
-        """Return whether a request has crashed too many servers."""
-        return self._strike_table.is_blocked(fingerprint, self._context.clock())
-
-    def report_server_loss(
-        self, fingerprint: bytes, incarnation_id: str, run_seconds: float
-    ) -> None:
-        """
-        Record that a server was lost while it ran a request.
-
-        The strike against the request is also sent to the other routers.
-
-        :param fingerprint: hash that identifies the request.
-        :param incarnation_id: identifies the server together with its start,
-            so that each crash counts once.
-        :param run_seconds: how long the request had been running.
-        """
-        self._strike_table.add_strike(
-            fingerprint, incarnation_id, self._context.clock()
-        )
-        strike_number = xxhash.xxh3_64_intdigest(incarnation_id.encode())
-        strike = Strike(
-            fingerprint, strike_number, 0.0, incarnation_id, run_seconds, alone=False
-        )
-        self._link.broadcast(strike)
-
-    def report_success(self, fingerprint: bytes) -> None:
-        """Clear the strikes of a served request on all routers."""
-        if self._strike_table.clear_strikes(fingerprint):
-            self._link.broadcast(Acquittal(fingerprint, 0.0))
-
-    def _handle_strike(self, delivery: Delivery) -> None:
-        strike: Strike = delivery.message
-        struck_at = self._context.clock() - strike.age
-        self._strike_table.add_strike(strike.fingerprint, strike.server, struck_at)
-
-    def _handle_acquittal(self, delivery: Delivery) -> None:
-        acquittal: Acquittal = delivery.message
-        self._strike_table.clear_strikes(acquittal.fingerprint)
-
     def _get_retry_window(self, service: str) -> RetryWindow:
         window = self._retry_windows.get(service)
         if window is None:
--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -86,7 +86,7 @@
 
         :raises Refusal: if the request is refused or its last attempt failed.
         """
-        if self._controller.is_quarantined(self._fingerprint):
+        if self._controller.strikes.is_quarantined(self._fingerprint):
             raise NoBackendServer(
                 "several backend servers were lost while they ran this request",
                 retry_after=QUARANTINE_RETRY_SECONDS,
@@ -332,7 +332,7 @@
         remaining = self._request.deadline - now
         self._reservation.record_failure(error, now)
         if isinstance(error, ServerLost) and error.was_sent:
-            self._controller.report_server_loss(
+            self._controller.strikes.report_loss(
                 self._fingerprint, server.incarnation_id, 0.0
             )
         self.close()
@@ -367,7 +367,7 @@
             )
 
     def _find_retry_obstacle(self, history: AttemptHistory) -> str:
-        if self._controller.is_quarantined(self._fingerprint):
+        if self._controller.strikes.is_quarantined(self._fingerprint):
             return "attempts"
         route = self._request.route
         return find_retry_obstacle(
@@ -384,7 +384,7 @@
         if self._reservation is not None:
             self._reservation.model.health.record_answer(failed=failed)
             self._reservation.record_first_token(self._context.clock())
-        self._controller.report_success(self._fingerprint)
+        self._controller.strikes.report_success(self._fingerprint)
 
     def close(self) -> None:
         """Close the connection and release the reservation on the server."""
