--- a/src/sycamorehaven/decisions/load_shedding.py
+++ b/src/sycamorehaven/decisions/load_shedding.py
@@ -77,6 +77,11 @@
     satisfaction: float = 1.0
     yields: bool = False
 
+    @property
+    def elapsed_seconds(self) -> float:
+        """Time for which the client waited in earlier attempts."""
+        return self.received_at - self.first_asked_at
+
 
 def decide_prompt_request(
     request: PlacementRequest, best: Placement | None, now: float
