Show by tests that a large fleet shares unfairly between floods

Two causes, each with its own test:

- Contention is forgotten after 0.3 s but reported every 0.65 s in a fleet of 65, and counts for at most three requests of a router, so routers do not leave capacity to others.
- First attempts of clients with a shorter timeout count as repeats, up to 1.8 s old, and get idle engines only.
A router sees longer timeouts the more requests it gets, so requests look oldest at the router with the flood.

--- /dev/null
+++ b/tests/controllers/test_sharing.py
@@ -0,0 +1,30 @@
+"""Shares of workspaces whose clients reach few or many routers."""
+
+from __future__ import annotations
+
+from sycamorehaven.decisions.usage_window import YIELD_MARGIN_RATIO
+from tests.support.sharing_simulation import Flood, SharingSimulation
+
+
+async def test_flood_at_one_router_gets_its_share_beside_a_flood_at_many() -> None:
+    routers = 65
+    simulation = SharingSimulation(routers, engines=70, slots=16)
+    floods = (
+        Flood("at-one", 400.0, (0,)),
+        Flood("at-many", 1_200.0, tuple(range(1, routers))),
+    )
+    await simulation.run(floods, 6.0)
+    received = simulation.received
+    print(received, simulation.asked)
+    assert received["at-one"] >= received["at-many"] / 2
+
+
+async def test_clients_of_different_patience_are_served_within_their_share() -> None:
+    routers, workspaces = 30, ("a", "b", "c", "d")
+    simulation = SharingSimulation(routers, engines=30, slots=64)
+    floods = [Flood("flood", 600.0, tuple(range(routers)))]
+    floods += [Flood(name, 30.0, tuple(range(routers))) for name in workspaces]
+    await simulation.run(tuple(floods), 5.0)
+    ratios = [simulation.get_served_ratio(name) for name in workspaces]
+    print(ratios, simulation.get_served_ratio("flood"))
+    assert min(ratios) >= 1.0 - YIELD_MARGIN_RATIO
