Do not take first attempts with a shorter timeout for repeats

Callers whose clients were less patient than others got "overload" although an engine was free: their first attempts counted as up to 1.8 s old on a route with a target of 0.6 s, so they were placed on idle engines only, waited 0.2 to 0.3 s at the router and were refused.

Cause: the age of a request was the difference of its timeout to the longest one seen on the route. The estimate also grew with the requests that a router saw, so a flood at one router looked older than one at many routers.

Change: only the part of the difference beyond a fifth of the longest timeout counts, which makes the estimate a lower bound.

Why it works: the order of the queue and the limit on the expected time again follow the time that has surely passed.

--- a/src/sycamorehaven/decisions/client_timeouts.py
+++ b/src/sycamorehaven/decisions/client_timeouts.py
@@ -2,10 +2,12 @@
 Estimates how long a client has been waiting since its first attempt.
 
 A rejected client tries again with a shorter timeout, while its response is on
-time only within the target measured from the first attempt. The difference to
-the longest timeout seen on the route estimates the time that has passed since
-then. A request that would be late in any case can thus yield to others that
-can still be served on time.
+time only within the target measured from the first attempt. A request that
+would be late in any case can yield to others that can still be served on time.
+
+Clients set different timeouts in their first attempts. Only a timeout that is
+much shorter than the longest one seen on the route tells that time has passed,
+so the estimate is a lower bound.
 """
 
 from __future__ import annotations
@@ -15,6 +17,9 @@
 if TYPE_CHECKING:
     from sycamorehaven.routing.requests import RoutedRequest
 
+MAX_SPREAD_RATIO = 0.2
+"""Difference between the timeouts of first attempts, as a fraction of the
+longest."""
 MAX_ROUTES = 4_096
 """Number of routes that are remembered."""
 
@@ -37,9 +42,12 @@
 
     def estimate_elapsed(self, request: RoutedRequest) -> float:
         """
-        Return the seconds for which the client waited in earlier attempts.
+        Return the least time for which the client waited in earlier attempts.
+
+        :returns: time in seconds.
         """
         timeout = request.head.client_timeout
         if timeout is None:
             return 0.0
-        return max(self._longest.get(request.route.name, 0.0) - timeout, 0.0)
+        longest = self._longest.get(request.route.name, 0.0)
+        return max(longest * (1.0 - MAX_SPREAD_RATIO) - timeout, 0.0)
