Let reports of waiting requests outlast the time until the next report

Cause: routers leave free slots to waiting requests of workspaces that got less. They forgot a report after 0.3 s, but in a fleet of 65 reports come every 0.65 s, and counted at most three requests of a router, while one router had 30 waiting and the engines had hundreds of free slots. Both constants were right for six routers only.

Change: a report counts for two broadcast intervals, and the next report replaces it as a whole. A router reports no more waiting requests than servers began to answer in the last second (three at least), so that a router which reaches no engine or has no processor time holds back no other.

--- a/src/sycamorehaven/blackboard/fleet_load.py
+++ b/src/sycamorehaven/blackboard/fleet_load.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, deque
 from typing import TYPE_CHECKING, NamedTuple
 
 from sycamorehaven.blackboard.signal import Signal
@@ -20,16 +20,8 @@
 MAX_PENDING_PLACEMENTS = 400
 """Number of unsent placements from which new ones are no longer kept."""
 
-CONTENTION_TTL_SECONDS = 0.3
-"""Seconds for which a contention counts without being reported again."""
-
-MAX_YIELDS_PER_ROUTER = 3
-"""
-Largest number of waiting requests of one router to which others yield.
-
-The bound matters if that router cannot reach the servers: its requests would
-otherwise hold back those of all other routers.
-"""
+START_WINDOW_SECONDS = 1.0
+"""Time over which started requests are counted."""
 
 
 class Contention(NamedTuple):
@@ -40,13 +32,14 @@
         requests. Satisfaction is the received fraction of a workspace's
         entitlement.
     :ivar waiting_requests: number of waiting requests of the workspaces whose
-        satisfaction is about as low.
-    :ivar recorded_at: when it was recorded, in seconds of the monotonic clock.
+        satisfaction is about as low, as far as the router can place them.
+    :ivar expires_at: when it no longer counts unless it is reported again, in
+        seconds of the monotonic clock.
     """
 
     satisfaction: float
     waiting_requests: int
-    recorded_at: float
+    expires_at: float
 
 
 class FleetLoadSection:
@@ -65,6 +58,7 @@
         self._demanded_tokens: Counter[str] = Counter()
         self._received_tokens: Counter[str] = Counter()
         self._contentions: dict[str, dict[str, Contention]] = {}
+        self._started_at: deque[float] = deque()
         self._changed = Signal()
 
     @property
@@ -142,6 +136,20 @@
         self._changed_servers, self._placements = set(), []
         return changed_servers, placements
 
+    def record_start(self, now: float) -> None:
+        """Record that a server has begun to answer a request from here."""
+        self._started_at.append(now)
+        self._drop_old_starts(now)
+
+    def count_recent_starts(self, now: float) -> int:
+        """Return how many requests from here servers recently began."""
+        self._drop_old_starts(now)
+        return len(self._started_at)
+
+    def _drop_old_starts(self, now: float) -> None:
+        while self._started_at and self._started_at[0] < now - START_WINDOW_SECONDS:
+            self._started_at.popleft()
+
     def update_contention(
         self, service: str, contention: Contention, host: str = ""
     ) -> None:
@@ -152,15 +160,28 @@
         :param contention: the waiting requests.
         :param host: host of the router that reported them; "" for this one.
         """
-        self._contentions.setdefault(service, {})[host] = contention
+        self._contentions.setdefault(host, {})[service] = contention
+
+    def replace_contentions(
+        self, host: str, contentions: dict[str, Contention]
+    ) -> None:
+        """
+        Replace what another router reported.
+
+        :param host: host of the router.
+        :param contentions: its waiting requests by service.
+        """
+        if contentions:
+            self._contentions[host] = contentions
+        else:
+            self._contentions.pop(host, None)
 
     def list_own_contentions(self, now: float) -> dict[str, Contention]:
         """Return the current contention at this router, by service."""
         return {
-            service: contention_by_host[""]
-            for service, contention_by_host in sorted(self._contentions.items())
-            if "" in contention_by_host
-            and now - contention_by_host[""].recorded_at < CONTENTION_TTL_SECONDS
+            service: contention
+            for service, contention in sorted(self._contentions.get("", {}).items())
+            if now < contention.expires_at
         }
 
     def count_requests_ahead(
@@ -173,19 +194,28 @@
         :param satisfaction: satisfaction of the workspace that asks.
         :param now: current time, in seconds of the monotonic clock.
         """
-        contention_by_host = self._contentions.get(service, {})
-        for host in [
-            h
-            for h, c in contention_by_host.items()
-            if now - c.recorded_at >= CONTENTION_TTL_SECONDS
-        ]:
-            del contention_by_host[host]
+        contentions = [
+            contention_by_service[service]
+            for contention_by_service in self._contentions.values()
+            if service in contention_by_service
+        ]
         return sum(
-            min(contention.waiting_requests, MAX_YIELDS_PER_ROUTER)
-            for contention in contention_by_host.values()
-            if contention.satisfaction + YIELD_MARGIN_RATIO < satisfaction
+            contention.waiting_requests
+            for contention in contentions
+            if now < contention.expires_at
+            and contention.satisfaction + YIELD_MARGIN_RATIO < satisfaction
         )
 
+    def retain_contentions(self, hosts: set[str]) -> None:
+        """
+        Remove the contentions of routers that are gone.
+
+        :param hosts: hosts of the live routers.
+        """
+        for host in [name for name in self._contentions if name not in hosts]:
+            if host:
+                del self._contentions[host]
+
     def add_usage(
         self, workspace: str, demanded: float, received: float, now: float
     ) -> None:
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -62,6 +62,11 @@
 """Time after which a pass postpones the requests that are left."""
 NO_SERVER_RETRY_SECONDS = 1.0
 """Longest ``Retry-After`` of a refusal because no server is known."""
+CONTENTION_LIFETIME_SECONDS = 0.3
+"""Time for which waiting requests count that no later pass has seen."""
+MIN_REPORTED_REQUESTS = 3
+"""Number of waiting requests that a router reports even if servers have begun
+to answer none of its requests."""
 OUTPUT_TOKEN_WEIGHT = 2.0
 """Cost of a generated token relative to that of a prompt token."""
 
@@ -277,8 +282,13 @@
         """
         Record how little the least satisfied waiting workspaces got.
 
-        Other routers learn it and leave capacity to these workspaces.
+        Other routers learn it and leave capacity to these workspaces. A router
+        that cannot use the capacity, because it is too busy or does not reach
+        the servers, must not hold back the others. It therefore reports no
+        more requests than servers have recently begun to answer.
         """
+        fleet_load = self._board.fleet_load
+        max_count = max(fleet_load.count_recent_starts(now), MIN_REPORTED_REQUESTS)
         satisfactions: dict[str, list[float]] = {}
         for pending in self._pending:
             satisfaction = share_statuses[pending.request.workspace].satisfaction
@@ -288,8 +298,10 @@
             count = sum(
                 value <= least + YIELD_MARGIN_RATIO for value in service_satisfactions
             )
-            contention = Contention(least, count, now)
-            self._board.fleet_load.update_contention(service, contention)
+            contention = Contention(
+                least, min(count, max_count), now + CONTENTION_LIFETIME_SECONDS
+            )
+            fleet_load.update_contention(service, contention)
 
     def _place_or_reject(
         self,
--- a/src/sycamorehaven/controllers/fleet_state.py
+++ b/src/sycamorehaven/controllers/fleet_state.py
@@ -37,6 +37,10 @@
 """Number of members from which the broadcast interval is doubled."""
 MIN_BROADCAST_PERIOD_SECONDS = 0.02
 """Shortest broadcast interval."""
+CONTENTION_LIFETIME_PERIODS = 2.0
+"""Number of broadcast intervals for which a reported contention counts."""
+MIN_CONTENTION_LIFETIME_SECONDS = 0.3
+"""Shortest time for which a reported contention counts."""
 REFRESH_PERIOD_SECONDS = 0.5
 """Interval at which all load is sent again in case messages were lost."""
 
@@ -56,6 +60,18 @@
     )
 
 
+def choose_contention_lifetime_seconds(members: int) -> float:
+    """
+    Return how long a reported contention counts, in seconds.
+
+    It outlasts the time until the next report, and one lost message.
+    """
+    return max(
+        choose_broadcast_period_seconds(members) * CONTENTION_LIFETIME_PERIODS,
+        MIN_CONTENTION_LIFETIME_SECONDS,
+    )
+
+
 class FleetStateController(Service):
     """
     Broadcasts this router's load, placements and usage and merges others'.
@@ -148,6 +164,7 @@
 
     def _forget_dead_routers(self) -> None:
         live = {RouterId(m.host, m.incarnation) for m in self._board.members.list()}
+        self._board.fleet_load.retain_contentions({router.host for router in live})
         self._received_usage = {
             key: total for key, total in self._received_usage.items() if key[0] in live
         }
@@ -168,10 +185,16 @@
             )
         for usage in news.usage:
             self._record_usage(delivery.sender, usage, now)
-        host = delivery.sender.host
-        for service, satisfaction, waiting in news.contended:
-            contention = Contention(satisfaction, waiting, now)
-            fleet_load.update_contention(service, contention, host)
+        expires_at = now + choose_contention_lifetime_seconds(
+            len(self._board.members.list())
+        )
+        fleet_load.replace_contentions(
+            delivery.sender.host,
+            {
+                service: Contention(satisfaction, waiting, expires_at)
+                for service, satisfaction, waiting in news.contended
+            },
+        )
         if news.servers:
             fleet_load.changed.notify()
 
--- a/src/sycamorehaven/controllers/reservations.py
+++ b/src/sycamorehaven/controllers/reservations.py
@@ -72,6 +72,7 @@
         if self._prefill is None:
             return
         self._model.record_first_token(self._prefill, now)
+        self._board.fleet_load.record_start(now)
         self._prefill = None
         self._publish_load()
 
--- a/tests/controllers/test_fleet_state.py
+++ b/tests/controllers/test_fleet_state.py
@@ -4,10 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from sycamorehaven.blackboard.fleet_load import Contention
 from sycamorehaven.blackboard.members import Member
 from sycamorehaven.controllers.fleet_state import (
     REFRESH_PERIOD_SECONDS,
     FleetStateController,
+    choose_broadcast_period_seconds,
+    choose_contention_lifetime_seconds,
 )
 from sycamorehaven.decisions.server_model import REMOTE_LOAD_LIFETIME_SECONDS
 from sycamorehaven.routing.model import ServerRecord, Snapshot
@@ -155,3 +158,49 @@
     limits = [model.concurrency.limit for model in models]
     assert max(limits) - min(limits) < 0.1 * max(limits)
     assert min(limits) > 10
+
+
+def add_members(routers: RouterFleet, count: int) -> None:
+    """Let the routers know members that never send anything."""
+    for board in routers.boards.values():
+        members = {member.host: member for member in board.members.list()}
+        for number in range(count):
+            host = f"b{number}"
+            members[host] = Member(host, 1, f"{host}:1", "b", "alive")
+        board.members.replace(members)
+
+
+def report_waiting_requests(routers: RouterFleet, clock: ManualClock) -> None:
+    """Let the first router report waiting requests to the others."""
+    contention = Contention(0.2, 7, clock() + 1.0)
+    routers.boards["a1"].fleet_load.update_contention("model", contention)
+    routers.broadcast_changes()
+
+
+def test_reported_requests_count_until_the_next_report_in_a_large_fleet(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    routers = RouterFleet(network, clock)
+    add_members(routers, 417)
+    members = len(routers.boards["a2"].members.list())
+    fleet_load = routers.boards["a2"].fleet_load
+    report_waiting_requests(routers, clock)
+    clock.advance(choose_broadcast_period_seconds(members))
+    assert fleet_load.count_requests_ahead("model", 0.9, clock()) == 7
+    assert fleet_load.count_requests_ahead("model", 0.3, clock()) == 0
+    clock.advance(choose_contention_lifetime_seconds(members))
+    assert fleet_load.count_requests_ahead("model", 0.9, clock()) == 0
+
+
+def test_report_without_waiting_requests_ends_the_contention(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    routers = RouterFleet(network, clock)
+    report_waiting_requests(routers, clock)
+    routers.boards["a1"].fleet_load.update_contention(
+        "model", Contention(0.2, 7, clock())
+    )
+    routers.start_request("a1", 100)
+    routers.broadcast_changes()
+    fleet_load = routers.boards["a2"].fleet_load
+    assert fleet_load.count_requests_ahead("model", 0.9, clock()) == 0
--- a/tests/controllers/test_sharing.py
+++ b/tests/controllers/test_sharing.py
@@ -28,3 +28,16 @@
     ratios = [simulation.get_served_ratio(name) for name in workspaces]
     print(ratios, simulation.get_served_ratio("flood"))
     assert min(ratios) >= 1.0 - YIELD_MARGIN_RATIO
+
+
+async def test_router_that_reaches_no_engine_holds_back_no_other() -> None:
+    routers = 30
+    flood = Flood("flood", 600.0, tuple(range(1, routers)))
+    cut_off = Flood("cut-off", 300.0, (0,), reaches_engines=False)
+    received = []
+    for floods in ((flood,), (flood, cut_off)):
+        simulation = SharingSimulation(routers, engines=30, slots=16)
+        await simulation.run(floods, 4.0)
+        received.append(simulation.received["flood"])
+    print(received)
+    assert received[1] >= 0.9 * received[0]
--- a/tests/support/sharing_simulation.py
+++ b/tests/support/sharing_simulation.py
@@ -24,6 +24,7 @@
     FleetStateController,
     choose_broadcast_period_seconds,
 )
+from sycamorehaven.exceptions.backends import ConnectFailed
 from sycamorehaven.exceptions.refusals import Refusal
 from sycamorehaven.routing.model import (
     EngineCapacity,
@@ -84,11 +85,13 @@
     :ivar workspace: name of the workspace.
     :ivar rate: requests per second.
     :ivar routers: numbers of the routers that its clients reach.
+    :ivar reaches_engines: whether these routers can connect to the engines.
     """
 
     workspace: str
     rate: float
     routers: tuple[int, ...]
+    reaches_engines: bool = True
 
 
 class SharingSimulation:
@@ -223,6 +226,13 @@
                     lambda: self._send(flood, time_left, is_repeat=True),
                 )
             return
+        if not flood.reaches_engines:
+            reservation.record_failure(
+                ConnectFailed("connection refused", was_sent=False),
+                self._clock(),
+            )
+            reservation.release()
+            return
         now = self._clock()
         self.received[flood.workspace] += int(compute_token_cost(request))
         server = reservation.server.id
