Let the reported load of servers outlast the time until the next report

In a fleet of the target size callers would be sent to servers that look idle: routers forgot the load that others had reported after 2 s, but at 420 routers the next report comes after 4.2 s.

Same cause as the forgotten reports of waiting requests: a lifetime that does not follow the broadcast interval, which grows with the fleet. It does not show at 65 routers, whose interval is 0.65 s.

Change: a report of load counts for two broadcast intervals, 2 s at least. A load carries when it expires instead of when it was reported; tests that built one are adapted, their bounds are the same.

Measured: test_load_of_others_counts_until_the_next_report_in_a_large_fleet failed before and passes now. Not measured on a fleet of this size.

--- a/src/sycamorehaven/controllers/fleet_state.py
+++ b/src/sycamorehaven/controllers/fleet_state.py
@@ -37,10 +37,12 @@
 """Number of members from which the broadcast interval is doubled."""
 MIN_BROADCAST_PERIOD_SECONDS = 0.02
 """Shortest broadcast interval."""
-CONTENTION_LIFETIME_PERIODS = 2.0
-"""Number of broadcast intervals for which a reported contention counts."""
+REPORT_LIFETIME_PERIODS = 2.0
+"""Number of broadcast intervals for which a report counts."""
 MIN_CONTENTION_LIFETIME_SECONDS = 0.3
-"""Shortest time for which a reported contention counts."""
+"""Shortest time for which reported waiting requests count."""
+MIN_LOAD_LIFETIME_SECONDS = 2.0
+"""Shortest time for which the reported load of a server counts."""
 REFRESH_PERIOD_SECONDS = 0.5
 """Interval at which all load is sent again in case messages were lost."""
 
@@ -60,16 +62,17 @@
     )
 
 
-def choose_contention_lifetime_seconds(members: int) -> float:
+def choose_report_lifetime_seconds(members: int, shortest: float) -> float:
     """
-    Return how long a reported contention counts, in seconds.
+    Return how long a report counts, in seconds.
 
     It outlasts the time until the next report, and one lost message.
+
+    :param members: number of members of the fleet.
+    :param shortest: shortest time for which it counts.
     """
-    return max(
-        choose_broadcast_period_seconds(members) * CONTENTION_LIFETIME_PERIODS,
-        MIN_CONTENTION_LIFETIME_SECONDS,
-    )
+    period = choose_broadcast_period_seconds(members)
+    return max(period * REPORT_LIFETIME_PERIODS, shortest)
 
 
 class FleetStateController(Service):
@@ -172,8 +175,12 @@
     def _handle_news(self, delivery: Delivery) -> None:
         news: FleetNews = delivery.message
         fleet_load, now = self._board.fleet_load, self._clock()
+        members = len(self._board.members.list())
+        load_expires_at = now + choose_report_lifetime_seconds(
+            members, MIN_LOAD_LIFETIME_SECONDS
+        )
         for server_load in news.servers:
-            load = RemoteLoad(server_load.running, server_load.unread, now)
+            load = RemoteLoad(server_load.running, server_load.unread, load_expires_at)
             model = fleet_load.find_model(server_load.server)
             model.update_remote_load(delivery.sender.host, load)
             model.concurrency.blend_peer_limit(
@@ -185,8 +192,8 @@
             )
         for usage in news.usage:
             self._record_usage(delivery.sender, usage, now)
-        expires_at = now + choose_contention_lifetime_seconds(
-            len(self._board.members.list())
+        expires_at = now + choose_report_lifetime_seconds(
+            members, MIN_CONTENTION_LIFETIME_SECONDS
         )
         fleet_load.replace_contentions(
             delivery.sender.host,
--- a/src/sycamorehaven/decisions/server_model.py
+++ b/src/sycamorehaven/decisions/server_model.py
@@ -27,8 +27,6 @@
 MIN_SAMPLE_TOKENS = 2_000
 """Prompt tokens below which the time to the first token says too little about
 the prefill rate."""
-REMOTE_LOAD_LIFETIME_SECONDS = 2.0
-"""Age at which the load reported by another router expires."""
 EXPIRY_INTERVAL_SECONDS = 0.25
 """Time between two searches for expired loads."""
 
@@ -39,12 +37,13 @@
 
     :ivar running_requests: number of its running requests.
     :ivar pending_tokens: prompt tokens of its requests without a first token.
-    :ivar reported_at: when the router reported the load, monotonic seconds.
+    :ivar expires_at: when the load no longer counts unless the router reports
+        it again, monotonic seconds.
     """
 
     running_requests: int
     pending_tokens: int
-    reported_at: float
+    expires_at: float
 
 
 class Prefill(NamedTuple):
@@ -180,7 +179,7 @@
             return
         self._expired_at = now
         for host, load in list(self._remote_loads.items()):
-            if now - load.reported_at >= REMOTE_LOAD_LIFETIME_SECONDS:
+            if now >= load.expires_at:
                 self._remove_remote_load(host)
 
     def _remove_remote_load(self, host: str) -> None:
--- a/tests/controllers/test_dispatch.py
+++ b/tests/controllers/test_dispatch.py
@@ -138,7 +138,9 @@
         now = self._clock()
         for n in range(ENGINES):
             model = self._board.fleet_load.find_model(f"s{n}")
-            model.update_remote_load("a2", RemoteLoad(self._other_requests, 0, now))
+            model.update_remote_load(
+                "a2", RemoteLoad(self._other_requests, 0, now + 1.0)
+            )
         for ends_at, reservation in self._running:
             if ends_at <= now:
                 reservation.release()
--- a/tests/controllers/test_fleet_state.py
+++ b/tests/controllers/test_fleet_state.py
@@ -7,12 +7,13 @@
 from sycamorehaven.blackboard.fleet_load import Contention
 from sycamorehaven.blackboard.members import Member
 from sycamorehaven.controllers.fleet_state import (
+    MIN_CONTENTION_LIFETIME_SECONDS,
+    MIN_LOAD_LIFETIME_SECONDS,
     REFRESH_PERIOD_SECONDS,
     FleetStateController,
     choose_broadcast_period_seconds,
-    choose_contention_lifetime_seconds,
+    choose_report_lifetime_seconds,
 )
-from sycamorehaven.decisions.server_model import REMOTE_LOAD_LIFETIME_SECONDS
 from sycamorehaven.routing.model import ServerRecord, Snapshot
 from tests.support.doubles import MemoryLink, create_board
 
@@ -102,7 +103,7 @@
     fleet = RouterFleet(network, clock)
     fleet.start_request("a1", 3_000)
     fleet.broadcast_changes()
-    clock.advance(REMOTE_LOAD_LIFETIME_SECONDS)
+    clock.advance(MIN_LOAD_LIFETIME_SECONDS)
     assert fleet.count_running("a2") == 0
 
 
@@ -188,7 +189,9 @@
     clock.advance(choose_broadcast_period_seconds(members))
     assert fleet_load.count_requests_ahead("model", 0.9, clock()) == 7
     assert fleet_load.count_requests_ahead("model", 0.3, clock()) == 0
-    clock.advance(choose_contention_lifetime_seconds(members))
+    clock.advance(
+        choose_report_lifetime_seconds(members, MIN_CONTENTION_LIFETIME_SECONDS)
+    )
     assert fleet_load.count_requests_ahead("model", 0.9, clock()) == 0
 
 
@@ -204,3 +207,15 @@
     routers.broadcast_changes()
     fleet_load = routers.boards["a2"].fleet_load
     assert fleet_load.count_requests_ahead("model", 0.9, clock()) == 0
+
+
+def test_load_of_others_counts_until_the_next_report_in_a_large_fleet(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    routers = RouterFleet(network, clock)
+    add_members(routers, 417)
+    members = len(routers.boards["a2"].members.list())
+    routers.start_request("a1", 100)
+    routers.broadcast_changes()
+    clock.advance(choose_broadcast_period_seconds(members))
+    assert routers.count_running("a2") == 1
--- a/tests/decisions/test_published_routes.py
+++ b/tests/decisions/test_published_routes.py
@@ -30,7 +30,6 @@
     ServerDirectory,
 )
 from sycamorehaven.decisions.server_model import (
-    REMOTE_LOAD_LIFETIME_SECONDS,
     RemoteLoad,
     ServerModel,
 )
@@ -185,9 +184,9 @@
 
 def test_load_of_a_silent_router_expires() -> None:
     model = ServerModel()
-    model.update_remote_load("other", RemoteLoad(3, 5_000, 10.0))
+    model.update_remote_load("other", RemoteLoad(3, 5_000, 12.0))
     assert model.count_requests(10.5) == 3
-    assert model.count_requests(10.0 + REMOTE_LOAD_LIFETIME_SECONDS) == 0
+    assert model.count_requests(12.0) == 0
 
 
 def test_abandoned_prompt_is_no_longer_counted() -> None:
