Close the longest unused connection of a client first

Cause: connections were closed in the order in which they were opened.

Change: connections without a request are kept in the order of their last use. The protocol of client connections gets its own module.

Measured: test_connection_in_use_is_closed_after_unused_ones fails before and passes now.

--- a/src/sycamorehaven/transport/frontend_listener.py
+++ b/src/sycamorehaven/transport/frontend_listener.py
@@ -6,7 +6,8 @@
 import random
 import resource
 import time
-from typing import TYPE_CHECKING, Any, Protocol
+from collections import OrderedDict
+from typing import TYPE_CHECKING, Protocol
 
 from absl import logging
 from aiohttp import web
@@ -33,11 +34,11 @@
     SHUTDOWN_TIMEOUT_SECONDS,
     abort_connection,
 )
+from sycamorehaven.transport.frontend_protocol import FrontendProtocol
 from sycamorehaven.transport.headers import measure_headers
 from sycamorehaven.transport.listening import open_listener
 from sycamorehaven.transport.problem_details import (
     PROTOCOL_OPTIONS,
-    ProblemProtocol,
     build_problem_response,
 )
 
@@ -75,49 +76,6 @@
         ...
 
 
-class FrontendProtocol(ProblemProtocol):
-    """
-    The aiohttp protocol of one client connection.
-
-    :param on_connected: called when the connection has been made.
-    :ivar has_active_request: whether a request on the connection is in
-        progress.
-    """
-
-    has_active_request = False
-
-    def __init__(
-        self,
-        on_connected: Callable[[], None],
-        *args: Any,
-        **options: Any,
-    ) -> None:
-        super().__init__(*args, **options)
-        self._on_connected = on_connected
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Handle a new connection."""
-        super().connection_made(transport)
-        self._on_connected()
-
-    def close_if_idle(self) -> bool:
-        """
-        Close the connection unless a request on it is in progress.
-
-        :return: whether it was open and is being closed now.
-        """
-        if self.has_active_request or self.transport is None:
-            return False
-        if self.transport.is_closing():
-            return False
-        self.transport.close()
-        return True
-
-    def set_idle_timeout(self, timeout: float) -> None:
-        """Close the connection after ``timeout`` seconds without a request."""
-        self._keepalive_timeout = timeout
-
-
 class FrontendListener(Service):
     """
     Reads requests on published routes and streams their answers back.
@@ -156,6 +114,7 @@
         self._arrivals = ArrivalControl()
         self._server = web.Server(self._serve, handler_cancellation=True)
         self._listener: asyncio.Server | None = None
+        self._idle_connections: OrderedDict[FrontendProtocol, None] = OrderedDict()
         self._max_connections = choose_max_connections(descriptors)
 
     async def on_start(self) -> None:
@@ -185,24 +144,29 @@
     def _create_protocol(self) -> FrontendProtocol:
         loop = asyncio.get_running_loop()
         protocol = FrontendProtocol(
-            self._limit_connections, self._server, loop=loop, **PROTOCOL_OPTIONS
+            self._idle_connections,
+            self._limit_connections,
+            self._server,
+            loop=loop,
+            **PROTOCOL_OPTIONS,
         )
         protocol.set_idle_timeout(self._get_idle_timeout())
         return protocol
 
     def _limit_connections(self) -> None:
         """
-        Close the oldest connection without a request if too many are open.
+        Close the longest unused connection if too many are open.
 
         It may be the newest connection, if all others have a request in
         progress.
         """
-        connections = self._server.connections
-        self._metrics.open_connections.set(len(connections))
-        if len(connections) <= self._max_connections:
+        open_connections = len(self._server.connections)
+        self._metrics.open_connections.set(open_connections)
+        if open_connections <= self._max_connections:
             return
-        for connection in connections:
-            if isinstance(connection, FrontendProtocol) and connection.close_if_idle():
+        while self._idle_connections:
+            connection, _ = self._idle_connections.popitem(last=False)
+            if connection.close_if_idle():
                 return
 
     def _get_idle_timeout(self) -> float:
@@ -216,7 +180,7 @@
         self._board.lifecycle.begin_request()
         protocol = request.protocol
         assert isinstance(protocol, FrontendProtocol)
-        protocol.has_active_request = True
+        protocol.begin_request()
         try:
             protocol.set_idle_timeout(self._get_idle_timeout())
             response = await self._answer(request, received_at)
@@ -224,7 +188,7 @@
                 response.force_close()
             return response
         finally:
-            protocol.has_active_request = False
+            protocol.end_request()
             self._board.lifecycle.end_request()
 
     async def _answer(
--- a/tests/transport/test_frontend_listener.py
+++ b/tests/transport/test_frontend_listener.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from sycamorehaven.call import Answer
     from sycamorehaven.routing.requests import RoutedRequest
+    from sycamorehaven.settings import RouterSettings
 
 DESCRIPTORS = 10
 MAX_CONNECTIONS = choose_max_connections(DESCRIPTORS)
@@ -35,17 +36,23 @@
         raise NotReady(f"no answer to {request.target}")
 
 
-async def test_idle_connections_do_not_use_up_the_descriptors() -> None:
-    settings, metrics = build_settings("127.0.0.1:1"), GatewayMetrics()
-    listener = FrontendListener(
+def create_listener(
+    settings: RouterSettings, metrics: GatewayMetrics | None = None
+) -> FrontendListener:
+    return FrontendListener(
         create_board(),
         settings,
         RefusingHandler(),
         PlatformHeaderCodec(),
         DecisionLog("a1", None),
-        metrics,
+        metrics or GatewayMetrics(),
         descriptors=DESCRIPTORS,
     )
+
+
+async def test_idle_connections_do_not_use_up_the_descriptors() -> None:
+    settings, metrics = build_settings("127.0.0.1:1"), GatewayMetrics()
+    listener = create_listener(settings, metrics)
     await listener.start()
     try:
         address = split_address(settings.callers_address)
@@ -66,6 +73,30 @@
         await listener.stop()
 
 
+async def test_connection_in_use_is_closed_after_unused_ones() -> None:
+    settings = build_settings("127.0.0.1:1")
+    listener = create_listener(settings)
+    await listener.start()
+    try:
+        address = split_address(settings.callers_address)
+        connections = [await asyncio.open_connection(*address)]
+        connections += [
+            await asyncio.open_connection(*address) for _ in range(MAX_CONNECTIONS - 1)
+        ]
+        reader, writer = connections[0]
+        writer.write(REQUEST)
+        assert (await reader.readuntil(b"}")).startswith(b"HTTP/1.1 503")
+        connections.append(await asyncio.open_connection(*address))
+        async with asyncio.timeout(5.0):
+            assert await connections[1][0].read() == b""
+        writer.write(REQUEST)
+        assert (await reader.readuntil(b"}")).startswith(b"HTTP/1.1 503")
+        for _, open_writer in connections:
+            open_writer.close()
+    finally:
+        await listener.stop()
+
+
 def test_clients_leave_descriptors_to_a_router_that_relays_a_flood() -> None:
     descriptors, reserved = 1_638, 200
     routers, server_connections = 70, 260
