Do not count a pause of the process as time without a server

Callers whose requests waited at a router that was paused could be refused with no_backend_server as soon as it ran again, all at once.

Cause: a service counts as unserved once 2 s have passed since a check found no server, by the clock. A check that finds none just before a pause of 10 s, for example while notices of leaving servers are being requested, makes the first check after it refuse the queue, although the router has observed nothing in between.

Change: the time without a server starts again after a gap of more than 1 s between two checks.

Measured: test_pause_does_not_count_as_time_without_a_server fails before and passes now.

--- a/src/sycamorehaven/controllers/unserved_services.py
+++ b/src/sycamorehaven/controllers/unserved_services.py
@@ -29,6 +29,8 @@
 """Time for which a scheduler's report remains valid."""
 CHECK_INTERVAL_SECONDS = 0.25
 """Time between two checks of the queued services."""
+MAX_CHECK_GAP_SECONDS = 1.0
+"""Time between two checks from which the process counts as paused."""
 RETRY_AFTER_SECONDS = 1.0
 """``Retry-After`` of a refusal because the service is unserved."""
 
@@ -38,7 +40,8 @@
     Refuses queued calls that no backend server will serve for now.
 
     A single lost connection only makes a router avoid the server briefly, so a
-    service must be unserved for ``UNSERVED_TIMEOUT_SECONDS`` first.
+    service must be unserved for ``UNSERVED_TIMEOUT_SECONDS`` first. A pause of
+    the process does not count, since nothing was observed in it.
 
     :param board: shared state of this router.
     :param link: connection to the other routers.
@@ -55,12 +58,16 @@
         self._board = board
         self._clock = clock
         self._unserved_since: dict[str, float] = {}
+        self._checked_at = clock()
         self._scheduler_reports: dict[tuple[str, str], float] = {}
         link.subscribe(ServiceUnserved, self._handle_service_unserved)
 
     def refuse_unserved_calls(self) -> None:
         """Update the unserved services and refuse their queued calls."""
         now = self._clock()
+        if now - self._checked_at > MAX_CHECK_GAP_SECONDS:
+            self._unserved_since.clear()
+        self._checked_at = now
         for key, reported_at in list(self._scheduler_reports.items()):
             if now - reported_at > REPORT_LIFETIME_SECONDS:
                 del self._scheduler_reports[key]
--- a/tests/controllers/test_unserved_services.py
+++ b/tests/controllers/test_unserved_services.py
@@ -61,6 +61,28 @@
     assert board.queues.count_waiting("bookings", "oakcourt") == 1
 
 
+async def test_pause_does_not_count_as_time_without_a_server(
+    clock: ManualClock, network: MemoryNetwork
+) -> None:
+    board = create_board()
+    plans = [ServerPlan("engine-1", "assistant", "127.0.0.1:1")]
+    board.configuration.replace(
+        accept_text(build_configuration_text(plans).encode(), 1)
+    )
+    controller = UnservedServiceController(board, MemoryLink(board, network), clock)
+    waiting = WaitingRequest(ASSISTANT, clock(), 1.0)
+    board.queues.push(waiting)
+    board.server_statuses.put("engine-1", ServerStatus(down_until=clock() + 60))
+    controller.refuse_unserved_calls()
+    clock.advance(10.0)
+    controller.refuse_unserved_calls()
+    assert not waiting.permit.done()
+    for _ in range(4):
+        clock.advance(UNSERVED_TIMEOUT_SECONDS / 4)
+        controller.refuse_unserved_calls()
+    assert isinstance(waiting.permit.exception(), NoBackendServer)
+
+
 async def test_service_that_is_served_again_in_time_keeps_its_queue(
     clock: ManualClock, network: MemoryNetwork
 ) -> None:
