Start no deadline timer for a chunk that must come before

A router that relays a flood uses most of its processor time on events of streams, so what it can place is limited by what an event costs.

Cause: two timers were started and cancelled for each chunk, one for the time between chunks and one for the deadline of the request.

Change: the second is started only if the deadline comes before the first.

The new test test_stream_without_pause_ends_at_its_deadline passes before and after.

--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -34,7 +34,7 @@
 from sycamorehaven.routing.requests import SendPlan
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator
+    from collections.abc import AsyncGenerator, AsyncIterator
 
     from sycamorehaven.controllers.forwarding import ForwardingController
     from sycamorehaven.controllers.reservations import ServerReservation
@@ -208,8 +208,7 @@
         chunks = self._answer.body.read_chunks()
         while True:
             try:
-                async with asyncio.timeout_at(self._request.deadline):
-                    chunk = await anext(chunks, b"")
+                chunk = await self._read_chunk(chunks)
             except TimeoutError:
                 raise BackendTimeout(
                     "the stream did not end before the deadline", was_run="yes"
@@ -218,6 +217,20 @@
                 return
             yield chunk
 
+    async def _read_chunk(self, chunks: AsyncIterator[bytes]) -> bytes:
+        """
+        Return the next chunk, or nothing at the end of the body.
+
+        :raises TimeoutError: if it does not arrive before the deadline.
+        """
+        assert self._answer is not None
+        remaining = self._request.deadline - self._context.clock()
+        if remaining > self._answer.body.chunk_timeout:
+            # The read ends before the deadline, so it needs no second timer.
+            return await anext(chunks, b"")
+        async with asyncio.timeout(remaining):
+            return await anext(chunks, b"")
+
     async def _resume_stream(self, error: BackendError) -> None:
         """
         Continue a broken stream on another server.
--- a/src/sycamorehaven/transport/responses.py
+++ b/src/sycamorehaven/transport/responses.py
@@ -96,6 +96,11 @@
         """The headers that are passed on to the caller."""
         return filter_response_headers(self._response.headers.items())
 
+    @property
+    def chunk_timeout(self) -> float:
+        """Longest time between two chunks of the body, in seconds."""
+        return self._chunk_timeout
+
     async def read_chunks(self) -> AsyncIterator[bytes]:
         """
         Yield the chunks of the body as they arrive.
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -298,3 +299,21 @@
     assert is_broken
     end_records = [fields for event, fields in records if event == "request_ended"]
     assert [end["outcome"] for end in end_records] == ["backend_timeout"]
+
+
+async def test_stream_without_pause_ends_at_its_deadline(
+    harness: GatewayHarness,
+) -> None:
+    for server in harness.servers:
+        server.behaviour = "drip"
+    started_at = time.monotonic()
+    is_broken = False
+    try:
+        async with asyncio.timeout(5.0):
+            await send_request(
+                harness, "/stream/1", "POST", **{"Sycamorehaven-Deadline-Ms": "1200"}
+            )
+    except aiohttp.ClientError:
+        is_broken = True
+    assert is_broken
+    assert 1.0 < time.monotonic() - started_at < 1.7
--- a/tests/support/gateway_harness.py
+++ b/tests/support/gateway_harness.py
@@ -87,7 +87,8 @@
 
     :ivar behaviour: ``"answer"``, ``"shed"`` (refuse without running),
         ``"lose"`` (run the request, then close the connection without an
-        answer), ``"break"`` (break a stream after two events) or ``"hang"``.
+        answer), ``"break"`` (break a stream after two events), ``"drip"``
+        (send an event every 50 ms without end) or ``"hang"``.
     :ivar behaviour_after_break: the behaviour once a stream was broken;
         unchanged if empty.
     :ivar run_attempt_ids: attempt ids of the requests that were run.
@@ -157,6 +158,9 @@
                 request.transport.abort()
                 return response
             await response.write(b"id: %d\ndata: x\n\n" % number)
+        while self.behaviour == "drip":
+            await asyncio.sleep(0.05)
+            await response.write(b"data: x\n\n")
         return response
 
 
