--- a/src/sycamorehaven/blackboard/fleet_load.py
+++ b/src/sycamorehaven/blackboard/fleet_load.py
@@ -212,9 +212,8 @@
 
         :param hosts: hosts of the live routers.
         """
-        for host in [name for name in self._contentions if name not in hosts]:
-            if host:
-                del self._contentions[host]
+        for host in self._contentions.keys() - hosts - {""}:
+            del self._contentions[host]
 
     def add_usage(
         self, workspace: str, demanded: float, received: float, now: float
