Compare a bounded number of engines for each prompt

Cause: every decision built and scored a candidate for each of the 70 engines, so its cost grew with the fleet.

Change: a pass orders the engines by load once and keeps the order as it assigns requests. For a prompt it compares the eight least loaded ones, the four that rank first for its subject and the four best of those with a part of it in their cache. Only these four ranks are remembered for each subject. Fleets of up to eight engines compare all, as before.

--- a/src/sycamorehaven/controllers/candidates.py
+++ b/src/sycamorehaven/controllers/candidates.py
@@ -3,18 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+import bisect
+import heapq
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from sycamorehaven.controllers.reservations import ServerReservation
-from sycamorehaven.decisions.placement import Candidate
+from sycamorehaven.decisions.placement import (
+    MAX_RANK,
+    PREFILL_WEIGHT,
+    Candidate,
+    compute_load_cost,
+)
 from sycamorehaven.decisions.rendezvous import rank_candidates
 from sycamorehaven.decisions.server_model import ServerModel
 from sycamorehaven.routing.model import ServerRecord
 from sycamorehaven.routing.requests import RoutedRequest
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Collection, Iterable, Mapping
 
     from sycamorehaven.blackboard.board import Blackboard
 
@@ -22,6 +29,13 @@
 """Fewer prompt tokens than this are recomputed rather than copied."""
 MAX_RANKED_SUBJECTS = 1_024
 """Number of subjects whose ranking of servers is remembered."""
+LEAST_LOADED_SERVERS = 8
+"""Number of least loaded servers that are compared for a prompt."""
+CACHE_HOLDERS = 4
+"""Number of servers with tokens of a prompt in their cache that are compared
+for it."""
+TYPICAL_PROMPT_TOKENS = 3_000
+"""Tokens that a server is assumed to read when servers are ordered by load."""
 
 
 class PendingRequest(NamedTuple):
@@ -96,6 +110,9 @@
         self._now = now
         self._free_slots = sum(view.free_prompt_slots for view in self._views.values())
         self._has_capacity: dict[bool, bool] = {}
+        self._available: set[str] | None = None
+        self._costs: dict[str, float] = {}
+        self._by_cost: list[tuple[float, str]] = []
 
     @property
     def views(self) -> Collection[ServerView]:
@@ -119,12 +136,82 @@
             )
         return self._has_capacity[has_prompt]
 
+    def list_available(self, excluded_servers: Collection[str]) -> list[ServerView]:
+        """
+        Return the servers that are not ejected.
+
+        If all are ejected, return the one whose ejection ends first.
+
+        :param excluded_servers: servers to leave out, unless that leaves none.
+        """
+        if self._available is None:
+            self._order_by_cost()
+        assert self._available is not None
+        considered = [
+            view for name, view in self._views.items() if name not in excluded_servers
+        ] or list(self._views.values())
+        available = [view for view in considered if view.server.id in self._available]
+        return available or [
+            min(considered, key=lambda view: view.model.health.ejected_until)
+        ]
+
+    def list_least_loaded(self) -> list[str]:
+        """
+        Return the ids of the least loaded servers.
+
+        Only available servers with capacity for a prompt are among them.
+        """
+        if self._available is None:
+            self._order_by_cost()
+        return [name for _, name in self._by_cost[:LEAST_LOADED_SERVERS]]
+
+    def compute_cost(self, server: str, cached_tokens: int) -> float:
+        """
+        Return the cost of a server to a typical prompt.
+
+        :param server: id of the server.
+        :param cached_tokens: tokens of the prompt that it has in its cache.
+        :returns: cost in seconds, infinite without capacity for a prompt.
+        """
+        rate = self._views[server].model.prefill_rate
+        cost = self._costs.get(server, math.inf)
+        return cost - PREFILL_WEIGHT * cached_tokens / rate
+
     def update(self, server: str) -> None:
         """Update the state of a server that a request was assigned to."""
         old = self._views[server]
         view = self._views[server] = _observe_server(old.server, old.model, self._now)
         self._free_slots += view.free_prompt_slots - old.free_prompt_slots
         self._has_capacity.clear()
+        if server not in self._costs:
+            return
+        del self._by_cost[
+            bisect.bisect_left(self._by_cost, (self._costs.pop(server), server))
+        ]
+        self._add_cost(view)
+
+    def _order_by_cost(self) -> None:
+        self._available = {
+            name
+            for name, view in self._views.items()
+            if view.model.health.ejected_until <= self._now
+        }
+        for name in self._available:
+            self._add_cost(self._views[name])
+
+    def _add_cost(self, view: ServerView) -> None:
+        if not view.has_capacity(has_prompt=True):
+            return
+        model = view.model
+        cost = compute_load_cost(
+            view.pending_tokens,
+            TYPICAL_PROMPT_TOKENS,
+            model.prefill_rate,
+            view.running_requests / model.concurrency.limit,
+            model.health.error_ratio,
+        )
+        self._costs[view.server.id] = cost
+        bisect.insort(self._by_cost, (cost, view.server.id))
 
 
 class CandidateFinder:
@@ -148,44 +235,41 @@
         return ServiceLoad(views, now)
 
     def list_candidates(
-        self, pending: PendingRequest, load: ServiceLoad, now: float
+        self, pending: PendingRequest, load: ServiceLoad
     ) -> list[Candidate]:
         """
-        Return the servers that have capacity for a request.
+        Return the servers with capacity for a request that may be the best.
 
         :param load: the servers of the request's service, at least one.
         """
         has_prompt = bool(pending.prefixes)
         if not load.has_capacity(has_prompt=has_prompt):
             return []
-        not_excluded = [
-            view
-            for view in load.views
-            if view.server.id not in pending.excluded_servers
-        ]
-        usable = _select_available(not_excluded or load.views, now)
-        with_capacity = [
-            view for view in usable if view.has_capacity(has_prompt=has_prompt)
-        ]
-        if not with_capacity:
-            return []
+        available = load.list_available(pending.excluded_servers)
         server_ranks = self._rank_servers(pending)
         cached_tokens = {
-            view.server.id: view.model.prefix_cache.count_cached_tokens(
-                pending.prefixes
-            )
-            for view in usable
+            view.server.id: tokens
+            for view in available
+            if (tokens := view.model.prefix_cache.count_cached_tokens(pending.prefixes))
         }
-        best_cached_server = max(
-            usable, key=lambda view: cached_tokens[view.server.id]
+        best_cached = max(
+            available, key=lambda view: cached_tokens.get(view.server.id, 0)
         ).server
+        compared = (
+            _shortlist(available, load, cached_tokens, server_ranks)
+            if has_prompt
+            else available
+        )
+        with_capacity = [
+            view for view in compared if view.has_capacity(has_prompt=has_prompt)
+        ]
         can_copy = self._supports_prefix_transfer(pending.request.service)
         own_domain = self._board.members.own.failure_domain
         candidates = []
         for view in with_capacity:
             server, model = view.server, view.model
             copied_tokens = (
-                cached_tokens[best_cached_server.id] - cached_tokens[server.id]
+                cached_tokens.get(best_cached.id, 0) - cached_tokens.get(server.id, 0)
                 if can_copy
                 else 0
             )
@@ -193,7 +277,7 @@
                 copied_tokens = 0
             uncached_tokens = (
                 pending.request.head.prompt_tokens
-                - cached_tokens[server.id]
+                - cached_tokens.get(server.id, 0)
                 - copied_tokens
             )
             candidates.append(
@@ -204,7 +288,7 @@
                     pending_tokens=view.pending_tokens,
                     uncached_tokens=max(uncached_tokens, 1),
                     copied_tokens=copied_tokens,
-                    copy_source=best_cached_server.address if copied_tokens else "",
+                    copy_source=best_cached.address if copied_tokens else "",
                     prefill_rate=model.prefill_rate,
                     error_ratio=model.health.error_ratio,
                     is_local=server.failure_domain == own_domain,
@@ -226,9 +310,10 @@
 
     def _rank_servers(self, pending: PendingRequest) -> dict[str, int]:
         """
-        Return the rank of each server for the prompt of a request.
+        Return the ranks of the servers for a request.
 
-        All routers compute the same ranks.
+        All routers compute the same ranks. For a prompt, servers of the same
+        cost as the last rank are left out.
         """
         service, prefixes = pending.request.service, pending.prefixes
         # The last part is specific to the request. The part before it is the
@@ -243,6 +328,7 @@
             if len(self._server_ranks) >= MAX_RANKED_SUBJECTS:
                 self._server_ranks.clear()
             ranks = self._compute_ranks(service, subject)
+            ranks = {name: rank for name, rank in ranks.items() if rank < MAX_RANK}
             self._server_ranks[service, subject] = ranks
         return ranks
 
@@ -271,13 +357,26 @@
     )
 
 
-def _select_available(
-    views: Collection[ServerView], now: float
-) -> Collection[ServerView]:
+def _shortlist(
+    available: list[ServerView],
+    load: ServiceLoad,
+    cached_tokens: Mapping[str, int],
+    server_ranks: Collection[str],
+) -> list[ServerView]:
     """
-    Return the servers that are not ejected.
+    Return the servers among which the best one for a prompt is.
 
-    If all are ejected, return the one whose ejection ends first.
+    These are the least loaded ones, those that rank first for its subject, and
+    the best ones of those with a part of it in their cache.
     """
-    available = [view for view in views if view.model.health.ejected_until <= now]
-    return available or [min(views, key=lambda view: view.model.health.ejected_until)]
+    if len(available) <= LEAST_LOADED_SERVERS:
+        return available
+    names = {*load.list_least_loaded(), *server_ranks}
+    names.update(
+        heapq.nsmallest(
+            CACHE_HOLDERS,
+            cached_tokens,
+            key=lambda name: load.compute_cost(name, cached_tokens[name]),
+        )
+    )
+    return [view for view in available if view.server.id in names]
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -328,7 +328,7 @@
             return
         candidates: list[Candidate] = []
         if placement_request.resumes or not placement_request.yields:
-            candidates = self._candidate_finder.list_candidates(pending, load, now)
+            candidates = self._candidate_finder.list_candidates(pending, load)
         action, best = self._choose_action(
             placement_request, candidates, bool(pending.prefixes), now
         )
--- a/src/sycamorehaven/decisions/placement.py
+++ b/src/sycamorehaven/decisions/placement.py
@@ -25,6 +25,8 @@
 RANK_COST_SECONDS = 0.03
 """Cost, for a prompt, of each rank in the order of servers that all routers
 share; a hundredth of it for a request without a prompt."""
+MAX_RANK = 4
+"""Rank from which all servers cost the same for a prompt."""
 COPY_COST_SECONDS = 0.015
 """Cost of copying 1,000 prompt tokens from another server."""
 REMOTE_DOMAIN_COST_SECONDS = 0.004
@@ -123,16 +125,41 @@
     return Placement(best.server, 0.0, 0.0, 0)
 
 
+def compute_load_cost(
+    pending_tokens: float,
+    uncached_tokens: float,
+    prefill_rate: float,
+    running_ratio: float,
+    error_ratio: float,
+) -> float:
+    """
+    Return the cost of an engine to a prompt that it has not been chosen for.
+
+    :param pending_tokens: prompt tokens that the engine has yet to read.
+    :param uncached_tokens: tokens of the prompt that it would have to read.
+    :param prefill_rate: prompt tokens that it reads per second.
+    :param running_ratio: requests that it runs, as a fraction of its limit.
+    :param error_ratio: recent fraction of failed requests, 0 to 1.
+    :returns: cost in seconds.
+    """
+    return (
+        (pending_tokens + PREFILL_WEIGHT * uncached_tokens) / prefill_rate
+        + FULL_ENGINE_COST_SECONDS * running_ratio
+        + ERROR_COST_SECONDS * error_ratio
+    )
+
+
 def _score_engine(candidate: Candidate) -> float:
     return (
-        candidate.pending_tokens / candidate.prefill_rate
-        + PREFILL_WEIGHT * candidate.uncached_tokens / candidate.prefill_rate
+        compute_load_cost(
+            candidate.pending_tokens,
+            candidate.uncached_tokens,
+            candidate.prefill_rate,
+            candidate.running_requests / candidate.concurrency_limit,
+            candidate.error_ratio,
+        )
         + COPY_COST_SECONDS * candidate.copied_tokens / 1_000
-        + FULL_ENGINE_COST_SECONDS
-        * candidate.running_requests
-        / candidate.concurrency_limit
-        + RANK_COST_SECONDS * min(candidate.rank, 4)
-        + ERROR_COST_SECONDS * candidate.error_ratio
+        + RANK_COST_SECONDS * min(candidate.rank, MAX_RANK)
     )
 
 
--- /dev/null
+++ b/tests/controllers/test_candidates.py
@@ -0,0 +1,134 @@
+"""The servers that are compared for a request."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+from unittest import mock
+
+from sycamorehaven.controllers import candidates
+from sycamorehaven.controllers.candidates import (
+    CACHE_HOLDERS,
+    LEAST_LOADED_SERVERS,
+    CandidateFinder,
+    PendingRequest,
+)
+from sycamorehaven.decisions.placement import MAX_RANK, choose_engine
+from sycamorehaven.decisions.prefix_cache import hash_prefixes
+from sycamorehaven.routing.model import (
+    EngineCapacity,
+    RequestLimits,
+    Route,
+    RoutedService,
+    RoutingConfiguration,
+    ServerRecord,
+    Snapshot,
+    WeightedService,
+)
+from sycamorehaven.routing.requests import PromptPart, RequestHead, RoutedRequest
+from tests.support.doubles import create_board
+
+if TYPE_CHECKING:
+    from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.decisions.placement import Candidate
+
+ENGINES = 70
+SLOTS = 16
+NOW = 1_000.0
+ROUTE = Route(
+    "chat",
+    "fleet.example",
+    "/",
+    "streaming",
+    12.0,
+    0.8,
+    0.5,
+    (WeightedService("model", 1.0),),
+    2,
+    0,
+    public=False,
+    resumable=True,
+)
+
+
+def build_board() -> Blackboard:
+    board = create_board()
+    servers = tuple(
+        ServerRecord(f"s{n}", 1, "model", f"10.0.0.{n}:80", "a", SLOTS, draining=False)
+        for n in range(ENGINES)
+    )
+    capacity = EngineCapacity(SLOTS, 500_000, 1e6)
+    services = {"model": RoutedService("model", 64, capacity)}
+    limits = RequestLimits(16_384, 100_000, 3.0, 15.0, 0.0)
+    configuration = RoutingConfiguration(1, 1, (ROUTE,), services, limits, None)
+    board.routing.apply_snapshot(Snapshot(1, configuration, servers), NOW)
+    return board
+
+
+def build_pending(
+    subject: int, number: int, excluded_servers: frozenset[str]
+) -> PendingRequest:
+    parts = (PromptPart(f"s{subject}", 6_000), PromptPart(f"o{number}", 3_000))
+    head = RequestHead(f"x{number}", 12.0, "", "m", parts, 9_000, 100, None)
+    request = RoutedRequest(
+        head, "POST", "/", (), b"", ROUTE, "model", "w", NOW, NOW + 12.0
+    )
+    return PendingRequest(
+        request,
+        hash_prefixes("m", parts),
+        excluded_servers,
+        is_resume=False,
+        queued_at=NOW,
+        reservation=asyncio.get_running_loop().create_future(),
+    )
+
+
+def start_requests(board: Blackboard, rng: random.Random) -> None:
+    """Let each engine run some requests and keep some prompts."""
+    for n in range(ENGINES):
+        model = board.fleet_load.find_model(f"s{n}")
+        for _ in range(1 + rng.randrange(4)):
+            model.start_request(rng.randrange(8_000), NOW)
+        for subject in rng.sample(range(20), 2):
+            parts = (PromptPart(f"s{subject}", 6_000),)
+            model.prefix_cache.record_prompt(hash_prefixes("m", parts))
+        if rng.random() < 0.1:
+            model.health.record_connection_failure(NOW)
+
+
+async def test_best_engine_is_among_those_compared() -> None:
+    rng = random.Random(3)
+    compared_counts = []
+    for number in range(200):
+        board = build_board()
+        finder = CandidateFinder(board)
+        finder.observe_service("model", NOW)
+        start_requests(board, rng)
+        load = finder.observe_service("model", NOW)
+        excluded = frozenset({f"s{rng.randrange(ENGINES)}"})
+        pending = build_pending(rng.randrange(30), number, excluded)
+        compared = finder.list_candidates(pending, load)
+        with mock.patch.object(candidates, "LEAST_LOADED_SERVERS", ENGINES):
+            every = finder.list_candidates(pending, load)
+        compared_counts.append(len(compared))
+        assert choose_engine(compared) == choose_engine(every)
+    print(max(compared_counts))
+    assert max(compared_counts) <= LEAST_LOADED_SERVERS + CACHE_HOLDERS + MAX_RANK
+
+
+async def test_engine_that_was_assigned_a_request_is_ordered_anew() -> None:
+    board = build_board()
+    finder = CandidateFinder(board)
+    load = finder.observe_service("model", NOW)
+    assigned: set[str] = set()
+    for number in range(LEAST_LOADED_SERVERS):
+        candidates_now: list[Candidate] = finder.list_candidates(
+            build_pending(number, number, frozenset()), load
+        )
+        best = choose_engine(candidates_now)
+        assert best is not None
+        assert best.server.id not in assigned
+        assigned.add(best.server.id)
+        board.fleet_load.find_model(best.server.id).start_request(50_000, NOW)
+        load.update(best.server.id)
