Split the load of a service and the shares of workspaces from the dispatcher

ServiceLoad and ServerView move to controllers/service_load.py, the share statuses and the report of waiting requests to controllers/shares.py. No change of behaviour; tests of dispatch, candidates, sharing and gateways pass.

--- a/src/sycamorehaven/controllers/candidates.py
+++ b/src/sycamorehaven/controllers/candidates.py
@@ -3,39 +3,37 @@
 from __future__ import annotations
 
 import asyncio
-import bisect
 import heapq
-import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from sycamorehaven.controllers.reservations import ServerReservation
+from sycamorehaven.controllers.service_load import (
+    LEAST_LOADED_SERVERS,
+    ServerView,
+    ServiceLoad,
+    observe_server,
+)
 from sycamorehaven.decisions.placement import (
     MAX_RANK,
-    PREFILL_WEIGHT,
     Candidate,
-    compute_load_cost,
 )
 from sycamorehaven.decisions.rendezvous import rank_candidates
-from sycamorehaven.decisions.server_model import ServerModel
-from sycamorehaven.routing.model import ServerRecord
 from sycamorehaven.routing.requests import RoutedRequest
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable, Mapping
+    from collections.abc import Collection, Mapping
 
     from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.decisions.server_model import ServerModel
+    from sycamorehaven.routing.model import ServerRecord
 
 MIN_COPIED_TOKENS = 1_000
 """Fewer prompt tokens than this are recomputed rather than copied."""
 MAX_RANKED_SUBJECTS = 1_024
 """Number of subjects whose ranking of servers is remembered."""
-LEAST_LOADED_SERVERS = 8
-"""Number of least loaded servers that are compared for a prompt."""
 CACHE_HOLDERS = 4
 """Number of servers with tokens of a prompt in their cache that are compared
 for it."""
-TYPICAL_PROMPT_TOKENS = 3_000
-"""Tokens that a server is assumed to read when servers are ordered by load."""
 
 
 class PendingRequest(NamedTuple):
@@ -59,161 +57,6 @@
     reservation: asyncio.Future[ServerReservation]
 
 
-class ServerView(NamedTuple):
-    """
-    The estimated state of a backend server at one moment.
-
-    :ivar server: the server.
-    :ivar model: the model that the estimates come from.
-    :ivar running_requests: number of requests that the server runs.
-    :ivar pending_tokens: prompt tokens that it has been sent and has yet to
-        process.
-    """
-
-    server: ServerRecord
-    model: ServerModel
-    running_requests: int
-    pending_tokens: float
-
-    @property
-    def estimated_wait_seconds(self) -> float:
-        """Estimated time until all prompts sent so far are processed."""
-        return self.pending_tokens / self.model.prefill_rate
-
-    def has_capacity(self, *, has_prompt: bool) -> bool:
-        """
-        Return whether the server may run one more request.
-
-        :param has_prompt: whether the request has a prompt. Prompts are
-            limited by the learned concurrency limit, other requests by the
-            server's slots.
-        """
-        limit = self.model.concurrency.limit if has_prompt else self.server.slots
-        return self.running_requests < limit
-
-    @property
-    def free_prompt_slots(self) -> int:
-        """Number of further requests with prompts that the server may run."""
-        return max(math.ceil(self.model.concurrency.limit - self.running_requests), 0)
-
-
-class ServiceLoad:
-    """
-    The estimated states of a service's servers during one dispatcher pass.
-
-    :param views: the states.
-    :param now: time of the pass, in monotonic seconds.
-    """
-
-    def __init__(self, views: Iterable[ServerView], now: float) -> None:
-        self._views = {view.server.id: view for view in views}
-        self._now = now
-        self._free_slots = sum(view.free_prompt_slots for view in self._views.values())
-        self._has_capacity: dict[bool, bool] = {}
-        self._available: set[str] | None = None
-        self._costs: dict[str, float] = {}
-        self._by_cost: list[tuple[float, str]] = []
-
-    @property
-    def views(self) -> Collection[ServerView]:
-        """The states of the servers."""
-        return self._views.values()
-
-    @property
-    def free_prompt_slots(self) -> int:
-        """Number of further requests with prompts that the servers may run."""
-        return self._free_slots
-
-    def has_capacity(self, *, has_prompt: bool) -> bool:
-        """
-        Return whether a server may run one more request.
-
-        :param has_prompt: whether the request has a prompt.
-        """
-        if has_prompt not in self._has_capacity:
-            self._has_capacity[has_prompt] = any(
-                view.has_capacity(has_prompt=has_prompt) for view in self.views
-            )
-        return self._has_capacity[has_prompt]
-
-    def list_available(self, excluded_servers: Collection[str]) -> list[ServerView]:
-        """
-        Return the servers that are not ejected.
-
-        If all are ejected, return the one whose ejection ends first.
-
-        :param excluded_servers: servers to leave out, unless that leaves none.
-        """
-        if self._available is None:
-            self._order_by_cost()
-        assert self._available is not None
-        considered = [
-            view for name, view in self._views.items() if name not in excluded_servers
-        ] or list(self._views.values())
-        available = [view for view in considered if view.server.id in self._available]
-        return available or [
-            min(considered, key=lambda view: view.model.health.ejected_until)
-        ]
-
-    def list_least_loaded(self) -> list[str]:
-        """
-        Return the ids of the least loaded servers.
-
-        Only available servers with capacity for a prompt are among them.
-        """
-        if self._available is None:
-            self._order_by_cost()
-        return [name for _, name in self._by_cost[:LEAST_LOADED_SERVERS]]
-
-    def compute_cost(self, server: str, cached_tokens: int) -> float:
-        """
-        Return the cost of a server to a typical prompt.
-
-        :param server: id of the server.
-        :param cached_tokens: tokens of the prompt that it has in its cache.
-        :returns: cost in seconds, infinite without capacity for a prompt.
-        """
-        rate = self._views[server].model.prefill_rate
-        cost = self._costs.get(server, math.inf)
-        return cost - PREFILL_WEIGHT * cached_tokens / rate
-
-    def update(self, server: str) -> None:
-        """Update the state of a server that a request was assigned to."""
-        old = self._views[server]
-        view = self._views[server] = _observe_server(old.server, old.model, self._now)
-        self._free_slots += view.free_prompt_slots - old.free_prompt_slots
-        self._has_capacity.clear()
-        if server not in self._costs:
-            return
-        del self._by_cost[
-            bisect.bisect_left(self._by_cost, (self._costs.pop(server), server))
-        ]
-        self._add_cost(view)
-
-    def _order_by_cost(self) -> None:
-        self._available = {
-            name
-            for name, view in self._views.items()
-            if view.model.health.ejected_until <= self._now
-        }
-        for name in self._available:
-            self._add_cost(self._views[name])
-
-    def _add_cost(self, view: ServerView) -> None:
-        if not view.has_capacity(has_prompt=True):
-            return
-        model = view.model
-        cost = compute_load_cost(
-            view.pending_tokens,
-            TYPICAL_PROMPT_TOKENS,
-            model.prefill_rate,
-            view.running_requests / model.concurrency.limit,
-            model.health.error_ratio,
-        )
-        self._costs[view.server.id] = cost
-        bisect.insort(self._by_cost, (cost, view.server.id))
-
-
 class CandidateFinder:
     """
     Creates placement candidates from the estimated states of servers.
@@ -229,7 +72,7 @@
     def observe_service(self, service: str, now: float) -> ServiceLoad:
         """Return the estimated states of all servers of a service."""
         views = [
-            _observe_server(server, self._get_model(server), now)
+            observe_server(server, self._get_model(server), now)
             for server in self._board.routing.list_available_servers(service)
         ]
         return ServiceLoad(views, now)
@@ -351,12 +194,6 @@
         )
 
 
-def _observe_server(server: ServerRecord, model: ServerModel, now: float) -> ServerView:
-    return ServerView(
-        server, model, model.count_requests(now), model.count_pending_tokens(now)
-    )
-
-
 def _shortlist(
     available: list[ServerView],
     load: ServiceLoad,
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -5,18 +5,14 @@
 import asyncio
 import math
 import time
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from absl import logging
 from mode import Service
 
-from sycamorehaven.blackboard.fleet_load import Contention
-from sycamorehaven.controllers.candidates import (
-    CandidateFinder,
-    PendingRequest,
-    ServiceLoad,
-)
+from sycamorehaven.controllers.candidates import CandidateFinder, PendingRequest
 from sycamorehaven.controllers.reservations import ServerReservation
+from sycamorehaven.controllers.shares import WorkspaceShares
 from sycamorehaven.decisions.client_timeouts import ClientTimeouts
 from sycamorehaven.decisions.load_shedding import (
     BUSY_ROUTER_RETRY_SECONDS,
@@ -34,7 +30,6 @@
     choose_plain_server,
 )
 from sycamorehaven.decisions.prefix_cache import hash_prefixes
-from sycamorehaven.decisions.usage_window import YIELD_MARGIN_RATIO
 from sycamorehaven.exceptions.refusals import (
     DeadlineUnreachable,
     NoBackendServer,
@@ -45,6 +40,8 @@
     from collections.abc import Callable, Collection, Sequence
 
     from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.controllers.service_load import ServiceLoad
+    from sycamorehaven.controllers.shares import ShareStatus
     from sycamorehaven.decisions.load_shedding import Action
     from sycamorehaven.routing.requests import RoutedRequest
     from sycamorehaven.telemetry.decision_log import DecisionLog
@@ -62,27 +59,10 @@
 """Time after which a pass postpones the requests that are left."""
 NO_SERVER_RETRY_SECONDS = 1.0
 """Longest ``Retry-After`` of a refusal because no server is known."""
-CONTENTION_LIFETIME_SECONDS = 0.3
-"""Time for which waiting requests count that no later pass has seen."""
-MIN_REPORTED_REQUESTS = 3
-"""Number of waiting requests that a router reports even if servers have begun
-to answer none of its requests."""
 OUTPUT_TOKEN_WEIGHT = 2.0
 """Cost of a generated token relative to that of a prompt token."""
 
 
-class ShareStatus(NamedTuple):
-    """
-    What a workspace has received compared with its fair share.
-
-    :ivar is_within_share: whether it has received at most its fair share.
-    :ivar satisfaction: what it received divided by what it is entitled to.
-    """
-
-    is_within_share: bool
-    satisfaction: float
-
-
 def compute_token_cost(request: RoutedRequest) -> float:
     """Return the cost of a request in prompt tokens."""
     return request.head.prompt_tokens + OUTPUT_TOKEN_WEIGHT * request.head.output_tokens
@@ -113,6 +93,7 @@
         self._pending: list[PendingRequest] = []
         self._client_timeouts = ClientTimeouts()
         self._candidate_finder = CandidateFinder(board)
+        self._shares = WorkspaceShares(board)
         self._request_arrived = asyncio.Event()
         self._next_pass_at = 0.0
 
@@ -201,8 +182,10 @@
         self._pending = [
             pending for pending in self._pending if not pending.reservation.done()
         ]
-        share_statuses = self._compute_share_statuses(now)
-        self._record_contention(share_statuses, now)
+        share_statuses = self._shares.compute_statuses(
+            {pending.request.workspace for pending in self._pending}, now
+        )
+        self._shares.record_contention(self._pending, share_statuses, now)
 
         def sort_key(pending: PendingRequest) -> tuple[bool, float]:
             has_priority = (
@@ -265,44 +248,6 @@
             )
             self._reject(pending, refusal, "router_busy", placement_request, None, now)
 
-    def _compute_share_statuses(self, now: float) -> dict[str, ShareStatus]:
-        usage = self._board.fleet_load.usage_window
-        share = usage.get_fair_share(now)
-        return {
-            workspace: ShareStatus(
-                usage.get_received(workspace, now) <= share,
-                usage.get_satisfaction(workspace, share, now),
-            )
-            for workspace in {pending.request.workspace for pending in self._pending}
-        }
-
-    def _record_contention(
-        self, share_statuses: dict[str, ShareStatus], now: float
-    ) -> None:
-        """
-        Record how little the least satisfied waiting workspaces got.
-
-        Other routers learn it and leave capacity to these workspaces. A router
-        that cannot use the capacity, because it is too busy or does not reach
-        the servers, must not hold back the others. It therefore reports no
-        more requests than servers have recently begun to answer.
-        """
-        fleet_load = self._board.fleet_load
-        max_count = max(fleet_load.count_recent_starts(now), MIN_REPORTED_REQUESTS)
-        satisfactions: dict[str, list[float]] = {}
-        for pending in self._pending:
-            satisfaction = share_statuses[pending.request.workspace].satisfaction
-            satisfactions.setdefault(pending.request.service, []).append(satisfaction)
-        for service, service_satisfactions in satisfactions.items():
-            least = min(service_satisfactions)
-            count = sum(
-                value <= least + YIELD_MARGIN_RATIO for value in service_satisfactions
-            )
-            contention = Contention(
-                least, min(count, max_count), now + CONTENTION_LIFETIME_SECONDS
-            )
-            fleet_load.update_contention(service, contention)
-
     def _place_or_reject(
         self,
         pending: PendingRequest,
--- a/tests/controllers/test_candidates.py
+++ b/tests/controllers/test_candidates.py
@@ -10,10 +10,10 @@
 from sycamorehaven.controllers import candidates
 from sycamorehaven.controllers.candidates import (
     CACHE_HOLDERS,
-    LEAST_LOADED_SERVERS,
     CandidateFinder,
     PendingRequest,
 )
+from sycamorehaven.controllers.service_load import LEAST_LOADED_SERVERS
 from sycamorehaven.decisions.placement import MAX_RANK, choose_engine
 from sycamorehaven.decisions.prefix_cache import hash_prefixes
 from sycamorehaven.routing.model import (
