Let no workspace yield to one that received more

Cause: who yields was decided by satisfaction, the received fraction of what a workspace is entitled to. A small workspace within its share that got all it asked for is at 1. A flood is entitled to the whole fair share, which is computed with a headroom of a tenth, so it is below 0.85 also when shares are fair. The small one then yielded to the flood, more often since reports of waiting requests count in a large fleet.

Change: workspaces yield by the amount that they received, as a fraction of the fair share. Max-min fairness serves the one with the least first, whatever it asked for.

--- a/src/sycamorehaven/blackboard/fleet_load.py
+++ b/src/sycamorehaven/blackboard/fleet_load.py
@@ -28,16 +28,15 @@
     """
     The requests that wait for one service at one router.
 
-    :ivar satisfaction: lowest satisfaction of a workspace with waiting
-        requests. Satisfaction is the received fraction of a workspace's
-        entitlement.
-    :ivar waiting_requests: number of waiting requests of the workspaces whose
-        satisfaction is about as low, as far as the router can place them.
+    :ivar fill_level: least that a workspace with waiting requests received,
+        as a fraction of the fair share.
+    :ivar waiting_requests: number of waiting requests of the workspaces that
+        received about as little, as far as the router can place them.
     :ivar expires_at: when it no longer counts unless it is reported again, in
         seconds of the monotonic clock.
     """
 
-    satisfaction: float
+    fill_level: float
     waiting_requests: int
     expires_at: float
 
@@ -184,14 +183,13 @@
             if now < contention.expires_at
         }
 
-    def count_requests_ahead(
-        self, service: str, satisfaction: float, now: float
-    ) -> int:
+    def count_requests_ahead(self, service: str, fill_level: float, now: float) -> int:
         """
         Return how many requests, at all routers, have precedence.
 
         :param service: name of the service.
-        :param satisfaction: satisfaction of the workspace that asks.
+        :param fill_level: what the workspace that asks received, as a fraction
+            of the fair share.
         :param now: current time, in seconds of the monotonic clock.
         """
         contentions = [
@@ -203,7 +201,7 @@
             contention.waiting_requests
             for contention in contentions
             if now < contention.expires_at
-            and contention.satisfaction + YIELD_MARGIN_RATIO < satisfaction
+            and contention.fill_level + YIELD_MARGIN_RATIO < fill_level
         )
 
     def retain_contentions(self, hosts: set[str]) -> None:
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -294,12 +294,12 @@
         self, service: str, load: ServiceLoad, share_status: ShareStatus, now: float
     ) -> bool:
         """
-        Return whether all free slots are left to less satisfied workspaces.
+        Return whether all free slots are left to workspaces that got less.
         """
         if not load.free_prompt_slots:
             return False
         requests_ahead = self._board.fleet_load.count_requests_ahead(
-            service, share_status.satisfaction, now
+            service, share_status.fill_level, now
         )
         return load.free_prompt_slots <= requests_ahead
 
--- a/src/sycamorehaven/controllers/fleet_state.py
+++ b/src/sycamorehaven/controllers/fleet_state.py
@@ -150,7 +150,7 @@
             self._list_changed_usage(),
             [
                 ServiceContention(
-                    service, contention.satisfaction, contention.waiting_requests
+                    service, contention.fill_level, contention.waiting_requests
                 )
                 for service, contention in contended.items()
             ],
@@ -198,8 +198,8 @@
         fleet_load.replace_contentions(
             delivery.sender.host,
             {
-                service: Contention(satisfaction, waiting, expires_at)
-                for service, satisfaction, waiting in news.contended
+                service: Contention(fill_level, waiting, expires_at)
+                for service, fill_level, waiting in news.contended
             },
         )
         if news.servers:
--- a/src/sycamorehaven/controllers/shares.py
+++ b/src/sycamorehaven/controllers/shares.py
@@ -26,15 +26,18 @@
 
     :ivar is_within_share: whether it has received at most its fair share.
     :ivar satisfaction: what it received divided by what it is entitled to.
+    :ivar fill_level: what it received divided by the largest amount that a
+        workspace is entitled to.
     """
 
     is_within_share: bool
     satisfaction: float
+    fill_level: float
 
 
 class WorkspaceShares:
     """
-    Compares workspaces with their fair shares and reports the least satisfied.
+    Compares workspaces with their fair shares and reports who got least.
 
     :param board: shared state of this router.
     """
@@ -52,6 +55,7 @@
             workspace: ShareStatus(
                 usage.get_received(workspace, now) <= share,
                 usage.get_satisfaction(workspace, share, now),
+                usage.get_fill_level(workspace, share, now),
             )
             for workspace in workspaces
         }
@@ -63,7 +67,7 @@
         now: float,
     ) -> None:
         """
-        Record how little the least satisfied waiting workspaces got.
+        Record how little the waiting workspaces that got least received.
 
         Other routers learn it and leave capacity to these workspaces. A router
         that cannot use the capacity, because it is too busy or does not reach
@@ -76,15 +80,13 @@
         """
         fleet_load = self._board.fleet_load
         max_count = max(fleet_load.count_recent_starts(now), MIN_REPORTED_REQUESTS)
-        satisfactions: dict[str, list[float]] = {}
+        fill_levels: dict[str, list[float]] = {}
         for pending in pending_requests:
-            satisfaction = share_statuses[pending.request.workspace].satisfaction
-            satisfactions.setdefault(pending.request.service, []).append(satisfaction)
-        for service, service_satisfactions in satisfactions.items():
-            least = min(service_satisfactions)
-            count = sum(
-                value <= least + YIELD_MARGIN_RATIO for value in service_satisfactions
-            )
+            fill_level = share_statuses[pending.request.workspace].fill_level
+            fill_levels.setdefault(pending.request.service, []).append(fill_level)
+        for service, service_levels in fill_levels.items():
+            least = min(service_levels)
+            count = sum(level <= least + YIELD_MARGIN_RATIO for level in service_levels)
             contention = Contention(
                 least, min(count, max_count), now + CONTENTION_LIFETIME_SECONDS
             )
--- a/src/sycamorehaven/decisions/load_shedding.py
+++ b/src/sycamorehaven/decisions/load_shedding.py
@@ -11,11 +11,11 @@
 time for them.
 
 A workspace that has used up its fair share gets only what the others leave:
-its requests are placed only while little waits. A workspace that got a smaller
-fraction of its entitlement may be waiting for the same servers, here or at
-another router. The others then leave it as many free slots as it has waiting
-requests. Otherwise, a router would take every slot that its own requests free,
-since it is the first to know of them.
+its requests are placed only while little waits. A workspace that received less
+may be waiting for the same servers, here or at another router. The others then
+leave it as many free slots as it has waiting requests. Otherwise, a router
+would take every slot that its own requests free, since it is the first to know
+of them.
 """
 
 from __future__ import annotations
@@ -64,8 +64,8 @@
         stream.
     :ivar satisfaction: fraction of its entitlement that the workspace
         received.
-    :ivar yields: whether all free slots are left to workspaces with a smaller
-        satisfaction.
+    :ivar yields: whether all free slots are left to workspaces that received
+        less.
     """
 
     first_asked_at: float
--- a/src/sycamorehaven/decisions/usage_window.py
+++ b/src/sycamorehaven/decisions/usage_window.py
@@ -18,8 +18,8 @@
 HEADROOM_FACTOR = 1.1
 """Factor applied to the capacity, to leave room for requests in flight."""
 YIELD_MARGIN_RATIO = 0.15
-"""Difference in satisfaction from which one workspace yields to another;
-satisfaction is the received fraction of a workspace's entitlement."""
+"""Difference, as a fraction of the fair share, between what two workspaces
+received from which one yields to the other."""
 BUCKET_COUNT = 8
 """Number of buckets that the window is divided into."""
 
@@ -103,6 +103,18 @@
             else 1.0
         )
 
+    def get_fill_level(self, workspace: str, fair_share: float, now: float) -> float:
+        """
+        Return what a workspace received as a fraction of the fair share.
+
+        It is 0 if no workspace is limited, or none has received anything.
+
+        :param fair_share: the largest amount that a workspace is entitled to.
+        """
+        if fair_share <= 0.0:
+            return 0.0
+        return self.get_received(workspace, now) / fair_share
+
     def get_fair_share(self, now: float) -> float:
         """
         Return the largest amount that a workspace is entitled to.
--- a/src/sycamorehaven/transport/messages/fleet.py
+++ b/src/sycamorehaven/transport/messages/fleet.py
@@ -63,18 +63,15 @@
     """
     A service for which requests wait at the sender.
 
-    The satisfaction of a workspace is the received fraction of its
-    entitlement.
-
     :ivar service: name of the service.
-    :ivar satisfaction: lowest satisfaction of the workspaces whose requests
-        wait.
-    :ivar waiting: number of waiting requests of the workspaces whose
-        satisfaction is about as low.
+    :ivar fill_level: least that a workspace whose requests wait received, as
+        a fraction of the fair share.
+    :ivar waiting: number of waiting requests of the workspaces that received
+        about as little.
     """
 
     service: str
-    satisfaction: NonNegativeNumber
+    fill_level: NonNegativeNumber
     waiting: Count
 
 
--- a/tests/controllers/test_sharing.py
+++ b/tests/controllers/test_sharing.py
@@ -41,3 +41,14 @@
         received.append(simulation.received["flood"])
     print(received)
     assert received[1] >= 0.9 * received[0]
+
+
+async def test_small_workspaces_do_not_yield_to_a_flood_through_all_routers() -> None:
+    routers, workspaces = 65, ("a", "b", "c", "d", "e", "f")
+    simulation = SharingSimulation(routers, engines=40, slots=16)
+    floods = [Flood("flood", 1_200.0, tuple(range(routers)))]
+    floods += [Flood(name, 25.0, tuple(range(routers))) for name in workspaces]
+    await simulation.run(tuple(floods), 6.0)
+    ratios = [simulation.get_served_ratio(name) for name in workspaces]
+    print(ratios, simulation.get_served_ratio("flood"))
+    assert min(ratios) >= 1.0 - YIELD_MARGIN_RATIO
