Report the waiting requests of each workspace

A flood that waits at a router was not reported while a request of a small workspace waited beside it: the report named only the workspaces that had received about as little as the least.

Change: a report has an entry for each workspace with waiting requests, the ones that received least first, eight for a service at most and no more requests in sum than servers recently began to answer. The message between routers is the same, with several entries of a service.

--- a/src/sycamorehaven/blackboard/fleet_load.py
+++ b/src/sycamorehaven/blackboard/fleet_load.py
@@ -26,12 +26,12 @@
 
 class Contention(NamedTuple):
     """
-    The requests that wait for one service at one router.
+    The requests of one workspace that wait for a service at one router.
 
-    :ivar fill_level: least that a workspace with waiting requests received,
-        as a fraction of the fair share.
-    :ivar waiting_requests: number of waiting requests of the workspaces that
-        received about as little, as far as the router can place them.
+    :ivar fill_level: what the workspace received, as a fraction of the fair
+        share.
+    :ivar waiting_requests: number of its waiting requests, as far as the
+        router can place them.
     :ivar expires_at: when it no longer counts unless it is reported again, in
         seconds of the monotonic clock.
     """
@@ -56,7 +56,7 @@
         self._placements: list[tuple[int, int, str]] = []
         self._demanded_tokens: Counter[str] = Counter()
         self._received_tokens: Counter[str] = Counter()
-        self._contentions: dict[str, dict[str, Contention]] = {}
+        self._contentions: dict[str, dict[str, list[Contention]]] = {}
         self._started_at: deque[float] = deque()
         self._changed = Signal()
 
@@ -149,39 +149,37 @@
         while self._started_at and self._started_at[0] < now - START_WINDOW_SECONDS:
             self._started_at.popleft()
 
-    def update_contention(
-        self, service: str, contention: Contention, host: str = ""
-    ) -> None:
+    def update_contentions(self, service: str, contentions: list[Contention]) -> None:
         """
-        Record the requests that wait for a service at one router.
+        Record the requests that wait for a service at this router.
 
         :param service: name of the service.
-        :param contention: the waiting requests.
-        :param host: host of the router that reported them; "" for this one.
+        :param contentions: the waiting requests of each workspace.
         """
-        self._contentions.setdefault(host, {})[service] = contention
+        self._contentions.setdefault("", {})[service] = contentions
 
     def replace_contentions(
-        self, host: str, contentions: dict[str, Contention]
+        self, host: str, contentions: dict[str, list[Contention]]
     ) -> None:
         """
         Replace what another router reported.
 
         :param host: host of the router.
-        :param contentions: its waiting requests by service.
+        :param contentions: the waiting requests of each workspace by service.
         """
         if contentions:
             self._contentions[host] = contentions
         else:
             self._contentions.pop(host, None)
 
-    def list_own_contentions(self, now: float) -> dict[str, Contention]:
-        """Return the current contention at this router, by service."""
-        return {
-            service: contention
-            for service, contention in sorted(self._contentions.get("", {}).items())
+    def list_own_contentions(self, now: float) -> list[tuple[str, Contention]]:
+        """Return the current contentions at this router with their service."""
+        return [
+            (service, contention)
+            for service, contentions in sorted(self._contentions.get("", {}).items())
+            for contention in contentions
             if now < contention.expires_at
-        }
+        ]
 
     def count_requests_ahead(self, service: str, fill_level: float, now: float) -> int:
         """
@@ -192,14 +190,10 @@
             of the fair share.
         :param now: current time, in seconds of the monotonic clock.
         """
-        contentions = [
-            contention_by_service[service]
-            for contention_by_service in self._contentions.values()
-            if service in contention_by_service
-        ]
         return sum(
             contention.waiting_requests
-            for contention in contentions
+            for contentions_by_service in self._contentions.values()
+            for contention in contentions_by_service.get(service, ())
             if now < contention.expires_at
             and contention.fill_level + YIELD_MARGIN_RATIO < fill_level
         )
--- a/src/sycamorehaven/controllers/fleet_state.py
+++ b/src/sycamorehaven/controllers/fleet_state.py
@@ -152,7 +152,7 @@
                 ServiceContention(
                     service, contention.fill_level, contention.waiting_requests
                 )
-                for service, contention in contended.items()
+                for service, contention in contended
             ],
         )
 
@@ -195,13 +195,11 @@
         expires_at = now + choose_report_lifetime_seconds(
             members, MIN_CONTENTION_LIFETIME_SECONDS
         )
-        fleet_load.replace_contentions(
-            delivery.sender.host,
-            {
-                service: Contention(fill_level, waiting, expires_at)
-                for service, fill_level, waiting in news.contended
-            },
-        )
+        contentions: dict[str, list[Contention]] = {}
+        for service, fill_level, waiting in news.contended:
+            contention = Contention(fill_level, waiting, expires_at)
+            contentions.setdefault(service, []).append(contention)
+        fleet_load.replace_contentions(delivery.sender.host, contentions)
         if news.servers:
             fleet_load.changed.notify()
 
--- a/src/sycamorehaven/controllers/shares.py
+++ b/src/sycamorehaven/controllers/shares.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
 from sycamorehaven.blackboard.fleet_load import Contention
-from sycamorehaven.decisions.usage_window import YIELD_MARGIN_RATIO
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping
@@ -19,6 +19,9 @@
 """Number of waiting requests that a router reports even if servers have begun
 to answer none of its requests."""
 
+MAX_REPORTED_WORKSPACES = 8
+"""Number of workspaces whose waiting requests are reported for a service."""
+
 
 class ShareStatus(NamedTuple):
     """
@@ -67,27 +70,46 @@
         now: float,
     ) -> None:
         """
-        Record how little the waiting workspaces that got least received.
+        Record how many requests of which workspaces wait.
 
-        Other routers learn it and leave capacity to these workspaces. A router
-        that cannot use the capacity, because it is too busy or does not reach
-        the servers, must not hold back the others. It therefore reports no
-        more requests than servers have recently begun to answer.
+        Other routers learn it and leave capacity to workspaces that received
+        less. A router that cannot use the capacity, because it is too busy or
+        does not reach the servers, must not hold back the others. It therefore
+        reports no more requests than servers have recently begun to answer.
 
         :param pending_requests: the waiting requests.
         :param share_statuses: share status of each of their workspaces.
         :param now: monotonic seconds.
         """
-        fleet_load = self._board.fleet_load
-        max_count = max(fleet_load.count_recent_starts(now), MIN_REPORTED_REQUESTS)
-        fill_levels: dict[str, list[float]] = {}
+        counts: dict[str, Counter[str]] = {}
         for pending in pending_requests:
-            fill_level = share_statuses[pending.request.workspace].fill_level
-            fill_levels.setdefault(pending.request.service, []).append(fill_level)
-        for service, service_levels in fill_levels.items():
-            least = min(service_levels)
-            count = sum(level <= least + YIELD_MARGIN_RATIO for level in service_levels)
-            contention = Contention(
-                least, min(count, max_count), now + CONTENTION_LIFETIME_SECONDS
+            service, workspace = pending.request.service, pending.request.workspace
+            counts.setdefault(service, Counter())[workspace] += 1
+        for service, count_by_workspace in counts.items():
+            contentions = self._list_contentions(
+                count_by_workspace, share_statuses, now
             )
-            fleet_load.update_contention(service, contention)
+            self._board.fleet_load.update_contentions(service, contentions)
+
+    def _list_contentions(
+        self,
+        count_by_workspace: Mapping[str, int],
+        share_statuses: Mapping[str, ShareStatus],
+        now: float,
+    ) -> list[Contention]:
+        """Return the contentions of the workspaces that received least."""
+        remaining = max(
+            self._board.fleet_load.count_recent_starts(now), MIN_REPORTED_REQUESTS
+        )
+        contentions = []
+        by_fill_level = sorted(
+            (share_statuses[workspace].fill_level, count)
+            for workspace, count in count_by_workspace.items()
+        )
+        for fill_level, count in by_fill_level[:MAX_REPORTED_WORKSPACES]:
+            reported = min(count, remaining)
+            remaining -= reported
+            if reported:
+                expires_at = now + CONTENTION_LIFETIME_SECONDS
+                contentions.append(Contention(fill_level, reported, expires_at))
+        return contentions
--- a/src/sycamorehaven/transport/messages/fleet.py
+++ b/src/sycamorehaven/transport/messages/fleet.py
@@ -61,13 +61,12 @@
 
 class ServiceContention(NamedTuple):
     """
-    A service for which requests wait at the sender.
+    A service for which requests of one workspace wait at the sender.
 
     :ivar service: name of the service.
-    :ivar fill_level: least that a workspace whose requests wait received, as
-        a fraction of the fair share.
-    :ivar waiting: number of waiting requests of the workspaces that received
-        about as little.
+    :ivar fill_level: what the workspace received, as a fraction of the fair
+        share.
+    :ivar waiting: number of its waiting requests.
     """
 
     service: str
--- a/tests/controllers/test_fleet_state.py
+++ b/tests/controllers/test_fleet_state.py
@@ -174,7 +174,7 @@
 def report_waiting_requests(routers: RouterFleet, clock: ManualClock) -> None:
     """Let the first router report waiting requests to the others."""
     contention = Contention(0.2, 7, clock() + 1.0)
-    routers.boards["a1"].fleet_load.update_contention("model", contention)
+    routers.boards["a1"].fleet_load.update_contentions("model", [contention])
     routers.broadcast_changes()
 
 
@@ -200,8 +200,8 @@
 ) -> None:
     routers = RouterFleet(network, clock)
     report_waiting_requests(routers, clock)
-    routers.boards["a1"].fleet_load.update_contention(
-        "model", Contention(0.2, 7, clock())
+    routers.boards["a1"].fleet_load.update_contentions(
+        "model", [Contention(0.2, 7, clock())]
     )
     routers.start_request("a1", 100)
     routers.broadcast_changes()
