--- a/src/sycamorehaven/controllers/shares.py
+++ b/src/sycamorehaven/controllers/shares.py
@@ -18,7 +18,6 @@
 MIN_REPORTED_REQUESTS = 3
 """Number of waiting requests that a router reports even if servers have begun
 to answer none of its requests."""
-
 MAX_REPORTED_WORKSPACES = 8
 """Number of workspaces whose waiting requests are reported for a service."""
 
