--- a/tests/controllers/test_candidates.py
+++ b/tests/controllers/test_candidates.py
@@ -19,15 +19,14 @@
 from sycamorehaven.routing.model import (
     EngineCapacity,
     RequestLimits,
-    Route,
     RoutedService,
     RoutingConfiguration,
     ServerRecord,
     Snapshot,
-    WeightedService,
 )
 from sycamorehaven.routing.requests import PromptPart, RequestHead, RoutedRequest
 from tests.support.doubles import create_board
+from tests.support.published_routes import STREAMING_ROUTE
 
 if TYPE_CHECKING:
     from sycamorehaven.blackboard.board import Blackboard
@@ -36,20 +35,6 @@
 ENGINES = 70
 SLOTS = 16
 NOW = 1_000.0
-ROUTE = Route(
-    "chat",
-    "fleet.example",
-    "/",
-    "streaming",
-    12.0,
-    0.8,
-    0.5,
-    (WeightedService("model", 1.0),),
-    2,
-    0,
-    public=False,
-    resumable=True,
-)
 
 
 def build_board() -> Blackboard:
@@ -61,7 +46,9 @@
     capacity = EngineCapacity(SLOTS, 500_000, 1e6)
     services = {"model": RoutedService("model", 64, capacity)}
     limits = RequestLimits(16_384, 100_000, 3.0, 15.0, 0.0)
-    configuration = RoutingConfiguration(1, 1, (ROUTE,), services, limits, None)
+    configuration = RoutingConfiguration(
+        1, 1, (STREAMING_ROUTE,), services, limits, None
+    )
     board.routing.apply_snapshot(Snapshot(1, configuration, servers), NOW)
     return board
 
@@ -72,7 +59,7 @@
     parts = (PromptPart(f"s{subject}", 6_000), PromptPart(f"o{number}", 3_000))
     head = RequestHead(f"x{number}", 12.0, "", "m", parts, 9_000, 100, None)
     request = RoutedRequest(
-        head, "POST", "/", (), b"", ROUTE, "model", "w", NOW, NOW + 12.0
+        head, "POST", "/", (), b"", STREAMING_ROUTE, "model", "w", NOW, NOW + 12.0
     )
     return PendingRequest(
         request,
--- a/tests/controllers/test_dispatch.py
+++ b/tests/controllers/test_dispatch.py
@@ -17,17 +17,16 @@
 from sycamorehaven.routing.model import (
     EngineCapacity,
     RequestLimits,
-    Route,
     RoutedService,
     RoutingConfiguration,
     ServerRecord,
     Snapshot,
-    WeightedService,
 )
 from sycamorehaven.routing.requests import PromptPart, RequestHead, RoutedRequest
 from sycamorehaven.telemetry.decision_log import DecisionLog
 from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
 from tests.support.doubles import ManualClock, create_board
+from tests.support.published_routes import STREAMING_ROUTE
 
 if TYPE_CHECKING:
     from types import FrameType
@@ -44,22 +43,6 @@
 """Requests that an engine runs at a time."""
 STREAM_SECONDS = 1.0
 """Time for which an engine runs a request."""
-TARGET_SECONDS = 0.8
-"""Time to the first event of a request that is on time."""
-ROUTE = Route(
-    "chat",
-    "fleet.example",
-    "/",
-    "streaming",
-    12.0,
-    TARGET_SECONDS,
-    0.5,
-    (WeightedService("model", 1.0),),
-    2,
-    0,
-    public=False,
-    resumable=True,
-)
 
 
 class ProcessorClock(ManualClock):
@@ -96,7 +79,9 @@
         )
         services = {"model": RoutedService("model", 64, EngineCapacity(SLOTS, 0, 0.0))}
         limits = RequestLimits(16_384, 100_000, 3.0, 15.0, 0.0)
-        configuration = RoutingConfiguration(1, 1, (ROUTE,), services, limits, None)
+        configuration = RoutingConfiguration(
+            1, 1, (STREAMING_ROUTE,), services, limits, None
+        )
         self._board.routing.apply_snapshot(
             Snapshot(1, configuration, servers), self._clock()
         )
@@ -163,7 +148,16 @@
             name, 12.0, "", "m", (PromptPart(name, 3_000),), 3_000, 100, None
         )
         request = RoutedRequest(
-            head, "POST", "/", (), b"", ROUTE, "model", "hot", asked_at, asked_at + 12.0
+            head,
+            "POST",
+            "/",
+            (),
+            b"",
+            STREAMING_ROUTE,
+            "model",
+            "hot",
+            asked_at,
+            asked_at + 12.0,
         )
         try:
             reservation = await self._dispatcher.acquire(request)
@@ -186,4 +180,4 @@
     # One request more fits on each engine at a time.
     capacity = ENGINES * seconds / STREAM_SECONDS
     assert router.placed > capacity / 2
-    assert max(router.decision_seconds) < TARGET_SECONDS
+    assert max(router.decision_seconds) < STREAMING_ROUTE.latency_target
--- a/tests/controllers/test_shares.py
+++ b/tests/controllers/test_shares.py
@@ -10,25 +10,11 @@
     ShareStatus,
     WorkspaceShares,
 )
-from sycamorehaven.routing.model import Route, WeightedService
 from sycamorehaven.routing.requests import RequestHead, RoutedRequest
 from tests.support.doubles import create_board
+from tests.support.published_routes import STREAMING_ROUTE
 
 NOW = 1_000.0
-ROUTE = Route(
-    "chat",
-    "fleet.example",
-    "/",
-    "streaming",
-    12.0,
-    0.8,
-    0.5,
-    (WeightedService("model", 1.0),),
-    2,
-    0,
-    public=False,
-    resumable=True,
-)
 STATUSES = {
     "small": ShareStatus(is_within_share=True, satisfaction=0.9, fill_level=0.05),
     "flood": ShareStatus(is_within_share=True, satisfaction=0.5, fill_level=0.5),
@@ -38,7 +24,7 @@
 def build_pending(workspace: str) -> PendingRequest:
     head = RequestHead("x", 12.0, "", "m", (), 100, 100, None)
     request = RoutedRequest(
-        head, "POST", "/", (), b"", ROUTE, "model", workspace, NOW, NOW + 12.0
+        head, "POST", "/", (), b"", STREAMING_ROUTE, "model", workspace, NOW, NOW + 12.0
     )
     return PendingRequest(
         request,
--- a/tests/decisions/test_client_timeouts.py
+++ b/tests/decisions/test_client_timeouts.py
@@ -5,29 +5,23 @@
 import random
 
 from sycamorehaven.decisions.client_timeouts import ClientTimeouts
-from sycamorehaven.routing.model import Route, WeightedService
 from sycamorehaven.routing.requests import RequestHead, RoutedRequest
-
-ROUTE = Route(
-    "chat",
-    "fleet.example",
-    "/",
-    "streaming",
-    12.0,
-    0.8,
-    0.5,
-    (WeightedService("model", 1.0),),
-    2,
-    0,
-    public=False,
-    resumable=True,
-)
+from tests.support.published_routes import STREAMING_ROUTE
 
 
 def build_request(timeout: float | None) -> RoutedRequest:
     head = RequestHead("x", timeout, "", "m", (), 0, 0, None)
     return RoutedRequest(
-        head, "POST", "/", (), b"", ROUTE, "model", "hot", 0.0, timeout or 12.0
+        head,
+        "POST",
+        "/",
+        (),
+        b"",
+        STREAMING_ROUTE,
+        "model",
+        "hot",
+        0.0,
+        timeout or 12.0,
     )
 
 
@@ -44,5 +38,5 @@
     timeouts.record(build_request(12.0))
     repeat = build_request(6.0)
     timeouts.record(repeat)
-    assert timeouts.estimate_elapsed(repeat) > ROUTE.latency_target
+    assert timeouts.estimate_elapsed(repeat) > STREAMING_ROUTE.latency_target
     assert timeouts.estimate_elapsed(build_request(None)) == 0.0
--- a/tests/support/sharing_simulation.py
+++ b/tests/support/sharing_simulation.py
@@ -29,17 +29,16 @@
 from sycamorehaven.routing.model import (
     EngineCapacity,
     RequestLimits,
-    Route,
     RoutedService,
     RoutingConfiguration,
     ServerRecord,
     Snapshot,
-    WeightedService,
 )
 from sycamorehaven.routing.requests import PromptPart, RequestHead, RoutedRequest
 from sycamorehaven.telemetry.decision_log import DecisionLog
 from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
 from tests.support.doubles import ManualClock, MemoryLink, MemoryNetwork, create_board
+from tests.support.published_routes import STREAMING_ROUTE
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -56,26 +55,8 @@
 """Tokens of each prompt, of which no engine keeps any."""
 OUTPUT_TOKENS = 100
 """Tokens of each stream."""
-TARGET_SECONDS = 0.8
-"""Time to the first event of a request that is on time."""
-TIMEOUT_SECONDS = 12.0
-"""Longest timeout of a client."""
 MIN_TIMEOUT_RATIO = 0.85
 """Shortest timeout of a client as a fraction of the longest."""
-ROUTE = Route(
-    "chat",
-    "fleet.example",
-    "/",
-    "streaming",
-    TIMEOUT_SECONDS,
-    TARGET_SECONDS,
-    0.5,
-    (WeightedService("model", 1.0),),
-    2,
-    0,
-    public=False,
-    resumable=True,
-)
 
 
 class Flood(NamedTuple):
@@ -167,7 +148,9 @@
         )
         services = {"model": RoutedService("model", 64, EngineCapacity(slots, 0, 0.0))}
         limits = RequestLimits(16_384, 100_000, 3.0, 15.0, 0.0)
-        configuration = RoutingConfiguration(1, 1, (ROUTE,), services, limits, None)
+        configuration = RoutingConfiguration(
+            1, 1, (STREAMING_ROUTE,), services, limits, None
+        )
         return Snapshot(1, configuration, servers)
 
     def _schedule(self, at: float, action: Callable[[], None]) -> None:
@@ -184,7 +167,8 @@
         arrives_at = after + self._random.expovariate(flood.rate)
 
         def arrive() -> None:
-            timeout = TIMEOUT_SECONDS * self._random.uniform(MIN_TIMEOUT_RATIO, 1.0)
+            ratio = self._random.uniform(MIN_TIMEOUT_RATIO, 1.0)
+            timeout = STREAMING_ROUTE.timeout * ratio
             self._send(flood, timeout, is_repeat=False)
             self._schedule_arrival(flood, arrives_at)
 
@@ -205,7 +189,16 @@
             name, timeout, "", "m", parts, PROMPT_TOKENS, OUTPUT_TOKENS, None
         )
         return RoutedRequest(
-            head, "POST", "/", (), b"", ROUTE, "model", workspace, now, now + timeout
+            head,
+            "POST",
+            "/",
+            (),
+            b"",
+            STREAMING_ROUTE,
+            "model",
+            workspace,
+            now,
+            now + timeout,
         )
 
     async def _run_request(
