Record how the end of a stream was marked, and whether it came inside an event

`stream_ended` tells the framing of the body, the id of the last event and the bytes of an incomplete one; `sycamorehaven_stream_ends` counts them.

No logic is changed.

--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -198,10 +198,26 @@
                 await self._resume_stream(error)
                 continue
             break
+        self._record_stream_end()
         if rest := self._splitter.flush():
             yield rest
         self._record_answer(failed=False)
 
+    def _record_stream_end(self) -> None:
+        """Record how a stream ended that was not broken off."""
+        assert self._answer is not None
+        framing, unfinished = self._answer.body.framing, self._splitter.buffered_bytes
+        position = "inside_event" if unfinished else "after_event"
+        self._context.metrics.stream_ends.labels(framing, position).inc()
+        self._context.decision_log.record(
+            "stream_ended",
+            request=self._request.head.attempt_id,
+            server=self._reservation.server.id if self._reservation else "",
+            framing=framing,
+            event_id=self._last_event_id,
+            unfinished_bytes=unfinished,
+        )
+
     async def _read_until_deadline(self) -> AsyncGenerator[bytes, None]:
         """Yield the chunks of the current answer until the deadline."""
         assert self._answer is not None
--- a/src/sycamorehaven/telemetry/gateway_metrics.py
+++ b/src/sycamorehaven/telemetry/gateway_metrics.py
@@ -24,6 +24,8 @@
     :ivar queue_time: time that placed requests waited at the router, in
         seconds.
     :ivar attempt_failures: number of failed attempts on backend servers.
+    :ivar stream_ends: number of streams that servers ended, by what marks the
+        end of the body and by whether it came inside an event.
     :ivar dependency_up: 1 if a dependency responds, else 0.
     :ivar snapshot_age: age of the routes and servers in use, in seconds.
     :ivar waiting_requests: number of requests that wait at the router.
@@ -63,6 +65,12 @@
             ("service", "reason"),
             registry=self._registry,
         )
+        self.stream_ends = Counter(
+            "sycamorehaven_stream_ends",
+            "Streams that servers ended, by framing of the body and position.",
+            ("framing", "position"),
+            registry=self._registry,
+        )
         self.dependency_up = Gauge(
             "sycamorehaven_dependency_up",
             "Whether a dependency responds (1) or not (0).",
--- a/src/sycamorehaven/transport/responses.py
+++ b/src/sycamorehaven/transport/responses.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Literal, Protocol
 
 import aiohttp
 
@@ -29,6 +29,11 @@
 """Exceptions that aiohttp raises when a connection breaks."""
 
 
+BodyFraming = Literal["length", "chunks", "connection"]
+"""What marks the end of a body (RFC 9112 section 6.3): the length in the head,
+the last chunk, or the end of the connection."""
+
+
 class BackendResponse(Protocol):
     """A backend server's response, whose body is yet to be read."""
 
@@ -96,6 +101,15 @@
         """The headers that are passed on to the caller."""
         return filter_response_headers(self._response.headers.items())
 
+    @property
+    def framing(self) -> BodyFraming:
+        """What marks the end of the body."""
+        if "chunked" in self._response.headers.get("Transfer-Encoding", "").lower():
+            return "chunks"
+        if "Content-Length" in self._response.headers:
+            return "length"
+        return "connection"
+
     @property
     def chunk_timeout(self) -> float:
         """Longest time between two chunks of the body, in seconds."""
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -20,6 +20,10 @@
     from tests.support.gateway_harness import GatewayHarness
 
 
+COMPLETE_STREAM = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(1, 6))
+"""All events that a backend server sends in a stream."""
+
+
 async def send_request(
     harness: GatewayHarness,
     path: str,
@@ -50,6 +54,16 @@
     return [run for server in harness.servers for run in server.run_attempt_ids]
 
 
+def record_decisions(harness: GatewayHarness) -> list[tuple[str, dict[str, Any]]]:
+    """Return a list that receives the lines of the decision log."""
+    records: list[tuple[str, dict[str, Any]]] = []
+    assert harness.gateway is not None
+    harness.gateway.decision_log.record = (  # type: ignore[method-assign]
+        lambda event, **fields: records.append((event, fields))
+    )
+    return records
+
+
 async def wait_for_revision(harness: GatewayHarness, revision: int) -> None:
     """Wait until the router has applied a revision of the store."""
     await wait_until(lambda: harness.board.routing.revision >= revision)
@@ -142,12 +156,11 @@
     harness: GatewayHarness,
 ) -> None:
     harness.servers[0].behaviour = "break"
-    complete_body = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(1, 6))
     for number in range(4):
         status, body, _ = await send_request(
             harness, "/stream/1", "POST", attempt=f"a{number}"
         )
-        assert (status, body) == (200, complete_body)
+        assert (status, body) == (200, COMPLETE_STREAM)
     assert harness.servers[0].run_attempt_ids, (
         "no request reached the server that breaks streams"
     )
@@ -166,6 +179,20 @@
         raise AssertionError("a broken stream looked complete to the client")
 
 
+async def test_end_of_stream_is_recorded_with_its_framing(
+    harness: GatewayHarness,
+) -> None:
+    for server in harness.servers:
+        server.framing = "connection"
+    records = record_decisions(harness)
+    status, body, _ = await send_request(harness, "/stream/1", "POST")
+    assert (status, body) == (200, COMPLETE_STREAM)
+    ends = [fields for event, fields in records if event == "stream_ended"]
+    assert [
+        (end["framing"], end["event_id"], end["unfinished_bytes"]) for end in ends
+    ] == [("connection", 5, 0)]
+
+
 async def test_client_disconnect_cancels_request_at_server(
     harness: GatewayHarness,
 ) -> None:
@@ -284,11 +311,7 @@
         "break",
         "hang",
     )
-    records: list[tuple[str, dict[str, Any]]] = []
-    assert harness.gateway is not None
-    harness.gateway.decision_log.record = (  # type: ignore[method-assign]
-        lambda event, **fields: records.append((event, fields))
-    )
+    records = record_decisions(harness)
     is_broken = False
     try:
         await send_request(
--- a/tests/support/gateway_harness.py
+++ b/tests/support/gateway_harness.py
@@ -87,8 +87,12 @@
 
     :ivar behaviour: ``"answer"``, ``"shed"`` (refuse without running),
         ``"lose"`` (run the request, then close the connection without an
-        answer), ``"break"`` (break a stream after two events), ``"drip"``
-        (send an event every 50 ms without end) or ``"hang"``.
+        answer), ``"break"`` (break a stream after two events),
+        ``"end_inside_event"`` (close the connection of a stream in its third
+        event), ``"drip"`` (send an event every 50 ms without end) or
+        ``"hang"``.
+    :ivar framing: ``"chunks"``, or ``"connection"`` to send streams with
+        neither a length nor chunks.
     :ivar behaviour_after_break: the behaviour once a stream was broken;
         unchanged if empty.
     :ivar run_attempt_ids: attempt ids of the requests that were run.
@@ -102,6 +106,7 @@
         self.address = ""
         self.behaviour = "answer"
         self.behaviour_after_break = ""
+        self.framing = "chunks"
         self.run_attempt_ids: list[str] = []
         self.received_headers: list[dict[str, str]] = []
         self.cancelled_count = 0
@@ -141,8 +146,26 @@
         if "stream" not in request.path:
             body = b"by " + self.name.encode()
             return web.Response(status=self.status, headers=headers, body=body)
+        if self.framing == "connection":
+            return self._stream_without_framing(request, headers)
         return await self._stream(request, headers)
 
+    def _stream_without_framing(
+        self, request: BaseRequest, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        """Send a stream that ends with its connection."""
+        transport = request.transport
+        assert transport is not None
+        transport.write(build_unframed_head(headers))
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        for number in range(first, 6):
+            if self.behaviour == "end_inside_event" and number == 3:
+                transport.write(b"id: 3\nda")
+                break
+            transport.write(b"id: %d\ndata: x\n\n" % number)
+        transport.close()
+        return web.Response()
+
     async def _stream(
         self, request: BaseRequest, headers: dict[str, str]
     ) -> web.StreamResponse:
@@ -164,6 +187,16 @@
         return response
 
 
+def build_unframed_head(headers: dict[str, str]) -> bytes:
+    """Return the head of a stream with neither a length nor chunks."""
+    lines = [
+        "HTTP/1.1 200 OK",
+        "Content-Type: text/event-stream",
+        *(f"{name}: {value}" for name, value in headers.items()),
+    ]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
 def build_configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
     """Return a configuration with a route of each type."""
 
