--- a/tests/controllers/test_streams.py
+++ b/tests/controllers/test_streams.py
@@ -188,6 +188,32 @@
         listener.close()
 
 
+async def test_event_stream_closed_inside_an_event_is_not_ended_cleanly(
+    edge: EdgeHarness,
+) -> None:
+    services = {"assistant": COMPLETIONS_PATH, "bookings": "/v1/services/bookings/x"}
+    handler = build_truncating_handler(
+        b"Content-Type: text/event-stream", b"data: 0\n\ndata"
+    )
+    listeners = []
+    for service in services:
+        address = allocate_address()
+        host, _, port = address.rpartition(":")
+        listeners.append(await asyncio.start_server(handler, host, int(port)))
+        edge.add_server(ServerPlan(f"cut-{service}", service, address))
+    await edge.start()
+    for path in services.values():
+        method = "GET" if "bookings" in path else "POST"
+        try:
+            response = await edge.send(method, path, json={"prompt": "q"})
+        except aiohttp.ClientError:
+            continue
+        raise AssertionError(f"a truncated stream looked complete: {response}")
+    assert edge.permits.held_count == 0
+    for listener in listeners:
+        listener.close()
+
+
 async def test_buffer_of_a_slow_caller_is_bounded(edge: EdgeHarness) -> None:
     sent = 0
 
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -179,6 +179,73 @@
         raise AssertionError("a broken stream looked complete to the client")
 
 
+async def check_stream_is_resumed(
+    harness: GatewayHarness, behaviour: str, framing: str
+) -> None:
+    """Check that clients get whole streams though one server breaks them."""
+    harness.servers[0].behaviour = behaviour
+    for server in harness.servers:
+        server.framing = framing
+    for number in range(4):
+        status, body, _ = await send_request(
+            harness, "/stream/1", "POST", attempt=f"a{number}"
+        )
+        assert (status, body) == (200, COMPLETE_STREAM)
+    assert harness.servers[0].run_attempt_ids, (
+        "no request reached the server that breaks streams"
+    )
+
+
+async def check_stream_is_broken(
+    harness: GatewayHarness, behaviour: str, framing: str
+) -> None:
+    """Check that a stream that cannot be resumed does not look complete."""
+    for server in harness.servers:
+        server.behaviour, server.framing = behaviour, framing
+    try:
+        response = await send_request(harness, "/once-stream/1", "POST")
+    except aiohttp.ClientPayloadError:
+        assert list_executed_attempts(harness) == ["a1"]
+    else:
+        raise AssertionError(f"a broken stream looked complete: {response}")
+
+
+async def test_stream_closed_inside_an_event_continues_on_another_server(
+    harness: GatewayHarness,
+) -> None:
+    await check_stream_is_resumed(harness, "end_inside_event", "connection")
+
+
+async def test_chunked_stream_ended_inside_an_event_continues_on_another_server(
+    harness: GatewayHarness,
+) -> None:
+    await check_stream_is_resumed(harness, "end_inside_event", "chunks")
+
+
+async def test_stream_closed_before_its_first_event_starts_on_another_server(
+    harness: GatewayHarness,
+) -> None:
+    await check_stream_is_resumed(harness, "end_at_once", "connection")
+
+
+async def test_stream_of_a_reset_connection_continues_on_another_server(
+    harness: GatewayHarness,
+) -> None:
+    await check_stream_is_resumed(harness, "reset", "connection")
+
+
+async def test_non_resumable_stream_closed_inside_an_event_is_visible_to_client(
+    harness: GatewayHarness,
+) -> None:
+    await check_stream_is_broken(harness, "end_inside_event", "connection")
+
+
+async def test_non_resumable_stream_of_a_reset_connection_is_visible_to_client(
+    harness: GatewayHarness,
+) -> None:
+    await check_stream_is_broken(harness, "reset", "connection")
+
+
 async def test_end_of_stream_is_recorded_with_its_framing(
     harness: GatewayHarness,
 ) -> None:
--- a/tests/support/gateway_harness.py
+++ b/tests/support/gateway_harness.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import base64
+import socket
+import struct
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -88,9 +90,10 @@
     :ivar behaviour: ``"answer"``, ``"shed"`` (refuse without running),
         ``"lose"`` (run the request, then close the connection without an
         answer), ``"break"`` (break a stream after two events),
-        ``"end_inside_event"`` (close the connection of a stream in its third
-        event), ``"drip"`` (send an event every 50 ms without end) or
-        ``"hang"``.
+        ``"end_inside_event"`` (end a stream in its third event),
+        ``"end_at_once"`` (end it before its first event), ``"reset"`` (reset
+        the connection of a stream after two events), ``"drip"`` (send an event
+        every 50 ms without end) or ``"hang"``.
     :ivar framing: ``"chunks"``, or ``"connection"`` to send streams with
         neither a length nor chunks.
     :ivar behaviour_after_break: the behaviour once a stream was broken;
@@ -159,9 +162,14 @@
         transport.write(build_unframed_head(headers))
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first, 6):
+            if self.behaviour == "end_at_once":
+                break
             if self.behaviour == "end_inside_event" and number == 3:
                 transport.write(b"id: 3\nda")
                 break
+            if self.behaviour == "reset" and number == 3:
+                reset_connection(transport)
+                return web.Response()
             transport.write(b"id: %d\ndata: x\n\n" % number)
         transport.close()
         return web.Response()
@@ -180,6 +188,9 @@
                 assert request.transport is not None
                 request.transport.abort()
                 return response
+            if self.behaviour == "end_inside_event" and number == 3:
+                await response.write(b"id: 3\nda")
+                return response
             await response.write(b"id: %d\ndata: x\n\n" % number)
         while self.behaviour == "drip":
             await asyncio.sleep(0.05)
@@ -187,6 +198,13 @@
         return response
 
 
+def reset_connection(transport: asyncio.WriteTransport) -> None:
+    """Close a connection so that its peer receives a reset."""
+    connection = transport.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    transport.abort()
+
+
 def build_unframed_head(headers: dict[str, str]) -> bytes:
     """Return the head of a stream with neither a length nor chunks."""
     lines = [
