Take a stream that ends inside an event for broken off

Cause: a backend server's stream may have neither a length nor chunks and end with its connection. A server that crashes closes the connection inside an event; the router took each end of the body for the end of the answer, passed the incomplete event on and wrote the last chunk of its own answer.

An incomplete event is the one sign of such an end. The end of the body is now checked for it, whatever its framing: a resumable stream goes on at another server after its last whole event, another one is aborted, and before the first event the request is sent elsewhere or refused.

--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -12,6 +12,7 @@
     create_failure_refusal,
     create_timeout_refusal,
 )
+from sycamorehaven.controllers.stream_ends import check_stream_end
 from sycamorehaven.decisions.event_stream import EventSplitter
 from sycamorehaven.decisions.retry_policy import (
     AttemptHistory,
@@ -153,6 +154,10 @@
             except BackendError as error:
                 self._handle_failure(error)
                 continue
+            if not first_events:
+                self._record_answer(failed=False)
+                rest = yield_body(self._splitter.flush())
+                return self._create_stream_answer(answer, rest)
             return self._create_stream_answer(answer, self._relay_events(first_events))
 
     def _create_stream_answer(
@@ -162,6 +167,11 @@
         return Answer(answer.status, answer.headers, RoutedBody(self, chunks))
 
     async def _read_first_events(self, answer: RoutedBackendResponse) -> bytes:
+        """
+        Return the first events, or nothing if the stream has none.
+
+        :raises BackendError: if the stream is broken off before.
+        """
         chunks = answer.body.read_chunks()
         async for chunk in chunks:
             if self._reservation is not None:
@@ -169,7 +179,8 @@
             events = self._splitter.feed(chunk)
             if events.data:
                 return self._record_events(events.data)
-        return self._splitter.flush()
+        self._check_stream_end()
+        return b""
 
     async def _relay_body(self) -> AsyncGenerator[bytes, None]:
         """
@@ -186,28 +197,31 @@
 
         A broken stream is resumed on another server if the route allows it.
         """
-        if first_events:
-            yield first_events
+        yield first_events
         while True:
             try:
                 async for chunk in self._read_until_deadline():
                     events = self._splitter.feed(chunk)
                     if events.data:
                         yield self._record_events(events.data)
+                self._check_stream_end()
             except BackendError as error:
                 await self._resume_stream(error)
                 continue
             break
-        self._record_stream_end()
         if rest := self._splitter.flush():
             yield rest
         self._record_answer(failed=False)
 
-    def _record_stream_end(self) -> None:
-        """Record how a stream ended that was not broken off."""
+    def _check_stream_end(self) -> None:
+        """
+        Record how the server ended the stream.
+
+        :raises BackendError: if the stream was broken off.
+        """
         assert self._answer is not None
         framing, unfinished = self._answer.body.framing, self._splitter.buffered_bytes
-        position = "inside_event" if unfinished else "after_event"
+        position = "inside_event" if self._splitter.is_inside_event else "after_event"
         self._context.metrics.stream_ends.labels(framing, position).inc()
         self._context.decision_log.record(
             "stream_ended",
@@ -217,6 +231,7 @@
             event_id=self._last_event_id,
             unfinished_bytes=unfinished,
         )
+        check_stream_end(self._splitter, framing)
 
     async def _read_until_deadline(self) -> AsyncGenerator[bytes, None]:
         """Yield the chunks of the current answer until the deadline."""
--- a/src/sycamorehaven/decisions/event_stream.py
+++ b/src/sycamorehaven/decisions/event_stream.py
@@ -34,6 +34,7 @@
         self._partial = b""
         self._delivered_events = 0
         self._is_resumable = True
+        self._has_passed_part = False
 
     @property
     def delivered_events(self) -> int:
@@ -45,6 +46,11 @@
         """Number of buffered bytes of an incomplete event."""
         return len(self._partial)
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun and is not complete."""
+        return self._has_passed_part or bool(self._partial.strip(b"\r\n"))
+
     @property
     def is_resumable(self) -> bool:
         """Whether only whole events have been passed on so far."""
@@ -57,8 +63,11 @@
         while (delimiter_at := data.find(EVENT_DELIMITER, end)) >= 0:
             end = delimiter_at + len(EVENT_DELIMITER)
             event_count += 1
+        if event_count:
+            self._has_passed_part = False
         if len(data) - end > MAX_EVENT_BYTES:
             self._is_resumable = False
+            self._has_passed_part = True
             end = len(data)
         self._partial = data[end:]
         self._delivered_events += event_count
--- a/tests/decisions/test_event_stream.py
+++ b/tests/decisions/test_event_stream.py
@@ -40,3 +40,21 @@
         splitter.feed(b"x" * 65_536)
         assert splitter.buffered_bytes <= MAX_EVENT_BYTES
     assert not splitter.is_resumable
+
+
+def test_part_of_an_endless_event_that_was_passed_on_is_an_incomplete_event() -> None:
+    splitter = EventSplitter()
+    assert not splitter.is_inside_event
+    splitter.feed(b"x" * (MAX_EVENT_BYTES + 1))
+    assert splitter.buffered_bytes == 0
+    assert splitter.is_inside_event
+    splitter.feed(b"x\n\n")
+    assert not splitter.is_inside_event
+
+
+def test_blank_lines_after_the_last_event_are_no_incomplete_event() -> None:
+    splitter = EventSplitter()
+    splitter.feed(b"data: x\n\n\n")
+    assert not splitter.is_inside_event
+    splitter.feed(b"data")
+    assert splitter.is_inside_event
