Take a stream without events that ends with its connection for broken off

A client got a 200 with the signature and an empty body when a server closed the connection between the head and the first event of a stream without a length or chunks. Nothing in the bytes tells this end from a crash, and a stream that runs has an event at least. Such an end counts as a lost server; the request goes to another one while the client has no head, and a resumption is tried again.

--- a/src/sycamorehaven/controllers/stream_ends.py
+++ b/src/sycamorehaven/controllers/stream_ends.py
@@ -17,9 +17,12 @@
 
     :param splitter: has received the whole body.
     :param framing: what marked the end of the body.
-    :raises ServerLost: if the connection ended inside an event.
+    :raises ServerLost: if the connection ended inside an event or before the
+        first one.
     :raises AnswerInvalid: if the server ended the body inside an event.
     """
+    if framing == "connection" and not splitter.has_events:
+        raise ServerLost("the stream ended before an event", was_sent=True)
     if not splitter.is_inside_event:
         return
     detail = "the stream ended inside an event"
--- a/src/sycamorehaven/decisions/event_stream.py
+++ b/src/sycamorehaven/decisions/event_stream.py
@@ -35,6 +35,7 @@
         self._delivered_events = 0
         self._is_resumable = True
         self._has_passed_part = False
+        self._has_events = False
 
     @property
     def delivered_events(self) -> int:
@@ -51,6 +52,11 @@
         """Whether an event has begun and is not complete."""
         return self._has_passed_part or bool(self._partial.strip(b"\r\n"))
 
+    @property
+    def has_events(self) -> bool:
+        """Whether a whole event came since the stream began or was resumed."""
+        return self._has_events
+
     @property
     def is_resumable(self) -> bool:
         """Whether only whole events have been passed on so far."""
@@ -64,6 +70,7 @@
             end = delimiter_at + len(EVENT_DELIMITER)
             event_count += 1
         if event_count:
+            self._has_events = True
             self._has_passed_part = False
         if len(data) - end > MAX_EVENT_BYTES:
             self._is_resumable = False
@@ -81,3 +88,4 @@
     def discard_partial(self) -> None:
         """Discard an incomplete event, which a resumed stream repeats."""
         self._partial = b""
+        self._has_events = False
