Discard the part of a first event before another server starts the stream

When a stream broke off inside its first event, the router started it at another server but kept the incomplete event, so the client got pieces of two runs joined in one event: `id: 1` / `daid: 1` / `data: x`. Found while looking for other ways in which an answer can end. A resumption discards the incomplete event; the retry of a start now does the same.

Measured: the new test failed before with the joined event and passes.

--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -152,6 +152,7 @@
             try:
                 first_events = await self._read_first_events(answer)
             except BackendError as error:
+                self._splitter.discard_partial()
                 self._handle_failure(error)
                 continue
             if not first_events:
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -222,6 +222,12 @@
     await check_stream_is_resumed(harness, "end_inside_event", "chunks")
 
 
+async def test_events_of_two_servers_are_not_joined_after_a_break_in_the_first_event(
+    harness: GatewayHarness,
+) -> None:
+    await check_stream_is_resumed(harness, "break_first_event", "chunks")
+
+
 async def test_stream_closed_before_its_first_event_starts_on_another_server(
     harness: GatewayHarness,
 ) -> None:
--- a/tests/support/gateway_harness.py
+++ b/tests/support/gateway_harness.py
@@ -90,6 +90,7 @@
     :ivar behaviour: ``"answer"``, ``"shed"`` (refuse without running),
         ``"lose"`` (run the request, then close the connection without an
         answer), ``"break"`` (break a stream after two events),
+        ``"break_first_event"`` (break it in its first event),
         ``"end_inside_event"`` (end a stream in its third event),
         ``"end_at_once"`` (end it before its first event), ``"reset"`` (reset
         the connection of a stream after two events), ``"drip"`` (send an event
@@ -182,8 +183,9 @@
         await response.prepare(request)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first, 6):
-            if self.behaviour == "break" and number == 3:
-                await response.write(b"id: 3\nda")
+            broken_event = {"break": 3, "break_first_event": 1}.get(self.behaviour)
+            if number == broken_event:
+                await response.write(b"id: %d\nda" % number)
                 self.behaviour = self.behaviour_after_break or self.behaviour
                 assert request.transport is not None
                 request.transport.abort()
