Do not end a caller's event stream that its server ended inside an event

The check of a stream's end now serves both: a resumable stream goes on elsewhere, another one is aborted.

--- a/src/sycamorehaven/controllers/streams.py
+++ b/src/sycamorehaven/controllers/streams.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from sycamorehaven.controllers.stream_ends import check_stream_end
 from sycamorehaven.decisions.event_stream import EventSplitter
 from sycamorehaven.exceptions.backends import AnswerInvalid, BackendError
 
@@ -99,13 +100,15 @@
 
     :raises BackendError: if the answer breaks off.
     """
-    is_event_stream_answer = is_event_stream(answer.headers)
+    splitter = EventSplitter() if is_event_stream(answer.headers) else None
     try:
         async for chunk in answer.read_chunks():
-            execution.charge_output(
-                count_tokens(chunk), 0 if is_event_stream_answer else len(chunk)
-            )
+            execution.charge_output(count_tokens(chunk), 0 if splitter else len(chunk))
+            if splitter:
+                splitter.feed(chunk)
             yield chunk
+        if splitter:
+            check_stream_end(splitter, answer.framing)
     except BackendError as error:
         execution.record_broken_answer(error)
         raise
@@ -130,6 +133,7 @@
                 execution.charge_output(count_tokens(data), 0)
                 if data:
                     yield data
+            check_stream_end(splitter, answer.framing)
             if rest := splitter.flush():
                 yield rest
             execution.finish()
--- a/src/sycamorehaven/transport/responses.py
+++ b/src/sycamorehaven/transport/responses.py
@@ -47,6 +47,11 @@
         """The headers that are passed on to the caller."""
         ...
 
+    @property
+    def framing(self) -> BodyFraming:
+        """What marks the end of the body."""
+        ...
+
     def read_chunks(self) -> AsyncIterator[bytes]:
         """
         Yield the chunks of the body as they arrive.
