Reset the connection of an HTTP/1.0 client whose answer breaks off

An answer to an HTTP/1.0 client has no chunks, so it ends with its connection. Aborting the transport closed it as at the end of a whole answer: the client got the first two events and a clean end. The connection is now reset, which is what tells a broken answer from a whole one there.

--- a/src/sycamorehaven/transport/caller_listener.py
+++ b/src/sycamorehaven/transport/caller_listener.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import secrets
+import socket
 import ssl
+import struct
 import time
 from typing import TYPE_CHECKING, Protocol
 
 from absl import logging
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from mode import Service
 from opentelemetry import propagate, trace
 
@@ -49,6 +51,8 @@
 """Seconds in which open requests may finish once the listener has closed."""
 CLOSING_GRACE_SECONDS = 0.3
 """Seconds in which requests on the connections accepted last are answered."""
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""``SO_LINGER`` option by which closing a connection resets it."""
 IDEMPOTENCY_TOKEN_HEADER = "Idempotency-Token"
 """Header with the token of a call that must run at most once."""
 
@@ -250,6 +254,16 @@
 
 
 def abort_connection(request: web.BaseRequest) -> None:
-    """Abort a connection, so that the client sees a truncated response."""
-    if request.transport is not None:
-        request.transport.abort()
+    """
+    Abort a connection, so that the client sees a truncated response.
+
+    An answer to an HTTP/1.0 client ends with its connection, so that only a
+    reset shows that it is not complete.
+    """
+    if request.transport is None:
+        return
+    if request.version < HttpVersion11:
+        request.transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+        )
+    request.transport.abort()
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -252,6 +252,29 @@
     await check_stream_is_broken(harness, "reset", "connection")
 
 
+async def test_broken_stream_resets_connection_of_http_1_0_client(
+    harness: GatewayHarness,
+) -> None:
+    for server in harness.servers:
+        server.behaviour = "break"
+    host, _, port = harness.callers_address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    head = [
+        "POST /once-stream/1 HTTP/1.0",
+        f"Host: {ROUTE_HOST}",
+        f"Sycamorehaven-Key: {API_KEY}",
+        "Sycamorehaven-Attempt-Id: a1",
+    ]
+    writer.write("\r\n".join([*head, "", ""]).encode())
+    try:
+        answer = await reader.read()
+    except ConnectionResetError:
+        return
+    finally:
+        writer.close()
+    raise AssertionError(f"a broken stream looked complete: {answer!r}")
+
+
 async def test_end_of_stream_is_recorded_with_its_framing(
     harness: GatewayHarness,
 ) -> None:
