Bound the memory of answers whose body never ends

A backend server in trouble may send bytes that are no answer without end, in the head or in the body. What exceeds 1 MiB is now passed on as it arrives and broken off at the deadline; up to that size another attempt can still replace an answer.

Heads without end were bounded already: by the parser's limits of lines and headers and by the timeout of the head. The tests keep it so, for bytes that are no head, a line, headers, interim heads, chunk sizes and trailers without end.

--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -44,6 +44,9 @@
 
 EVENT_ID_PATTERN = re.compile(rb"^id: ?(\d+)", re.MULTILINE)
 """Matches the numeric ``id`` field of a server-sent event."""
+MAX_BUFFERED_ANSWER_BYTES = 1_048_576
+"""Size up to which an answer is read before it is passed on, so that another
+attempt can replace one that breaks off."""
 QUARANTINE_RETRY_SECONDS = 30.0
 """``Retry-After`` of a request that is refused because it crashed servers."""
 
@@ -109,21 +112,40 @@
                 self.close()
 
     async def _fetch_whole_answer(self) -> Answer:
-        """Return an answer whose body has been read completely."""
+        """
+        Return an answer whose body has been read completely.
+
+        A body that is too large for that is relayed as it arrives.
+        """
         while True:
             answer = await self._send_until_answered()
             try:
-                body = b"".join([chunk async for chunk in answer.body.read_chunks()])
+                body = await self._read_body(answer)
             except BackendError as error:
                 self._handle_failure(error)
                 continue
             self._record_answer(failed=answer.status >= 500)
+            if len(body) > MAX_BUFFERED_ANSWER_BYTES:
+                return self._create_stream_answer(answer, self._relay_body(body))
             chunks = RoutedBody(self, yield_body(body))
             complete_answer = Answer(answer.status, answer.headers, chunks)
             if answer.status < 500 or not self._try_prepare_retry():
                 return complete_answer
             self._error_answer = complete_answer
 
+    async def _read_body(self, answer: RoutedBackendResponse) -> bytes:
+        """
+        Return a whole body, or the beginning of one that is too large.
+
+        :raises BackendError: if the body breaks off.
+        """
+        body = bytearray()
+        async for chunk in answer.body.read_chunks():
+            body += chunk
+            if len(body) > MAX_BUFFERED_ANSWER_BYTES:
+                break
+        return bytes(body)
+
     def _try_prepare_retry(self) -> bool:
         """
         Prepare another attempt after a server answered with an error status.
@@ -183,12 +205,15 @@
         self._check_stream_end()
         return b""
 
-    async def _relay_body(self) -> AsyncGenerator[bytes, None]:
+    async def _relay_body(self, beginning: bytes = b"") -> AsyncGenerator[bytes, None]:
         """
         Yield a body as it arrives, without resuming it.
 
+        :param beginning: what has been read of the body.
         :raises BackendError: if the body breaks off.
         """
+        if beginning:
+            yield beginning
         async for chunk in self._read_until_deadline():
             yield chunk
 
