Continue a stream elsewhere when one of its events has no end

Such an event is no answer: the attempt ends, and the stream goes on after its last whole event at another server, or is aborted.

--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -13,7 +13,7 @@
     create_timeout_refusal,
 )
 from sycamorehaven.controllers.stream_ends import check_stream_end
-from sycamorehaven.decisions.event_stream import EventSplitter
+from sycamorehaven.decisions.event_stream import MAX_EVENT_BYTES, EventSplitter
 from sycamorehaven.decisions.retry_policy import (
     AttemptHistory,
     compute_idle_timeouts,
@@ -174,7 +174,7 @@
             try:
                 first_events = await self._read_first_events(answer)
             except BackendError as error:
-                self._splitter.discard_partial()
+                self._splitter = EventSplitter()
                 self._handle_failure(error)
                 continue
             if not first_events:
@@ -199,9 +199,8 @@
         async for chunk in chunks:
             if self._reservation is not None:
                 self._reservation.record_first_token(self._context.clock())
-            events = self._splitter.feed(chunk)
-            if events.data:
-                return self._record_events(events.data)
+            if events := self._split_events(chunk):
+                return self._record_events(events)
         self._check_stream_end()
         return b""
 
@@ -227,9 +226,8 @@
         while True:
             try:
                 async for chunk in self._read_until_deadline():
-                    events = self._splitter.feed(chunk)
-                    if events.data:
-                        yield self._record_events(events.data)
+                    if events := self._split_events(chunk):
+                        yield self._record_events(events)
                 self._check_stream_end()
             except BackendError as error:
                 await self._resume_stream(error)
@@ -239,6 +237,19 @@
             yield rest
         self._record_answer(failed=False)
 
+    def _split_events(self, chunk: bytes) -> bytes:
+        """
+        Return the events that are complete with a further chunk.
+
+        :raises AnswerInvalid: if an event is too large to be buffered.
+        """
+        events = self._splitter.feed(chunk)
+        if not self._splitter.is_resumable:
+            raise AnswerInvalid(
+                f"an event exceeds {MAX_EVENT_BYTES} bytes", was_sent=True
+            )
+        return events.data
+
     def _check_stream_end(self) -> None:
         """
         Record how the server ended the stream.
@@ -294,7 +305,7 @@
 
         :raises Refusal: if the stream cannot be continued.
         """
-        self._splitter.discard_partial()
+        self._splitter = EventSplitter()
         self._last_event_at = 0.0
         while True:
             self._handle_failure(error)
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -15,6 +15,11 @@
 
 import aiohttp
 
+from tests.platform.test_gateway import (
+    COMPLETE_STREAM,
+    send_request,
+    wait_for_revision,
+)
 from tests.support.fleet import allocate_port
 from tests.support.gateway_harness import (
     API_KEY,
@@ -76,6 +81,19 @@
             await asyncio.sleep(self._pause)
 
 
+async def start_endless_server(
+    harness: GatewayHarness, server: EndlessServer
+) -> asyncio.Server:
+    """Start a server and register it in place of the harness's first one."""
+    port = allocate_port()
+    listener = await asyncio.start_server(server.handle, "127.0.0.1", port)
+    replaced = harness.servers[0]
+    replaced.address = f"127.0.0.1:{port}"
+    harness.register(replaced)
+    await wait_for_revision(harness, harness.store.revision)
+    return listener
+
+
 async def request_and_discard(harness: GatewayHarness, path: str) -> int:
     """Return the status of an answer, or 0 if it breaks off."""
     headers = {
@@ -99,13 +117,8 @@
     harness: GatewayHarness, server: EndlessServer, path: str
 ) -> None:
     """Check that a request to a server without end gets an end."""
-    port = allocate_port()
-    listener = await asyncio.start_server(server.handle, "127.0.0.1", port)
-    endless = harness.servers[0]
-    endless.address = f"127.0.0.1:{port}"
     harness.store.remove("servers/s2")
-    harness.register(endless)
-    await wait_until(lambda: harness.board.routing.revision >= harness.store.revision)
+    listener = await start_endless_server(harness, server)
     tracemalloc.start()
     started_at = time.monotonic()
     try:
@@ -194,6 +207,21 @@
     await check_answer_is_bounded(harness, server, "/stream/1")
 
 
+async def test_event_without_end_is_replaced_by_another_server(
+    harness: GatewayHarness,
+) -> None:
+    head = build_unframed_head(SIGNED_HEADERS) + b"id: 1\ndata: x\n\n"
+    server = EndlessServer(head, b"x" * 65_536)
+    listener = await start_endless_server(harness, server)
+    try:
+        for _ in range(4):
+            status, body, _ = await send_request(harness, "/stream/1", "POST")
+            assert (status, body) == (200, COMPLETE_STREAM)
+    finally:
+        listener.close()
+    assert server.requests, "no request reached the server"
+
+
 async def test_events_without_end(harness: GatewayHarness) -> None:
     head = build_unframed_head(SIGNED_HEADERS)
     server = EndlessServer(head, b"id: 1\ndata: x\n\n" * 4_096)
