Record the software version of servers and what a taken-up stream resumes

The log named the servers of a stream but neither their version nor, when a client takes a stream up at another router, the attempt that began it, so a resumption within one answer and one by the client could not be told apart.

`server_joined` and `stream_resumed` tell the version, `stream_taken_up` what a client resumes. The adapter decodes `version` of a server's entry and `Resumes`. No decision uses them yet. Measured: lint and types only.

--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -164,6 +164,14 @@
 
     async def _start_stream(self) -> Answer:
         """Return a stream whose first event has been received."""
+        head = self._request.head
+        if head.last_event_id is not None:
+            self._context.decision_log.record(
+                "stream_taken_up",
+                request=head.attempt_id,
+                resumes=head.resumed_attempt_id,
+                event_id=head.last_event_id,
+            )
         while True:
             answer = await self._send_until_answered()
             if answer.status >= 300:
@@ -317,10 +325,12 @@
                     "the stream could not be resumed before the deadline", was_run="yes"
                 ) from None
             if answer.status == 200:
+                server = self._reservation.server if self._reservation else None
                 self._context.decision_log.record(
                     "stream_resumed",
                     request=self._request.head.attempt_id,
-                    server=self._reservation.server.id if self._reservation else "",
+                    server=server.id if server else "",
+                    version=server.software_version if server else "",
                     event_id=self._last_event_id,
                 )
                 return
--- a/src/sycamorehaven/controllers/routing_snapshots.py
+++ b/src/sycamorehaven/controllers/routing_snapshots.py
@@ -167,6 +167,7 @@
                     server=server.id,
                     address=server.address,
                     service=server.service,
+                    version=server.software_version,
                     revision=snapshot.revision,
                     origin=origin,
                     age=round(age, 3),
--- a/src/sycamorehaven/platform/decoding.py
+++ b/src/sycamorehaven/platform/decoding.py
@@ -117,6 +117,7 @@
         failure_domain=wire.zone,
         slots=max(wire.slots, 1),
         draining=wire.state == "draining",
+        software_version=wire.version,
     )
 
 
--- a/src/sycamorehaven/platform/documents.py
+++ b/src/sycamorehaven/platform/documents.py
@@ -93,6 +93,8 @@
     zone: str
     slots: int
     state: str
+    # Of the server's software; the versions of weights stand elsewhere.
+    version: str = ""
     # When the process started, in Unix milliseconds; distinguishes two
     # processes with the same id.
     born: int = 0
--- a/src/sycamorehaven/platform/header_codec.py
+++ b/src/sycamorehaven/platform/header_codec.py
@@ -36,6 +36,8 @@
 """Keys and lengths of all parts of the prompt, not a single hash."""
 LAST_EVENT_ID_HEADER = "Last-Event-Id"
 """Id of the last event received of a stream that is being resumed."""
+RESUMED_ATTEMPT_HEADER = "Resumes"
+"""Id of the attempt that brought the first event of a resumed stream."""
 EXPECTED_SERVER_HEADER = "Sycamorehaven-Expect-Instance"
 """Id of the backend server that the request is meant for."""
 WORKSPACE_HEADER = "Sycamorehaven-Tenant"
@@ -90,6 +92,7 @@
                 prompt_tokens=prompt,
                 output_tokens=output,
                 last_event_id=int(last_event_id) if last_event_id else None,
+                resumed_attempt_id=values.get(RESUMED_ATTEMPT_HEADER, ""),
             )
         except ValueError as error:
             raise BadRequest(f"a header of the request is malformed: {error}") from None
--- a/src/sycamorehaven/routing/model.py
+++ b/src/sycamorehaven/routing/model.py
@@ -149,6 +149,8 @@
     :ivar failure_domain: failure domain of its host.
     :ivar slots: number of requests that it processes concurrently.
     :ivar draining: whether it accepts no new work.
+    :ivar software_version: version of its software, not of its weights; "" if
+        unknown.
     """
 
     id: str
@@ -158,6 +160,7 @@
     failure_domain: str
     slots: int
     draining: bool
+    software_version: str = ""
 
     @property
     def incarnation_id(self) -> str:
--- a/src/sycamorehaven/routing/requests.py
+++ b/src/sycamorehaven/routing/requests.py
@@ -38,6 +38,8 @@
     :ivar output_tokens: expected length of the output, in tokens.
     :ivar last_event_id: id of the last event that the client has received;
         ``None`` if the request does not resume a stream.
+    :ivar resumed_attempt_id: id of the client's attempt that brought the first
+        event of the stream that the request resumes, or "".
     """
 
     attempt_id: str
@@ -48,6 +50,7 @@
     prompt_tokens: int
     output_tokens: int
     last_event_id: int | None
+    resumed_attempt_id: str = ""
 
 
 class RoutedRequest(NamedTuple):
