--- a/tests/failures/test_gateways.py
+++ b/tests/failures/test_gateways.py
@@ -10,7 +10,13 @@
 import aiohttp
 
 from sycamorehaven.decisions.strikes import MAX_STRIKES
-from tests.soak.backend import CRASH_PATH, STREAM_EVENT_COUNT, build_body, build_event
+from tests.soak.backend import (
+    CRASH_PATH,
+    EVENT_INTERVAL_SECONDS,
+    STREAM_EVENT_COUNT,
+    build_body,
+    build_event,
+)
 from tests.soak.fleet import ROUTER_HOSTS, SERVICE_BY_SERVER, SHUTDOWN_GRACE_SECONDS
 from tests.soak.invariants import CONFIGURATION_SECONDS
 from tests.support.fleet import wait_for
@@ -21,13 +27,20 @@
 
 RESTART_DETECTION_SECONDS = 1.5
 """Seconds within which routers learn that a server has restarted."""
+TAKEN_UP_STREAMS = 12
+"""Number of streams that clients take up after their router was killed."""
 PLAIN_SERVERS = [
     name for name, service in SERVICE_BY_SERVER.items() if service == "plain"
 ]
 
 
 async def send_request(
-    fleet: SoakFleet, router: str, path: str, attempt: str, method: str = "GET"
+    fleet: SoakFleet,
+    router: str,
+    path: str,
+    attempt: str,
+    method: str = "GET",
+    extra_headers: dict[str, str] | None = None,
 ) -> tuple[int, bytes]:
     """Send a request; return status and body, or 0 and b"" if it failed."""
     headers = {
@@ -35,6 +48,7 @@
         "Sycamorehaven-Attempt-Id": attempt,
         "Sycamorehaven-Key": fleet.get_newest_key(),
         "Sycamorehaven-Deadline-Ms": "3000",
+        **(extra_headers or {}),
     }
     url = f"http://{fleet.caller_proxies[router].address}{path}"
     try:
@@ -97,6 +111,54 @@
     assert soak_fleet.list_log_events(host, "stopped")[0]["cut"] == 0
 
 
+async def test_streams_of_a_killed_router_go_on_at_their_software_version(
+    soak_fleet: SoakFleet,
+) -> None:
+    soak_fleet.versions["e2"] = "v2"
+    soak_fleet.register("e2")
+    killed, *others = ROUTER_HOSTS
+    # All routers have read the entry by then, and know each other.
+    await asyncio.sleep(2.0)
+    streams = [
+        asyncio.create_task(
+            send_request(soak_fleet, killed, "/stream/s", f"s{number}", "POST")
+        )
+        for number in range(TAKEN_UP_STREAMS)
+    ]
+
+    def map_servers() -> dict[str, str]:
+        return {run.attempt: run.server for run in soak_fleet.collect_record().runs}
+
+    async def have_begun() -> bool:
+        return len(map_servers()) == TAKEN_UP_STREAMS
+
+    await wait_for(have_begun)
+    await asyncio.sleep(3 * EVENT_INTERVAL_SECONDS)
+    await soak_fleet.terminate(killed, signal.SIGKILL)
+    assert await asyncio.gather(*streams) == [(0, b"")] * TAKEN_UP_STREAMS
+    answers = await asyncio.gather(
+        *(
+            send_request(
+                soak_fleet,
+                others[number % 2],
+                "/stream/s",
+                f"t{number}",
+                "POST",
+                {"Last-Event-Id": "0", "Resumes": f"s{number}"},
+            )
+            for number in range(TAKEN_UP_STREAMS)
+        )
+    )
+    assert [status for status, _ in answers] == [200] * TAKEN_UP_STREAMS
+    servers = map_servers()
+    assert {servers[f"s{number}"] for number in range(TAKEN_UP_STREAMS)} == {
+        "e1",
+        "e2",
+    }
+    for number in range(TAKEN_UP_STREAMS):
+        assert servers[f"t{number}"] == servers[f"s{number}"], number
+
+
 async def test_router_without_the_store_follows_its_peers(
     soak_fleet: SoakFleet,
 ) -> None:
--- /dev/null
+++ b/tests/platform/test_stream_versions.py
@@ -0,0 +1,123 @@
+"""A stream goes on only at servers of the software version that began it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from tests.platform.test_gateway import COMPLETE_STREAM, send_request
+
+if TYPE_CHECKING:
+    from tests.support.gateway_harness import FakeServer, GatewayHarness
+
+STREAM_COUNT = 8
+
+
+async def set_version(
+    harness: GatewayHarness, server: FakeServer, version: str
+) -> None:
+    """Change the version of a server and wait until the router knows it."""
+    server.version = version
+    harness.register(server)
+    await harness.wait_for_store()
+
+
+async def start_stream(harness: GatewayHarness, attempt: str) -> bool:
+    """Request a stream; return whether it was broken off."""
+    try:
+        status, body, _ = await send_request(
+            harness, "/stream/1", "POST", attempt=attempt
+        )
+    except aiohttp.ClientPayloadError:
+        return True
+    assert (status, body) == (200, COMPLETE_STREAM)
+    return False
+
+
+async def take_up_stream(
+    harness: GatewayHarness, attempt: str, first_attempt: str
+) -> tuple[int, bytes]:
+    """Ask for the rest of a stream after its second event."""
+    resumption = {"Last-Event-Id": "2", "Resumes": first_attempt}
+    status, body, _ = await send_request(
+        harness, "/stream/1", "POST", attempt=attempt, **resumption
+    )
+    return status, body
+
+
+def list_resumed(server: FakeServer) -> list[str]:
+    """Return the attempts that asked a server to go on with a stream."""
+    return [
+        headers["Sycamorehaven-Attempt-Id"]
+        for headers in server.received_headers
+        if "Last-Event-Id" in headers
+    ]
+
+
+async def test_broken_stream_does_not_go_on_at_another_software_version(
+    harness: GatewayHarness,
+) -> None:
+    breaking, other = harness.servers
+    breaking.behaviour = "break"
+    await set_version(harness, other, "v2")
+    broken = [
+        await start_stream(harness, f"a{number}") for number in range(STREAM_COUNT)
+    ]
+    assert not list_resumed(other)
+    assert any(broken), "no request reached the server that breaks streams"
+
+
+async def test_broken_stream_goes_on_at_its_software_version(
+    harness: GatewayHarness,
+) -> None:
+    breaking, other = harness.servers
+    breaking.behaviour = "break"
+    await set_version(harness, other, "v2")
+    same = await harness.add_server("s3", "v1")
+    broken = [
+        await start_stream(harness, f"a{number}") for number in range(STREAM_COUNT)
+    ]
+    assert not any(broken)
+    assert list_resumed(same)
+    assert not list_resumed(other)
+
+
+async def test_taken_up_stream_goes_on_at_its_software_version(
+    harness: GatewayHarness,
+) -> None:
+    breaking, other = harness.servers
+    breaking.behaviour = "break"
+    await set_version(harness, other, "v2")
+    broken = [
+        attempt
+        for number in range(STREAM_COUNT)
+        if await start_stream(harness, attempt := f"a{number}")
+    ]
+    assert not list_resumed(other)
+    assert broken, "no request reached the server that breaks streams"
+    same = await harness.add_server("s3", "v1")
+    harness.store.remove("servers/s1")
+    await harness.wait_for_store()
+    rest = COMPLETE_STREAM[COMPLETE_STREAM.index(b"id: 3") :]
+    for attempt in broken:
+        assert await take_up_stream(harness, f"b{attempt}", attempt) == (200, rest)
+    assert list_resumed(same) == [f"b{attempt}" for attempt in broken]
+    assert not list_resumed(other)
+
+
+async def test_stream_of_unknown_origin_is_refused_while_two_versions_serve(
+    harness: GatewayHarness,
+) -> None:
+    await set_version(harness, harness.servers[1], "v2")
+    for number in range(STREAM_COUNT):
+        status, _ = await take_up_stream(harness, f"b{number}", "unknown")
+        assert status == 503
+    assert not any(list_resumed(server) for server in harness.servers)
+
+
+async def test_stream_of_unknown_origin_goes_on_while_one_version_serves(
+    harness: GatewayHarness,
+) -> None:
+    status, _ = await take_up_stream(harness, "b", "unknown")
+    assert status == 200
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -84,6 +84,7 @@
     :ivar server_proxies: proxy between the routers and each backend server.
     :ivar disturbances: faults that were injected, changes by the operator and
         stalls of the soak itself.
+    :ivar versions: software version of each backend server.
     :ivar server_generation: number of server starts, which the entry of a
         server holds to tell its processes apart.
     """
@@ -104,6 +105,7 @@
         self._exit_watchers: list[asyncio.Task[None]] = []
         self._runner: web.ServerRunner | None = None
         self._version = 0
+        self.versions = dict.fromkeys(SERVICE_BY_SERVER, "v1")
         self.server_generation = 0
 
     @property
@@ -174,6 +176,7 @@
             "zone": "north",
             "slots": 12,
             "state": state,
+            "version": self.versions[name],
             "born": self.server_generation,
         }
         self.store.put(f"servers/{name}", entry)
--- a/tests/support/gateway_harness.py
+++ b/tests/support/gateway_harness.py
@@ -99,6 +99,7 @@
         neither a length nor chunks.
     :ivar behaviour_after_break: the behaviour once a stream was broken;
         unchanged if empty.
+    :ivar version: version of the server's software.
     :ivar run_attempt_ids: attempt ids of the requests that were run.
     :ivar received_headers: headers of all requests, in order of arrival.
     :ivar cancelled_count: number of hanging requests that were cancelled.
@@ -111,6 +112,7 @@
         self.behaviour = "answer"
         self.behaviour_after_break = ""
         self.framing = "chunks"
+        self.version = "v1"
         self.run_attempt_ids: list[str] = []
         self.received_headers: list[dict[str, str]] = []
         self.cancelled_count = 0
@@ -124,6 +126,7 @@
             "zone": "north",
             "slots": 8,
             "state": state,
+            "version": self.version,
             "born": 1,
         }
 
@@ -270,6 +273,20 @@
         """Write the entry of a server to the store."""
         self.store.put(f"servers/{server.name}", server.build_entry(state))
 
+    async def add_server(self, name: str, version: str) -> FakeServer:
+        """Start and register another server; return it once it is known."""
+        server = FakeServer(name, "plain")
+        server.version = version
+        server.address = await self._listen(server)
+        self.servers.append(server)
+        self.register(server)
+        await self.wait_for_store()
+        return server
+
+    async def wait_for_store(self) -> None:
+        """Wait until the gateway has read all changes of the store."""
+        await wait_until(lambda: self.board.routing.revision >= self.store.revision)
+
     async def start(self) -> None:
         """Start everything and wait until the gateway has read the store."""
         self.store.address = await self._listen(self.store)
