Continue a stream only at the software version that began it

Cause: routers did not know versions at all. A stream that broke off went on at any server of its service, within an answer; and a client that took it up at another router got any server, since only the first router knew who had begun it.

The first event binds a stream to the service and version of its server, and only such servers are candidates for the rest. While several versions serve, the router tells two others before it passes the first event on, one in its own failure domain and one in another; who they are follows from the attempt id, so that any router can ask them. Nothing is written to shared state. An origin that nobody knows is refused with `stream_origin_unknown` while several versions serve, else the stream goes on. A stream of a route that is split between services stays at its service.

--- a/src/sycamorehaven/blackboard/routing.py
+++ b/src/sycamorehaven/blackboard/routing.py
@@ -6,6 +6,7 @@
 
 from sycamorehaven.blackboard.signal import Signal
 from sycamorehaven.decisions.server_directory import DirectoryChange, ServerDirectory
+from sycamorehaven.decisions.software_versions import SoftwareVersions
 from sycamorehaven.routing.table import RouteTable
 
 if TYPE_CHECKING:
@@ -24,6 +25,7 @@
         self._configuration: RoutingConfiguration | None = None
         self._route_table = RouteTable(())
         self._directory = ServerDirectory()
+        self._software_versions = SoftwareVersions()
         self._read_at = 0.0
         self._changed = Signal()
 
@@ -62,6 +64,15 @@
         """Whether a configuration and at least one server are known."""
         return self._configuration is not None and bool(self._directory.servers)
 
+    @property
+    def software_versions(self) -> SoftwareVersions:
+        """The software versions of the servers, also of those that left."""
+        return self._software_versions
+
+    def list_servers(self) -> list[ServerRecord]:
+        """Return all registered servers."""
+        return list(self._directory.servers.values())
+
     def list_available_servers(self, service: str) -> list[ServerRecord]:
         """Return the servers of a service that accept new work."""
         return [
@@ -90,6 +101,7 @@
             return None
         self._snapshot, self._read_at = snapshot, max(read_at, self._read_at)
         change = self._directory.apply_snapshot(snapshot, self._read_at)
+        self._software_versions.observe(self.list_servers(), self._read_at)
         known = self._configuration.revision if self._configuration else 0
         newest = snapshot.configuration
         if newest is not None and newest.revision > known:
--- a/src/sycamorehaven/controllers/candidates.py
+++ b/src/sycamorehaven/controllers/candidates.py
@@ -47,6 +47,8 @@
     :ivar is_resume: whether the client already has a part of the answer.
     :ivar queued_at: when it was queued, in monotonic seconds.
     :ivar reservation: future that gets the server reservation.
+    :ivar software_version: version of the servers that may serve it; ``None``
+        for any.
     """
 
     request: RoutedRequest
@@ -55,6 +57,7 @@
     is_resume: bool
     queued_at: float
     reservation: asyncio.Future[ServerReservation]
+    software_version: str | None = None
 
 
 class CandidateFinder:
@@ -69,11 +72,18 @@
         self._server_ranks: dict[tuple[str, str], dict[str, int]] = {}
         board.routing.changed.subscribe(self._server_ranks.clear)
 
-    def observe_service(self, service: str, now: float) -> ServiceLoad:
-        """Return the estimated states of all servers of a service."""
+    def observe_service(
+        self, service: str, now: float, software_version: str | None = None
+    ) -> ServiceLoad:
+        """
+        Return the estimated states of the servers of a service.
+
+        :param software_version: version of the servers; ``None`` for any.
+        """
         views = [
             observe_server(server, self._get_model(server), now)
             for server in self._board.routing.list_available_servers(service)
+            if software_version in (None, server.software_version)
         ]
         return ServiceLoad(views, now)
 
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -11,6 +11,7 @@
 from mode import Service
 
 from sycamorehaven.controllers.candidates import CandidateFinder, PendingRequest
+from sycamorehaven.controllers.pass_loads import PassLoads
 from sycamorehaven.controllers.reservations import ServerReservation
 from sycamorehaven.controllers.shares import WorkspaceShares
 from sycamorehaven.decisions.client_timeouts import ClientTimeouts
@@ -63,6 +64,16 @@
 """Cost of a generated token relative to that of a prompt token."""
 
 
+def _describe_missing_servers(pending: PendingRequest) -> str:
+    service, version = pending.request.service, pending.software_version
+    if version is None:
+        return f"no backend server of the service '{service}' takes work"
+    return (
+        f"no backend server of the service '{service}' with the software version"
+        f" '{version}', which began the stream, takes work"
+    )
+
+
 def compute_token_cost(request: RoutedRequest) -> float:
     """Return the cost of a request in prompt tokens."""
     return request.head.prompt_tokens + OUTPUT_TOKEN_WEIGHT * request.head.output_tokens
@@ -102,12 +113,15 @@
         request: RoutedRequest,
         excluded_servers: Collection[str] = (),
         *,
+        software_version: str | None = None,
         is_resume: bool = False,
     ) -> ServerReservation:
         """
         Wait for a server and return the reservation on it.
 
         :param excluded_servers: servers that have already failed the request.
+        :param software_version: version of the servers that may serve the
+            request; ``None`` for any.
         :param is_resume: whether the client already has a part of the answer.
         :raises DeadlineUnreachable: if the request cannot be served in time.
         :raises NoBackendServer: if no server of its service takes work.
@@ -128,6 +142,7 @@
             is_resume,
             now,
             future,
+            software_version,
         )
         self._pending.append(pending)
         if len(self._pending) == 1 and now >= self._next_pass_at:
@@ -195,17 +210,14 @@
             return not has_priority, pending.queued_at
 
         in_order = sorted(self._pending, key=sort_key)
-        loads: dict[str, ServiceLoad] = {}
+        loads = PassLoads(self._candidate_finder, now)
         considered = 0
         for pending in in_order:
             if considered and self._clock() - now >= MAX_PASS_SECONDS:
                 break
             considered += 1
-            service = pending.request.service
-            if service not in loads:
-                loads[service] = self._candidate_finder.observe_service(service, now)
             share_status = share_statuses[pending.request.workspace]
-            self._place_or_reject(pending, loads[service], share_status, now)
+            self._place_or_reject(pending, loads, share_status, now)
         self._postpone(in_order[considered:], considered, share_statuses, now)
         self._pending = [
             pending for pending in self._pending if not pending.reservation.done()
@@ -251,20 +263,23 @@
     def _place_or_reject(
         self,
         pending: PendingRequest,
-        load: ServiceLoad,
+        loads: PassLoads,
         share_status: ShareStatus,
         now: float,
     ) -> None:
         """Assign a request to a server, reject it, or let it wait."""
         request = pending.request
+        load = loads.get(request.service, pending.software_version)
         placement_request = self._build_placement_request(
             pending,
             share_status,
-            yields=self._must_yield(request.service, load, share_status, now),
+            yields=self._must_yield(
+                request.service, loads.get(request.service), share_status, now
+            ),
         )
         if not load.views:
             refusal = NoBackendServer(
-                f"no backend server of the service '{request.service}' takes work",
+                _describe_missing_servers(pending),
                 retry_after=min(
                     NO_SERVER_RETRY_SECONDS, (request.deadline - now) * 0.3
                 ),
@@ -279,7 +294,7 @@
         )
         if action == "place" and best is not None:
             self._assign_server(pending, best, placement_request, now)
-            load.update(best.server.id)
+            loads.update(best.server)
         elif action == "reject":
             shortest_wait = min(view.estimated_wait_seconds for view in load.views)
             late_refusal = DeadlineUnreachable(
--- a/src/sycamorehaven/controllers/forwarding.py
+++ b/src/sycamorehaven/controllers/forwarding.py
@@ -7,6 +7,7 @@
 
 from sycamorehaven.controllers.dispatch import Dispatcher
 from sycamorehaven.controllers.routed_run import RoutedRun
+from sycamorehaven.controllers.stream_origins import StreamOriginExchange
 from sycamorehaven.controllers.strike_exchange import StrikeExchange
 from sycamorehaven.decisions.retry_window import RetryWindow
 from sycamorehaven.telemetry.decision_log import DecisionLog
@@ -61,6 +62,7 @@
         self._context = context
         self._retry_windows: dict[str, RetryWindow] = {}
         self._strikes = StrikeExchange(board, link, context.clock)
+        self._stream_origins = StreamOriginExchange(board, link, context.clock)
         self._max_known_routers = 1
 
     @property
@@ -68,6 +70,11 @@
         """Strikes against requests that seem to crash servers."""
         return self._strikes
 
+    @property
+    def stream_origins(self) -> StreamOriginExchange:
+        """The servers at which streams began."""
+        return self._stream_origins
+
     def reconfigure(self, settings: GatewaySettings) -> None:
         """
         Replace the limits of the retry budgets.
--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -19,6 +19,7 @@
     compute_idle_timeouts,
     find_retry_obstacle,
 )
+from sycamorehaven.decisions.stream_origins import StreamOrigin
 from sycamorehaven.decisions.strikes import fingerprint_request
 from sycamorehaven.exceptions.backends import (
     AnswerInvalid,
@@ -73,6 +74,7 @@
         self._splitter = EventSplitter()
         last = request.head.last_event_id
         self._last_event_id = -1 if last is None else last
+        self._origin: StreamOrigin | None = None
         route = request.route
         self._idle_timeouts = compute_idle_timeouts(
             is_repeatable=route.is_repeatable,
@@ -172,6 +174,7 @@
                 resumes=head.resumed_attempt_id,
                 event_id=head.last_event_id,
             )
+            await self._restrict_to_origin()
         while True:
             answer = await self._send_until_answered()
             if answer.status >= 300:
@@ -191,6 +194,17 @@
                 return self._create_stream_answer(answer, rest)
             return self._create_stream_answer(answer, self._relay_events(first_events))
 
+    async def _restrict_to_origin(self) -> None:
+        """
+        Restrict a stream that the client takes up to where it began.
+
+        :raises StreamOriginUnknown: if that matters and nobody knows it.
+        """
+        self._origin = await self._controller.stream_origins.find(self._request)
+        services = {part.service for part in self._request.route.weighted_services}
+        if self._origin and self._origin.service in services:
+            self._request = self._request._replace(service=self._origin.service)
+
     def _create_stream_answer(
         self, answer: RoutedBackendResponse, chunks: AsyncGenerator[bytes, None]
     ) -> Answer:
@@ -244,6 +258,7 @@
         if rest := self._splitter.flush():
             yield rest
         self._record_answer(failed=False)
+        self._controller.stream_origins.record_end(self._request)
 
     def _split_events(self, chunk: bytes) -> bytes:
         """
@@ -343,6 +358,7 @@
         """
         Record the id and the arrival of events and return them unchanged.
         """
+        self._record_origin()
         if event_ids := EVENT_ID_PATTERN.findall(data):
             self._last_event_id = int(event_ids[-1])
         now = self._context.clock()
@@ -356,6 +372,14 @@
         self._last_event_at = now
         return data
 
+    def _record_origin(self) -> None:
+        """Bind the stream to the software version of its first server."""
+        if self._origin is not None or self._reservation is None:
+            return
+        server = self._reservation.server
+        self._origin = StreamOrigin(server.service, server.software_version)
+        self._controller.stream_origins.record_start(self._request, server)
+
     async def _send_until_answered(self) -> RoutedBackendResponse:
         """
         Send the request until a server answers it.
@@ -388,7 +412,10 @@
     async def _acquire_reservation(self) -> ServerReservation:
         try:
             return await self._context.dispatcher.acquire(
-                self._request, self._excluded_servers, is_resume=self._is_streaming
+                self._request,
+                self._excluded_servers,
+                software_version=self._origin.version if self._origin else None,
+                is_resume=self._is_streaming,
             )
         except Refusal as refusal:
             if self._history.may_have_run:
--- a/src/sycamorehaven/exceptions/refusals.py
+++ b/src/sycamorehaven/exceptions/refusals.py
@@ -251,6 +251,14 @@
     remedy = "send again after Retry-After seconds"
 
 
+class StreamOriginUnknown(Refusal):
+    """No router knows which of several software versions began a stream."""
+
+    code = "stream_origin_unknown"
+    status = 503
+    remedy = "request the stream from its beginning"
+
+
 class RouterBusy(Refusal):
     """The router has more requests than it has time to handle."""
 
--- a/src/sycamorehaven/transport/messages/kinds.py
+++ b/src/sycamorehaven/transport/messages/kinds.py
@@ -50,6 +50,11 @@
     NoticeRequest,
     ServerNotice,
 )
+from sycamorehaven.transport.messages.streams import (
+    StreamOriginNotice,
+    StreamOriginReply,
+    StreamOriginRequest,
+)
 from sycamorehaven.transport.messages.suspects import (
     Acquittal,
     Strike,
@@ -101,6 +106,9 @@
     FleetNews,
     SnapshotRequest,
     SnapshotReply,
+    StreamOriginNotice,
+    StreamOriginRequest,
+    StreamOriginReply,
 )
 
 BULK_MESSAGE_KINDS = frozenset(
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -51,7 +51,7 @@
     return [
         headers["Sycamorehaven-Attempt-Id"]
         for headers in server.received_headers
-        if "Last-Event-Id" in headers
+        if "last-event-id" in {name.lower() for name in headers}
     ]
 
 
--- a/tests/support/gateway_harness.py
+++ b/tests/support/gateway_harness.py
@@ -190,6 +190,8 @@
             if number == broken_event:
                 await response.write(b"id: %d\nda" % number)
                 self.behaviour = self.behaviour_after_break or self.behaviour
+                # Aborting at once would discard the events.
+                await asyncio.sleep(0.02)
                 assert request.transport is not None
                 request.transport.abort()
                 return response
