Copy parts of prompts only between engines of the same software version

Found while looking for other places that carry on what another server wrote: an engine was told to copy cached parts of a prompt from any engine of its service. What two software versions write doesn't fit together, and servers don't check it. No rule was seen broken by it. The copy now comes from the engine of the same version with most of the prompt, if there is one.

Measured: the new test failed before (copy from v1 to v2); test_candidates 3, test_overload 5, test_published_routes 23 passed.

--- a/src/sycamorehaven/controllers/candidates.py
+++ b/src/sycamorehaven/controllers/candidates.py
@@ -105,9 +105,7 @@
             for view in available
             if (tokens := view.model.prefix_cache.count_cached_tokens(pending.prefixes))
         }
-        best_cached = max(
-            available, key=lambda view: cached_tokens.get(view.server.id, 0)
-        ).server
+        copy_sources = _choose_copy_sources(available, cached_tokens)
         compared = (
             _shortlist(available, load, cached_tokens, server_ranks)
             if has_prompt
@@ -121,9 +119,10 @@
         candidates = []
         for view in with_capacity:
             server, model = view.server, view.model
+            source = copy_sources.get(server.software_version) if can_copy else None
             copied_tokens = (
-                cached_tokens.get(best_cached.id, 0) - cached_tokens.get(server.id, 0)
-                if can_copy
+                cached_tokens[source.id] - cached_tokens.get(server.id, 0)
+                if source
                 else 0
             )
             if copied_tokens < MIN_COPIED_TOKENS:
@@ -141,7 +140,7 @@
                     pending_tokens=view.pending_tokens,
                     uncached_tokens=max(uncached_tokens, 1),
                     copied_tokens=copied_tokens,
-                    copy_source=best_cached.address if copied_tokens else "",
+                    copy_source=source.address if source and copied_tokens else "",
                     prefill_rate=model.prefill_rate,
                     error_ratio=model.health.error_ratio,
                     is_local=server.failure_domain == own_domain,
@@ -204,6 +203,24 @@
         )
 
 
+def _choose_copy_sources(
+    available: list[ServerView], cached_tokens: Mapping[str, int]
+) -> dict[str, ServerRecord]:
+    """
+    Return the server with most of a prompt in its cache, by software version.
+
+    What a version has in its cache is not passed on to another one.
+    """
+    sources: dict[str, ServerRecord] = {}
+    for view in available:
+        server = view.server
+        best = sources.get(server.software_version)
+        most = cached_tokens[best.id] if best else 0
+        if cached_tokens.get(server.id, 0) > most:
+            sources[server.software_version] = server
+    return sources
+
+
 def _shortlist(
     available: list[ServerView],
     load: ServiceLoad,
--- a/tests/controllers/test_candidates.py
+++ b/tests/controllers/test_candidates.py
@@ -37,10 +37,19 @@
 NOW = 1_000.0
 
 
-def build_board() -> Blackboard:
+def build_board(versions: tuple[str, ...] = ("v1",)) -> Blackboard:
     board = create_board()
     servers = tuple(
-        ServerRecord(f"s{n}", 1, "model", f"10.0.0.{n}:80", "a", SLOTS, draining=False)
+        ServerRecord(
+            f"s{n}",
+            1,
+            "model",
+            f"10.0.0.{n}:80",
+            "a",
+            SLOTS,
+            draining=False,
+            software_version=versions[n % len(versions)],
+        )
         for n in range(ENGINES)
     )
     capacity = EngineCapacity(SLOTS, 500_000, 1e6)
@@ -104,6 +113,22 @@
     assert max(compared_counts) <= LEAST_LOADED_SERVERS + CACHE_HOLDERS + MAX_RANK
 
 
+async def test_prompt_is_copied_only_from_engines_of_the_same_software_version() -> (
+    None
+):
+    board = build_board(("v1", "v2"))
+    pending = build_pending(1, 1, frozenset())
+    board.fleet_load.find_model("s0").prefix_cache.record_prompt(pending.prefixes[:1])
+    finder = CandidateFinder(board)
+    load = finder.observe_service("model", NOW)
+    sources = {
+        candidate.server.software_version: candidate.copy_source
+        for candidate in finder.list_candidates(pending, load)
+        if candidate.server.id != "s0"
+    }
+    assert sources == {"v1": "10.0.0.0:80", "v2": ""}
+
+
 async def test_engine_that_was_assigned_a_request_is_ordered_anew() -> None:
     board = build_board()
     finder = CandidateFinder(board)
