Follow a platform store that was restored from an older copy

In a drill the store may come back from a copy some seconds old.

A configuration of a newer era takes force only if its version is not older. Routers do not watch the store, so the 410 of a watch from an unknown revision does not occur.

News and requests between routers carry the era; routers without this change do not read them, so a fleet is to run one version of it.

--- a/src/sycamorehaven/blackboard/routing.py
+++ b/src/sycamorehaven/blackboard/routing.py
@@ -47,7 +47,12 @@
     @property
     def revision(self) -> int:
         """Revision of the newest snapshot; 0 before the first one."""
-        return self._snapshot.revision if self._snapshot else 0
+        return self.position[1]
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Era and revision of the newest snapshot."""
+        return self._snapshot.position if self._snapshot else (0, 0)
 
     @property
     def read_at(self) -> float:
@@ -91,21 +96,22 @@
         """
         Apply a snapshot; return what changed, or ``None`` if it is outdated.
 
-        A configuration is never replaced by one of a lower revision.
+        A configuration is never replaced by an older one, which a restored
+        store may hold.
 
         :param snapshot: the snapshot.
         :param read_at: when this router or a peer read it from the store, in
             seconds of the monotonic clock.
         """
-        if (snapshot.revision, read_at) < (self.revision, self._read_at):
+        if (snapshot.position, read_at) < (self.position, self._read_at):
             return None
-        self._snapshot, self._read_at = snapshot, max(read_at, self._read_at)
+        self._read_at = max(read_at, self._read_at)
         change = self._directory.apply_snapshot(snapshot, self._read_at)
         self._software_versions.observe(self.list_servers(), self._read_at)
-        known = self._configuration.revision if self._configuration else 0
-        newest = snapshot.configuration
-        if newest is not None and newest.revision > known:
+        newest, known = snapshot.configuration, self._configuration
+        if newest is not None and (known is None or newest.replaces(known)):
             self._configuration = newest
             self._route_table = RouteTable(newest.routes)
+        self._snapshot = snapshot._replace(configuration=self._configuration)
         self._changed.notify()
         return change
--- a/src/sycamorehaven/controllers/fleet_state.py
+++ b/src/sycamorehaven/controllers/fleet_state.py
@@ -154,6 +154,7 @@
                 )
                 for service, contention in contended
             ],
+            routing.position[0],
         )
 
     def _list_changed_usage(self) -> list[WorkspaceUsage]:
--- a/src/sycamorehaven/controllers/routing_snapshots.py
+++ b/src/sycamorehaven/controllers/routing_snapshots.py
@@ -145,20 +145,29 @@
 
     def _apply_snapshot(self, snapshot: Snapshot, origin: str, age: float) -> None:
         routing = self._board.routing
-        before = routing.configuration.revision if routing.configuration else 0
+        previous_configuration = routing.configuration
+        previous_era, previous_revision = routing.position
         change = routing.apply_snapshot(snapshot, self._clock() - age)
         if change is None:
             return
+        if previous_revision and snapshot.era > previous_era:
+            self._decision_log.record(
+                "store_restored",
+                era=snapshot.era,
+                revision=snapshot.revision,
+                previous_revision=previous_revision,
+                origin=origin,
+            )
         self._update_server_models(change)
-        after = routing.configuration.revision if routing.configuration else 0
-        if after != before and routing.configuration is not None:
+        configuration = routing.configuration
+        if configuration and configuration is not previous_configuration:
             self._decision_log.record(
                 "configuration_in_force",
-                version=routing.configuration.version,
-                revision=after,
+                version=configuration.version,
+                revision=configuration.revision,
                 origin=origin,
                 age=round(age, 3),
-                routes=len(routing.configuration.routes),
+                routes=len(configuration.routes),
             )
         for outcome, servers in change._asdict().items():
             for server in servers:
@@ -182,18 +191,21 @@
     def _handle_news(self, delivery: Delivery) -> None:
         news: FleetNews = delivery.message
         routing, now = self._board.routing, self._clock()
-        if news.revision == routing.revision:
+        position = news.era, news.revision
+        if position == routing.position:
             self._apply_confirmation(delivery.sender.host, news.age)
             return
         if (
-            news.revision < routing.revision
+            position < routing.position
             or now - self._last_request_at < REQUEST_PERIOD_SECONDS
         ):
             return
         if now - self._last_read_at < 2 * READ_PERIOD_SECONDS:
             return
         self._last_request_at = now
-        self._link.send_to(delivery.address, SnapshotRequest(routing.revision))
+        self._link.send_to(
+            delivery.address, SnapshotRequest(routing.revision, routing.position[0])
+        )
 
     def _apply_confirmation(self, host: str, age: float) -> None:
         """Renew the read time of a snapshot that a peer has read later."""
@@ -206,7 +218,8 @@
         request: SnapshotRequest = delivery.message
         routing = self._board.routing
         snapshot = routing.snapshot
-        if snapshot is not None and snapshot.revision > request.revision:
+        position = request.era, request.revision
+        if snapshot is not None and snapshot.position > position:
             age = max(self._clock() - routing.read_at, 0.0)
             self._link.send_to(delivery.address, SnapshotReply(snapshot, age))
 
--- a/src/sycamorehaven/platform/decoding.py
+++ b/src/sycamorehaven/platform/decoding.py
@@ -37,11 +37,12 @@
 _server_decoder = msgspec.json.Decoder(WireServer)
 
 
-def decode_configuration(item: WireItem) -> RoutingConfiguration:
+def decode_configuration(item: WireItem, era: int = 0) -> RoutingConfiguration:
     """
     Decode the operators' configuration.
 
     :param item: the store's item that holds it.
+    :param era: the store's era when the item was read.
     :raises msgspec.MsgspecError: if the item is not a valid configuration.
     """
     wire = _configuration_decoder.decode(item.value)
@@ -67,7 +68,7 @@
     )
     routes = tuple(_build_route(route) for route in wire.routes)
     return RoutingConfiguration(
-        item.revision, wire.version, routes, services, limits, workspaces_by_key
+        item.revision, wire.version, routes, services, limits, workspaces_by_key, era
     )
 
 
--- a/src/sycamorehaven/platform/store_client.py
+++ b/src/sycamorehaven/platform/store_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import aiohttp
 import msgspec
@@ -31,12 +31,30 @@
 """Timeout of opening a connection."""
 KEEP_ALIVE_SECONDS = 5.0
 """Time for which an idle connection is kept open."""
+ERA_HEADER = "Store-Era"
+"""Number of times that the store was restored from an older copy."""
 MAX_PAGES = 64
 """Limit of the pages of one listing; 64 pages hold about 32,000 items."""
 
 _page_decoder = msgspec.json.Decoder(WirePage)
 
 
+class StorePage(NamedTuple):
+    """
+    A page of a listing.
+
+    :ivar era: number of times that the store was restored from an older copy.
+    :ivar content: the decoded body.
+    """
+
+    era: int
+    content: WirePage
+
+
+def _list_items(pages: list[StorePage]) -> list[WireItem]:
+    return [item for page in pages for item in page.content.entries]
+
+
 class PlatformStoreClient:
     """
     Reads the operators' configuration and the registered backend servers.
@@ -50,7 +68,7 @@
         self._url = url
         self._session: aiohttp.ClientSession | None = None
         self._configuration: RoutingConfiguration | None = None
-        self._rejected_revision = 0
+        self._decoded_position = 0, 0
 
     @classmethod
     def from_settings(cls, settings: RouterSettings) -> PlatformStoreClient:
@@ -63,50 +81,56 @@
 
         :raises PlatformUnavailable: if the store cannot be read.
         """
-        (_, operator_items), (revision, server_items) = await asyncio.gather(
-            self._list_items(OPERATOR_PREFIX), self._list_items(SERVERS_PREFIX)
+        operator_pages, server_pages = await asyncio.gather(
+            self._list_pages(OPERATOR_PREFIX), self._list_pages(SERVERS_PREFIX)
         )
-        self._update_configuration(operator_items)
-        found = [decode_server(item) for item in server_items]
+        eras = {page.era for page in (*operator_pages, *server_pages)}
+        if len(eras) > 1:
+            raise PlatformUnavailable("the store was restored while it was read")
+        era = eras.pop()
+        self._update_configuration(_list_items(operator_pages), era)
+        found = [decode_server(item) for item in _list_items(server_pages)]
         records = tuple(server for server in found if server is not None)
-        return Snapshot(revision, self._configuration, records)
+        return Snapshot(server_pages[-1].content.at, self._configuration, records, era)
 
     async def close(self) -> None:
         """Close all connections to the store."""
         if self._session is not None:
             await self._session.close()
 
-    def _update_configuration(self, items: list[WireItem]) -> None:
+    def _update_configuration(self, items: list[WireItem], era: int) -> None:
         item = next((item for item in items if item.key == CONFIGURATION_KEY), None)
-        known = self._configuration.revision if self._configuration else 0
-        if item is None or item.revision <= max(known, self._rejected_revision):
+        if item is None or (era, item.revision) <= self._decoded_position:
             return
+        self._decoded_position = era, item.revision
         try:
-            self._configuration = decode_configuration(item)
+            configuration = decode_configuration(item, era)
         except msgspec.MsgspecError as error:
-            self._rejected_revision = item.revision
             logging.error(
                 "configuration of revision %d is malformed; keeping the one of"
                 " revision %d: %s",
                 item.revision,
-                known,
+                self._configuration.revision if self._configuration else 0,
                 error,
             )
+            return
+        if self._configuration is None or configuration.replaces(self._configuration):
+            self._configuration = configuration
 
-    async def _list_items(self, prefix: str) -> tuple[int, list[WireItem]]:
-        items: list[WireItem] = []
+    async def _list_pages(self, prefix: str) -> list[StorePage]:
+        pages: list[StorePage] = []
         after = ""
         for _ in range(MAX_PAGES):
-            page = await self._read_page(prefix, after)
-            items += page.entries
-            if not page.has_more or not page.entries:
-                return page.at, items
-            after = page.entries[-1].key
+            pages.append(await self._read_page(prefix, after))
+            content = pages[-1].content
+            if not content.has_more or not content.entries:
+                return pages
+            after = content.entries[-1].key
         raise PlatformUnavailable(
             f"the store lists more than {MAX_PAGES} pages below {prefix!r}"
         )
 
-    async def _read_page(self, prefix: str, after: str) -> WirePage:
+    async def _read_page(self, prefix: str, after: str) -> StorePage:
         query = {"pathPrefix": prefix} | ({"after": after} if after else {})
         try:
             async with self._connect().get(
@@ -122,8 +146,9 @@
                 f"the store answered with status {response.status}"
             )
         try:
-            return _page_decoder.decode(body)
-        except msgspec.MsgspecError as error:
+            era = int(response.headers.get(ERA_HEADER, "0"))
+            return StorePage(era, _page_decoder.decode(body))
+        except (msgspec.MsgspecError, ValueError) as error:
             raise PlatformUnavailable(
                 f"a page of the store is malformed: {error}"
             ) from error
--- a/src/sycamorehaven/routing/model.py
+++ b/src/sycamorehaven/routing/model.py
@@ -127,6 +127,7 @@
     :ivar limits: limits on client requests.
     :ivar workspaces_by_key: name of the workspace by client key; ``None`` if
         the deployment uses no keys.
+    :ivar era: the store's era when the item was read.
     """
 
     revision: int
@@ -135,6 +136,19 @@
     services: dict[str, RoutedService]
     limits: RequestLimits
     workspaces_by_key: dict[str, str] | None
+    era: int = 0
+
+    def replaces(self, previous: RoutingConfiguration) -> bool:
+        """
+        Return whether this configuration is newer than another one.
+
+        Revisions are compared within an era. A store that was restored from an
+        older copy may hold an older version until the operators write the
+        newest one again.
+        """
+        if self.era == previous.era:
+            return self.revision > previous.revision
+        return self.era > previous.era and self.version >= previous.version
 
 
 class ServerRecord(NamedTuple):
@@ -176,8 +190,16 @@
     :ivar configuration: the operators' configuration; ``None`` if none is
         published or none could be decoded.
     :ivar servers: the registered backend servers.
+    :ivar era: number of times that the store was restored from an older copy
+        of itself. Revisions go back each time.
     """
 
     revision: int
     configuration: RoutingConfiguration | None
     servers: tuple[ServerRecord, ...]
+    era: int = 0
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Era and revision, which together only rise."""
+        return self.era, self.revision
--- a/src/sycamorehaven/transport/messages/fleet.py
+++ b/src/sycamorehaven/transport/messages/fleet.py
@@ -84,6 +84,7 @@
     :ivar placed: parts of prompts that the sender has placed on servers.
     :ivar usage: workspaces whose usage has changed.
     :ivar contended: services for which requests have recently waited.
+    :ivar era: era of that snapshot.
     """
 
     revision: Count
@@ -92,6 +93,7 @@
     placed: list[PlacedPart]
     usage: list[WorkspaceUsage]
     contended: list[ServiceContention]
+    era: Count = 0
 
 
 class SnapshotRequest(NamedTuple):
@@ -99,9 +101,11 @@
     Asks for a snapshot that is newer than the sender's.
 
     :ivar revision: revision of the sender's snapshot, 0 for none.
+    :ivar era: era of that snapshot.
     """
 
     revision: Count
+    era: Count = 0
 
 
 class SnapshotReply(NamedTuple):
--- a/tests/controllers/test_routing_snapshots.py
+++ b/tests/controllers/test_routing_snapshots.py
@@ -124,6 +124,21 @@
     return fleet
 
 
+def test_routers_that_do_not_read_follow_a_restored_store(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    fleet = start_fleet(network, clock)
+    fleet.publish(Snapshot(20, None, SERVERS))
+    fleet.run_for(3.0)
+    added = SERVERS[0]._replace(id="s3", address="10.0.0.3:80")
+    fleet.publish(Snapshot(4, None, (*SERVERS, added), era=1))
+    reads = fleet.count_reads(fleet.non_readers)
+    fleet.run_for(3.0)
+    for host in fleet.boards:
+        assert fleet.list_servers(host) == {"s1", "s2", "s3"}
+    assert fleet.count_reads(fleet.non_readers) == reads
+
+
 def test_unchanged_snapshot_is_read_only_by_the_readers(
     network: MemoryNetwork, clock: ManualClock
 ) -> None:
--- a/tests/decisions/test_published_routes.py
+++ b/tests/decisions/test_published_routes.py
@@ -79,6 +79,42 @@
     assert set(directory.servers) == {"s2"}
 
 
+def test_restored_copy_does_not_revert_what_is_known_of_servers() -> None:
+    directory = ServerDirectory()
+    gone = SERVER._replace(id="gone", address="10.0.0.9:80")
+    newer = SERVER._replace(id="newer", address="10.0.0.3:80")
+    copied = build_snapshot(5, SERVER, gone, newer)._replace(era=1)
+    directory.apply_snapshot(build_snapshot(5, SERVER, gone, newer), 0.0)
+    draining = SERVER._replace(draining=True)
+    restarted = newer._replace(started_at_ms=2)
+    added = SERVER._replace(id="added", address="10.0.0.4:80")
+    directory.apply_snapshot(build_snapshot(9, draining, restarted, added), 0.5)
+    expected = {server.id: server for server in (draining, restarted, added)}
+    change = directory.apply_snapshot(copied, 1.0)
+    assert directory.servers == expected
+    assert change == ((), (), ())
+    directory.apply_snapshot(copied, 1.0 + RECOVERY_GRACE_SECONDS - 0.1)
+    assert directory.servers == expected
+
+
+def test_restored_copy_is_believed_after_the_grace() -> None:
+    directory = ServerDirectory()
+    directory.apply_snapshot(build_snapshot(9, SERVER), 0.0)
+    copied = build_snapshot(5)._replace(era=1)
+    assert not directory.apply_snapshot(copied, 0.5).left
+    late = 0.5 + RECOVERY_GRACE_SECONDS
+    directory.apply_snapshot(copied, late - 1.0)
+    assert directory.apply_snapshot(copied, late).left == (SERVER,)
+
+
+def test_first_snapshot_of_a_restored_store_is_believed() -> None:
+    directory = ServerDirectory()
+    restored = build_snapshot(5, SERVER)._replace(era=3)
+    assert directory.apply_snapshot(restored, 0.0).joined == (SERVER,)
+    next_snapshot = build_snapshot(6)._replace(era=3)
+    assert directory.apply_snapshot(next_snapshot, 0.5).left == (SERVER,)
+
+
 def test_server_that_restarts_under_the_same_id_has_joined() -> None:
     directory = ServerDirectory()
     directory.apply_snapshot(build_snapshot(1, SERVER), 0.0)
--- a/tests/support/gateway_harness.py
+++ b/tests/support/gateway_harness.py
@@ -47,6 +47,7 @@
     :ivar items: revision and value of each key.
     :ivar revision: revision of the latest change.
     :ivar read_count: number of reads that were received.
+    :ivar era: number of times that the store was restored from a copy.
     :ivar status: HTTP status of every answer; other than 200 while it fails.
     """
 
@@ -54,6 +55,7 @@
         self.items: dict[str, tuple[int, bytes]] = {}
         self.revision = 0
         self.read_count = 0
+        self.era = 0
         self.status = 200
         self.address = ""
 
@@ -68,6 +70,16 @@
         self.revision += 1
         del self.items[key]
 
+    def copy(self) -> tuple[int, dict[str, tuple[int, bytes]]]:
+        """Return a copy, from which the store can be restored."""
+        return self.revision, dict(self.items)
+
+    def restore(self, copied: tuple[int, dict[str, tuple[int, bytes]]]) -> None:
+        """Restore an older copy; what was written since is gone."""
+        revision, items = copied
+        self.revision, self.items = revision, dict(items)
+        self.era += 1
+
     async def handle_request(self, request: BaseRequest) -> web.StreamResponse:
         """Answer a read of all keys with a prefix."""
         self.read_count += 1
@@ -80,7 +92,8 @@
             if key.startswith(prefix)
         ]
         page = {"entries": entries, "hasMore": False, "at": self.revision}
-        return web.Response(body=msgspec.json.encode(page))
+        headers = {"Store-Era": str(self.era)}
+        return web.Response(body=msgspec.json.encode(page), headers=headers)
 
 
 class FakeServer:
