Take no stream up at a router that can neither read nor ask

A router whose view of the servers is old may not know of a second software version, and went on with a stream of unknown origin as if a single one served. It now asks other routers unless it has seen the servers within 2 s, and refuses the stream with `stream_origin_unknown` if it has not and no router replies either.

--- a/src/sycamorehaven/controllers/stream_origins.py
+++ b/src/sycamorehaven/controllers/stream_origins.py
@@ -47,6 +47,7 @@
 
     def __init__(self, hosts: Iterable[str]) -> None:
         self._unanswered = set(hosts)
+        self._is_unheard = bool(self._unanswered)
         self._origin: StreamOrigin | None = None
         self._is_decided = asyncio.Event()
         self._set_if_decided()
@@ -56,6 +57,11 @@
         """Hosts that have not replied."""
         return self._unanswered
 
+    @property
+    def is_unheard(self) -> bool:
+        """Whether routers were asked and none of them has replied."""
+        return self._is_unheard
+
     @property
     def origin(self) -> StreamOrigin | None:
         """The origin, ``None`` until a router has told it."""
@@ -64,6 +70,7 @@
     def add_reply(self, host: str, origin: StreamOrigin | None) -> None:
         """Record the reply of a host."""
         self._unanswered.discard(host)
+        self._is_unheard = False
         self._origin = origin or self._origin
         self._set_if_decided()
 
@@ -134,19 +141,26 @@
         is_shared = len(request.route.weighted_services) > 1
         if origin or (versions.is_settled(request.service, now) and not is_shared):
             return origin
-        origin = await self._ask_routers(key)
-        if origin is None and len(versions.list_recent(request.service, now)) > 1:
+        lookup = await self._ask_routers(key)
+        if lookup.origin is not None:
+            return lookup.origin
+        if len(versions.list_recent(request.service, now)) > 1:
             raise StreamOriginUnknown(
                 "servers of several software versions serve, and no router knows"
                 " which of them began the stream"
             )
-        return origin
+        if lookup.is_unheard and not versions.is_current(now):
+            raise StreamOriginUnknown(
+                "the router reaches neither the platform nor another router that"
+                " may know which software version began the stream"
+            )
+        return None
 
     def _find_known(self, key: int) -> StreamOrigin | None:
         now = self._clock()
         return self._own_streams.find(key, now) or self._held_streams.find(key, now)
 
-    async def _ask_routers(self, key: int) -> StreamOrigin | None:
+    async def _ask_routers(self, key: int) -> OriginLookup:
         lookup = self._lookups.get(key)
         if lookup is None:
             domains = self._board.members.map_failure_domains()
@@ -161,7 +175,7 @@
                     break
         finally:
             self._lookups.pop(key, None)
-        return lookup.origin
+        return lookup
 
     def _send_notices(self, streams: Iterable[tuple[int, StreamOrigin]]) -> None:
         domains = self._board.members.map_failure_domains()
--- a/src/sycamorehaven/decisions/software_versions.py
+++ b/src/sycamorehaven/decisions/software_versions.py
@@ -19,17 +19,24 @@
 clients take to come back for a stream."""
 
 
+MAX_OBSERVATION_AGE_SECONDS = 2.0
+"""Age from which an observation is too old to tell that no version was added;
+in a large fleet a router waits 1.5 s for the news of those that read."""
+
+
 class SoftwareVersions:
     """Versions by service, with the time at which each was last seen."""
 
     def __init__(self) -> None:
         self._last_seen: dict[str, dict[str, float]] = {}
         self._observed_since: float | None = None
+        self._observed_at = 0.0
 
     def observe(self, servers: Iterable[ServerRecord], now: float) -> None:
         """Record the versions of all registered servers."""
         if self._observed_since is None:
             self._observed_since = now
+        self._observed_at = now
         for server in servers:
             versions = self._last_seen.setdefault(server.service, {})
             versions[server.software_version] = now
@@ -42,6 +49,10 @@
             if now - seen_at < VERSION_MEMORY_SECONDS
         }
 
+    def is_current(self, now: float) -> bool:
+        """Return whether the servers have been observed just now."""
+        return now - self._observed_at < MAX_OBSERVATION_AGE_SECONDS
+
     def is_settled(self, service: str, now: float) -> bool:
         """
         Return whether a service has certainly had a single version recently.
@@ -51,5 +62,6 @@
         return (
             self._observed_since is not None
             and now - self._observed_since >= VERSION_MEMORY_SECONDS
+            and self.is_current(now)
             and len(self.list_recent(service, now)) <= 1
         )
--- a/tests/controllers/test_stream_origins.py
+++ b/tests/controllers/test_stream_origins.py
@@ -195,6 +195,21 @@
         raise AssertionError(f"a stream of unknown origin may go on at {origin}")
 
 
+async def test_router_that_is_cut_off_from_everything_takes_no_stream_up(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    fleet = OriginFleet(network, clock)
+    fleet.cut("b1")
+    assert await fleet.find("b1", "unknown") is None
+    clock.advance(VERSION_MEMORY_SECONDS)
+    assert await fleet.find("a1", "unknown") is None
+    try:
+        origin = await fleet.find("b1", "unknown")
+    except StreamOriginUnknown:
+        return
+    raise AssertionError(f"a stream of unknown origin may go on at {origin}")
+
+
 async def test_no_router_is_asked_while_one_version_has_served_for_long(
     network: MemoryNetwork, clock: ManualClock
 ) -> None:
--- a/tests/decisions/test_software_versions.py
+++ b/tests/decisions/test_software_versions.py
@@ -27,6 +27,8 @@
     assert not versions.is_settled("model", 0.0)
     versions.observe([build_server("v1")], 0.0)
     assert not versions.is_settled("model", VERSION_MEMORY_SECONDS - 1.0)
+    assert not versions.is_settled("model", VERSION_MEMORY_SECONDS)
+    versions.observe([build_server("v1")], VERSION_MEMORY_SECONDS)
     assert versions.is_settled("model", VERSION_MEMORY_SECONDS)
     versions.observe([build_server("v2")], VERSION_MEMORY_SECONDS - 1.0)
     versions.observe([build_server("v1")], VERSION_MEMORY_SECONDS)
