--- a/src/sycamorehaven/decisions/stream_origins.py
+++ b/src/sycamorehaven/decisions/stream_origins.py
@@ -23,7 +23,7 @@
 """Time for which the origin of a stream is kept; longer than a route's timeout
 and the return of its client."""
 MAX_ORIGINS = 20_000
-"""Number of origins that a router keeps; about 4 MB."""
+"""Number of origins that a router keeps; about 7 MB."""
 ASKED_ROUTERS_PER_DOMAIN = 2
 """Number of routers of a failure domain that are asked for an origin: the one
 that remembers it, or the next if the first one began the stream itself."""
