Let half of the soak's streams end with their connection

The soak's servers sent every stream in chunks, so it could not find a stream that breaks off inside an event and is passed on as whole. Servers now send the streams of every other attempt with neither a length nor chunks, and the last byte of an event with the next one, so that killing a server ends them inside an event.

--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -13,6 +13,8 @@
 import typer
 from aiohttp import web
 
+from tests.support.gateway_harness import build_unframed_head
+
 if TYPE_CHECKING:
     from aiohttp.web_request import BaseRequest
 
@@ -32,6 +34,11 @@
     return f"id: {number}\ndata: {attempt}/{number}\n\n".encode()
 
 
+def is_unframed(attempt: str) -> bool:
+    """Return whether the stream of an attempt ends with its connection."""
+    return attempt.endswith(("0", "2", "4", "6", "8"))
+
+
 def build_body(attempt: str) -> bytes:
     """Return the body of the answer to a plain request."""
     return f"{attempt}\n".encode() * 20
@@ -80,11 +87,13 @@
             await request.read()
             await asyncio.sleep(random.uniform(0.01, MAX_RUN_SECONDS))
             return web.Response(headers=headers, body=build_body(attempt))
+        first = int(request.headers.get("Last-Event-Id", "-1")) + 1
+        if is_unframed(attempt):
+            return await _stream_without_framing(request, headers, attempt, first)
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         await asyncio.sleep(EVENT_INTERVAL_SECONDS)
         await response.prepare(request)
-        first = int(request.headers.get("Last-Event-Id", "-1")) + 1
         for number in range(first, STREAM_EVENT_COUNT):
             await response.write(build_event(attempt, number))
             await asyncio.sleep(EVENT_INTERVAL_SECONDS)
@@ -97,6 +106,29 @@
         sys.stdout.flush()
 
 
+async def _stream_without_framing(
+    request: BaseRequest, headers: dict[str, str], attempt: str, first: int
+) -> web.StreamResponse:
+    """
+    Send a stream with neither a length nor chunks.
+
+    The last byte of an event comes with the next one, so that the stream of a
+    server that is killed ends inside an event.
+    """
+    transport = request.transport
+    assert transport is not None
+    transport.write(build_unframed_head(headers))
+    withheld = b""
+    for number in range(first, STREAM_EVENT_COUNT):
+        await asyncio.sleep(EVENT_INTERVAL_SECONDS)
+        event = withheld + build_event(attempt, number)
+        withheld = event[-1:]
+        transport.write(event[:-1])
+    transport.write(withheld)
+    transport.close()
+    return web.Response()
+
+
 async def run_backend(name: str, service: str, port: int) -> None:
     """Serve requests until the process is killed."""
     backend = SoakBackend(name, service)
