Do not charge workspaces for requests that an engine did not take

So workspaces whose requests met crashed engines counted as served, and since the sum of what all received is taken for the capacity, the fair share doubled and limited nobody.

A charge is taken back when the attempt certainly did not run (no connection, or the server says so), at the router and in its news; totals may go down by that.

--- a/src/sycamorehaven/blackboard/fleet_load.py
+++ b/src/sycamorehaven/blackboard/fleet_load.py
@@ -210,7 +210,11 @@
     def add_usage(
         self, workspace: str, demanded: float, received: float, now: float
     ) -> None:
-        """Add tokens that a workspace demanded and received at this router."""
+        """
+        Add tokens that a workspace demanded and received at this router.
+
+        :param received: tokens received; negative to take back a charge.
+        """
         self._demanded_tokens[workspace] += int(demanded)
         self._received_tokens[workspace] += int(received)
         self._usage_window.add(workspace, demanded, received, now)
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -360,10 +360,9 @@
         model.prefix_cache.record_prompt(pending.prefixes)
         fleet_load.add_placements(pending.prefixes, best.server.id)
         fleet_load.mark_load_changed(best.server.id)
+        cost = compute_token_cost(request)
         if request.workspace:
-            fleet_load.add_usage(
-                request.workspace, 0.0, compute_token_cost(request), now
-            )
+            fleet_load.add_usage(request.workspace, 0.0, cost, now)
         waited = now - pending.queued_at
         self._metrics.queue_time.labels(request.service, request.route.kind).observe(
             waited
@@ -386,7 +385,13 @@
         )
         pending.reservation.set_result(
             ServerReservation(
-                self._board, best.server, model, prefill, best.copy_source
+                self._board,
+                best.server,
+                model,
+                prefill,
+                best.copy_source,
+                request.workspace,
+                cost,
             )
         )
 
--- a/src/sycamorehaven/controllers/fleet_state.py
+++ b/src/sycamorehaven/controllers/fleet_state.py
@@ -213,5 +213,5 @@
         if previous is None:
             return
         asked, given = usage.asked - previous[0], usage.given - previous[1]
-        if asked > 0 or given > 0:
+        if asked or given:
             self._board.fleet_load.usage_window.add(usage.workspace, asked, given, now)
--- a/src/sycamorehaven/controllers/reservations.py
+++ b/src/sycamorehaven/controllers/reservations.py
@@ -35,6 +35,8 @@
         it.
     :param copy_source: address of the server from which a part of the prompt's
         cache is copied, or "".
+    :param workspace: workspace that is charged for the request, or "".
+    :param cost: what it was charged, in prompt tokens.
     """
 
     def __init__(
@@ -44,10 +46,14 @@
         model: ServerModel,
         prefill: Prefill,
         copy_source: str = "",
+        workspace: str = "",
+        cost: float = 0.0,
     ) -> None:
         self._board = board
         self._server = server
         self._copy_source = copy_source
+        self._workspace = workspace
+        self._cost = cost
         self._model = model
         self._prefill: Prefill | None = prefill
         self._is_released = False
@@ -85,6 +91,14 @@
             health.record_connection_failure(now)
         else:
             health.record_answer(failed=True)
+        if not error.was_sent:
+            self._refund(now)
+
+    def _refund(self, now: float) -> None:
+        """Take back the charge for a request that the server did not run."""
+        if self._workspace:
+            fleet_load = self._board.fleet_load
+            fleet_load.add_usage(self._workspace, 0.0, -self._cost, now)
 
     def record_event_gap(self, gap: float, longest: float, now: float) -> None:
         """
