--- a/src/sycamorehaven/controllers/stream_ends.py
+++ b/src/sycamorehaven/controllers/stream_ends.py
@@ -21,11 +21,10 @@
         first one.
     :raises AnswerInvalid: if the server ended the body inside an event.
     """
+    if splitter.is_inside_event:
+        detail = "the stream ended inside an event"
+        if framing == "connection":
+            raise ServerLost(detail, was_sent=True)
+        raise AnswerInvalid(detail, was_sent=True)
     if framing == "connection" and not splitter.has_events:
         raise ServerLost("the stream ended before an event", was_sent=True)
-    if not splitter.is_inside_event:
-        return
-    detail = "the stream ended inside an event"
-    if framing == "connection":
-        raise ServerLost(detail, was_sent=True)
-    raise AnswerInvalid(detail, was_sent=True)
