Move the client of the test gateway and raw answers to modules of their own

Four test modules share the client, and the soak's servers no longer import the gateway for the head of an answer.

--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -15,18 +15,17 @@
 
 import aiohttp
 
-from tests.platform.test_gateway import (
+from tests.support.fleet import allocate_port
+from tests.support.gateway_client import (
     COMPLETE_STREAM,
     send_request,
-    wait_for_revision,
 )
-from tests.support.fleet import allocate_port
 from tests.support.gateway_harness import (
     API_KEY,
     ROUTE_HOST,
-    build_unframed_head,
     wait_until,
 )
+from tests.support.raw_answers import build_unframed_head
 
 if TYPE_CHECKING:
     from tests.support.gateway_harness import GatewayHarness
@@ -90,7 +89,7 @@
     replaced = harness.servers[0]
     replaced.address = f"127.0.0.1:{port}"
     harness.register(replaced)
-    await wait_for_revision(harness, harness.store.revision)
+    await harness.wait_for_store()
     return listener
 
 
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -9,6 +9,10 @@
 import aiohttp
 
 from sycamorehaven.daemon import drain_gateway
+from tests.support.gateway_client import (
+    COMPLETE_STREAM,
+    send_request,
+)
 from tests.support.gateway_harness import (
     API_KEY,
     ROUTE_HOST,
@@ -20,35 +24,6 @@
     from tests.support.gateway_harness import GatewayHarness
 
 
-COMPLETE_STREAM = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(1, 6))
-"""All events that a backend server sends in a stream."""
-
-
-async def send_request(
-    harness: GatewayHarness,
-    path: str,
-    method: str = "GET",
-    key: str = API_KEY,
-    attempt: str = "a1",
-    **extra_headers: str,
-) -> tuple[int, bytes, Any]:
-    """Send a request; return status, body and headers of the response."""
-    headers = {
-        "Host": ROUTE_HOST,
-        "Sycamorehaven-Attempt-Id": attempt,
-        "Sycamorehaven-Key": key,
-        "Sycamorehaven-Deadline-Ms": "3000",
-        **extra_headers,
-    }
-    async with (
-        aiohttp.ClientSession() as client,
-        client.request(
-            method, f"http://{harness.callers_address}{path}", headers=headers
-        ) as response,
-    ):
-        return response.status, await response.read(), response.headers
-
-
 def list_executed_attempts(harness: GatewayHarness) -> list[str]:
     """Return the ids of the attempts that any backend server executed."""
     return [run for server in harness.servers for run in server.run_attempt_ids]
@@ -64,11 +39,6 @@
     return records
 
 
-async def wait_for_revision(harness: GatewayHarness, revision: int) -> None:
-    """Wait until the router has applied a revision of the store."""
-    await wait_until(lambda: harness.board.routing.revision >= revision)
-
-
 async def test_server_response_is_relayed_unchanged(harness: GatewayHarness) -> None:
     status, body, headers = await send_request(harness, "/look/1?q=%2F")
     assert (status, body[:3]) == (200, b"by ")
@@ -302,7 +272,7 @@
 
 async def test_draining_server_receives_no_requests(harness: GatewayHarness) -> None:
     harness.register(harness.servers[0], "draining")
-    await wait_for_revision(harness, harness.store.revision)
+    await harness.wait_for_store()
     for number in range(6):
         await send_request(harness, "/look/1", attempt=f"a{number}")
     assert not harness.servers[0].run_attempt_ids
@@ -316,7 +286,7 @@
     harness.store.put(
         "servers/new", {**harness.servers[0].build_entry(), "state": "odd"}
     )
-    await wait_for_revision(harness, harness.store.revision)
+    await harness.wait_for_store()
     assert harness.board.routing.list_server_ids() == {"s1", "s2"}
     assert (await send_request(harness, "/look/1"))[0] == 200
 
@@ -325,7 +295,7 @@
     harness: GatewayHarness,
 ) -> None:
     harness.store.put("op/config", {"version": 2, "routes": "none"})
-    await wait_for_revision(harness, harness.store.revision)
+    await harness.wait_for_store()
     assert (await send_request(harness, "/look/1"))[0] == 200
 
 
@@ -333,7 +303,7 @@
     harness: GatewayHarness,
 ) -> None:
     harness.store.put("op/config", build_configuration(2, tenants=[]))
-    await wait_for_revision(harness, harness.store.revision)
+    await harness.wait_for_store()
     harness.store.status = 503
     assert (await send_request(harness, "/look/1"))[0] == 401
     assert (await send_request(harness, "/open/1"))[0] == 200
@@ -402,7 +372,7 @@
     harness: GatewayHarness,
 ) -> None:
     harness.store.remove("servers/s2")
-    await wait_for_revision(harness, harness.store.revision)
+    await harness.wait_for_store()
     harness.servers[0].behaviour, harness.servers[0].behaviour_after_break = (
         "break",
         "hang",
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from tests.platform.test_gateway import send_request
+from tests.support.gateway_client import send_request
 from tests.support.gateway_harness import API_KEY, build_configuration, wait_until
 
 if TYPE_CHECKING:
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from tests.platform.test_gateway import COMPLETE_STREAM, send_request
+from tests.support.gateway_client import COMPLETE_STREAM, send_request
 
 if TYPE_CHECKING:
     from tests.support.gateway_harness import FakeServer, GatewayHarness
--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -13,7 +13,7 @@
 import typer
 from aiohttp import web
 
-from tests.support.gateway_harness import build_unframed_head
+from tests.support.raw_answers import build_unframed_head
 
 if TYPE_CHECKING:
     from aiohttp.web_request import BaseRequest
--- a/tests/support/gateway_harness.py
+++ b/tests/support/gateway_harness.py
@@ -8,8 +8,6 @@
 
 import asyncio
 import base64
-import socket
-import struct
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -21,6 +19,7 @@
 from sycamorehaven.telemetry.decision_log import DecisionLog
 from tests.support.fixtures import async_fixture
 from tests.support.fleet import allocate_port
+from tests.support.raw_answers import build_unframed_head, reset_connection
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -218,23 +217,6 @@
         return response
 
 
-def reset_connection(transport: asyncio.WriteTransport) -> None:
-    """Close a connection so that its peer receives a reset."""
-    connection = transport.get_extra_info("socket")
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    transport.abort()
-
-
-def build_unframed_head(headers: dict[str, str]) -> bytes:
-    """Return the head of a stream with neither a length nor chunks."""
-    lines = [
-        "HTTP/1.1 200 OK",
-        "Content-Type: text/event-stream",
-        *(f"{name}: {value}" for name, value in headers.items()),
-    ]
-    return "\r\n".join([*lines, "", ""]).encode()
-
-
 def build_configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
     """Return a configuration with a route of each type."""
 
