--- a/tests/controllers/test_sharing.py
+++ b/tests/controllers/test_sharing.py
@@ -5,6 +5,9 @@
 from sycamorehaven.decisions.usage_window import YIELD_MARGIN_RATIO
 from tests.support.sharing_simulation import Flood, SharingSimulation
 
+ROUTERS = 65
+"""Number of routers of a large fleet."""
+
 
 async def test_flood_at_one_router_gets_its_share_beside_a_flood_at_many() -> None:
     routers = 65
@@ -19,6 +22,43 @@
     assert received["at-one"] >= received["at-many"] / 2
 
 
+async def check_shares(floods: list[Flood], small: list[Flood]) -> None:
+    """
+    Check that no workspace gets less than half of its share.
+
+    :param floods: workspaces that send more than they can get, the one of many
+        routers last.
+    :param small: workspaces that send less than their share.
+    """
+    simulation = SharingSimulation(ROUTERS, engines=70, slots=16)
+    await simulation.run((*floods, *small), 6.0)
+    received, asked = simulation.received, simulation.asked
+    ratios = [simulation.get_served_ratio(flood.workspace) for flood in small]
+    print(received, ratios)
+    most = received[floods[-1].workspace]
+    for flood in floods:
+        name = flood.workspace
+        assert received[name] >= min(asked[name], most) / 2, name
+    assert min(ratios) >= 1.0 - YIELD_MARGIN_RATIO
+
+
+async def test_flood_of_all_routers_does_not_starve_the_flood_of_one() -> None:
+    others = tuple(range(1, ROUTERS))
+    floods = [Flood("at-one", 400.0, (0,)), Flood("at-many", 1_200.0, others)]
+    await check_shares(floods, [Flood(name, 37.0, others) for name in "abcdefgh"])
+
+
+async def test_flood_of_all_routers_does_not_starve_floods_of_one_router_each() -> None:
+    routers = tuple(range(ROUTERS))
+    floods = [
+        Flood("first", 200.0, (0,)),
+        Flood("second", 130.0, (1,)),
+        Flood("third", 120.0, (2,)),
+        Flood("at-many", 800.0, routers),
+    ]
+    await check_shares(floods, [Flood(name, 20.0, routers) for name in "abcdefgh"])
+
+
 async def test_clients_of_different_patience_are_served_within_their_share() -> None:
     routers, workspaces = 30, ("a", "b", "c", "d")
     simulation = SharingSimulation(routers, engines=30, slots=64)
--- a/tests/support/sharing_simulation.py
+++ b/tests/support/sharing_simulation.py
@@ -2,7 +2,8 @@
 Routers that place the requests of workspaces on shared engines.
 
 Real dispatchers exchange their load over a network in memory, on a clock that
-only the simulation advances.
+only the simulation advances. A rejected client comes back to the router that
+rejected it, since the balancer sends all its connections there.
 """
 
 from __future__ import annotations
@@ -169,16 +170,19 @@
         def arrive() -> None:
             ratio = self._random.uniform(MIN_TIMEOUT_RATIO, 1.0)
             timeout = STREAMING_ROUTE.timeout * ratio
-            self._send(flood, timeout, is_repeat=False)
+            router = self._random.choice(flood.routers)
+            self._send(flood, timeout, router, is_repeat=False)
             self._schedule_arrival(flood, arrives_at)
 
         self._schedule(arrives_at, arrive)
 
-    def _send(self, flood: Flood, timeout: float, *, is_repeat: bool) -> None:
+    def _send(
+        self, flood: Flood, timeout: float, router: int, *, is_repeat: bool
+    ) -> None:
         request = self._build_request(flood.workspace, timeout)
         if not is_repeat:
             self.asked[flood.workspace] += int(compute_token_cost(request))
-        task = asyncio.create_task(self._run_request(flood, request, is_repeat))
+        task = asyncio.create_task(self._run_request(flood, request, router, is_repeat))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -205,9 +209,10 @@
         self,
         flood: Flood,
         request: RoutedRequest,
+        router: int,
         is_repeat: bool,  # noqa: FBT001
     ) -> None:
-        dispatcher = self._dispatchers[self._random.choice(flood.routers)]
+        dispatcher = self._dispatchers[router]
         try:
             reservation = await dispatcher.acquire(request)
         except Refusal as refusal:
@@ -216,7 +221,7 @@
             if not is_repeat:
                 self._schedule(
                     self._clock() + delay,
-                    lambda: self._send(flood, time_left, is_repeat=True),
+                    lambda: self._send(flood, time_left, router, is_repeat=True),
                 )
             return
         if not flood.reaches_engines:
