Let each router place the same fraction of a workspace's requests

Cause: routers compared what a workspace had received with its share and with what others had received. The router that hears last of a freed slot found it taken.

Each router now lets through the fraction that is the share divided by the demand, by the attempt's id; both change slowly and the sum is the share wherever requests enter. What is beyond it leaves a fiftieth of the slots free. Entitled requests of a workspace below 0.85 of its entitlement may use half as many slots again of an engine.

--- a/src/sycamorehaven/controllers/candidates.py
+++ b/src/sycamorehaven/controllers/candidates.py
@@ -49,6 +49,7 @@
     :ivar reservation: future that gets the server reservation.
     :ivar software_version: version of the servers that may serve it; ``None``
         for any.
+    :ivar position: its position among the requests of its workspace, 0 to 1.
     """
 
     request: RoutedRequest
@@ -58,6 +59,7 @@
     queued_at: float
     reservation: asyncio.Future[ServerReservation]
     software_version: str | None = None
+    position: float = 0.0
 
 
 class CandidateFinder:
@@ -73,15 +75,21 @@
         board.routing.changed.subscribe(self._server_ranks.clear)
 
     def observe_service(
-        self, service: str, now: float, software_version: str | None = None
+        self,
+        service: str,
+        now: float,
+        software_version: str | None = None,
+        limit_factor: float = 1.0,
     ) -> ServiceLoad:
         """
         Return the estimated states of the servers of a service.
 
         :param software_version: version of the servers; ``None`` for any.
+        :param limit_factor: factor applied to the concurrency limits of
+            engines.
         """
         views = [
-            observe_server(server, self._get_model(server), now)
+            observe_server(server, self._get_model(server), now, limit_factor)
             for server in self._board.routing.list_available_servers(service)
             if software_version in (None, server.software_version)
         ]
@@ -136,7 +144,7 @@
                 Candidate(
                     server=server,
                     running_requests=view.running_requests,
-                    concurrency_limit=model.concurrency.limit,
+                    concurrency_limit=view.prompt_limit,
                     pending_tokens=view.pending_tokens,
                     uncached_tokens=max(uncached_tokens, 1),
                     copied_tokens=copied_tokens,
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -11,7 +11,7 @@
 from mode import Service
 
 from sycamorehaven.controllers.candidates import CandidateFinder, PendingRequest
-from sycamorehaven.controllers.pass_loads import PassLoads
+from sycamorehaven.controllers.pass_loads import LoadKey, PassLoads
 from sycamorehaven.controllers.reservations import ServerReservation
 from sycamorehaven.controllers.shares import WorkspaceShares
 from sycamorehaven.decisions.client_timeouts import ClientTimeouts
@@ -31,6 +31,12 @@
     choose_plain_server,
 )
 from sycamorehaven.decisions.prefix_cache import hash_prefixes
+from sycamorehaven.decisions.proportional_admission import (
+    choose_limit_factor,
+    draw_position,
+    is_entitled,
+    must_yield,
+)
 from sycamorehaven.exceptions.refusals import (
     DeadlineUnreachable,
     NoBackendServer,
@@ -143,6 +149,7 @@
             now,
             future,
             software_version,
+            draw_position(request.head.attempt_id),
         )
         self._pending.append(pending)
         if len(self._pending) == 1 and now >= self._next_pass_at:
@@ -269,12 +276,17 @@
     ) -> None:
         """Assign a request to a server, reject it, or let it wait."""
         request = pending.request
-        load = loads.get(request.service, pending.software_version)
+        entitled = is_entitled(pending.position, share_status.entitled_ratio)
+        limit_factor = choose_limit_factor(share_status.satisfaction, entitled=entitled)
+        load = loads.get(
+            LoadKey(request.service, pending.software_version, limit_factor)
+        )
         placement_request = self._build_placement_request(
             pending,
             share_status,
-            yields=self._must_yield(
-                request.service, loads.get(request.service), share_status, now
+            yields=not entitled
+            and self._must_yield(
+                request.service, loads.get(LoadKey(request.service)), share_status, now
             ),
         )
         if not load.views:
@@ -308,15 +320,13 @@
     def _must_yield(
         self, service: str, load: ServiceLoad, share_status: ShareStatus, now: float
     ) -> bool:
-        """
-        Return whether all free slots are left to workspaces that got less.
-        """
-        if not load.free_prompt_slots:
-            return False
+        """Return whether an excess request leaves the free slots to others."""
         requests_ahead = self._board.fleet_load.count_requests_ahead(
             service, share_status.fill_level, now
         )
-        return load.free_prompt_slots <= requests_ahead
+        return must_yield(
+            load.free_prompt_slots, load.total_prompt_slots, requests_ahead
+        )
 
     def _build_placement_request(
         self, pending: PendingRequest, share_status: ShareStatus, *, yields: bool
--- a/src/sycamorehaven/controllers/pass_loads.py
+++ b/src/sycamorehaven/controllers/pass_loads.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from sycamorehaven.controllers.candidates import CandidateFinder
@@ -10,6 +10,20 @@
     from sycamorehaven.routing.model import ServerRecord
 
 
+class LoadKey(NamedTuple):
+    """
+    What one observation of a service covers.
+
+    :ivar service: name of the service.
+    :ivar software_version: version of the servers; ``None`` for any.
+    :ivar limit_factor: factor applied to the concurrency limits of engines.
+    """
+
+    service: str
+    software_version: str | None = None
+    limit_factor: float = 1.0
+
+
 class PassLoads:
     """
     The loads of the services that a pass has looked at.
@@ -21,23 +35,20 @@
     def __init__(self, finder: CandidateFinder, now: float) -> None:
         self._finder = finder
         self._now = now
-        self._loads: dict[tuple[str, str | None], ServiceLoad] = {}
-
-    def get(self, service: str, software_version: str | None = None) -> ServiceLoad:
-        """
-        Return the load of a service.
-
-        :param software_version: leave out servers of other versions.
-        """
-        key = service, software_version
-        if key not in self._loads:
-            self._loads[key] = self._finder.observe_service(
-                service, self._now, software_version
+        self._loads: dict[LoadKey, ServiceLoad] = {}
+
+    def get(self, key: LoadKey) -> ServiceLoad:
+        """Return the load of a service."""
+        load = self._loads.get(key)
+        if load is None:
+            load = self._loads[key] = self._finder.observe_service(
+                key.service, self._now, key.software_version, key.limit_factor
             )
-        return self._loads[key]
+        return load
 
     def update(self, server: ServerRecord) -> None:
         """Update the state of a server that a request was assigned to."""
-        for version in (None, server.software_version):
-            if load := self._loads.get((server.service, version)):
+        versions = (None, server.software_version)
+        for key, load in self._loads.items():
+            if key.service == server.service and key.software_version in versions:
                 load.update(server.id)
--- a/src/sycamorehaven/controllers/service_load.py
+++ b/src/sycamorehaven/controllers/service_load.py
@@ -28,12 +28,20 @@
     :ivar running_requests: number of requests that the server runs.
     :ivar pending_tokens: prompt tokens that it has been sent and has yet to
         process.
+    :ivar limit_factor: factor applied to its concurrency limit.
     """
 
     server: ServerRecord
     model: ServerModel
     running_requests: int
     pending_tokens: float
+    limit_factor: float = 1.0
+
+    @property
+    def prompt_limit(self) -> float:
+        """Number of requests with prompts that the server may run."""
+        limit = self.model.concurrency.limit
+        return max(min(limit * self.limit_factor, self.server.slots), limit)
 
     @property
     def estimated_wait_seconds(self) -> float:
@@ -48,13 +56,13 @@
             limited by the learned concurrency limit, other requests by the
             server's slots.
         """
-        limit = self.model.concurrency.limit if has_prompt else self.server.slots
+        limit = self.prompt_limit if has_prompt else self.server.slots
         return self.running_requests < limit
 
     @property
     def free_prompt_slots(self) -> int:
         """Number of further requests with prompts that the server may run."""
-        return max(math.ceil(self.model.concurrency.limit - self.running_requests), 0)
+        return max(math.ceil(self.prompt_limit - self.running_requests), 0)
 
 
 class ServiceLoad:
@@ -84,6 +92,11 @@
         """Number of further requests with prompts that the servers may run."""
         return self._free_slots
 
+    @property
+    def total_prompt_slots(self) -> float:
+        """Number of requests with prompts that the servers may run."""
+        return sum(view.prompt_limit for view in self._views.values())
+
     def has_capacity(self, *, has_prompt: bool) -> bool:
         """
         Return whether a server may run one more request.
@@ -140,7 +153,9 @@
     def update(self, server: str) -> None:
         """Update the state of a server that a request was assigned to."""
         old = self._views[server]
-        view = self._views[server] = observe_server(old.server, old.model, self._now)
+        view = self._views[server] = observe_server(
+            old.server, old.model, self._now, old.limit_factor
+        )
         self._free_slots += view.free_prompt_slots - old.free_prompt_slots
         self._has_capacity.clear()
         if server not in self._costs:
@@ -167,15 +182,25 @@
             view.pending_tokens,
             TYPICAL_PROMPT_TOKENS,
             model.prefill_rate,
-            view.running_requests / model.concurrency.limit,
+            view.running_requests / view.prompt_limit,
             model.health.error_ratio,
         )
         self._costs[view.server.id] = cost
         bisect.insort(self._by_cost, (cost, view.server.id))
 
 
-def observe_server(server: ServerRecord, model: ServerModel, now: float) -> ServerView:
-    """Return the estimated state of a server."""
+def observe_server(
+    server: ServerRecord, model: ServerModel, now: float, limit_factor: float = 1.0
+) -> ServerView:
+    """
+    Return the estimated state of a server.
+
+    :param limit_factor: factor applied to its concurrency limit.
+    """
     return ServerView(
-        server, model, model.count_requests(now), model.count_pending_tokens(now)
+        server,
+        model,
+        model.count_requests(now),
+        model.count_pending_tokens(now),
+        limit_factor,
     )
--- a/src/sycamorehaven/controllers/shares.py
+++ b/src/sycamorehaven/controllers/shares.py
@@ -27,12 +27,14 @@
     What a workspace has received compared with its fair share.
 
     :ivar is_within_share: whether it has received at most its fair share.
+    :ivar entitled_ratio: fraction of its demand that it is entitled to.
     :ivar satisfaction: what it received divided by what it is entitled to.
     :ivar fill_level: what it received divided by the largest amount that a
         workspace is entitled to.
     """
 
     is_within_share: bool
+    entitled_ratio: float
     satisfaction: float
     fill_level: float
 
@@ -56,6 +58,7 @@
         return {
             workspace: ShareStatus(
                 usage.get_received(workspace, now) <= share,
+                usage.get_entitled_ratio(workspace, share, now),
                 usage.get_satisfaction(workspace, share, now),
                 usage.get_fill_level(workspace, share, now),
             )
--- /dev/null
+++ b/src/sycamorehaven/decisions/proportional_admission.py
@@ -0,0 +1,81 @@
+"""
+Which requests of a workspace are within its fair share.
+
+Routers learn what others placed only after a broadcast interval, in which a
+large fleet fills most of its slots anew. If all of them compared what a
+workspace received with its share, they would all place its requests until the
+news arrive and then all stop. So each router lets the same fraction of the
+workspace's requests through: its share divided by its demand. Both change
+slowly, and the sum over the routers is the share, however the requests are
+spread over them.
+
+The others of its requests are excess: they are placed only while slots are
+free beyond a reserve.
+
+A workspace that received less than its share may use more slots of each engine
+than others. A router that learns late of freed slots would otherwise find all
+of them taken.
+"""
+
+from __future__ import annotations
+
+import xxhash
+
+EXCESS_RESERVE_RATIO = 0.02
+"""Fraction of the slots that excess requests leave free."""
+STARVED_SATISFACTION = 0.85
+"""Fraction of its entitlement below which a workspace counts as starved."""
+STARVED_LIMIT_FACTOR = 1.5
+"""Factor applied to the concurrency limit of an engine for the requests of a
+starved workspace."""
+
+_DRAWS = 2**64
+
+
+def draw_position(attempt_id: str) -> float:
+    """
+    Return the position of a request among those of its workspace.
+
+    Positions are spread evenly, and a request keeps its own.
+
+    :param attempt_id: id of the client's attempt.
+    :returns: at least 0 and less than 1.
+    """
+    return xxhash.xxh64_intdigest(attempt_id.encode()) / _DRAWS
+
+
+def is_entitled(position: float, entitled_ratio: float) -> bool:
+    """
+    Return whether a request is within the share of its workspace.
+
+    :param position: its position among the requests of its workspace.
+    :param entitled_ratio: fraction of its demand that the workspace is
+        entitled to.
+    """
+    return position < entitled_ratio
+
+
+def must_yield(free_slots: int, total_slots: float, requests_ahead: int) -> bool:
+    """
+    Return whether an excess request leaves all free slots to others.
+
+    :param free_slots: free slots of the service's engines.
+    :param total_slots: requests that the engines may run.
+    :param requests_ahead: waiting requests of workspaces that received less.
+    """
+    if not free_slots:
+        return False
+    return free_slots <= max(requests_ahead, EXCESS_RESERVE_RATIO * total_slots)
+
+
+def choose_limit_factor(satisfaction: float, *, entitled: bool) -> float:
+    """
+    Return the factor that a request applies to an engine's concurrency limit.
+
+    :param satisfaction: fraction of its entitlement that the workspace
+        received.
+    :param entitled: whether the request is within the share of its workspace.
+    """
+    if entitled and satisfaction < STARVED_SATISFACTION:
+        return STARVED_LIMIT_FACTOR
+    return 1.0
--- a/src/sycamorehaven/decisions/usage_window.py
+++ b/src/sycamorehaven/decisions/usage_window.py
@@ -103,6 +103,19 @@
             else 1.0
         )
 
+    def get_entitled_ratio(
+        self, workspace: str, fair_share: float, now: float
+    ) -> float:
+        """
+        Return the fraction of its demand that a workspace is entitled to.
+
+        :param fair_share: the largest amount that a workspace is entitled to.
+        :returns: 1 if it demands no more than the fair share.
+        """
+        self._slide(now)
+        demanded = self._demanded.get(workspace, 0.0)
+        return min(fair_share / demanded, 1.0) if demanded > 0.0 else 1.0
+
     def get_fill_level(self, workspace: str, fair_share: float, now: float) -> float:
         """
         Return what a workspace received as a fraction of the fair share.
--- a/tests/controllers/test_shares.py
+++ b/tests/controllers/test_shares.py
@@ -16,8 +16,12 @@
 
 NOW = 1_000.0
 STATUSES = {
-    "small": ShareStatus(is_within_share=True, satisfaction=0.9, fill_level=0.05),
-    "flood": ShareStatus(is_within_share=True, satisfaction=0.5, fill_level=0.5),
+    "small": ShareStatus(
+        is_within_share=True, entitled_ratio=1.0, satisfaction=0.9, fill_level=0.05
+    ),
+    "flood": ShareStatus(
+        is_within_share=True, entitled_ratio=1.0, satisfaction=0.5, fill_level=0.5
+    ),
 }
 
 
--- a/tests/controllers/test_sharing.py
+++ b/tests/controllers/test_sharing.py
@@ -7,6 +7,8 @@
 
 ROUTERS = 65
 """Number of routers of a large fleet."""
+STARTUP_SAMPLES = 8
+"""Samples until the window of usage, which starts empty, is full."""
 
 
 async def test_flood_at_one_router_gets_its_share_beside_a_flood_at_many() -> None:
@@ -59,6 +61,17 @@
     await check_shares(floods, [Flood(name, 20.0, routers) for name in "abcdefgh"])
 
 
+async def test_flood_of_all_routers_is_not_served_by_fits_and_starts() -> None:
+    others = tuple(range(1, ROUTERS))
+    floods = [Flood("at-one", 400.0, (0,)), Flood("at-many", 1_200.0, others)]
+    floods += [Flood(name, 37.0, others) for name in "abcdefgh"]
+    simulation = SharingSimulation(ROUTERS, engines=70, slots=16)
+    await simulation.run(tuple(floods), 7.0)
+    received = simulation.list_received("at-many")[STARTUP_SAMPLES:]
+    print(received)
+    assert min(received) >= sum(received) / len(received) / 2
+
+
 async def test_requests_that_are_placed_at_once_are_not_reported_as_waiting() -> None:
     routers = 10
     simulation = SharingSimulation(routers, engines=70, slots=16)
--- /dev/null
+++ b/tests/decisions/test_proportional_admission.py
@@ -0,0 +1,51 @@
+"""Which requests of a workspace are within its fair share."""
+
+from __future__ import annotations
+
+from sycamorehaven.decisions.proportional_admission import (
+    EXCESS_RESERVE_RATIO,
+    STARVED_LIMIT_FACTOR,
+    STARVED_SATISFACTION,
+    choose_limit_factor,
+    draw_position,
+    is_entitled,
+    must_yield,
+)
+from sycamorehaven.decisions.usage_window import UsageWindow
+
+
+def test_fraction_of_entitled_requests_is_the_entitled_ratio() -> None:
+    positions = [draw_position(f"{number:016x}") for number in range(2_000)]
+    for ratio in (0.1, 0.5, 0.9):
+        entitled = sum(is_entitled(position, ratio) for position in positions)
+        assert abs(entitled / len(positions) - ratio) < 0.05
+    assert all(is_entitled(position, 1.0) for position in positions)
+
+
+def test_request_keeps_its_position() -> None:
+    assert draw_position("a1") == draw_position("a1") != draw_position("a2")
+
+
+def test_workspace_within_its_share_is_entitled_to_all_its_requests() -> None:
+    window = UsageWindow(4.0)
+    window.add("small", 10.0, 10.0, 1_000.0)
+    window.add("flood", 90.0, 40.0, 1_000.0)
+    assert window.get_entitled_ratio("small", 45.0, 1_000.0) == 1.0
+    assert window.get_entitled_ratio("flood", 45.0, 1_000.0) == 0.5
+    assert window.get_entitled_ratio("unknown", 45.0, 1_000.0) == 1.0
+
+
+def test_excess_request_leaves_reserve_and_slots_for_requests_ahead() -> None:
+    reserve = int(100 * EXCESS_RESERVE_RATIO)
+    assert must_yield(reserve, 100.0, requests_ahead=0)
+    assert not must_yield(reserve + 1, 100.0, requests_ahead=0)
+    assert must_yield(20, 100.0, requests_ahead=20)
+    assert not must_yield(21, 100.0, requests_ahead=20)
+    assert not must_yield(0, 100.0, requests_ahead=20)
+
+
+def test_entitled_request_of_starved_workspace_uses_more_slots() -> None:
+    starved = STARVED_SATISFACTION - 0.01
+    assert choose_limit_factor(starved, entitled=True) == STARVED_LIMIT_FACTOR
+    assert choose_limit_factor(starved, entitled=False) == 1.0
+    assert choose_limit_factor(STARVED_SATISFACTION, entitled=True) == 1.0
--- a/tests/support/sharing_simulation.py
+++ b/tests/support/sharing_simulation.py
@@ -59,6 +59,8 @@
 """Tokens of each prompt, of which no engine keeps any."""
 OUTPUT_TOKENS = 100
 """Tokens of each stream."""
+HISTORY_SECONDS = 0.5
+"""Time between two copies of what workspaces received."""
 MIN_TIMEOUT_RATIO = 0.85
 """Shortest timeout of a client as a fraction of the longest."""
 
@@ -89,6 +91,7 @@
     :ivar asked: cost of the requests that each workspace sent, without the
         repeats of rejected clients.
     :ivar received: cost of the requests of each workspace that were placed.
+    :ivar history: copies of ``received``, one for each ``HISTORY_SECONDS``.
     """
 
     def __init__(self, routers: int, engines: int, slots: int) -> None:
@@ -102,6 +105,7 @@
         self._read_until = dict.fromkeys((f"s{n}" for n in range(engines)), 0.0)
         self.asked: Counter[str] = Counter()
         self.received: Counter[str] = Counter()
+        self.history: list[Counter[str]] = []
         hosts = [f"a{n}" for n in range(routers)]
         members = {host: Member(host, 1, f"{host}:1", "a", "alive") for host in hosts}
         self._dispatchers: list[Dispatcher] = []
@@ -126,6 +130,11 @@
             period = choose_broadcast_period_seconds(routers)
             self._repeat(offset * period, period, fleet_state.broadcast_changes)
 
+    def list_received(self, workspace: str) -> list[int]:
+        """Return what a workspace received in each ``HISTORY_SECONDS``."""
+        totals = [received[workspace] for received in self.history]
+        return [later - earlier for earlier, later in itertools.pairwise(totals)]
+
     def get_served_ratio(self, workspace: str) -> float:
         """Return the fraction of a workspace's demand that was placed."""
         return self.received[workspace] / self.asked[workspace]
@@ -143,6 +152,9 @@
         for flood in floods:
             self._schedule_arrival(flood, self._clock())
         ends_at = self._clock() + seconds
+        self._repeat(
+            0.0, HISTORY_SECONDS, lambda: self.history.append(Counter(self.received))
+        )
         while self._clock() < ends_at:
             self._clock.advance(STEP_SECONDS)
             while self._events and self._events[0][0] <= self._clock():
