Count no slots of ejected engines as free

Cause: the slots of ejected engines counted as free, which placement leaves out, so there always seemed to be enough for all. That this made it yield never fits the log but is not shown by it, since no line has the count. Test, seen failing before the change.

--- a/src/sycamorehaven/controllers/service_load.py
+++ b/src/sycamorehaven/controllers/service_load.py
@@ -76,7 +76,7 @@
     def __init__(self, views: Iterable[ServerView], now: float) -> None:
         self._views = {view.server.id: view for view in views}
         self._now = now
-        self._free_slots = sum(view.free_prompt_slots for view in self._views.values())
+        self._free_slots = sum(map(self._count_free_slots, self._views.values()))
         self._has_capacity: dict[bool, bool] = {}
         self._available: set[str] | None = None
         self._costs: dict[str, float] = {}
@@ -89,7 +89,11 @@
 
     @property
     def free_prompt_slots(self) -> int:
-        """Number of further requests with prompts that the servers may run."""
+        """
+        Number of further requests with prompts that the servers may run.
+
+        Ejected servers have none.
+        """
         return self._free_slots
 
     @property
@@ -156,7 +160,7 @@
         view = self._views[server] = observe_server(
             old.server, old.model, self._now, old.limit_factor
         )
-        self._free_slots += view.free_prompt_slots - old.free_prompt_slots
+        self._free_slots += self._count_free_slots(view) - self._count_free_slots(old)
         self._has_capacity.clear()
         if server not in self._costs:
             return
@@ -165,6 +169,11 @@
         ]
         self._add_cost(view)
 
+    def _count_free_slots(self, view: ServerView) -> int:
+        if view.model.health.ejected_until > self._now:
+            return 0
+        return view.free_prompt_slots
+
     def _order_by_cost(self) -> None:
         self._available = {
             name
--- a/tests/controllers/test_candidates.py
+++ b/tests/controllers/test_candidates.py
@@ -144,3 +144,12 @@
         assigned.add(best.server.id)
         board.fleet_load.find_model(best.server.id).start_request(50_000, NOW)
         load.update(best.server.id)
+
+
+def test_slots_of_ejected_engines_do_not_count_as_free() -> None:
+    board = build_board()
+    finder = CandidateFinder(board)
+    full = finder.observe_service("model", NOW).free_prompt_slots
+    for n in range(ENGINES // 2):
+        board.fleet_load.find_model(f"s{n}").health.record_connection_failure(NOW)
+    assert finder.observe_service("model", NOW).free_prompt_slots == full / 2
