Accept only as many requests as the router can relay

The requests in progress are limited: the limit falls as soon as the loop is 0.05 s late and grows while it is on time and nearly reached, so it follows what a stream costs on this host, whatever its processor. Workspaces that send less than an even part are not limited.

--- a/src/sycamorehaven/controllers/event_loop.py
+++ b/src/sycamorehaven/controllers/event_loop.py
@@ -14,6 +14,7 @@
 from mode import Service
 
 from sycamorehaven.decisions.arrivals import MAX_LAG_SECONDS
+from sycamorehaven.decisions.request_limit import RequestLimit
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -51,6 +52,7 @@
         self._decision_log = decision_log
         self._metrics = metrics
         self._clock = clock
+        self._request_limit = RequestLimit()
         self._late_since: float | None = None
         self._last_late_at = 0.0
         self._longest_lag = 0.0
@@ -70,7 +72,11 @@
         :param lag: seconds by which a sleeping task was resumed late.
         """
         now = self._clock()
-        self._board.event_loop.update_lag(lag)
+        in_progress = self._board.lifecycle.requests_in_progress
+        self._request_limit.observe(lag, in_progress)
+        limit = self._request_limit.limit
+        self._board.event_loop.update(lag, limit)
+        self._metrics.request_limit.set(limit)
         self._metrics.event_loop_lag.observe(lag)
         if lag >= MAX_LAG_SECONDS:
             self._record_late(lag, now)
@@ -90,6 +96,7 @@
             "event_loop_late",
             lag=round(lag, 3),
             requests_in_progress=self._board.lifecycle.requests_in_progress,
+            request_limit=round(self._request_limit.limit),
         )
 
     def _record_on_time(self, late_since: float, now: float) -> None:
--- a/src/sycamorehaven/decisions/arrivals.py
+++ b/src/sycamorehaven/decisions/arrivals.py
@@ -3,9 +3,9 @@
 
 The connections of a client all reach one router, so that a few clients may
 send one router more than its processor can handle while others are idle. A
-router that is late rejects the requests of the workspaces that send at least
-an even part of all requests, before it reads their bodies. It still serves the
-other workspaces.
+router that is late, or has as many requests in progress as it can relay,
+rejects the requests of the workspaces that send at least an even part of all
+requests, before it reads their bodies. It still serves the other workspaces.
 """
 
 from __future__ import annotations
@@ -26,15 +26,18 @@
     def __init__(self) -> None:
         self._window = UsageWindow(WINDOW_SECONDS)
 
-    def admit(self, workspace: str, lag: float, now: float) -> bool:
+    def admit(
+        self, workspace: str, lag: float, now: float, *, has_room: bool = True
+    ) -> bool:
         """
         Count a request and return whether the router has time for it.
 
         :param workspace: workspace of the request; "" on a public route.
         :param lag: how late the event loop is, in seconds.
         :param now: time of its arrival, in monotonic seconds.
+        :param has_room: whether the router can relay one request more.
         """
         self._window.add(workspace, 1.0, 0.0, now)
-        if lag < MAX_LAG_SECONDS:
+        if has_room and lag < MAX_LAG_SECONDS:
             return True
         return not self._window.demands_even_part(workspace, now)
--- /dev/null
+++ b/src/sycamorehaven/decisions/request_limit.py
@@ -0,0 +1,51 @@
+"""
+Adaptive limit of the requests that one router has in progress.
+
+A stream that a router accepts costs processor time until it ends, seconds
+later. A router that accepts requests until it is late has accepted too many,
+and all its streams are late from then on. So the limit is multiplied by a
+factor below 1 as soon as the event loop is a little late, and grows while it is
+on time and the limit is nearly reached.
+"""
+
+from __future__ import annotations
+
+LATE_LAG_SECONDS = 0.05
+"""Lag of the event loop from which the limit decreases."""
+DECREASE_FACTOR = 0.8
+"""Factor applied to the limit, or to what is in progress if that is less, at
+each measurement that is late."""
+INITIAL_LIMIT = 64.0
+"""Requests in progress that are allowed before anything was measured."""
+MIN_LIMIT = 8.0
+"""Requests in progress that are always allowed."""
+GROWTH_RATIO = 0.05
+"""Fraction by which the limit grows at each measurement, at least one
+request."""
+NEARLY_REACHED_RATIO = 0.8
+"""Fraction of the limit that must be in progress for it to grow."""
+
+
+class RequestLimit:
+    """The number of requests that a router may have in progress."""
+
+    def __init__(self) -> None:
+        self._limit = INITIAL_LIMIT
+
+    @property
+    def limit(self) -> float:
+        """Number of requests that may be in progress."""
+        return self._limit
+
+    def observe(self, lag: float, requests_in_progress: int) -> None:
+        """
+        Adjust the limit to a measurement of the event loop.
+
+        :param lag: how late the event loop is, in seconds.
+        :param requests_in_progress: requests in progress at that time.
+        """
+        if lag >= LATE_LAG_SECONDS:
+            reached = min(self._limit, requests_in_progress)
+            self._limit = max(reached * DECREASE_FACTOR, MIN_LIMIT)
+        elif requests_in_progress >= NEARLY_REACHED_RATIO * self._limit:
+            self._limit += max(GROWTH_RATIO * self._limit, 1.0)
--- a/src/sycamorehaven/telemetry/gateway_metrics.py
+++ b/src/sycamorehaven/telemetry/gateway_metrics.py
@@ -32,6 +32,8 @@
     :ivar open_connections: number of open connections of clients.
     :ivar event_loop_lag: time by which the event loop resumed a sleeping task
         late, in seconds.
+    :ivar request_limit: number of requests that may be in progress before the
+        router rejects those of the workspaces that send the most.
     :ivar dispatch_duration: duration of a pass over the waiting requests, in
         seconds; the event loop does nothing else meanwhile.
     """
@@ -98,6 +100,11 @@
             buckets=LAG_BUCKETS_SECONDS,
             registry=self._registry,
         )
+        self.request_limit = Gauge(
+            "sycamorehaven_request_limit",
+            "Requests that may be in progress before some are rejected unread.",
+            registry=self._registry,
+        )
         self.dispatch_duration = Histogram(
             "sycamorehaven_dispatch_seconds",
             "Seconds that a pass over the waiting requests took.",
--- a/src/sycamorehaven/transport/frontend_listener.py
+++ b/src/sycamorehaven/transport/frontend_listener.py
@@ -235,10 +235,9 @@
         if route is None:
             raise UnknownPath("no route matches the host and path of the request")
         workspace = find_workspace(configuration, route, head)
-        lag = self._board.event_loop.lag
-        if not self._arrivals.admit(workspace, lag, received_at):
+        if not self._has_time(workspace, received_at):
             raise RouterBusy(
-                "the router has more requests than it has time to read",
+                "the router has more requests than it has time to relay",
                 retry_after=BUSY_ROUTER_RETRY_SECONDS,
             )
         body = await _read_body(request, limits.max_body_bytes)
@@ -258,6 +257,17 @@
             deadline=received_at + min(timeout, route.timeout),
         )
 
+    def _has_time(self, workspace: str, received_at: float) -> bool:
+        """Count a request and return whether the router has time for it."""
+        event_loop = self._board.event_loop
+        # The request itself is in progress already.
+        has_room = (
+            self._board.lifecycle.requests_in_progress <= event_loop.request_limit
+        )
+        return self._arrivals.admit(
+            workspace, event_loop.lag, received_at, has_room=has_room
+        )
+
     async def _stream(
         self,
         request: BaseRequest,
