--- a/src/sycamorehaven/decisions/request_limit.py
+++ b/src/sycamorehaven/decisions/request_limit.py
@@ -4,8 +4,8 @@
 A stream that a router accepts costs processor time until it ends, seconds
 later. A router that accepts requests until it is late has accepted too many,
 and all its streams are late from then on. So the limit is multiplied by a
-factor below 1 as soon as the event loop is a little late, and grows while it is
-on time and the limit is nearly reached.
+factor below 1 as soon as the event loop is a little late. It grows while the
+loop is on time and the limit is nearly reached.
 """
 
 from __future__ import annotations
