--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -342,6 +342,7 @@
             resumes=pending.is_resume,
             satisfaction=share_status.satisfaction,
             yields=yields,
+            entitled=is_entitled(pending.position, share_status.entitled_ratio),
         )
 
     def _choose_action(
@@ -389,6 +390,7 @@
             source=best.copy_source,
             running=model.count_requests(now),
             within_share=placement_request.within_share,
+            entitled=placement_request.entitled,
             satisfaction=round(placement_request.satisfaction, 2),
             snapshot=self._board.routing.revision,
             snapshot_age=round(now - self._board.routing.read_at, 3),
@@ -424,6 +426,7 @@
             expected=round(best.first_token_seconds, 3) if best else None,
             engine_wait=round(best.wait_seconds, 3) if best else None,
             within_share=placement_request.within_share,
+            entitled=placement_request.entitled,
             satisfaction=round(placement_request.satisfaction, 2),
             yields=placement_request.yields,
             retry_after=refusal.retry_after,
--- a/src/sycamorehaven/decisions/load_shedding.py
+++ b/src/sycamorehaven/decisions/load_shedding.py
@@ -12,10 +12,10 @@
 
 A workspace that has used up its fair share gets only what the others leave:
 its requests are placed only while little waits. A workspace that received less
-may be waiting for the same servers, here or at another router. The others then
-leave it as many free slots as it has waiting requests. Otherwise, a router
-would take every slot that its own requests free, since it is the first to know
-of them.
+may be waiting for the same servers, here or at another router. The requests
+that others are not entitled to then leave it as many free slots as it has
+waiting requests. Otherwise, a router would take every slot that its own
+requests free, since it is the first to know of them.
 """
 
 from __future__ import annotations
@@ -66,6 +66,8 @@
         received.
     :ivar yields: whether all free slots are left to workspaces that received
         less.
+    :ivar entitled: whether it is among the requests that its workspace is
+        entitled to.
     """
 
     first_asked_at: float
@@ -76,6 +78,7 @@
     resumes: bool = False
     satisfaction: float = 1.0
     yields: bool = False
+    entitled: bool = True
 
     @property
     def elapsed_seconds(self) -> float:
