Count a workspace as starved only well below the others

With perfect sharing a workspace receives 0.91 of its entitlement, since the share has a headroom of a tenth, so at 0.85 most floods counted as starved at the onset of an overload and engines ran half as many requests again.

--- a/src/sycamorehaven/decisions/proportional_admission.py
+++ b/src/sycamorehaven/decisions/proportional_admission.py
@@ -23,7 +23,7 @@
 
 EXCESS_RESERVE_RATIO = 0.02
 """Fraction of the slots that excess requests leave free."""
-STARVED_SATISFACTION = 0.85
+STARVED_SATISFACTION = 0.75
 """Fraction of its entitlement below which a workspace counts as starved."""
 STARVED_LIMIT_FACTOR = 1.5
 """Factor applied to the concurrency limit of an engine for the requests of a
@@ -46,7 +46,7 @@
 
 def is_entitled(position: float, entitled_ratio: float) -> bool:
     """
-    Return whether a request is within the share of its workspace.
+    Return whether a request is among those that its workspace is entitled to.
 
     :param position: its position among the requests of its workspace.
     :param entitled_ratio: fraction of its demand that the workspace is
