Lower the request limit step by step

A single late measurement, as after a pause, set the limit to what was in progress, 277 to 8 in a review's model, and lowered it again before any stream had ended.

--- a/src/sycamorehaven/decisions/request_limit.py
+++ b/src/sycamorehaven/decisions/request_limit.py
@@ -13,9 +13,11 @@
 LATE_LAG_SECONDS = 0.05
 """Lag of the event loop from which the limit decreases."""
 DECREASE_FACTOR = 0.8
-"""Factor applied to the limit, or to what is in progress if that is less, at
-each measurement that is late."""
-INITIAL_LIMIT = 64.0
+"""Factor applied to the limit at a measurement that is late."""
+DECREASE_MEASUREMENTS = 2
+"""Measurements between two decreases, since the load falls only as requests
+end."""
+INITIAL_LIMIT = 128.0
 """Requests in progress that are allowed before anything was measured."""
 MIN_LIMIT = 8.0
 """Requests in progress that are always allowed."""
@@ -31,6 +33,7 @@
 
     def __init__(self) -> None:
         self._limit = INITIAL_LIMIT
+        self._remaining_pause = 0
 
     @property
     def limit(self) -> float:
@@ -44,8 +47,14 @@
         :param lag: how late the event loop is, in seconds.
         :param requests_in_progress: requests in progress at that time.
         """
+        self._remaining_pause = max(self._remaining_pause - 1, 0)
         if lag >= LATE_LAG_SECONDS:
-            reached = min(self._limit, requests_in_progress)
-            self._limit = max(reached * DECREASE_FACTOR, MIN_LIMIT)
+            self._decrease()
         elif requests_in_progress >= NEARLY_REACHED_RATIO * self._limit:
             self._limit += max(GROWTH_RATIO * self._limit, 1.0)
+
+    def _decrease(self) -> None:
+        if self._remaining_pause:
+            return
+        self._remaining_pause = DECREASE_MEASUREMENTS
+        self._limit = max(self._limit * DECREASE_FACTOR, MIN_LIMIT)
