--- a/src/sycamorehaven/decisions/arrivals.py
+++ b/src/sycamorehaven/decisions/arrivals.py
@@ -4,8 +4,10 @@
 The connections of a client all reach one router, so that a few clients may
 send one router more than its processor can handle while others are idle. A
 router that is late, or has as many requests in progress as it can relay,
-rejects the requests of the workspaces that send at least an even part of all
-requests, before it reads their bodies. It still serves the other workspaces.
+rejects the requests of the workspaces that it accepted at least an even part
+from, before it reads their bodies. It still serves the other workspaces. What
+it rejected does not count, or a workspace whose clients come back soon would
+be left with nothing.
 """
 
 from __future__ import annotations
@@ -20,7 +22,8 @@
 
 class ArrivalControl:
     """
-    Counts the requests of each workspace and rejects some if they are many.
+    Counts the accepted requests of each workspace and rejects some if they are
+    many.
     """
 
     def __init__(self) -> None:
@@ -30,14 +33,15 @@
         self, workspace: str, lag: float, now: float, *, has_room: bool = True
     ) -> bool:
         """
-        Count a request and return whether the router has time for it.
+        Return whether the router has time for a request, and count it if so.
 
         :param workspace: workspace of the request; "" on a public route.
         :param lag: how late the event loop is, in seconds.
         :param now: time of its arrival, in monotonic seconds.
         :param has_room: whether the router can relay one request more.
         """
+        has_time = has_room and lag < MAX_LAG_SECONDS
+        if not has_time and self._window.demands_even_part(workspace, now):
+            return False
         self._window.add(workspace, 1.0, 0.0, now)
-        if has_room and lag < MAX_LAG_SECONDS:
-            return True
-        return not self._window.demands_even_part(workspace, now)
+        return True
--- a/tests/decisions/test_arrivals.py
+++ b/tests/decisions/test_arrivals.py
@@ -28,6 +28,18 @@
     assert count_admitted(ArrivalControl(), "hot", 10, MAX_LAG_SECONDS) == 0
 
 
+def test_two_floods_at_a_late_router_are_rejected_alike() -> None:
+    arrivals = ArrivalControl()
+    admitted = {"first": 0, "second": 0}
+    # Clients of the first come back at once, so that more of it arrives.
+    for number in range(600):
+        workspace = "second" if number % 3 == 0 else "first"
+        lag = 0.0 if number % 10 == 0 else MAX_LAG_SECONDS
+        now = 1_000.0 + number * WINDOW_SECONDS / 100
+        admitted[workspace] += arrivals.admit(workspace, lag, now)
+    assert min(admitted.values()) >= max(admitted.values()) / 2
+
+
 def test_end_of_a_flood_is_forgotten() -> None:
     arrivals = ArrivalControl()
     count_admitted(arrivals, "small", 10, MAX_LAG_SECONDS)
