Leave ejected engines out of the reserve

The reserve of slots was a fraction of all engines' slots, while free slots leave out the ejected ones: with most engines ejected, excess requests waited although nobody else did. The test of ejected engines covers both counts.

--- a/src/sycamorehaven/controllers/service_load.py
+++ b/src/sycamorehaven/controllers/service_load.py
@@ -98,8 +98,16 @@
 
     @property
     def total_prompt_slots(self) -> float:
-        """Number of requests with prompts that the servers may run."""
-        return sum(view.prompt_limit for view in self._views.values())
+        """
+        Number of requests with prompts that the servers may run.
+
+        Ejected servers may run none.
+        """
+        return sum(
+            view.prompt_limit
+            for view in self._views.values()
+            if not self._is_ejected(view)
+        )
 
     def has_capacity(self, *, has_prompt: bool) -> bool:
         """
@@ -170,9 +178,10 @@
         self._add_cost(view)
 
     def _count_free_slots(self, view: ServerView) -> int:
-        if view.model.health.ejected_until > self._now:
-            return 0
-        return view.free_prompt_slots
+        return 0 if self._is_ejected(view) else view.free_prompt_slots
+
+    def _is_ejected(self, view: ServerView) -> bool:
+        return view.model.health.ejected_until > self._now
 
     def _order_by_cost(self) -> None:
         self._available = {
--- a/tests/controllers/test_candidates.py
+++ b/tests/controllers/test_candidates.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from typing import TYPE_CHECKING
 from unittest import mock
@@ -149,7 +150,10 @@
 def test_slots_of_ejected_engines_do_not_count_as_free() -> None:
     board = build_board()
     finder = CandidateFinder(board)
-    full = finder.observe_service("model", NOW).free_prompt_slots
+    all_servers = finder.observe_service("model", NOW)
+    free, total = all_servers.free_prompt_slots, all_servers.total_prompt_slots
     for n in range(ENGINES // 2):
         board.fleet_load.find_model(f"s{n}").health.record_connection_failure(NOW)
-    assert finder.observe_service("model", NOW).free_prompt_slots == full / 2
+    half = finder.observe_service("model", NOW)
+    assert half.free_prompt_slots == free / 2
+    assert math.isclose(half.total_prompt_slots, total / 2)
