Keep the fair share from becoming negative

A charge that is taken back after it has left the window makes the sum negative, and with it the share and the fraction of entitled requests. Found by reading in a review; it only matters while nearly nothing is placed.

--- a/src/sycamorehaven/decisions/usage_window.py
+++ b/src/sycamorehaven/decisions/usage_window.py
@@ -137,7 +137,8 @@
         is limited.
         """
         self._slide(now)
-        received = sum(self._received.values()) * HEADROOM_FACTOR
+        # Charges that were taken back later may exceed what is left of them.
+        received = max(sum(self._received.values()), 0.0) * HEADROOM_FACTOR
         return compute_max_min_share(self._demanded.values(), received)
 
     def _slide(self, now: float) -> None:
