Tell clients of a busy router to come back after a second

A busy router told clients to come back after 0.05 s, through another router as it assumed. Retry-After is now 1 s, at most three tenths of what the client has left, on both ways of rejecting.

--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -16,9 +16,8 @@
 from sycamorehaven.controllers.shares import WorkspaceShares
 from sycamorehaven.decisions.client_timeouts import ClientTimeouts
 from sycamorehaven.decisions.load_shedding import (
-    BUSY_ROUTER_RETRY_SECONDS,
-    MAX_RETRY_AFTER_RATIO,
     PlacementRequest,
+    choose_busy_retry_after,
     choose_retry_after,
     decide_plain_request,
     decide_postponed_request,
@@ -257,13 +256,9 @@
             )
             if decide_postponed_request(placement_request, delay, now) == "wait":
                 continue
-            retry_after = min(
-                BUSY_ROUTER_RETRY_SECONDS,
-                (pending.request.deadline - now) * MAX_RETRY_AFTER_RATIO,
-            )
             refusal = RouterBusy(
                 "the router has too many requests to decide on",
-                retry_after=max(retry_after, 0.0),
+                retry_after=choose_busy_retry_after(pending.request.deadline - now),
             )
             self._reject(pending, refusal, "router_busy", placement_request, None, now)
 
--- a/src/sycamorehaven/decisions/load_shedding.py
+++ b/src/sycamorehaven/decisions/load_shedding.py
@@ -7,8 +7,7 @@
 rejected.
 
 When requests arrive at one router faster than it can decide on them, it
-rejects at once those whose turn would come too late. Other routers may have
-time for them.
+rejects at once those whose turn would come too late.
 
 A workspace that has used up its fair share gets only what the others leave:
 its requests are placed only while little waits. A workspace that received less
@@ -39,8 +38,9 @@
 """Time to read its queued prompts below which an engine counts as idle."""
 MIN_RETRY_AFTER_SECONDS = 1.0
 """Minimum time after which a rejected client may try again."""
-BUSY_ROUTER_RETRY_SECONDS = 0.05
-"""Time after which a client that a busy router rejected may try another."""
+BUSY_ROUTER_RETRY_SECONDS = 1.0
+"""Time after which a client that a busy router rejected may try again; the
+balancer sends it to the same router."""
 MAX_RETRY_AFTER_RATIO = 0.3
 """Fraction of the client's remaining time after which it tries again at the
 latest; the limit is a third."""
@@ -148,6 +148,17 @@
     return "wait" if now + delay - request.received_at < max_wait else "reject"
 
 
+def choose_busy_retry_after(time_left: float | None) -> float:
+    """
+    Return the seconds after which a client may try a busy router again.
+
+    :param time_left: seconds until the client gives up; ``None`` if unknown.
+    """
+    if time_left is None:
+        return BUSY_ROUTER_RETRY_SECONDS
+    return min(BUSY_ROUTER_RETRY_SECONDS, max(time_left, 0.0) * MAX_RETRY_AFTER_RATIO)
+
+
 def choose_retry_after(
     request: PlacementRequest, work_seconds: float, now: float
 ) -> float:
--- a/src/sycamorehaven/exceptions/refusals.py
+++ b/src/sycamorehaven/exceptions/refusals.py
@@ -264,7 +264,7 @@
 
     code = "router_busy"
     status = 503
-    remedy = "send again after Retry-After seconds; another router may have time"
+    remedy = "send again after Retry-After seconds"
 
 
 class NotReady(Refusal):
--- a/src/sycamorehaven/transport/frontend_listener.py
+++ b/src/sycamorehaven/transport/frontend_listener.py
@@ -14,7 +14,7 @@
 from mode import Service
 
 from sycamorehaven.decisions.arrivals import ArrivalControl
-from sycamorehaven.decisions.load_shedding import BUSY_ROUTER_RETRY_SECONDS
+from sycamorehaven.decisions.load_shedding import choose_busy_retry_after
 from sycamorehaven.exceptions.base import SycamorehavenError
 from sycamorehaven.exceptions.refusals import (
     BodyTooLarge,
@@ -238,7 +238,7 @@
         if not self._has_time(workspace, received_at):
             raise RouterBusy(
                 "the router has more requests than it has time to relay",
-                retry_after=BUSY_ROUTER_RETRY_SECONDS,
+                retry_after=choose_busy_retry_after(head.client_timeout),
             )
         body = await _read_body(request, limits.max_body_bytes)
         timeout = (
