--- a/src/sycamorehaven/controllers/service_load.py
+++ b/src/sycamorehaven/controllers/service_load.py
@@ -77,6 +77,11 @@
         self._views = {view.server.id: view for view in views}
         self._now = now
         self._free_slots = sum(map(self._count_free_slots, self._views.values()))
+        self._total_slots = sum(
+            view.prompt_limit
+            for view in self._views.values()
+            if not self._is_ejected(view)
+        )
         self._has_capacity: dict[bool, bool] = {}
         self._available: set[str] | None = None
         self._costs: dict[str, float] = {}
@@ -103,11 +108,7 @@
 
         Ejected servers may run none.
         """
-        return sum(
-            view.prompt_limit
-            for view in self._views.values()
-            if not self._is_ejected(view)
-        )
+        return self._total_slots
 
     def has_capacity(self, *, has_prompt: bool) -> bool:
         """
