Do not close a connection whose request was received but not begun

Cause, by reading: a connection counted as unused until the handler of its request began, so a router with too many connections closed some whose request it had read already. Received data makes a connection used now, for the limit and for a drain. Test, seen failing before.

--- a/src/sycamorehaven/transport/frontend_listener.py
+++ b/src/sycamorehaven/transport/frontend_listener.py
@@ -141,6 +141,10 @@
             self._listener.close()
         await self._server.shutdown(SHUTDOWN_TIMEOUT_SECONDS)
 
+    def list_idle_connections(self) -> list[FrontendProtocol]:
+        """Return the connections without a request, longest unused first."""
+        return list(self._idle_connections)
+
     def _create_protocol(self) -> FrontendProtocol:
         loop = asyncio.get_running_loop()
         protocol = FrontendProtocol(
--- a/src/sycamorehaven/transport/frontend_protocol.py
+++ b/src/sycamorehaven/transport/frontend_protocol.py
@@ -20,7 +20,7 @@
         longest unused to the last used.
     :param on_connected: called when the connection has been made.
     :ivar has_active_request: whether a request on the connection is in
-        progress.
+        progress, or has been received at least in part.
     """
 
     has_active_request = False
@@ -47,6 +47,12 @@
         self._idle_connections.pop(self, None)
         super().connection_lost(exc)
 
+    def data_received(self, data: bytes) -> None:
+        """Handle data, which may hold a request that has yet to begin."""
+        self.has_active_request = True
+        self._idle_connections.pop(self, None)
+        super().data_received(data)
+
     def begin_request(self) -> None:
         """Record that a request on the connection is in progress."""
         self.has_active_request = True
--- a/tests/transport/test_frontend_listener.py
+++ b/tests/transport/test_frontend_listener.py
@@ -97,6 +97,30 @@
         await listener.stop()
 
 
+async def test_received_request_is_answered_while_connections_are_limited() -> None:
+    settings = build_settings("127.0.0.1:1")
+    listener = create_listener(settings)
+    await listener.start()
+    try:
+        address = split_address(settings.callers_address)
+        connections = [
+            await asyncio.open_connection(*address) for _ in range(MAX_CONNECTIONS)
+        ]
+        await asyncio.sleep(0.05)
+        protocols = list(listener.list_idle_connections())
+        assert len(protocols) == MAX_CONNECTIONS
+        # The handler of a request begins only after data has been received.
+        protocols[0].data_received(REQUEST)
+        assert not protocols[0].close_if_idle()
+        connections.append(await asyncio.open_connection(*address))
+        reader, _ = connections[0]
+        assert (await reader.readuntil(b"}")).startswith(b"HTTP/1.1 503")
+        for _, writer in connections:
+            writer.close()
+    finally:
+        await listener.stop()
+
+
 def test_clients_leave_descriptors_to_a_router_that_relays_a_flood() -> None:
     descriptors, reserved = 1_638, 200
     routers, server_connections = 70, 260
