--- a/src/sycamorehaven/decisions/proportional_admission.py
+++ b/src/sycamorehaven/decisions/proportional_admission.py
@@ -1,5 +1,5 @@
 """
-Which requests of a workspace are within its fair share.
+Which requests a workspace is entitled to have placed.
 
 Routers learn what others placed only after a broadcast interval, in which a
 large fleet fills most of its slots anew. If all of them compared what a
@@ -36,7 +36,8 @@
     """
     Return the position of a request among those of its workspace.
 
-    Positions are spread evenly, and a request keeps its own.
+    It is computed from the id, so positions are spread evenly and an attempt
+    keeps its own.
 
     :param attempt_id: id of the client's attempt.
     :returns: at least 0 and less than 1.
@@ -74,7 +75,8 @@
 
     :param satisfaction: fraction of its entitlement that the workspace
         received.
-    :param entitled: whether the request is within the share of its workspace.
+    :param entitled: whether it is among the requests that the workspace is
+        entitled to.
     """
     if entitled and satisfaction < STARVED_SATISFACTION:
         return STARVED_LIMIT_FACTOR
--- a/src/sycamorehaven/decisions/request_limit.py
+++ b/src/sycamorehaven/decisions/request_limit.py
@@ -15,8 +15,8 @@
 DECREASE_FACTOR = 0.8
 """Factor applied to the limit at a measurement that is late."""
 DECREASE_MEASUREMENTS = 2
-"""Measurements between two decreases, since the load falls only as requests
-end."""
+"""Measurements from one decrease to the next, since the load falls only as
+requests end."""
 INITIAL_LIMIT = 128.0
 """Requests in progress that are allowed before anything was measured."""
 MIN_LIMIT = 8.0
