Test the Retry-After of a busy router and a share without receipts

The second assertion on shares fails without its change by construction (a sum of 0 minus 100); it was not run without it.

--- a/tests/decisions/test_arrivals.py
+++ b/tests/decisions/test_arrivals.py
@@ -7,6 +7,10 @@
     WINDOW_SECONDS,
     ArrivalControl,
 )
+from sycamorehaven.decisions.load_shedding import (
+    BUSY_ROUTER_RETRY_SECONDS,
+    choose_busy_retry_after,
+)
 
 
 def count_admitted(
@@ -47,3 +51,10 @@
     later = 1_000.0 + 2 * WINDOW_SECONDS
     assert not arrivals.admit("small", MAX_LAG_SECONDS, later)
     assert not arrivals.admit("hot", MAX_LAG_SECONDS, later)
+
+
+def test_client_of_a_busy_router_can_honour_its_retry_after() -> None:
+    assert choose_busy_retry_after(12.0) == BUSY_ROUTER_RETRY_SECONDS
+    # Clients honour at most a third of the time that they have left.
+    assert 0.0 < choose_busy_retry_after(1.2) < 1.2 / 3
+    assert choose_busy_retry_after(-1.0) == 0.0
--- a/tests/decisions/test_proportional_admission.py
+++ b/tests/decisions/test_proportional_admission.py
@@ -49,3 +49,12 @@
     assert choose_limit_factor(starved, entitled=True) == STARVED_LIMIT_FACTOR
     assert choose_limit_factor(starved, entitled=False) == 1.0
     assert choose_limit_factor(STARVED_SATISFACTION, entitled=True) == 1.0
+
+
+def test_charges_taken_back_late_leave_no_negative_share() -> None:
+    window = UsageWindow(4.0)
+    window.add("a", 100.0, 100.0, 1_000.0)
+    window.add("a", 50.0, -100.0, 1_004.5)
+    share = window.get_fair_share(1_004.5)
+    assert share == 0.0
+    assert window.get_entitled_ratio("a", share, 1_004.5) == 0.0
