Count a charge that is taken back late as 0

Cause: a charge that is refunded after it has left the usage window makes what the workspace received negative, and so the fill level in the report of waiting requests, which peers reject together with the whole message. Change: what was received in a window is never below 0. The test fails without the change with the same message and passes with it.

--- a/src/sycamorehaven/decisions/usage_window.py
+++ b/src/sycamorehaven/decisions/usage_window.py
@@ -74,9 +74,14 @@
         self._received[workspace] = self._received.get(workspace, 0.0) + received
 
     def get_received(self, workspace: str, now: float) -> float:
-        """Return the service that a workspace received in the window."""
+        """
+        Return the service that a workspace received in the window.
+
+        It is never negative: a charge that is taken back after it has left the
+        window counts as 0.
+        """
         self._slide(now)
-        return self._received.get(workspace, 0.0)
+        return max(self._received.get(workspace, 0.0), 0.0)
 
     def demands_even_part(self, workspace: str, now: float) -> bool:
         """
@@ -98,7 +103,7 @@
         self._slide(now)
         entitlement = min(self._demanded.get(workspace, 0.0), fair_share)
         return (
-            self._received.get(workspace, 0.0) / entitlement
+            self.get_received(workspace, now) / entitlement
             if entitlement > 0.0
             else 1.0
         )
--- a/tests/controllers/test_fleet_state.py
+++ b/tests/controllers/test_fleet_state.py
@@ -14,7 +14,9 @@
     choose_broadcast_period_seconds,
     choose_report_lifetime_seconds,
 )
+from sycamorehaven.identity import RouterId
 from sycamorehaven.routing.model import ServerRecord, Snapshot
+from sycamorehaven.transport.codec import Codec
 from tests.support.doubles import MemoryLink, create_board
 
 if TYPE_CHECKING:
@@ -219,3 +221,24 @@
     routers.broadcast_changes()
     clock.advance(choose_broadcast_period_seconds(members))
     assert routers.count_running("a2") == 1
+
+
+def test_charge_that_is_taken_back_late_leaves_the_news_readable(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    fleet = RouterFleet(network, clock)
+    board = fleet.boards["a1"]
+    usage = board.fleet_load.usage_window
+    board.fleet_load.add_usage("oakcourt", 300.0, 300.0, clock())
+    clock.advance(usage.length + 1.0)
+    board.fleet_load.add_usage("lindenhof", 500.0, 500.0, clock())
+    board.fleet_load.add_usage("oakcourt", 900.0, -300.0, clock())
+    share = usage.get_fair_share(clock())
+    fill_level = usage.get_fill_level("oakcourt", share, clock())
+    board.fleet_load.update_contentions(
+        "model", [Contention(fill_level, 3, clock() + 1.0)]
+    )
+    fleet.controllers["a1"].broadcast_changes()
+    sent = fleet.network.pending_deliveries[-1][1].message
+    codec = Codec(RouterId("a1", 1), "a1:1")
+    assert codec.decode(codec.encode(sent)).message == sent
