--- a/src/sycamorehaven/transport/backend_client.py
+++ b/src/sycamorehaven/transport/backend_client.py
@@ -6,23 +6,22 @@
 import functools
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
-import aiohttp
 from opentelemetry import propagate
 from yarl import URL
 
 from sycamorehaven.exceptions.backends import (
-    AnswerInvalid,
     BackendError,
-    ConnectFailed,
     ServerLeaving,
     ServerLost,
     ServerOverloaded,
     ServerSilent,
 )
 from sycamorehaven.transport.pool_manager import ConnectionPoolManager
-from sycamorehaven.transport.responses import CONNECTION_ERRORS, HttpBackendResponse
+from sycamorehaven.transport.responses import HttpBackendResponse, classify_error
 
 if TYPE_CHECKING:
+    import aiohttp
+
     from sycamorehaven.call import Call
     from sycamorehaven.configuration.model import BackendServer
     from sycamorehaven.transport.connection_pool import ConnectionPool
@@ -137,26 +136,6 @@
     return headers
 
 
-def classify_error(error: Exception) -> Exception:
-    """
-    Return the ``BackendError`` for an exception raised while sending.
-
-    An exception that is no failure of the server or its connection is
-    returned unchanged.
-    """
-    if isinstance(error, aiohttp.ConnectionTimeoutError):
-        return ConnectFailed(repr(error), was_sent=False)
-    if isinstance(error, aiohttp.ClientConnectorError):
-        return ConnectFailed(repr(error), was_sent=False)
-    if isinstance(error, TimeoutError):
-        return ServerSilent("no response headers within the time limit", was_sent=True)
-    if isinstance(error, CONNECTION_ERRORS):
-        return ServerLost(repr(error), was_sent=True)
-    if isinstance(error, aiohttp.ClientError):
-        return AnswerInvalid(repr(error), was_sent=True)
-    return error
-
-
 def raise_if_refused(response: aiohttp.ClientResponse, *, idempotent: bool) -> None:
     """
     Raise if a server refused a call that may be sent to another server.
--- a/src/sycamorehaven/transport/caller_listener.py
+++ b/src/sycamorehaven/transport/caller_listener.py
@@ -4,14 +4,12 @@
 
 import asyncio
 import secrets
-import socket
 import ssl
-import struct
 import time
 from typing import TYPE_CHECKING, Protocol
 
 from absl import logging
-from aiohttp import HttpVersion11, web
+from aiohttp import web
 from mode import Service
 from opentelemetry import propagate, trace
 
@@ -29,7 +27,11 @@
     authenticate,
     check_request_head,
 )
-from sycamorehaven.transport.listening import open_listener
+from sycamorehaven.transport.listening import (
+    SHUTDOWN_TIMEOUT_SECONDS,
+    abort_connection,
+    open_listener,
+)
 from sycamorehaven.transport.problem_details import (
     PROTOCOL_OPTIONS,
     ProblemProtocol,
@@ -47,12 +49,8 @@
 
 FORWARDED_METHODS = ("DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT")
 """Methods that are forwarded to backend servers."""
-SHUTDOWN_TIMEOUT_SECONDS = 1.0
-"""Seconds in which open requests may finish once the listener has closed."""
 CLOSING_GRACE_SECONDS = 0.3
 """Seconds in which requests on the connections accepted last are answered."""
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""``SO_LINGER`` option by which closing a connection resets it."""
 IDEMPOTENCY_TOKEN_HEADER = "Idempotency-Token"
 """Header with the token of a call that must run at most once."""
 
@@ -251,19 +249,3 @@
         return await self._reader.read(
             request, request_id, workspace, configuration, self._clock()
         )
-
-
-def abort_connection(request: web.BaseRequest) -> None:
-    """
-    Abort a connection, so that the client sees a truncated response.
-
-    An answer to an HTTP/1.0 client ends with its connection, so that only a
-    reset shows that it is not complete.
-    """
-    if request.transport is None:
-        return
-    if request.version < HttpVersion11:
-        request.transport.get_extra_info("socket").setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-        )
-    request.transport.abort()
--- a/src/sycamorehaven/transport/frontend_listener.py
+++ b/src/sycamorehaven/transport/frontend_listener.py
@@ -30,13 +30,13 @@
 from sycamorehaven.routing.table import choose_service
 from sycamorehaven.settings import split_address
 from sycamorehaven.telemetry.request_context import bind_request_id
-from sycamorehaven.transport.caller_listener import (
+from sycamorehaven.transport.frontend_protocol import FrontendProtocol
+from sycamorehaven.transport.headers import measure_headers
+from sycamorehaven.transport.listening import (
     SHUTDOWN_TIMEOUT_SECONDS,
     abort_connection,
+    open_listener,
 )
-from sycamorehaven.transport.frontend_protocol import FrontendProtocol
-from sycamorehaven.transport.headers import measure_headers
-from sycamorehaven.transport.listening import open_listener
 from sycamorehaven.transport.problem_details import (
     PROTOCOL_OPTIONS,
     build_problem_response,
--- a/src/sycamorehaven/transport/listening.py
+++ b/src/sycamorehaven/transport/listening.py
@@ -1,15 +1,20 @@
-"""Opens listening sockets that are accepted from in small batches."""
+"""Opening of listening sockets and breaking of accepted connections."""
 
 from __future__ import annotations
 
 import asyncio
 import socket
+import struct
 from typing import TYPE_CHECKING
 
+from aiohttp import HttpVersion11
+
 if TYPE_CHECKING:
     import ssl
     from collections.abc import Callable
 
+    from aiohttp import web
+
 ACCEPT_BACKLOG = 1_024
 """Connections that the kernel queues until they are accepted."""
 MAX_ACCEPTS_PER_TURN = 64
@@ -19,6 +24,10 @@
 Each uses a file descriptor before its protocol exists, so that a listener
 cannot count it. In a larger batch they would use up the descriptors.
 """
+SHUTDOWN_TIMEOUT_SECONDS = 1.0
+"""Seconds in which open requests may finish once the listener has closed."""
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""``SO_LINGER`` option by which closing a connection resets it."""
 
 
 async def open_listener(
@@ -51,3 +60,19 @@
     # the size of a batch.
     listening.listen(ACCEPT_BACKLOG)
     return server
+
+
+def abort_connection(request: web.BaseRequest) -> None:
+    """
+    Abort a connection, so that the client sees a truncated response.
+
+    An answer to an HTTP/1.0 client ends with its connection, so that only a
+    reset shows that it is not complete.
+    """
+    if request.transport is None:
+        return
+    if request.version < HttpVersion11:
+        request.transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+        )
+    request.transport.abort()
--- a/src/sycamorehaven/transport/responses.py
+++ b/src/sycamorehaven/transport/responses.py
@@ -9,6 +9,7 @@
 
 from sycamorehaven.exceptions.backends import (
     AnswerInvalid,
+    ConnectFailed,
     RunPreempted,
     ServerLost,
     ServerSilent,
@@ -181,3 +182,23 @@
         error = self._protocol.exception()
         if isinstance(error, aiohttp.ClientOSError):
             raise error
+
+
+def classify_error(error: Exception) -> Exception:
+    """
+    Return the ``BackendError`` for an exception raised while sending.
+
+    An exception that is no failure of the server or its connection is
+    returned unchanged.
+    """
+    if isinstance(error, aiohttp.ConnectionTimeoutError):
+        return ConnectFailed(repr(error), was_sent=False)
+    if isinstance(error, aiohttp.ClientConnectorError):
+        return ConnectFailed(repr(error), was_sent=False)
+    if isinstance(error, TimeoutError):
+        return ServerSilent("no response headers within the time limit", was_sent=True)
+    if isinstance(error, CONNECTION_ERRORS):
+        return ServerLost(repr(error), was_sent=True)
+    if isinstance(error, aiohttp.ClientError):
+        return AnswerInvalid(repr(error), was_sent=True)
+    return error
--- a/src/sycamorehaven/transport/routed_backend_client.py
+++ b/src/sycamorehaven/transport/routed_backend_client.py
@@ -15,9 +15,8 @@
     ServerOverloaded,
     ServerSilent,
 )
-from sycamorehaven.transport.backend_client import classify_error
 from sycamorehaven.transport.pool_manager import ConnectionPoolManager
-from sycamorehaven.transport.responses import HttpBackendResponse
+from sycamorehaven.transport.responses import HttpBackendResponse, classify_error
 
 if TYPE_CHECKING:
     import aiohttp
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 
-from sycamorehaven.daemon import drain_gateway
+from sycamorehaven.gateway_process import drain_gateway
 from tests.support.gateway_client import (
     COMPLETE_STREAM,
     send_request,
