--- a/src/sycamorehaven/controllers/routing_snapshots.py
+++ b/src/sycamorehaven/controllers/routing_snapshots.py
@@ -9,12 +9,16 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from typing import TYPE_CHECKING, Protocol
 
 from mode import Service
 
-from sycamorehaven.decisions.roles import is_configuration_reader
+from sycamorehaven.decisions.snapshot_reads import (
+    DOMAIN_READER_AGE_SECONDS,
+    choose_read_age,
+)
 from sycamorehaven.transport.messages.fleet import (
     FleetNews,
     SnapshotReply,
@@ -35,12 +39,15 @@
 
 READ_PERIOD_SECONDS = 0.6
 """Interval of reads; a third of the shortest deadline for a change."""
+CHECK_PERIOD_SECONDS = 0.2
+"""Interval at which a router checks whether it has to read."""
 MAX_CONCURRENT_READS = 4
 """Reads that may run at the same time; a slow one does not delay the next."""
-MAX_ALL_READERS_FLEET_SIZE = 12
-"""Largest fleet in which every router reads the platform itself."""
-MAX_SNAPSHOT_AGE_SECONDS = 1.5
-"""Age of the snapshot from which any router reads the platform itself."""
+START_WAIT_SECONDS = (1.0, 2.0)
+"""Shortest and longest time for which a router that starts waits for a peer's
+snapshot before it reads the platform itself."""
+JOIN_SECONDS = 3.0
+"""Time after the start in which a router may not know all members yet."""
 CONFIRMATION_PERIOD_SECONDS = 0.25
 """Shortest interval between two renewals of a snapshot's read time."""
 REQUEST_PERIOD_SECONDS = 0.25
@@ -89,6 +96,8 @@
         self._clock = clock
         self._read_tasks: set[asyncio.Task[None]] = set()
         self._is_available: bool | None = None
+        self._random = random.Random(board.identity.incarnation)
+        self._started_at = -JOIN_SECONDS
         self._last_read_at = 0.0
         self._last_request_at = 0.0
         link.subscribe(FleetNews, self._handle_news)
@@ -102,22 +111,49 @@
 
     @Service.task
     async def _read_periodically(self) -> None:
+        self._started_at = self._clock()
+        await self._await_peer_snapshot()
+        read_at = -READ_PERIOD_SECONDS
         while not self.should_stop:
-            if self.is_read_due() and len(self._read_tasks) < MAX_CONCURRENT_READS:
+            now = self._clock()
+            if (
+                now - read_at >= READ_PERIOD_SECONDS
+                and len(self._read_tasks) < MAX_CONCURRENT_READS
+                and self.is_read_due()
+            ):
+                read_at = now
                 task = asyncio.create_task(self.read())
                 self._read_tasks.add(task)
                 task.add_done_callback(self._read_tasks.discard)
-            await asyncio.sleep(READ_PERIOD_SECONDS)
+            await asyncio.sleep(CHECK_PERIOD_SECONDS)
+
+    async def _await_peer_snapshot(self) -> None:
+        """
+        Ask the seeds for their snapshot and wait for it for a while.
+
+        When many routers start at once, the store would otherwise get a read
+        of each. The seeds read it at once.
+        """
+        seeds = list(self._board.seeds.addresses)
+        if self._board.members.own.address in seeds:
+            return
+        self._random.shuffle(seeds)
+        ends_at = self._started_at + self._random.uniform(*START_WAIT_SECONDS)
+        while seeds and self._clock() < ends_at:
+            self._link.send_to(seeds[0], SnapshotRequest(0))
+            seeds.append(seeds.pop(0))
+            await asyncio.sleep(REQUEST_PERIOD_SECONDS)
+            if self._board.routing.is_ready:
+                return
 
     def is_read_due(self) -> bool:
         """Return whether this router has to read the platform itself."""
-        members = self._board.members
-        domains = members.map_failure_domains()
-        if len(domains) <= MAX_ALL_READERS_FLEET_SIZE or is_configuration_reader(
-            members.own, domains
-        ):
-            return True
-        return self._clock() - self._board.routing.read_at > MAX_SNAPSHOT_AGE_SECONDS
+        members, now = self._board.members, self._clock()
+        max_age = choose_read_age(members.own.host, members.map_failure_domains())
+        is_joining = now - self._started_at < JOIN_SECONDS
+        if is_joining and members.own.address not in self._board.seeds.addresses:
+            max_age = max(max_age, DOMAIN_READER_AGE_SECONDS)
+        return now - self._board.routing.read_at > max_age
 
     async def read(self) -> None:
         """Read a snapshot from the platform once and apply it."""
--- a/src/sycamorehaven/gateway.py
+++ b/src/sycamorehaven/gateway.py
@@ -53,6 +53,7 @@
         self._gateway_settings = gateway_settings
         self._decision_log = decision_log
         self._board = Blackboard.from_settings(settings)
+        self._board.seeds.replace(settings.seeds)
         self._store = PlatformStoreClient.from_settings(settings)
         self._header_codec = PlatformHeaderCodec()
         self._backends = RoutedBackendClient(self._header_codec)
--- a/tests/controllers/test_routing_snapshots.py
+++ b/tests/controllers/test_routing_snapshots.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
 
 from sycamorehaven.blackboard.members import Member
@@ -16,9 +17,9 @@
     FleetStateController,
 )
 from sycamorehaven.controllers.routing_snapshots import (
-    MAX_ALL_READERS_FLEET_SIZE,
-    MAX_SNAPSHOT_AGE_SECONDS,
+    CHECK_PERIOD_SECONDS,
     READ_PERIOD_SECONDS,
+    START_WAIT_SECONDS,
     RoutingSnapshotController,
 )
 from sycamorehaven.decisions.roles import is_configuration_reader
@@ -26,14 +27,25 @@
     RECOVERY_GRACE_SECONDS,
     STORE_OUTAGE_SECONDS,
 )
+from sycamorehaven.decisions.snapshot_reads import (
+    MAX_ALL_READERS_FLEET_SIZE,
+    MAX_SNAPSHOT_AGE_SECONDS,
+)
 from sycamorehaven.routing.model import ServerRecord, Snapshot
 from sycamorehaven.telemetry.decision_log import DecisionLog
 from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
 from sycamorehaven.transport.platform_client import PlatformUnavailable
-from tests.support.doubles import MemoryLink, create_board
+from tests.support.doubles import (
+    ManualClock,
+    MemoryLink,
+    MemoryNetwork,
+    create_board,
+)
+from tests.support.fixtures import async_fixture
+from tests.support.gateway_harness import wait_until
 
 if TYPE_CHECKING:
-    from tests.support.doubles import ManualClock, MemoryNetwork
+    from collections.abc import AsyncIterator, Callable
 
 FLEET_SIZE = MAX_ALL_READERS_FLEET_SIZE + 4
 """Number of routers: enough that some do not read the platform."""
@@ -62,7 +74,7 @@
 class RoutingFleet:
     """Routers of published routes on a network in memory."""
 
-    def __init__(self, network: MemoryNetwork, clock: ManualClock) -> None:
+    def __init__(self, network: MemoryNetwork, clock: Callable[[], float]) -> None:
         self._network = network
         self._clock = clock
         hosts = [f"a{number}" for number in range(FLEET_SIZE)]
@@ -98,6 +110,7 @@
 
     def run_for(self, seconds: float) -> None:
         """Let time pass; routers read when due and broadcast changes."""
+        assert isinstance(self._clock, ManualClock)
         for _ in range(round(seconds / READ_PERIOD_SECONDS)):
             self._clock.advance(READ_PERIOD_SECONDS)
             for snapshots in self.snapshot_controllers.values():
@@ -214,3 +227,53 @@
     read_at = routing.read_at
     assert routing.apply_snapshot(Snapshot(3, None, SERVERS[:1]), read_at - 1.0) is None
     assert routing.read_at == read_at
+
+
+def start_one(
+    fleet: RoutingFleet, host: str, seeds: tuple[str, ...]
+) -> RoutingSnapshotController:
+    """Return the controller of a router that starts with some seeds."""
+    fleet.boards[host].seeds.replace(seeds)
+    return fleet.snapshot_controllers[host]
+
+
+@async_fixture
+async def running_network() -> AsyncIterator[MemoryNetwork]:
+    """Yield a network that delivers as time passes."""
+    network = MemoryNetwork()
+
+    async def deliver() -> None:
+        while True:
+            network.deliver()
+            await asyncio.sleep(0.01)
+
+    task = asyncio.create_task(deliver())
+    yield network
+    task.cancel()
+
+
+async def test_starting_router_takes_the_snapshot_of_a_seed_and_does_not_read(
+    running_network: MemoryNetwork,
+) -> None:
+    fleet = RoutingFleet(running_network, time.monotonic)
+    seed, starting = fleet.snapshot_controllers["a0"], "a1"
+    await seed.read()
+    controller = start_one(fleet, starting, ("a0:1",))
+    await controller.maybe_start()
+    await wait_until(lambda: fleet.list_servers(starting) == {"s1", "s2"})
+    await asyncio.sleep(2 * CHECK_PERIOD_SECONDS)
+    await controller.stop()
+    assert fleet.count_reads([starting]) == 0
+
+
+async def test_starting_router_reads_the_platform_when_its_seeds_are_down(
+    running_network: MemoryNetwork,
+) -> None:
+    fleet = RoutingFleet(running_network, time.monotonic)
+    controller = start_one(fleet, "a1", ("z1:1", "z2:1", "z3:1"))
+    started_at = time.monotonic()
+    await controller.maybe_start()
+    await wait_until(lambda: fleet.list_servers("a1") == {"s1", "s2"})
+    await controller.stop()
+    assert time.monotonic() - started_at >= START_WAIT_SECONDS[0]
+    assert fleet.count_reads(["a1"]) == 1
