Look prompts up in one index instead of in the cache of each engine

Change: an index from prompt part to engines, kept by the caches; the shortlist takes the least loaded holders from the order that the pass keeps anyway. A test drives index and caches with random prompts, evictions and restarts; the test that the best of all engines is among those compared holds.

--- a/benchmarks/routed_cost.py
+++ b/benchmarks/routed_cost.py
@@ -20,9 +20,11 @@
 from benchmarks.measurement import measure_time
 from sycamorehaven.blackboard.board import Blackboard
 from sycamorehaven.blackboard.members import Member
+from sycamorehaven.controllers.candidates import CandidateFinder, PendingRequest
 from sycamorehaven.controllers.dispatch import Dispatcher
 from sycamorehaven.controllers.fleet_state import FleetStateController
 from sycamorehaven.decisions.placement import Candidate, choose_engine
+from sycamorehaven.decisions.prefix_cache import hash_prefixes
 from sycamorehaven.decisions.usage_window import UsageWindow
 from sycamorehaven.identity import RouterId
 from sycamorehaven.routing.model import (
@@ -88,12 +90,14 @@
 
     :ivar look: trying to dispatch one waiting request while all servers are
         full.
+    :ivar candidates: listing the servers for a request that all have cached.
     :ivar choice: choosing one of all servers for a request.
     :ivar share: computing the fair share of a workspace.
     :ivar news: decoding and processing the fleet news of one router.
     """
 
     look: float
+    candidates: float
     choice: float
     share: float
     news: float
@@ -184,6 +188,30 @@
     return seconds
 
 
+def measure_candidates(size: FleetSize) -> float:
+    """Return the seconds to list the candidates while slots are free."""
+    board = build_board(size)
+    for number in range(size.servers):
+        model = board.fleet_load.find_model(f"i-{number:010x}")
+        for _ in range(SLOTS_PER_ENGINE):
+            model.finish_request()
+        for subject in range(8):
+            parts = (PromptPart(f"s{subject}", 13_300),)
+            model.prefix_cache.record_prompt(hash_prefixes("m", parts))
+    finder = CandidateFinder(board)
+    load = finder.observe_service("model", time.monotonic())
+    request = build_request(1)
+    pending = PendingRequest(
+        request,
+        hash_prefixes("m", request.head.prompt_parts),
+        frozenset(),
+        is_resume=False,
+        queued_at=request.received_at,
+        reservation=asyncio.Future(loop=asyncio.new_event_loop()),
+    )
+    return measure_time(lambda: finder.list_candidates(pending, load), 200)
+
+
 def measure_engine_choice(size: FleetSize) -> float:
     """Return the seconds to choose one of all servers."""
     candidates = [
@@ -264,6 +292,7 @@
     """Return the cost of each decision for a fleet of the given size."""
     return DecisionCosts(
         asyncio.run(measure_dispatch(size)) * 1e6,
+        measure_candidates(size) * 1e6,
         measure_engine_choice(size) * 1e6,
         measure_fair_share(size) * 1e6,
         measure_news(size) * 1e6,
@@ -272,7 +301,7 @@
 
 def main() -> None:
     """Print the table."""
-    table = Table("routers", "servers", "workspaces", "look", "choice", "share", "news")
+    table = Table("routers", "servers", "workspaces", *DecisionCosts._fields)
     for size in SIZES:
         costs = measure_costs(size)
         table.add_row(*map(str, size), *(f"{cost:.0f}" for cost in costs))
--- a/src/sycamorehaven/blackboard/fleet_load.py
+++ b/src/sycamorehaven/blackboard/fleet_load.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from sycamorehaven.blackboard.signal import Signal
+from sycamorehaven.decisions.prefix_cache import PrefixIndex
 from sycamorehaven.decisions.server_model import ServerModel
 from sycamorehaven.decisions.usage_window import YIELD_MARGIN_RATIO
 
@@ -52,6 +53,7 @@
     def __init__(self, usage_window: UsageWindow) -> None:
         self._usage_window = usage_window
         self._models: dict[str, ServerModel] = {}
+        self._prefix_index = PrefixIndex()
         self._changed_servers: set[str] = set()
         self._placements: list[tuple[int, int, str]] = []
         self._demanded_tokens: Counter[str] = Counter()
@@ -65,6 +67,11 @@
         """Tokens that workspaces demanded and received, fleet-wide."""
         return self._usage_window
 
+    @property
+    def prefix_index(self) -> PrefixIndex:
+        """The servers that are expected to keep each prompt prefix."""
+        return self._prefix_index
+
     @property
     def changed(self) -> Signal:
         """Notified when a server may have free capacity again."""
@@ -84,7 +91,8 @@
         """Return the model of a server; create an empty one if missing."""
         model = self._models.get(server)
         if model is None:
-            model = self._models[server] = ServerModel()
+            model = ServerModel(server, self._prefix_index)
+            self._models[server] = model
         return model
 
     def update_capacity(
@@ -111,7 +119,7 @@
         """
         for name in [name for name in self._models if name not in servers]:
             if not self._models[name].own_requests:
-                del self._models[name]
+                self._models.pop(name).prefix_cache.clear()
 
     def mark_load_changed(self, server: str) -> None:
         """Record that the load of a server by this router has changed."""
--- a/src/sycamorehaven/controllers/candidates.py
+++ b/src/sycamorehaven/controllers/candidates.py
@@ -27,6 +27,10 @@
     from sycamorehaven.decisions.server_model import ServerModel
     from sycamorehaven.routing.model import ServerRecord
 
+PrefixLevels = list[tuple[int, set[str]]]
+"""Leading tokens of a prompt and the servers that keep at least these, most
+tokens first."""
+
 MIN_COPIED_TOKENS = 1_000
 """Fewer prompt tokens than this are recomputed rather than copied."""
 MAX_RANKED_SUBJECTS = 1_024
@@ -106,18 +110,14 @@
         has_prompt = bool(pending.prefixes)
         if not load.has_capacity(has_prompt=has_prompt):
             return []
-        available = load.list_available(pending.excluded_servers)
+        available = load.map_available(pending.excluded_servers)
         server_ranks = self._rank_servers(pending)
-        cached_tokens = {
-            view.server.id: tokens
-            for view in available
-            if (tokens := view.model.prefix_cache.count_cached_tokens(pending.prefixes))
-        }
-        copy_sources = _choose_copy_sources(available, cached_tokens)
+        levels = self._board.fleet_load.prefix_index.list_holders(pending.prefixes)
+        copy_sources = _choose_copy_sources(available, levels, load.software_versions)
         compared = (
-            _shortlist(available, load, cached_tokens, server_ranks)
+            _shortlist(available, load, levels, server_ranks)
             if has_prompt
-            else available
+            else list(available.values())
         )
         with_capacity = [
             view for view in compared if view.has_capacity(has_prompt=has_prompt)
@@ -127,18 +127,15 @@
         candidates = []
         for view in with_capacity:
             server, model = view.server, view.model
+            cached_tokens = _count_cached_tokens(server.id, levels)
             source = copy_sources.get(server.software_version) if can_copy else None
             copied_tokens = (
-                cached_tokens[source.id] - cached_tokens.get(server.id, 0)
-                if source
-                else 0
+                _count_cached_tokens(source.id, levels) - cached_tokens if source else 0
             )
             if copied_tokens < MIN_COPIED_TOKENS:
                 copied_tokens = 0
             uncached_tokens = (
-                pending.request.head.prompt_tokens
-                - cached_tokens.get(server.id, 0)
-                - copied_tokens
+                pending.request.head.prompt_tokens - cached_tokens - copied_tokens
             )
             candidates.append(
                 Candidate(
@@ -211,28 +208,41 @@
         )
 
 
+def _count_cached_tokens(server: str, levels: PrefixLevels) -> int:
+    """Return how many leading tokens of a prompt a server keeps."""
+    for tokens, holders in levels:
+        if server in holders:
+            return tokens
+    return 0
+
+
 def _choose_copy_sources(
-    available: list[ServerView], cached_tokens: Mapping[str, int]
+    available: Mapping[str, ServerView],
+    levels: PrefixLevels,
+    versions: Collection[str],
 ) -> dict[str, ServerRecord]:
     """
     Return the server with most of a prompt in its cache, by software version.
 
     What a version has in its cache is not passed on to another one.
+
+    :param versions: the software versions of the service's servers.
     """
     sources: dict[str, ServerRecord] = {}
-    for view in available:
-        server = view.server
-        best = sources.get(server.software_version)
-        most = cached_tokens[best.id] if best else 0
-        if cached_tokens.get(server.id, 0) > most:
-            sources[server.software_version] = server
+    for _, holders in levels:
+        for name in sorted(holders):
+            if name in available:
+                server = available[name].server
+                sources.setdefault(server.software_version, server)
+        if len(sources) == len(versions):
+            break
     return sources
 
 
 def _shortlist(
-    available: list[ServerView],
+    available: Mapping[str, ServerView],
     load: ServiceLoad,
-    cached_tokens: Mapping[str, int],
+    levels: PrefixLevels,
     server_ranks: Collection[str],
 ) -> list[ServerView]:
     """
@@ -242,13 +252,12 @@
     the best ones of those with a part of it in their cache.
     """
     if len(available) <= LEAST_LOADED_SERVERS:
-        return available
+        return list(available.values())
+    best_holders = {
+        name: load.compute_cost(name, tokens)
+        for tokens, holders in reversed(levels)
+        for name in load.list_cheapest(holders, CACHE_HOLDERS)
+    }
     names = {*load.list_least_loaded(), *server_ranks}
-    names.update(
-        heapq.nsmallest(
-            CACHE_HOLDERS,
-            cached_tokens,
-            key=lambda name: load.compute_cost(name, cached_tokens[name]),
-        )
-    )
-    return [view for view in available if view.server.id in names]
+    names.update(heapq.nsmallest(CACHE_HOLDERS, best_holders, key=best_holders.get))
+    return [available[name] for name in sorted(names) if name in available]
--- a/src/sycamorehaven/controllers/service_load.py
+++ b/src/sycamorehaven/controllers/service_load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import bisect
+import itertools
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -11,7 +12,7 @@
 from sycamorehaven.routing.model import ServerRecord
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Collection, Iterable, Mapping
 
 LEAST_LOADED_SERVERS = 8
 """Number of least loaded servers that are compared for a prompt."""
@@ -76,6 +77,9 @@
     def __init__(self, views: Iterable[ServerView], now: float) -> None:
         self._views = {view.server.id: view for view in views}
         self._now = now
+        self._software_versions = {
+            view.server.software_version for view in self._views.values()
+        }
         self._free_slots = sum(map(self._count_free_slots, self._views.values()))
         self._total_slots = sum(
             view.prompt_limit
@@ -83,7 +87,7 @@
             if not self._is_ejected(view)
         )
         self._has_capacity: dict[bool, bool] = {}
-        self._available: set[str] | None = None
+        self._available: dict[str, ServerView] | None = None
         self._costs: dict[str, float] = {}
         self._by_cost: list[tuple[float, str]] = []
 
@@ -110,6 +114,11 @@
         """
         return self._total_slots
 
+    @property
+    def software_versions(self) -> Collection[str]:
+        """The software versions of the servers."""
+        return self._software_versions
+
     def has_capacity(self, *, has_prompt: bool) -> bool:
         """
         Return whether a server may run one more request.
@@ -122,24 +131,28 @@
             )
         return self._has_capacity[has_prompt]
 
-    def list_available(self, excluded_servers: Collection[str]) -> list[ServerView]:
+    def map_available(
+        self, excluded_servers: Collection[str]
+    ) -> Mapping[str, ServerView]:
         """
-        Return the servers that are not ejected.
+        Return the servers that are not ejected, by id.
 
         If all are ejected, return the one whose ejection ends first.
 
         :param excluded_servers: servers to leave out, unless that leaves none.
         """
         if self._available is None:
-            self._order_by_cost()
-        assert self._available is not None
+            self._available = self._order_by_cost()
+        if self._available and not excluded_servers:
+            return self._available
         considered = [
             view for name, view in self._views.items() if name not in excluded_servers
         ] or list(self._views.values())
         available = [view for view in considered if view.server.id in self._available]
-        return available or [
+        chosen = available or [
             min(considered, key=lambda view: view.model.health.ejected_until)
         ]
+        return {view.server.id: view for view in chosen}
 
     def list_least_loaded(self) -> list[str]:
         """
@@ -148,9 +161,25 @@
         Only available servers with capacity for a prompt are among them.
         """
         if self._available is None:
-            self._order_by_cost()
+            self._available = self._order_by_cost()
         return [name for _, name in self._by_cost[:LEAST_LOADED_SERVERS]]
 
+    def list_cheapest(self, servers: Collection[str], count: int) -> list[str]:
+        """
+        Return the ids of the least loaded ones of some servers.
+
+        Only available servers with capacity for a prompt are among them.
+
+        :param count: largest number of ids to return.
+        """
+        if len(servers) <= LEAST_LOADED_SERVERS:
+            ranked = sorted(
+                (self._costs[name], name) for name in servers if name in self._costs
+            )
+            return [name for _, name in ranked[:count]]
+        listed = (name for _, name in self._by_cost if name in servers)
+        return list(itertools.islice(listed, count))
+
     def compute_cost(self, server: str, cached_tokens: int) -> float:
         """
         Return the cost of a server to a typical prompt.
@@ -171,6 +200,8 @@
         )
         self._free_slots += self._count_free_slots(view) - self._count_free_slots(old)
         self._has_capacity.clear()
+        if self._available and server in self._available:
+            self._available[server] = view
         if server not in self._costs:
             return
         del self._by_cost[
@@ -184,14 +215,16 @@
     def _is_ejected(self, view: ServerView) -> bool:
         return view.model.health.ejected_until > self._now
 
-    def _order_by_cost(self) -> None:
-        self._available = {
-            name
+    def _order_by_cost(self) -> dict[str, ServerView]:
+        """Order the servers that are not ejected, and return them by id."""
+        available = {
+            name: view
             for name, view in self._views.items()
-            if view.model.health.ejected_until <= self._now
+            if not self._is_ejected(view)
         }
-        for name in self._available:
-            self._add_cost(self._views[name])
+        for view in available.values():
+            self._add_cost(view)
+        return available
 
     def _add_cost(self, view: ServerView) -> None:
         if not view.has_capacity(has_prompt=True):
--- a/src/sycamorehaven/decisions/server_model.py
+++ b/src/sycamorehaven/decisions/server_model.py
@@ -12,7 +12,7 @@
 
 from sycamorehaven.decisions.concurrency import ConcurrencyLimit
 from sycamorehaven.decisions.outlier_detection import ServerHealth
-from sycamorehaven.decisions.prefix_cache import PrefixCache
+from sycamorehaven.decisions.prefix_cache import PrefixCache, PrefixIndex
 
 INITIAL_TOKENS_PER_SECOND = 50_000.0
 """Prefill rate that is assumed until one has been measured."""
@@ -61,9 +61,16 @@
 
 
 class ServerModel:
-    """Estimate of one server from the requests of all routers."""
+    """
+    Estimate of one server from the requests of all routers.
+
+    :param server: id of the server.
+    :param prefix_index: index of the prompt prefixes that servers keep.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, server: str = "", prefix_index: PrefixIndex | None = None
+    ) -> None:
         self._concurrency = ConcurrencyLimit(1)
         self._own_requests = 0
         self._own_pending_tokens = 0.0
@@ -72,7 +79,7 @@
         self._remote_pending_tokens = 0
         self._expired_at = 0.0
         self._prefill_rate = INITIAL_TOKENS_PER_SECOND
-        self._prefix_cache = PrefixCache()
+        self._prefix_cache = PrefixCache(index=prefix_index, server=server)
         self._health = ServerHealth()
 
     @property
--- a/tests/controllers/test_candidates.py
+++ b/tests/controllers/test_candidates.py
@@ -157,3 +157,37 @@
     half = finder.observe_service("model", NOW)
     assert half.free_prompt_slots == free / 2
     assert math.isclose(half.total_prompt_slots, total / 2)
+
+
+def test_index_of_prompt_parts_agrees_with_the_caches_of_all_engines() -> None:
+    rng = random.Random(5)
+    board = build_board()
+    names = [f"s{n}" for n in range(6)]
+    for name in names:
+        board.fleet_load.update_capacity(name, 30_000, SLOTS)
+    for step in range(2_000):
+        name = rng.choice(names)
+        parts = tuple(
+            PromptPart(f"{depth}-{rng.randrange(4)}", 1_000 * (1 + rng.randrange(4)))
+            for depth in range(1 + rng.randrange(3))
+        )
+        prefixes = hash_prefixes("m", parts)
+        board.fleet_load.find_model(name).prefix_cache.record_prompt(prefixes)
+        if step % 97 == 0:
+            board.fleet_load.find_model(name).reset_after_restart()
+        counted = {
+            other: tokens
+            for other in names
+            if (
+                tokens := board.fleet_load.find_model(
+                    other
+                ).prefix_cache.count_cached_tokens(prefixes)
+            )
+        }
+        levels = board.fleet_load.prefix_index.list_holders(prefixes)
+        indexed: dict[str, int] = {}
+        for tokens, holders in reversed(levels):
+            indexed.update(dict.fromkeys(holders, tokens))
+        assert indexed == counted
+    board.fleet_load.retain_models(set())
+    assert not board.fleet_load.prefix_index.list_holders(prefixes)
