--- a/src/sycamorehaven/controllers/candidates.py
+++ b/src/sycamorehaven/controllers/candidates.py
@@ -259,5 +259,7 @@
         for name in load.list_cheapest(holders, CACHE_HOLDERS)
     }
     names = {*load.list_least_loaded(), *server_ranks}
-    names.update(heapq.nsmallest(CACHE_HOLDERS, best_holders, key=best_holders.get))
+    names.update(
+        heapq.nsmallest(CACHE_HOLDERS, best_holders, key=best_holders.__getitem__)
+    )
     return [available[name] for name in sorted(names) if name in available]
