Let a gateway whose clock was set back before its restart be a member

Cause: the incarnation is the time of day, and peers take the record with the larger one. Change: a gateway that hears of a larger incarnation of its host at its own address, which only a former process can have held, announces a larger one still. Routers with idempotency tokens keep theirs, as tokens name it. Usage is kept by host, not by the incarnation that members show.

--- a/src/sycamorehaven/controllers/fleet_state.py
+++ b/src/sycamorehaven/controllers/fleet_state.py
@@ -16,7 +16,6 @@
 from sycamorehaven.blackboard.fleet_load import Contention
 from sycamorehaven.decisions.news_routes import uses_collectors
 from sycamorehaven.decisions.server_model import RemoteLoad
-from sycamorehaven.identity import RouterId
 from sycamorehaven.transport.messages.fleet import (
     FleetNews,
     PlacedPart,
@@ -29,6 +28,7 @@
     from collections.abc import Callable
 
     from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.identity import RouterId
     from sycamorehaven.transport.codec import Delivery
     from sycamorehaven.transport.peer_link import PeerLink
 
@@ -112,7 +112,7 @@
         self._clock = clock
         self._last_refresh_at = 0.0
         self._sent_usage: dict[str, tuple[int, int]] = {}
-        self._received_usage: dict[tuple[RouterId, str], tuple[int, int]] = {}
+        self._received_usage: dict[str, tuple[int, dict[str, tuple[int, int]]]] = {}
         link.subscribe(FleetNews, self._handle_news)
         board.members.changed.subscribe(self._forget_dead_routers)
 
@@ -184,10 +184,10 @@
         return changed
 
     def _forget_dead_routers(self) -> None:
-        live = {RouterId(m.host, m.incarnation) for m in self._board.members.list()}
-        self._board.fleet_load.retain_contentions({router.host for router in live})
+        live = {member.host for member in self._board.members.list()}
+        self._board.fleet_load.retain_contentions(live)
         self._received_usage = {
-            key: total for key, total in self._received_usage.items() if key[0] in live
+            host: usage for host, usage in self._received_usage.items() if host in live
         }
 
     def _handle_news(self, delivery: Delivery) -> None:
@@ -224,9 +224,12 @@
     def _record_usage(
         self, sender: RouterId, usage: WorkspaceUsage, now: float
     ) -> None:
-        key = sender, usage.workspace
-        previous = self._received_usage.get(key)
-        self._received_usage[key] = usage.asked, usage.given
+        incarnation, totals = self._received_usage.get(sender.host, (0, {}))
+        if incarnation != sender.incarnation:
+            totals = {}
+            self._received_usage[sender.host] = sender.incarnation, totals
+        previous = totals.get(usage.workspace)
+        totals[usage.workspace] = usage.asked, usage.given
         if previous is None:
             return
         asked, given = usage.asked - previous[0], usage.given - previous[1]
--- a/src/sycamorehaven/controllers/membership.py
+++ b/src/sycamorehaven/controllers/membership.py
@@ -86,7 +86,11 @@
         record = MemberRecord(
             own.host, own.incarnation, 0, own.address, own.failure_domain, "alive"
         )
-        self._membership = Membership(record)
+        # Idempotency tokens name the process that minted them, so only a
+        # router without tokens may change the incarnation that others know.
+        self._membership = Membership(
+            record, renews_incarnation=settings.gateway is not None
+        )
         self._prober = Prober(randomness or random.Random())
         self._exchange = ViewExchange(self._membership, link, self._merge_records)
         self._published_version = 0
--- a/src/sycamorehaven/decisions/membership.py
+++ b/src/sycamorehaven/decisions/membership.py
@@ -15,6 +15,7 @@
 
 from sycamorehaven.decisions.dissemination import GossipQueue
 from sycamorehaven.decisions.member_records import (
+    MAX_INCARNATION,
     MAX_REFUTATION,
     is_newer,
     is_valid,
@@ -42,10 +43,15 @@
     Records of the fleet's members by host, with suspicions and tombstones.
 
     :param own_record: record of this router.
+    :param renews_incarnation: whether this router may announce a larger
+        incarnation than that of its process.
     """
 
-    def __init__(self, own_record: MemberRecord) -> None:
+    def __init__(
+        self, own_record: MemberRecord, *, renews_incarnation: bool = False
+    ) -> None:
         self._own_record = own_record
+        self._renews_incarnation = renews_incarnation
         self._members: dict[str, MemberRecord] = {}
         self._suspected_at: dict[str, float] = {}
         self._dead: dict[str, MemberRecord] = {}
@@ -209,6 +215,11 @@
 
     def _handle_own_record(self, record: MemberRecord) -> bool:
         own_record = self._own_record
+        if self._is_predecessor(record):
+            incarnation = record.incarnation + 1
+            self._own_record = own_record._replace(incarnation=incarnation)
+            self._announce_state(own_record.state, own_record.refutation)
+            return True
         if record.incarnation > own_record.incarnation and record.state != "dead":
             self._host_conflict = record
         if record.incarnation != own_record.incarnation or not is_newer(
@@ -220,6 +231,22 @@
         self._announce_state(own_record.state, record.refutation + 1)
         return True
 
+    def _is_predecessor(self, record: MemberRecord) -> bool:
+        """
+        Return whether a later incarnation is that of a former process.
+
+        The time of day gives the incarnation, so that of a former process is
+        the larger one if the clock was set back before the restart. Only one
+        process can listen on an address, so a record with the address of this
+        router is not another router's.
+        """
+        own_record = self._own_record
+        return (
+            self._renews_incarnation
+            and own_record.incarnation < record.incarnation < MAX_INCARNATION
+            and record.address == own_record.address
+        )
+
     def _announce_state(self, state: str, refutation: int) -> None:
         self._own_record = self._own_record._replace(state=state, refutation=refutation)
         self._gossip_queue.enqueue(self._own_record)
--- a/tests/controllers/test_fleet_state.py
+++ b/tests/controllers/test_fleet_state.py
@@ -242,3 +242,19 @@
     sent = fleet.network.pending_deliveries[-1][1].message
     codec = Codec(RouterId("a1", 1), "a1:1")
     assert codec.decode(codec.encode(sent)).message == sent
+
+
+def test_usage_counts_on_when_members_change_and_a_router_renewed_its_incarnation(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    fleet = RouterFleet(network, clock)
+    receiver = fleet.boards["a2"]
+    for round_number in range(3):
+        fleet.boards["a1"].fleet_load.add_usage("oakcourt", 100.0, 100.0, clock())
+        clock.advance(REFRESH_PERIOD_SECONDS)
+        fleet.broadcast_changes()
+        members = {member.host: member for member in receiver.members.list()}
+        renewed = members["a1"]._replace(incarnation=100 + round_number)
+        receiver.members.replace({**members, "a1": renewed})
+    given = receiver.fleet_load.usage_window.get_received("oakcourt", clock())
+    assert given == 200.0
--- a/tests/controllers/test_membership.py
+++ b/tests/controllers/test_membership.py
@@ -8,6 +8,7 @@
     MAX_ATTEMPTS,
     PROBE_INTERVAL_SECONDS,
 )
+from sycamorehaven.gateway_settings import GatewaySettings
 from tests.support.membership_simulation import SimulatedCluster
 
 FLEET_SIZE = 6
@@ -157,3 +158,41 @@
             if host != "m4"
         )
     assert "m4" not in cluster.routers["m0"].list_hosts()
+
+
+def start_gateways() -> SimulatedCluster:
+    gateway = GatewaySettings("127.0.0.1:1", "127.0.0.1:2", 8.0, 0.2, 10.0, 50.0, 4.0)
+    cluster = SimulatedCluster(FLEET_SIZE, gateway_settings=gateway)
+    cluster.run_until_views_agree(HOSTS, 10.0)
+    cluster.kill("m4")
+    cluster.start("m4", incarnation=9)
+    cluster.run(3.0)
+    return cluster
+
+
+def test_gateway_whose_clock_was_set_back_while_it_was_dead_is_a_member_again() -> None:
+    cluster = start_gateways()
+    cluster.kill("m4")
+    cluster.run_until_views_agree(HOSTS - {"m4"}, DETECTION_SECONDS)
+    cluster.start("m4", incarnation=5)
+    cluster.run_until_views_agree(HOSTS, 5.0)
+
+
+def test_gateway_that_restarts_at_once_with_its_clock_set_back_stays_a_member() -> None:
+    cluster = start_gateways()
+    cluster.kill("m4")
+    cluster.start("m4", incarnation=5)
+    cluster.run(2 * DETECTION_SECONDS)
+    assert cluster.views_agree(HOSTS)
+    assert cluster.routers["m4"].controller.membership.host_conflict is None
+
+
+def test_second_router_with_the_same_host_name_does_not_take_over_its_membership() -> (
+    None
+):
+    cluster = start_gateways()
+    membership = cluster.routers["m4"].controller.membership
+    other = membership.own_record._replace(incarnation=12, address="elsewhere:1")
+    membership.merge_record(other, cluster.clock())
+    assert membership.own_record.incarnation == 9
+    assert membership.host_conflict == other
--- a/tests/support/membership_simulation.py
+++ b/tests/support/membership_simulation.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.gateway_settings import GatewaySettings
     from sycamorehaven.transport.codec import Delivery
 
 FAILURE_DOMAINS = ("a", "b", "c", "d")
@@ -23,7 +24,9 @@
     """Return the settings of a router whose peer address is ``host:1``."""
     values = dict.fromkeys(RouterSettings._fields, "")
     settings = RouterSettings(**values)  # type: ignore[arg-type]
-    return settings._replace(host=host, failure_domain=domain, seeds=seeds)
+    return settings._replace(
+        host=host, failure_domain=domain, seeds=seeds, gateway=None
+    )
 
 
 class SimulatedRouter:
@@ -40,6 +43,7 @@
         self.board: Blackboard = create_board(host, domain, incarnation)
         self.link = MemoryLink(self.board, cluster.network)
         settings = create_settings(host, domain, cluster.seeds)
+        settings = settings._replace(gateway=cluster.gateway_settings)
         self.controller = MembershipController(
             self.board,
             self.link,
@@ -60,10 +64,18 @@
     :param size: number of routers to start.
     :param loss: ratio of the messages that are lost.
     :param seeds: number of routers that the others join through.
+    :param gateway_settings: the ``[gateway]`` table of all routers, if any.
     :ivar paused_deliveries: messages that wait for each paused host.
     """
 
-    def __init__(self, size: int, loss: float = 0.0, seeds: int = 3) -> None:
+    def __init__(
+        self,
+        size: int,
+        loss: float = 0.0,
+        seeds: int = 3,
+        gateway_settings: GatewaySettings | None = None,
+    ) -> None:
+        self.gateway_settings = gateway_settings
         self.clock = ManualClock()
         self.network = MemoryNetwork(seed=7, loss=loss)
         self.seeds = tuple(f"m{number}:1" for number in range(seeds))
