Report all loads of a router with each report through collectors

Cause: reports between two refreshes list only servers whose load changed, so limits of engines were agreed less often than when each report was a refresh, and a report of waiting requests stood until it expired, because a router without news sent none after it. Change: in a large fleet each report lists all servers that the router uses; a router reports once that nothing waits any more; waiting requests count for two reports, loads for two refreshes.

--- a/src/sycamorehaven/controllers/fleet_state.py
+++ b/src/sycamorehaven/controllers/fleet_state.py
@@ -77,18 +77,31 @@
 
 def choose_report_lifetime_seconds(members: int, shortest: float) -> float:
     """
-    Return how long a report counts, in seconds.
+    Return how long reported waiting requests count, in seconds.
 
-    It outlasts the time until the next refresh, and one lost message.
+    It outlasts the time until the next report, and one lost message.
 
     :param members: number of members of the fleet.
-    :param shortest: shortest time for which it counts.
+    :param shortest: shortest time for which they count.
     """
-    if not uses_collectors(members):
-        period = choose_broadcast_period_seconds(members)
-        return max(period * REPORT_LIFETIME_PERIODS, shortest)
-    period = choose_refresh_period_seconds(members)
-    return max(period * REPORT_LIFETIME_PERIODS + COLLECTION_DELAY_SECONDS, shortest)
+    lifetime = choose_broadcast_period_seconds(members) * REPORT_LIFETIME_PERIODS
+    if uses_collectors(members):
+        lifetime += COLLECTION_DELAY_SECONDS
+    return max(lifetime, shortest)
+
+
+def choose_load_lifetime_seconds(members: int) -> float:
+    """
+    Return how long the reported load of a server counts, in seconds.
+
+    A load that has not changed is only reported again by the next refresh.
+
+    :param members: number of members of the fleet.
+    """
+    lifetime = choose_refresh_period_seconds(members) * REPORT_LIFETIME_PERIODS
+    if uses_collectors(members):
+        lifetime += COLLECTION_DELAY_SECONDS
+    return max(lifetime, MIN_LOAD_LIFETIME_SECONDS)
 
 
 class FleetStateController(Service):
@@ -111,6 +124,7 @@
         self._link = link
         self._clock = clock
         self._last_refresh_at = 0.0
+        self._had_contended = False
         self._sent_usage: dict[str, tuple[int, int]] = {}
         self._received_usage: dict[str, tuple[int, dict[str, tuple[int, int]]]] = {}
         link.subscribe(FleetNews, self._handle_news)
@@ -133,19 +147,25 @@
 
     def _compose_news(self) -> FleetNews | None:
         fleet_load, now = self._board.fleet_load, self._clock()
-        refresh_period = choose_refresh_period_seconds(self._board.members.count())
-        is_refresh = now - self._last_refresh_at >= refresh_period
+        members = self._board.members.count()
+        is_refresh = now - self._last_refresh_at >= choose_refresh_period_seconds(
+            members
+        )
         changed_servers, placements = fleet_load.take_pending_updates()
         contended = fleet_load.list_own_contentions(now)
+        if is_refresh:
+            self._last_refresh_at = now
+        elif not (changed_servers or placements or contended or self._had_contended):
+            return None
+        # A report without waiting requests ends those reported before.
+        self._had_contended = bool(contended)
+        # Reports are rare in a large fleet, and routers agree on the limits of
+        # engines only as often as they hear of them.
         names = (
             sorted(self._board.routing.list_server_ids())
-            if is_refresh
+            if is_refresh or uses_collectors(members)
             else changed_servers
         )
-        if is_refresh:
-            self._last_refresh_at = now
-        elif not changed_servers and not placements and not contended:
-            return None
         server_loads = []
         for name in names:
             model = fleet_load.find_model(name)
@@ -194,9 +214,7 @@
         news: FleetNews = delivery.message
         fleet_load, now = self._board.fleet_load, self._clock()
         members = self._board.members.count()
-        load_expires_at = now + choose_report_lifetime_seconds(
-            members, MIN_LOAD_LIFETIME_SECONDS
-        )
+        load_expires_at = now + choose_load_lifetime_seconds(members)
         for server_load in news.servers:
             load = RemoteLoad(server_load.running, server_load.unread, load_expires_at)
             model = fleet_load.find_model(server_load.server)
