Encode a batch of news once for all its receivers

Cause: a collector encoded each batch anew for each router that reports to it and for each other collector, up to 28 times every 0.2 s with 195 routers. Change: a peer link sends one message to several addresses and encodes it once; broadcasts use the same. The choice of a collector keeps its list of silent ones in a method of its own. Test: one message to three peers over real sockets arrives at each and is encoded once.

--- a/benchmarks/edge.py
+++ b/benchmarks/edge.py
@@ -30,7 +30,7 @@
 from tests.support.large_configurations import build_large_configuration
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from sycamorehaven.blackboard.permits import Permit
     from sycamorehaven.configuration.model import BackendServer
@@ -97,6 +97,11 @@
         self.bytes_by_kind[kind] += len(self._codec.encode(message))
         self.last_sequence = getattr(message, "sequence", self.last_sequence)
 
+    def send_to_all(self, addresses: Iterable[str], message: Any) -> None:
+        """Send a message to some addresses."""
+        for address in addresses:
+            self.send_to(address, message)
+
     def broadcast(self, message: Any) -> None:
         """Count a broadcast as one message."""
         self.send_to("", message)
--- a/benchmarks/routed_cost.py
+++ b/benchmarks/routed_cost.py
@@ -49,6 +49,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from sycamorehaven.transport.peer_link import MessageHandler
 
 WAITING_REQUESTS = 20
@@ -119,6 +121,9 @@
     def send_to(self, address: str, message: object) -> None:
         """Drop a message."""
 
+    def send_to_all(self, addresses: Iterable[str], message: object) -> None:
+        """Drop a message."""
+
     def broadcast(self, message: object) -> None:
         """Drop a message."""
 
--- a/benchmarks/simulated_network.py
+++ b/benchmarks/simulated_network.py
@@ -15,6 +15,8 @@
 from sycamorehaven.transport.codec import Codec, Delivery
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from benchmarks.event_queue import EventQueue
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.transport.peer_link import MessageHandler
@@ -110,6 +112,11 @@
         """Send a message to an address, whose host part is the host's name."""
         self.send(address.partition(":")[0], message)
 
+    def send_to_all(self, addresses: Iterable[str], message: Any) -> None:
+        """Send a message to some addresses."""
+        for address in addresses:
+            self.send_to(address, message)
+
     def broadcast(self, message: Any) -> None:
         """Send a message to every other member."""
         for member in self._board.members.list():
--- a/src/sycamorehaven/controllers/news_link.py
+++ b/src/sycamorehaven/controllers/news_link.py
@@ -23,7 +23,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.transport.peer_link import MessageHandler, PeerLink
@@ -90,6 +90,8 @@
         self._clock = clock
         self._handlers: list[MessageHandler] = []
         self._collectors: dict[str, list[str]] = {}
+        # The collector that this router reports to, "" for none or itself,
+        # and when it was chosen or last heard, in monotonic seconds.
         self._chosen: tuple[str, float] = "", 0.0
         self._silent_until: dict[str, float] = {}
         self._reporters: dict[str, float] = {}
@@ -110,6 +112,10 @@
         """Send a message to the peer address of any router."""
         self._link.send_to(address, message)
 
+    def send_to_all(self, addresses: Iterable[str], message: Any) -> None:
+        """Send a message to the peer addresses of some routers."""
+        self._link.send_to_all(addresses, message)
+
     def subscribe(self, kind: type, handler: MessageHandler) -> None:
         """Call ``handler`` with every message of one kind, also collected."""
         if kind is FleetNews:
@@ -136,12 +142,8 @@
 
     def _choose_collector(self, now: float) -> str | None:
         """Return the collector to report to, after a silent one another."""
-        self._silent_until = {
-            host: until for host, until in self._silent_until.items() if now < until
-        }
-        chosen, expected_since = self._chosen
-        if chosen and now - expected_since > COLLECTOR_SILENCE_SECONDS:
-            self._silent_until[chosen] = now + SILENCE_MEMORY_SECONDS
+        self._update_silent_collectors(now)
+        chosen = self._chosen[0]
         own = self._board.members.own
         local = self._collectors.get(own.failure_domain, [])
         collector = choose_collector(own.host, local, self._silent_until)
@@ -155,6 +157,14 @@
             )
         return collector
 
+    def _update_silent_collectors(self, now: float) -> None:
+        self._silent_until = {
+            host: until for host, until in self._silent_until.items() if now < until
+        }
+        chosen, heard_at = self._chosen
+        if chosen and now - heard_at > COLLECTOR_SILENCE_SECONDS:
+            self._silent_until[chosen] = now + SILENCE_MEMORY_SECONDS
+
     def _map_collectors(self) -> None:
         self._collectors = map_collectors(self._board.members.map_failure_domains())
 
@@ -176,11 +186,11 @@
         if not (own or others or (is_due and self._reporters)):
             return
         self._batch_sent_at = now
-        for address in self._reporters:
-            self._link.send_to(address, NewsBatch([*own, *others], passed_on=False))
+        batch = NewsBatch([*own, *others], passed_on=False)
+        self._link.send_to_all(self._reporters, batch)
         if own:
-            for address in self._list_other_collectors():
-                self._link.send_to(address, NewsBatch(own, passed_on=True))
+            collectors = self._list_other_collectors()
+            self._link.send_to_all(collectors, NewsBatch(own, passed_on=True))
 
     def _list_other_collectors(self) -> set[str]:
         """
--- a/src/sycamorehaven/transport/peer_link.py
+++ b/src/sycamorehaven/transport/peer_link.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING, Any, Protocol
 
 if TYPE_CHECKING:
@@ -33,6 +33,10 @@
         """Send a message to the peer address of any router, member or not."""
         ...
 
+    def send_to_all(self, addresses: Iterable[str], message: Any) -> None:
+        """Send a message to the peer addresses of some routers."""
+        ...
+
     def broadcast(self, message: Any) -> None:
         """Send a message to every other member."""
         ...
--- a/src/sycamorehaven/transport/zmq_peer_link.py
+++ b/src/sycamorehaven/transport/zmq_peer_link.py
@@ -21,6 +21,8 @@
 from sycamorehaven.transport.peer_link import PassThroughFilter
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.settings import RouterSettings
     from sycamorehaven.transport.peer_link import MessageHandler, PeerFilter
@@ -117,15 +119,21 @@
         if data is not None:
             self._send_bytes(address, type(message).__name__, data)
 
-    def broadcast(self, message: Any) -> None:
-        """Send to every other member without raising or blocking."""
+    def send_to_all(self, addresses: Iterable[str], message: Any) -> None:
+        """Send to some peer addresses without raising or blocking."""
         data = self._encode(message)
         if data is None:
             return
-        own_host, kind = self._board.identity.host, type(message).__name__
-        for member in self._board.members.list():
-            if member.host != own_host:
-                self._send_bytes(member.address, kind, data)
+        kind = type(message).__name__
+        for address in addresses:
+            self._send_bytes(address, kind, data)
+
+    def broadcast(self, message: Any) -> None:
+        """Send to every other member without raising or blocking."""
+        own_host = self._board.identity.host
+        members = self._board.members.list()
+        addresses = [member.address for member in members if member.host != own_host]
+        self.send_to_all(addresses, message)
 
     async def on_start(self) -> None:
         """Start receiving on the peer address."""
--- a/tests/support/doubles.py
+++ b/tests/support/doubles.py
@@ -11,7 +11,7 @@
 from tests.support.fixtures import fixture
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
     from sycamorehaven.transport.peer_link import MessageHandler
 
@@ -105,6 +105,11 @@
         delivery = Delivery(self._board.identity, self._address, message)
         self._network.pending_deliveries.append((address, delivery))
 
+    def send_to_all(self, addresses: Iterable[str], message: Any) -> None:
+        """Queue a message for some addresses."""
+        for address in addresses:
+            self.send_to(address, message)
+
     def broadcast(self, message: Any) -> None:
         """Queue a message for every other member."""
         for member in self._board.members.list():
--- a/tests/transport/test_zmq_peer_link.py
+++ b/tests/transport/test_zmq_peer_link.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 from typing import TYPE_CHECKING, Any
+from unittest import mock
 
 import zmq
 
@@ -82,6 +83,9 @@
             await peer.link.stop()
 
 
+encode = Codec.encode
+
+
 async def send(sender: Peer, receiver: Peer, count: int = 1) -> None:
     for _ in range(count):
         sender.link.send_to(receiver.settings.peers_address, MESSAGE)
@@ -101,6 +105,18 @@
     assert receiver.board.control_traffic.received_bytes["Preemption"] == 3 * size
 
 
+async def test_message_to_several_peers_arrives_at_each_and_is_encoded_once() -> None:
+    sender, receivers = Peer("a1"), [Peer("a2"), Peer("a3"), Peer("a4")]
+    addresses = [receiver.settings.peers_address for receiver in receivers]
+    async with run_peers(sender, *receivers):
+        with mock.patch.object(Codec, "encode", autospec=True, side_effect=encode) as c:
+            sender.link.send_to_all(addresses, MESSAGE)
+        for receiver in receivers:
+            await receiver.wait_for(1)
+    assert c.call_count == 1
+    assert sender.board.control_traffic.sent_messages["Preemption"] == 3
+
+
 async def test_only_messages_from_holders_of_the_key_pair_are_delivered() -> None:
     fleet, other = zmq.curve_keypair(), zmq.curve_keypair()
     receiver, friend = Peer("a1", fleet), Peer("a2", fleet)
