--- a/src/sycamorehaven/controllers/fleet_state.py
+++ b/src/sycamorehaven/controllers/fleet_state.py
@@ -153,17 +153,20 @@
         )
         changed_servers, placements = fleet_load.take_pending_updates()
         contended = fleet_load.list_own_contentions(now)
+        through_collectors = uses_collectors(members)
+        # Through collectors, reported requests count for long, so a report
+        # without any ends them.
+        ends_contention = self._had_contended and through_collectors
         if is_refresh:
             self._last_refresh_at = now
-        elif not (changed_servers or placements or contended or self._had_contended):
+        elif not (changed_servers or placements or contended or ends_contention):
             return None
-        # A report without waiting requests ends those reported before.
         self._had_contended = bool(contended)
         # Reports are rare in a large fleet, and routers agree on the limits of
         # engines only as often as they hear of them.
         names = (
             sorted(self._board.routing.list_server_ids())
-            if is_refresh or uses_collectors(members)
+            if is_refresh or through_collectors
             else changed_servers
         )
         server_loads = []
