--- a/src/sycamorehaven/controllers/candidates.py
+++ b/src/sycamorehaven/controllers/candidates.py
@@ -122,37 +122,51 @@
         with_capacity = [
             view for view in compared if view.has_capacity(has_prompt=has_prompt)
         ]
-        can_copy = self._supports_prefix_transfer(pending.request.service)
+        return [
+            self._build_candidate(pending, view, levels, copy_sources, server_ranks)
+            for view in with_capacity
+        ]
+
+    def _build_candidate(
+        self,
+        pending: PendingRequest,
+        view: ServerView,
+        levels: PrefixLevels,
+        copy_sources: Mapping[str, ServerRecord],
+        server_ranks: Mapping[str, int],
+    ) -> Candidate:
+        """
+        Return a server as a candidate for a request.
+
+        :param levels: what servers keep of the request's prompt.
+        :param copy_sources: server to copy from, by software version.
+        :param server_ranks: rank of each server for the request.
+        """
+        server, model = view.server, view.model
+        cached_tokens = _count_cached_tokens(server.id, levels)
+        source = copy_sources.get(server.software_version)
+        copied_tokens = (
+            _count_cached_tokens(source.id, levels) - cached_tokens if source else 0
+        )
+        if copied_tokens < MIN_COPIED_TOKENS:
+            copied_tokens = 0
+        uncached_tokens = (
+            pending.request.head.prompt_tokens - cached_tokens - copied_tokens
+        )
         own_domain = self._board.members.own.failure_domain
-        candidates = []
-        for view in with_capacity:
-            server, model = view.server, view.model
-            cached_tokens = _count_cached_tokens(server.id, levels)
-            source = copy_sources.get(server.software_version) if can_copy else None
-            copied_tokens = (
-                _count_cached_tokens(source.id, levels) - cached_tokens if source else 0
-            )
-            if copied_tokens < MIN_COPIED_TOKENS:
-                copied_tokens = 0
-            uncached_tokens = (
-                pending.request.head.prompt_tokens - cached_tokens - copied_tokens
-            )
-            candidates.append(
-                Candidate(
-                    server=server,
-                    running_requests=view.running_requests,
-                    concurrency_limit=view.prompt_limit,
-                    pending_tokens=view.pending_tokens,
-                    uncached_tokens=max(uncached_tokens, 1),
-                    copied_tokens=copied_tokens,
-                    copy_source=source.address if source and copied_tokens else "",
-                    prefill_rate=model.prefill_rate,
-                    error_ratio=model.health.error_ratio,
-                    is_local=server.failure_domain == own_domain,
-                    rank=server_ranks.get(server.id, len(server_ranks)),
-                )
-            )
-        return candidates
+        return Candidate(
+            server=server,
+            running_requests=view.running_requests,
+            concurrency_limit=view.prompt_limit,
+            pending_tokens=view.pending_tokens,
+            uncached_tokens=max(uncached_tokens, 1),
+            copied_tokens=copied_tokens,
+            copy_source=source.address if source and copied_tokens else "",
+            prefill_rate=model.prefill_rate,
+            error_ratio=model.health.error_ratio,
+            is_local=server.failure_domain == own_domain,
+            rank=server_ranks.get(server.id, len(server_ranks)),
+        )
 
     def _supports_prefix_transfer(self, name: str) -> bool:
         """Return whether a service's engines copy cached prompts."""
--- a/src/sycamorehaven/controllers/fleet_state.py
+++ b/src/sycamorehaven/controllers/fleet_state.py
@@ -25,7 +25,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.identity import RouterId
@@ -169,23 +169,11 @@
             if is_refresh or through_collectors
             else changed_servers
         )
-        server_loads = []
-        for name in names:
-            model = fleet_load.find_model(name)
-            if model.own_requests or name in changed_servers:
-                server_loads.append(
-                    ServerLoad(
-                        name,
-                        model.own_requests,
-                        int(model.own_pending_tokens),
-                        round(model.concurrency.limit, 2),
-                    )
-                )
         routing = self._board.routing
         return FleetNews(
             routing.revision,
             max(now - routing.read_at, 0.0),
-            server_loads,
+            self._list_server_loads(names, changed_servers),
             [PlacedPart(*part) for part in placements],
             self._list_changed_usage(),
             [
@@ -197,6 +185,24 @@
             routing.position[0],
         )
 
+    def _list_server_loads(
+        self, names: Collection[str], changed_servers: Collection[str]
+    ) -> list[ServerLoad]:
+        """Return the loads of servers that this router uses or has left."""
+        server_loads = []
+        for name in names:
+            model = self._board.fleet_load.find_model(name)
+            if model.own_requests or name in changed_servers:
+                server_loads.append(
+                    ServerLoad(
+                        name,
+                        model.own_requests,
+                        int(model.own_pending_tokens),
+                        round(model.concurrency.limit, 2),
+                    )
+                )
+        return server_loads
+
     def _list_changed_usage(self) -> list[WorkspaceUsage]:
         fleet_load, changed = self._board.fleet_load, []
         for workspace, asked in fleet_load.demanded_tokens.items():
--- a/tests/controllers/test_news_link.py
+++ b/tests/controllers/test_news_link.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from sycamorehaven.blackboard.fleet_load import Contention
 from sycamorehaven.blackboard.members import Member
 from sycamorehaven.controllers.fleet_state import (
     FleetStateController,
@@ -212,3 +213,17 @@
         for report in getattr(message, "reports", ())
     ]
     assert max(heard) > BATCH_PERIOD_SECONDS
+
+
+def test_waiting_requests_that_were_placed_hold_back_no_other_router(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    fleet = LargeFleet(network, clock)
+    fleet.run_for(2.0)
+    own = fleet.boards["a3"].fleet_load
+    own.update_contentions("model", [Contention(0.1, 7, clock() + 0.3)])
+    fleet.run_for(AGREED_SECONDS / 2)
+    other = fleet.boards["c5"].fleet_load
+    assert other.count_requests_ahead("model", 0.9, clock()) == 7
+    fleet.run_for(AGREED_SECONDS / 2)
+    assert other.count_requests_ahead("model", 0.9, clock()) == 0
