Keep the exit status of a forced shutdown in one place

The split of the daemon had left a copy of the constant in both kinds of process; it stands beside the drain now. docs/developers.md lists the two modules. No behaviour changes; tests.platform.test_gateway and tests.docs pass.

--- a/src/sycamorehaven/draining.py
+++ b/src/sycamorehaven/draining.py
@@ -13,6 +13,8 @@
 
     from sycamorehaven.blackboard.lifecycle import LifecycleSection
 
+EXIT_REQUESTS_CUT_OFF = 1
+"""Exit status if a forced or timed-out shutdown cut off requests."""
 LEAVE_NOTICE_SECONDS = 1.5
 """Minimum time between the announcement that this router leaves and its
 end."""
--- a/src/sycamorehaven/gateway_process.py
+++ b/src/sycamorehaven/gateway_process.py
@@ -10,7 +10,7 @@
 
 from absl import logging
 
-from sycamorehaven.draining import Drain
+from sycamorehaven.draining import EXIT_REQUESTS_CUT_OFF, Drain
 from sycamorehaven.exceptions.validation import SettingsError
 from sycamorehaven.gateway import Gateway
 from sycamorehaven.settings import RouterSettings
@@ -22,8 +22,6 @@
 
     from sycamorehaven.gateway_settings import GatewaySettings
 
-EXIT_REQUESTS_CUT_OFF = 1
-"""Exit status if a forced or timed-out shutdown cut off requests."""
 SHUTDOWN_MARGIN_SECONDS = 0.6
 """Part of the grace period that is reserved for closing connections."""
 SETTINGS_POLL_SECONDS = 1.0
--- a/src/sycamorehaven/router_process.py
+++ b/src/sycamorehaven/router_process.py
@@ -6,7 +6,7 @@
 
 from absl import logging
 
-from sycamorehaven.draining import Drain
+from sycamorehaven.draining import EXIT_REQUESTS_CUT_OFF, Drain
 from sycamorehaven.router import Router
 from sycamorehaven.stop_signals import StopSignals
 from sycamorehaven.telemetry.accept_failures import AcceptFailureLog
@@ -15,9 +15,6 @@
 if TYPE_CHECKING:
     from sycamorehaven.settings import RouterSettings
 
-EXIT_REQUESTS_CUT_OFF = 1
-"""Exit status if a forced or timed-out shutdown cut off requests."""
-
 
 async def run_router(settings: RouterSettings) -> int:
     """
