Log the fingerprint, the parts and the begin of failed attempts

The lines of the incident BUDGET could not tell its three hypotheses apart: whether lost runs have one fingerprint, one part of their prompts in common, or neither, and whether the engine had begun its answer. No decision changes.

--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -48,6 +48,8 @@
 MAX_BUFFERED_ANSWER_BYTES = 1_048_576
 """Size up to which an answer is read before it is passed on, so that another
 attempt can replace one that breaks off."""
+MAX_LOGGED_PARTS = 16
+"""Number of parts of a prompt in a line about a failed attempt."""
 QUARANTINE_RETRY_SECONDS = 30.0
 """``Retry-After`` of a request that is refused because it crashed servers."""
 
@@ -85,6 +87,7 @@
         self._is_sending = False
         self._is_streaming = False
         self._last_event_at = 0.0
+        self._has_begun = False
 
     async def start(self) -> Answer:
         """
@@ -358,6 +361,7 @@
         """
         Record the id and the arrival of events and return them unchanged.
         """
+        self._has_begun = True
         self._record_origin()
         if event_ids := EVENT_ID_PATTERN.findall(data):
             self._last_event_id = int(event_ids[-1])
@@ -392,6 +396,7 @@
             remaining = self._request.deadline - now
             idle_timeout = self._choose_idle_timeout(self._reservation, now)
             self._is_sending = True
+            self._has_begun = False
             try:
                 self._answer = await self._context.backends.send(
                     SendPlan(
@@ -465,6 +470,7 @@
         self._context.metrics.attempt_failures.labels(
             self._request.service, error.code
         ).inc()
+        parts = self._request.head.prompt_parts
         self._context.decision_log.record(
             "attempt_failed",
             request=self._request.head.attempt_id,
@@ -473,6 +479,9 @@
             detail=error.detail,
             may_have_run=self._history.may_have_run,
             arrived=self._history.reached,
+            fingerprint=self._fingerprint.hex()[:16],
+            parts=[part.key for part in parts[:MAX_LOGGED_PARTS]],
+            begun=self._has_begun,
             left=round(remaining, 3),
             outcome=obstacle or "try_another",
         )
