--- a/tests/support/gateway_harness.py
+++ b/tests/support/gateway_harness.py
@@ -22,7 +22,7 @@
 from tests.support.raw_answers import build_unframed_head, reset_connection
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator, Callable, Mapping
 
     from aiohttp.web_request import BaseRequest
 
@@ -115,6 +115,10 @@
     :ivar run_attempt_ids: attempt ids of the requests that were run.
     :ivar received_headers: headers of all requests, in order of arrival.
     :ivar cancelled_count: number of hanging requests that were cancelled.
+    :ivar bad_parts: parts of prompts on which the server crashes as soon as it
+        begins to answer; it is back at once, with another start.
+    :ivar started_at_ms: Unix time of its last start, in milliseconds.
+    :ivar crashed_attempt_ids: attempt ids of the requests that crashed it.
     """
 
     def __init__(self, name: str, service: str) -> None:
@@ -129,6 +133,9 @@
         self.received_headers: list[dict[str, str]] = []
         self.cancelled_count = 0
         self.status = 200
+        self.bad_parts: set[str] = set()
+        self.started_at_ms = 1
+        self.crashed_attempt_ids: list[str] = []
 
     def build_entry(self, state: str = "ready") -> dict[str, Any]:
         """Return the entry of this server in the store."""
@@ -139,7 +146,7 @@
             "slots": 8,
             "state": state,
             "version": self.version,
-            "born": 1,
+            "born": self.started_at_ms,
         }
 
     async def handle_request(self, request: BaseRequest) -> web.StreamResponse:
@@ -149,6 +156,11 @@
         if self.behaviour == "shed":
             return web.Response(status=503, headers={"Sycamorehaven-Not-Executed": "1"})
         self.run_attempt_ids.append(attempt)
+        if self.bad_parts & list_part_keys(request.headers):
+            self.crashed_attempt_ids.append(attempt)
+            self.started_at_ms += 1
+            assert request.transport is not None
+            request.transport.abort()
         if self.behaviour == "lose":
             assert request.transport is not None
             request.transport.abort()
@@ -217,6 +229,12 @@
         return response
 
 
+def list_part_keys(headers: Mapping[str, str]) -> set[str]:
+    """Return the keys of the parts of a request's prompt."""
+    entries = headers.get("Sycamorehaven-Prefix-Hash", "").split(",")
+    return {entry.partition(":")[0] for entry in entries} - {""}
+
+
 def build_configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
     """Return a configuration with a route of each type."""
 
