Block parts of prompts that crash servers, not only whole requests

Cause: strikes were kept by a hash of workspace, method, target and body. Requests that share one bad part of their prompts but nothing else each began with no strike, so none reached three. Class of fault: evidence kept by the identity of the carrier, not of what it carries.

Strikes are now kept for the request and for each part, until a server begins an answer on the part. Which suspect is blamed follows from which explains the most losses, so parts that come with the bad one, and bystanders, are not. A part that gets answers is never blamed. The block grows with each loss and ends with one trial in the fleet; runs that wait for a server or for their first event are ended when the block begins. Reports go to all routers, to those that join, and by gossip to those that were cut off.

The tests of the former table are ported as they were (three losses, expiry, success).

--- a/src/sycamorehaven/controllers/forwarding.py
+++ b/src/sycamorehaven/controllers/forwarding.py
@@ -61,7 +61,9 @@
         self._settings = settings
         self._context = context
         self._retry_windows: dict[str, RetryWindow] = {}
-        self._strikes = StrikeExchange(board, link, context.clock)
+        self._strikes = StrikeExchange(
+            board, link, context.decision_log, context.metrics, context.clock
+        )
         self._stream_origins = StreamOriginExchange(board, link, context.clock)
         self._max_known_routers = 1
 
--- a/src/sycamorehaven/controllers/routed_refusals.py
+++ b/src/sycamorehaven/controllers/routed_refusals.py
@@ -7,15 +7,22 @@
 from sycamorehaven.exceptions.refusals import (
     AttemptsExhausted,
     BackendTimeout,
+    CrashSuspected,
     DeadlineUnreachable,
     Refusal,
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from sycamorehaven.decisions.crash_blame import Culprit
     from sycamorehaven.exceptions.backends import BackendError
 
 MAX_RETRY_AFTER_SECONDS = 0.3
 """Longest ``Retry-After`` if no server took the request."""
+MIN_QUARANTINE_RETRY_SECONDS = 1.0
+"""Shortest ``Retry-After`` of a request that is blamed for lost servers; a
+trial of another one is over by then."""
 RETRY_AFTER_RATIO = 0.3
 """``Retry-After`` as a fraction of the time left until the deadline."""
 
@@ -53,3 +60,29 @@
     return DeadlineUnreachable(
         "no backend server accepted the request before the deadline", retry_after=0.0
     )
+
+
+def create_quarantine_refusal(
+    culprit: Culprit, parts: Sequence[str], now: float, *, may_have_run: bool
+) -> Refusal:
+    """
+    Return the refusal of a request that is blamed for lost servers.
+
+    :param culprit: what is blamed.
+    :param parts: the parts of the prompt that are blamed.
+    :param now: monotonic seconds.
+    :param may_have_run: whether any attempt may have run on a server.
+    """
+    blamed = f"part {', '.join(parts)} of the prompt" if parts else "this request"
+    count, age = len(culprit.losses), now - max(culprit.losses.values())
+    detail = (
+        f"{count} backend servers were lost as they began to answer on {blamed},"
+        f" the last one {age:.1f} s ago"
+    )
+    if may_have_run:
+        return AttemptsExhausted(detail, was_run="unknown")
+    return CrashSuspected(
+        detail,
+        retry_after=max(culprit.blocked_until - now, MIN_QUARANTINE_RETRY_SECONDS),
+        problem_members={"suspect": culprit.name},
+    )
--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from sycamorehaven.call import Answer
+from sycamorehaven.controllers.crash_guard import CrashGuard
 from sycamorehaven.controllers.routed_body import RoutedBody, yield_body
 from sycamorehaven.controllers.routed_refusals import (
     create_failure_refusal,
@@ -20,7 +21,6 @@
     find_retry_obstacle,
 )
 from sycamorehaven.decisions.stream_origins import StreamOrigin
-from sycamorehaven.decisions.strikes import fingerprint_request
 from sycamorehaven.exceptions.backends import (
     AnswerInvalid,
     BackendError,
@@ -30,7 +30,6 @@
 from sycamorehaven.exceptions.refusals import (
     AttemptsExhausted,
     BackendTimeout,
-    NoBackendServer,
     Refusal,
 )
 from sycamorehaven.routing.requests import SendPlan
@@ -50,8 +49,6 @@
 attempt can replace one that breaks off."""
 MAX_LOGGED_PARTS = 16
 """Number of parts of a prompt in a line about a failed attempt."""
-QUARANTINE_RETRY_SECONDS = 30.0
-"""``Retry-After`` of a request that is refused because it crashed servers."""
 
 
 class RoutedRun:
@@ -68,7 +65,7 @@
         self._controller = controller
         self._context = controller.context
         self._request = request
-        self._fingerprint = fingerprint_request(request)
+        self._guard = CrashGuard(controller, request)
         self._history = AttemptHistory()
         self._excluded_servers: set[str] = set()
         self._reservation: ServerReservation | None = None
@@ -88,6 +85,7 @@
         self._is_streaming = False
         self._last_event_at = 0.0
         self._has_begun = False
+        self._sent_at = 0.0
 
     async def start(self) -> Answer:
         """
@@ -95,18 +93,19 @@
 
         :raises Refusal: if the request is refused or its last attempt failed.
         """
-        if self._controller.strikes.is_quarantined(self._fingerprint):
-            raise NoBackendServer(
-                "several backend servers were lost while they ran this request",
-                retry_after=QUARANTINE_RETRY_SECONDS,
-            )
+        await self._guard.admit()
         try:
-            async with asyncio.timeout_at(self._request.deadline):
-                if self._request.route.is_streaming:
-                    return await self._start_stream()
-                return await self._fetch_whole_answer()
+            async with asyncio.timeout_at(self._request.deadline) as timeout:
+                with self._guard.interrupt_through(timeout):
+                    if self._request.route.is_streaming:
+                        return await self._start_stream()
+                    return await self._fetch_whole_answer()
         except TimeoutError:
             may_have_run = self._history.may_have_run or self._is_sending
+            if self._guard.interrupted_by is not None:
+                raise self._guard.create_interruption_refusal(
+                    may_have_run=may_have_run
+                ) from None
             raise create_timeout_refusal(may_have_run=may_have_run) from None
         except Refusal:
             if self._error_answer is None:
@@ -130,6 +129,8 @@
                 self._handle_failure(error)
                 continue
             self._record_answer(failed=answer.status >= 500)
+            if answer.status < 300:
+                self._guard.report_begin()
             if len(body) > MAX_BUFFERED_ANSWER_BYTES:
                 return self._create_stream_answer(answer, self._relay_body(body))
             chunks = RoutedBody(self, yield_body(body))
@@ -336,9 +337,14 @@
         while True:
             self._handle_failure(error)
             try:
-                async with asyncio.timeout_at(self._request.deadline):
-                    answer = await self._send_until_answered()
+                async with asyncio.timeout_at(self._request.deadline) as timeout:
+                    with self._guard.interrupt_through(timeout):
+                        answer = await self._send_until_answered()
             except TimeoutError:
+                if self._guard.interrupted_by is not None:
+                    raise self._guard.create_interruption_refusal(
+                        may_have_run=True
+                    ) from None
                 raise BackendTimeout(
                     "the stream could not be resumed before the deadline", was_run="yes"
                 ) from None
@@ -361,7 +367,7 @@
         """
         Record the id and the arrival of events and return them unchanged.
         """
-        self._has_begun = True
+        self._record_progress()
         self._record_origin()
         if event_ids := EVENT_ID_PATTERN.findall(data):
             self._last_event_id = int(event_ids[-1])
@@ -376,6 +382,13 @@
         self._last_event_at = now
         return data
 
+    def _record_progress(self) -> None:
+        if not self._has_begun:
+            self._has_begun = True
+            self._guard.report_begin()
+        if self._reservation is not None:
+            self._guard.report_progress(self._reservation.server, self._sent_at)
+
     def _record_origin(self) -> None:
         """Bind the stream to the software version of its first server."""
         if self._origin is not None or self._reservation is None:
@@ -392,7 +405,8 @@
         """
         while True:
             self._reservation = await self._acquire_reservation()
-            now = self._context.clock()
+            self._guard.check(may_have_run=self._history.may_have_run)
+            now = self._sent_at = self._context.clock()
             remaining = self._request.deadline - now
             idle_timeout = self._choose_idle_timeout(self._reservation, now)
             self._is_sending = True
@@ -455,9 +469,7 @@
         remaining = self._request.deadline - now
         self._reservation.record_failure(error, now)
         if isinstance(error, ServerLost) and error.was_sent:
-            self._controller.strikes.report_loss(
-                self._fingerprint, server.incarnation_id, 0.0
-            )
+            self._guard.report_loss(server, has_begun=self._has_begun)
         self.close()
         self._excluded_servers.add(server.id)
         has_reached_server = not isinstance(error, ConnectFailed)
@@ -479,12 +491,14 @@
             detail=error.detail,
             may_have_run=self._history.may_have_run,
             arrived=self._history.reached,
-            fingerprint=self._fingerprint.hex()[:16],
+            fingerprint=f"{self._guard.suspect_keys.request:016x}",
             parts=[part.key for part in parts[:MAX_LOGGED_PARTS]],
             begun=self._has_begun,
             left=round(remaining, 3),
             outcome=obstacle or "try_another",
         )
+        if obstacle == "quarantined":
+            self._guard.check(may_have_run=self._history.may_have_run)
         if obstacle:
             raise create_failure_refusal(
                 error,
@@ -494,8 +508,8 @@
             )
 
     def _find_retry_obstacle(self, history: AttemptHistory) -> str:
-        if self._controller.strikes.is_quarantined(self._fingerprint):
-            return "attempts"
+        if self._guard.is_blamed:
+            return "quarantined"
         route = self._request.route
         return find_retry_obstacle(
             history,
@@ -511,7 +525,7 @@
         if self._reservation is not None:
             self._reservation.model.health.record_answer(failed=failed)
             self._reservation.record_first_token(self._context.clock())
-        self._controller.strikes.report_success(self._fingerprint)
+        self._guard.report_success()
 
     def close(self) -> None:
         """Close the connection and release the reservation on the server."""
--- a/src/sycamorehaven/decisions/retry_policy.py
+++ b/src/sycamorehaven/decisions/retry_policy.py
@@ -4,7 +4,9 @@
 
 from typing import Literal, NamedTuple
 
-RetryObstacle = Literal["", "may_have_run", "attempts", "budget", "deadline"]
+RetryObstacle = Literal[
+    "", "may_have_run", "attempts", "budget", "deadline", "quarantined"
+]
 """Reason that rules out another attempt, or "" if there is none."""
 
 MAX_CONNECT_FAILURES = 4
--- a/src/sycamorehaven/exceptions/refusals.py
+++ b/src/sycamorehaven/exceptions/refusals.py
@@ -251,6 +251,17 @@
     remedy = "send again after Retry-After seconds"
 
 
+class CrashSuspected(Refusal):
+    """Servers were lost while they ran the request or others like it."""
+
+    code = "crash_suspected"
+    status = 503
+    remedy = (
+        "change the request or the part of its prompt that is named, or send it"
+        " again after Retry-After seconds"
+    )
+
+
 class StreamOriginUnknown(Refusal):
     """No router knows which of several software versions began a stream."""
 
--- a/src/sycamorehaven/gateway.py
+++ b/src/sycamorehaven/gateway.py
@@ -120,6 +120,7 @@
             RoutingSnapshotController(board, news, self._store, decision_log, metrics),
             FleetStateController(board, news),
             dispatcher,
+            forwarding.strikes,
             frontend,
         ]
 
--- a/src/sycamorehaven/telemetry/gateway_metrics.py
+++ b/src/sycamorehaven/telemetry/gateway_metrics.py
@@ -26,6 +26,10 @@
     :ivar attempt_failures: number of failed attempts on backend servers.
     :ivar stream_ends: number of streams that servers ended, by what marks the
         end of the body and by whether it came inside an event.
+    :ivar culprits: number of requests and parts of prompts that are blamed for
+        lost servers.
+    :ivar quarantined_requests: number of requests that were refused, or not
+        repeated, because they or a part of their prompts are blamed.
     :ivar dependency_up: 1 if a dependency responds, else 0.
     :ivar snapshot_age: age of the routes and servers in use, in seconds.
     :ivar waiting_requests: number of requests that wait at the router.
@@ -73,6 +77,17 @@
             ("framing", "position"),
             registry=self._registry,
         )
+        self.culprits = Gauge(
+            "sycamorehaven_crash_suspects",
+            "Requests and parts of prompts that are blamed for lost servers.",
+            registry=self._registry,
+        )
+        self.quarantined_requests = Counter(
+            "sycamorehaven_quarantined_requests",
+            "Requests ended because they or a part of their prompts are blamed.",
+            ("kind",),
+            registry=self._registry,
+        )
         self.dependency_up = Gauge(
             "sycamorehaven_dependency_up",
             "Whether a dependency responds (1) or not (0).",
--- a/src/sycamorehaven/transport/messages/kinds.py
+++ b/src/sycamorehaven/transport/messages/kinds.py
@@ -59,9 +59,13 @@
 )
 from sycamorehaven.transport.messages.suspects import (
     Acquittal,
+    Exoneration,
+    LostRuns,
     Strike,
     SuspectReply,
     SuspectRequest,
+    TrialReply,
+    TrialRequest,
 )
 from sycamorehaven.transport.messages.tokens import (
     TokenHandover,
@@ -113,6 +117,10 @@
     StreamOriginReply,
     NewsReport,
     NewsBatch,
+    LostRuns,
+    Exoneration,
+    TrialRequest,
+    TrialReply,
 )
 
 BULK_MESSAGE_KINDS = frozenset(
--- a/src/sycamorehaven/transport/messages/suspects.py
+++ b/src/sycamorehaven/transport/messages/suspects.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
+
+import msgspec
 
 from sycamorehaven.transport.messages.field_types import Fingerprint, ServerName
 
+SuspectHash = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+"""Hash of a request, or of a part of prompts at a service."""
+
 
 class Strike(NamedTuple):
     """
@@ -72,3 +77,66 @@
 
     fingerprint: Fingerprint
     age: float
+
+
+class LostRunReport(NamedTuple):
+    """
+    A run on a published route that ended because its server was lost.
+
+    :ivar server: id of the server together with its start.
+    :ivar age: seconds since the loss.
+    :ivar request: hash of the request.
+    :ivar parts: hashes of the parts of its prompt that are suspected.
+    """
+
+    server: ServerName
+    age: Annotated[float, msgspec.Meta(ge=0.0)]
+    request: SuspectHash
+    parts: Annotated[list[SuspectHash], msgspec.Meta(max_length=64)]
+
+
+class LostRuns(NamedTuple):
+    """
+    Tells of lost runs.
+
+    :ivar runs: the runs.
+    """
+
+    runs: Annotated[list[LostRunReport], msgspec.Meta(max_length=32)]
+
+
+class Exoneration(NamedTuple):
+    """
+    Clears suspects on published routes, and servers that were taken for lost.
+
+    :ivar suspects: hashes of requests and parts that servers have answered.
+    :ivar servers: id of each server together with its start.
+    :ivar is_reply: whether it replies to a report of the receiver, who then
+        tells those that have the report.
+    """
+
+    suspects: Annotated[list[SuspectHash], msgspec.Meta(max_length=4_096)]
+    servers: Annotated[list[ServerName], msgspec.Meta(max_length=64)]
+    is_reply: bool
+
+
+class TrialRequest(NamedTuple):
+    """
+    Asks whether one request with a blocked suspect may be tried.
+
+    :ivar suspect: hash of the suspect.
+    """
+
+    suspect: SuspectHash
+
+
+class TrialReply(NamedTuple):
+    """
+    The reply to a ``TrialRequest``.
+
+    :ivar suspect: hash of the suspect.
+    :ivar allowed: whether the receiver may try one request.
+    """
+
+    suspect: SuspectHash
+    allowed: bool
--- a/tests/controllers/test_strike_exchange.py
+++ b/tests/controllers/test_strike_exchange.py
@@ -6,14 +6,17 @@
 
 from sycamorehaven.blackboard.members import Member
 from sycamorehaven.controllers.strike_exchange import StrikeExchange
-from sycamorehaven.decisions.strikes import MAX_STRIKES, STRIKE_LIFETIME_SECONDS
+from sycamorehaven.decisions.crash_blame import MIN_LOSSES
+from sycamorehaven.decisions.strikes import STRIKE_LIFETIME_SECONDS, SuspectKeys
+from sycamorehaven.telemetry.decision_log import DecisionLog
+from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
 from tests.support.doubles import MemoryLink, create_board
 
 if TYPE_CHECKING:
     from sycamorehaven.blackboard.board import Blackboard
     from tests.support.doubles import ManualClock, MemoryNetwork
 
-FINGERPRINT = b"f"
+KEYS = SuspectKeys(1)
 
 
 class RouterPair:
@@ -27,7 +30,11 @@
             board = create_board(host)
             self.boards[host] = board
             self.exchanges[host] = StrikeExchange(
-                board, MemoryLink(board, network), clock
+                board,
+                MemoryLink(board, network),
+                DecisionLog(host, None),
+                GatewayMetrics(),
+                clock,
             )
 
     def join(self) -> None:
@@ -43,19 +50,19 @@
     def lose_servers(self, count: int) -> None:
         """Report losses of servers at the first router."""
         for number in range(count):
-            self.exchanges["a1"].report_loss(FINGERPRINT, f"s{number}/1", 0.0)
+            self.exchanges["a1"].report_loss(KEYS, f"s{number}/1")
         self._network.deliver()
 
     def is_quarantined(self) -> bool:
         """Return whether the second router has quarantined the request."""
-        return self.exchanges["a2"].is_quarantined(FINGERPRINT)
+        return self.exchanges["a2"].is_blocked(KEYS)
 
 
 def test_router_that_joins_after_the_losses_blocks_the_request(
     network: MemoryNetwork, clock: ManualClock
 ) -> None:
     routers = RouterPair(network, clock)
-    routers.lose_servers(MAX_STRIKES)
+    routers.lose_servers(MIN_LOSSES)
     assert not routers.is_quarantined()
     routers.join()
     assert routers.is_quarantined()
@@ -65,7 +72,7 @@
     network: MemoryNetwork, clock: ManualClock
 ) -> None:
     routers = RouterPair(network, clock)
-    routers.lose_servers(MAX_STRIKES)
+    routers.lose_servers(MIN_LOSSES)
     clock.advance(STRIKE_LIFETIME_SECONDS)
     routers.join()
     assert not routers.is_quarantined()
@@ -76,8 +83,8 @@
 ) -> None:
     routers = RouterPair(network, clock)
     routers.join()
-    routers.lose_servers(MAX_STRIKES)
+    routers.lose_servers(MIN_LOSSES)
     assert routers.is_quarantined()
-    routers.exchanges["a1"].report_success(FINGERPRINT)
+    routers.exchanges["a1"].report_success(KEYS)
     routers.join()
     assert not routers.is_quarantined()
--- a/tests/decisions/test_published_routes.py
+++ b/tests/decisions/test_published_routes.py
@@ -33,7 +33,6 @@
     RemoteLoad,
     ServerModel,
 )
-from sycamorehaven.decisions.strikes import MAX_STRIKES, StrikeTable
 from sycamorehaven.decisions.usage_window import UsageWindow, compute_max_min_share
 from sycamorehaven.routing.model import ServerRecord, Snapshot
 from sycamorehaven.routing.requests import PromptPart
@@ -255,16 +254,6 @@
     assert window.get_received("a", now + 5.0) == 0.0
 
 
-def test_request_that_loses_three_servers_is_blocked() -> None:
-    table = StrikeTable()
-    for number in range(MAX_STRIKES):
-        assert not table.is_blocked(b"f", 1.0)
-        table.add_strike(b"f", f"s{number}", 1.0)
-    assert table.is_blocked(b"f", 1.0)
-    table.clear_strikes(b"f")
-    assert not table.is_blocked(b"f", 1.0)
-
-
 def build_request(**changes: object) -> PlacementRequest:
     base = PlacementRequest(0.0, 0.0, 0.8, 12.0, within_share=True)
     return base._replace(**changes)  # type: ignore[arg-type]
--- /dev/null
+++ b/tests/decisions/test_strikes.py
@@ -0,0 +1,208 @@
+"""Strikes against requests and parts of prompts that crash servers."""
+
+from __future__ import annotations
+
+import random
+
+from sycamorehaven.decisions.crash_blame import (
+    FIRST_BLOCK_SECONDS,
+    MAX_BLOCK_SECONDS,
+    MIN_LOSSES,
+    find_culprits,
+)
+from sycamorehaven.decisions.strikes import (
+    MAX_PARTS_PER_RUN,
+    MAX_RUNS,
+    MAX_SOUND_SUSPECTS,
+    SOUND_LIFETIME_SECONDS,
+    STRIKE_LIFETIME_SECONDS,
+    LostRun,
+    StrikeTable,
+    SuspectKeys,
+)
+from sycamorehaven.routing.requests import PromptPart, RequestHead, RoutedRequest
+from tests.support.published_routes import STREAMING_ROUTE
+
+SYSTEM, BAD, OTHER = 1, 2, 3
+
+
+def build_keys(request: int, *parts: int) -> SuspectKeys:
+    """Return the keys of a request whose last part is its own."""
+    return SuspectKeys(request, (*parts, request + 1_000_000))
+
+
+def lose_servers(
+    table: StrikeTable, runs: list[SuspectKeys], first: int = 0, now: float = 0.0
+) -> None:
+    """Lose one server after the other, each with one run."""
+    for number, keys in enumerate(runs, first):
+        table.add_run(LostRun(f"s{number}", now + number, keys), now + number)
+
+
+def test_request_that_loses_three_servers_is_blocked() -> None:
+    table, keys = StrikeTable(), SuspectKeys(100)
+    for number in range(MIN_LOSSES):
+        assert not table.find_culprits(keys)
+        table.add_run(LostRun(f"s{number}", 1.0, keys), 1.0)
+    assert table.find_culprits(keys)[0].is_request
+    table.record_sound([keys.request], 1.0)
+    assert not table.find_culprits(keys)
+
+
+def test_part_is_blamed_after_three_losses_whatever_else_requests_hold() -> None:
+    for place in range(3):
+        table, runs = StrikeTable(), []
+        for number in range(MIN_LOSSES):
+            parts = [10 + number, 20 + number, 30 + number]
+            parts.insert(place, BAD)
+            runs.append(build_keys(100 + number, *parts))
+        lose_servers(table, runs)
+        assert table.find_culprits(build_keys(999, 77, BAD))
+        assert not table.find_culprits(build_keys(999, 77))
+        assert not table.find_culprits(build_keys(999, 10, 20, 30))
+
+
+def test_part_on_which_servers_answer_is_never_blamed() -> None:
+    table = StrikeTable()
+    table.record_sound([SYSTEM], 0.0)
+    runs = [build_keys(100 + number, SYSTEM) for number in range(25)]
+    lose_servers(table, runs)
+    assert not table.culprits
+
+
+def test_common_part_is_not_blamed_beside_a_bad_one_that_comes_with_it() -> None:
+    table = StrikeTable()
+    table.record_sound([SYSTEM], 0.0)
+    lose_servers(table, [build_keys(100 + number, SYSTEM, BAD) for number in range(5)])
+    assert table.find_culprits(build_keys(999, SYSTEM, BAD))
+    assert not table.find_culprits(build_keys(999, SYSTEM))
+
+
+def test_unknown_part_is_not_blamed_for_the_bad_one_it_comes_with() -> None:
+    table = StrikeTable()
+    lose_servers(table, [build_keys(100 + number, OTHER, BAD) for number in range(3)])
+    assert table.find_culprits(build_keys(999, OTHER, BAD))
+    assert not table.find_culprits(build_keys(999, OTHER))
+    lose_servers(table, [build_keys(200, BAD)], first=3)
+    assert table.find_culprits(build_keys(999, BAD))
+    assert not table.find_culprits(build_keys(999, OTHER))
+
+
+def test_parts_of_one_request_that_crashes_servers_are_not_blamed() -> None:
+    table, poison = StrikeTable(), build_keys(100, OTHER)
+    lose_servers(table, [poison] * MIN_LOSSES)
+    assert [culprit.is_request for culprit in table.culprits] == [True]
+    assert table.find_culprits(poison)
+    assert not table.find_culprits(build_keys(101, OTHER))
+
+
+def test_several_bad_parts_are_blamed_at_once() -> None:
+    table = StrikeTable()
+    runs = [
+        build_keys(100 + number, (BAD, OTHER, 4)[number % 3])
+        for number in range(3 * MIN_LOSSES)
+    ]
+    lose_servers(table, runs)
+    for part in (BAD, OTHER, 4):
+        assert table.find_culprits(build_keys(999, part))
+    assert not table.find_culprits(build_keys(999, SYSTEM))
+
+
+def test_bystanders_of_crashes_that_are_explained_are_not_blamed() -> None:
+    table = StrikeTable()
+    bystander = build_keys(50, OTHER)
+    for number in range(5):
+        server, now = f"s{number}", float(number)
+        table.add_run(LostRun(server, now, build_keys(100 + number, BAD)), now)
+        if number:
+            table.add_run(LostRun(server, now, bystander), now)
+    assert table.find_culprits(build_keys(999, BAD))
+    assert not table.find_culprits(bystander)
+    assert not table.find_culprits(build_keys(51, OTHER))
+
+
+def test_all_runs_lost_in_one_crash_count_once() -> None:
+    table = StrikeTable()
+    for number in range(10):
+        table.add_run(LostRun("s1", 0.0, build_keys(100 + number, BAD)), 0.0)
+    assert not table.culprits
+
+
+def test_block_ends_by_itself_and_grows_with_each_crash() -> None:
+    table = StrikeTable()
+    ends = []
+    for number in range(MIN_LOSSES + 6):
+        run = LostRun(f"s{number}", 0.0, build_keys(100 + number, BAD))
+        table.add_run(run, 0.0)
+        ends += [culprit.blocked_until for culprit in table.culprits]
+    assert ends[0] == FIRST_BLOCK_SECONDS
+    assert ends == sorted(ends)
+    assert ends[-1] == MAX_BLOCK_SECONDS
+
+
+def test_strikes_expire() -> None:
+    table = StrikeTable()
+    lose_servers(table, [build_keys(100 + number, BAD) for number in range(3)])
+    later = STRIKE_LIFETIME_SECONDS + 10.0
+    table.add_run(LostRun("s9", later, build_keys(200, OTHER)), later)
+    assert not table.culprits
+    assert len(table) == 1
+
+
+def test_part_that_turned_bad_is_found_once_its_last_answer_is_old() -> None:
+    table = StrikeTable()
+    table.record_sound([BAD], 0.0)
+    later = SOUND_LIFETIME_SECONDS
+    lose_servers(
+        table, [build_keys(100 + number, BAD) for number in range(3)], now=later
+    )
+    assert table.find_culprits(build_keys(999, BAD))
+
+
+def test_server_that_lives_counts_against_nobody() -> None:
+    table = StrikeTable()
+    runs = [build_keys(100 + number, BAD) for number in range(3)]
+    lose_servers(table, runs)
+    assert table.record_survivor("s1", 3.0)
+    assert not table.culprits
+    assert not table.add_run(LostRun("s1", 1.0, runs[1]), 3.0)
+
+
+def test_prompts_made_to_fill_the_memory_do_not_displace_what_is_blamed() -> None:
+    table = StrikeTable(random.Random(1))
+    table.record_sound([SYSTEM], 0.0)
+    lose_servers(table, [build_keys(100 + number, BAD) for number in range(3)])
+    for number in range(3 * MAX_RUNS):
+        parts = range(1_000 * number + 10_000, 1_000 * number + 10_004)
+        table.add_run(
+            LostRun(f"x{number % 50}", 5.0, build_keys(number + 1_000, *parts)), 5.0
+        )
+    table.record_sound(range(10, 10 + 2 * MAX_SOUND_SUSPECTS), 5.0)
+    assert len(table) <= MAX_RUNS
+    assert table.find_culprits(build_keys(999, BAD))
+
+
+def test_parts_of_a_prompt_are_limited() -> None:
+    parts = tuple(PromptPart(f"{number:x}", 1) for number in range(10_000))
+    head = RequestHead("a", None, "", "m", parts, 0, 0, None)
+    request = RoutedRequest(
+        head, "POST", "/", (), b"", STREAMING_ROUTE, "model", "w", 0.0, 10.0
+    )
+    assert len(SuspectKeys.from_request(request).parts) == MAX_PARTS_PER_RUN
+
+
+def test_chosen_runs_hold_those_of_what_is_blamed() -> None:
+    table = StrikeTable(random.Random(1))
+    lose_servers(table, [build_keys(100 + number, BAD) for number in range(3)])
+    for number in range(500):
+        table.add_run(LostRun(f"x{number}", 3.0, build_keys(1_000 + number)), 3.0)
+    chosen = table.choose_runs(16)
+    assert len(chosen) == 16
+    assert {"s0", "s1", "s2"} <= {run.server for run in chosen}
+
+
+def test_losses_of_a_request_and_its_part_are_explained_by_the_larger_number() -> None:
+    losses = {BAD: {"a": 0.0, "b": 1.0, "c": 2.0, "d": 3.0}, 100: {"a": 0.0, "b": 1.0}}
+    (culprit,) = find_culprits(losses, {100})
+    assert culprit.keys == {BAD}
+    assert not culprit.is_request
--- a/tests/support/gateway_harness.py
+++ b/tests/support/gateway_harness.py
@@ -161,6 +161,7 @@
             self.started_at_ms += 1
             assert request.transport is not None
             request.transport.abort()
+            return web.Response()
         if self.behaviour == "lose":
             assert request.transport is not None
             request.transport.abort()
