Tell crashes of a bad part from those that hit it by chance

Found by simulated fleets (tests.failures.test_crash_suspects, test_crash_simulation) on the first form of the blocking of parts:

Parts are taken together only if they were in the same lost runs. What is lost within 0.1 s is one crash, and a suspect that was at less than half of the servers does not explain it. For a request as a whole each server counts as before. - The block grew with every loss, also of runs that were on their way. It grows with losses that a tried request causes. - A crash that another suspect explains counts half, so that the third of several bad parts is found, too.

Each has a test.

--- a/src/sycamorehaven/decisions/crash_blame.py
+++ b/src/sycamorehaven/decisions/crash_blame.py
@@ -1,26 +1,38 @@
 """
 Which suspects explain the losses of several backend servers.
 
-A bad part of a prompt is there at every loss that it causes. So are the parts
+A bad part of a prompt is there at every crash that it causes. So are the parts
 that always come with it, and some that were there by chance. The suspect that
-explains the most losses is blamed first, and those losses don't count against
-others.
+explains the most crashes is blamed first. They count half against others, and
+not at all against those that were there only beside it.
+
+Servers that are lost at the same moment have one crash in common. A suspect
+that was there at less than half of them does not explain it.
 """
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Mapping
+from itertools import pairwise
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-MIN_LOSSES = 3
-"""Number of lost servers from which a suspect is blamed."""
+    RunId = tuple[str, int]
+
+MIN_CRASHES = 3
+"""Number of crashes from which a suspect is blamed."""
+EXPLAINED_WEIGHT = 0.5
+"""Weight of a crash that another suspect explains."""
+SAME_MOMENT_SECONDS = 0.1
+"""Time between two losses that are taken for one crash."""
 FIRST_BLOCK_SECONDS = 5.0
-"""Time for which a suspect is blocked after ``MIN_LOSSES`` losses."""
+"""Time for which a suspect is blocked at first."""
 BLOCK_GROWTH = 5.0
-"""Factor by which each further loss lengthens the block."""
+"""Factor by which the block grows if the request that is tried after it
+crashes a server."""
 MAX_BLOCK_SECONDS = 600.0
 """Longest block, after which one request is tried."""
 
@@ -47,57 +59,126 @@
     @property
     def blocked_until(self) -> float:
         """When one request may be tried, in monotonic seconds."""
-        growth = BLOCK_GROWTH ** (len(self.losses) - MIN_LOSSES)
-        block = min(FIRST_BLOCK_SECONDS * growth, MAX_BLOCK_SECONDS)
-        return max(self.losses.values()) + block
+        moments = sorted(self.losses.values())
+        # Servers are lost at such intervals only to requests that are tried.
+        tried = sum(
+            later - earlier >= FIRST_BLOCK_SECONDS
+            for earlier, later in pairwise(moments)
+        )
+        block = min(FIRST_BLOCK_SECONDS * BLOCK_GROWTH**tried, MAX_BLOCK_SECONDS)
+        return moments[-1] + block
+
+
+class Suspicion(NamedTuple):
+    """
+    What speaks against a suspect.
+
+    :ivar runs: lost runs with it, each the id of the server and the request.
+    :ivar losses: when each server was lost that it may have crashed, in
+        monotonic seconds.
+    :ivar crashes: numbers of the crashes that it explains. For a request as a
+        whole, each lost server is a crash of its own, because a request runs
+        at one server at a time.
+    """
+
+    runs: frozenset[RunId]
+    losses: dict[str, float]
+    crashes: tuple[int, ...]
 
 
 def find_culprits(
-    losses: Mapping[int, Mapping[str, float]], requests: Collection[int]
+    losses: Mapping[int, Mapping[RunId, float]],
+    requests: Collection[int],
+    lost_servers: Mapping[str, float],
 ) -> tuple[Culprit, ...]:
     """
     Return the suspects that explain the losses.
 
-    Of suspects that explain the same number of losses, a request goes first:
+    Of suspects that explain the same number of crashes, a request goes first:
     its parts are in others, too.
 
-    :param losses: for each suspect the lost servers, with the time of each
+    :param losses: for each suspect the lost runs with it, with the time of the
         loss in monotonic seconds.
     :param requests: the suspects that are requests as a whole.
+    :param lost_servers: when each server was lost, in monotonic seconds.
     """
+    suspicions = _list_suspicions(losses, requests, lost_servers)
     culprits: list[Culprit] = []
-    explained: set[str] = set()
-    remaining = {
-        suspect: set(servers)
-        for suspect, servers in losses.items()
-        if len(servers) >= MIN_LOSSES
-    }
-    while remaining:
+    explained: set[int] = set()
+    while suspicions:
         best = max(
-            remaining,
+            suspicions,
             key=lambda suspect: (
-                len(remaining[suspect] - explained),
+                _weigh(suspicions[suspect], explained),
                 suspect in requests,
                 suspect,
             ),
         )
-        if len(remaining[best] - explained) < MIN_LOSSES:
+        suspicion = suspicions[best]
+        if _weigh(suspicion, explained) < MIN_CRASHES:
             break
         is_request = best in requests
-        keys = {best} if is_request else _list_equal(remaining, best, requests)
-        culprits.append(Culprit(frozenset(keys), is_request, dict(losses[best])))
-        explained |= remaining[best]
-        for suspect in keys:
-            del remaining[suspect]
+        keys = {best} if is_request else _list_inseparable(suspicions, best, requests)
+        culprits.append(Culprit(frozenset(keys), is_request, suspicion.losses))
+        explained.update(suspicion.crashes)
+        suspicions = {
+            suspect: other
+            for suspect, other in suspicions.items()
+            if not other.runs <= suspicion.runs
+        }
     return tuple(culprits)
 
 
-def _list_equal(
-    remaining: Mapping[int, set[str]], best: int, requests: Collection[int]
+def _list_suspicions(
+    losses: Mapping[int, Mapping[RunId, float]],
+    requests: Collection[int],
+    lost_servers: Mapping[str, float],
+) -> dict[int, Suspicion]:
+    """Return what speaks against each suspect that may be blamed."""
+    often = {
+        suspect: runs for suspect, runs in losses.items() if len(runs) >= MIN_CRASHES
+    }
+    crash_numbers = _number_crashes(lost_servers) if often else {}
+    sizes = Counter(crash_numbers.values())
+    suspicions = {}
+    for suspect, runs in often.items():
+        servers = {server: lost_at for (server, _), lost_at in runs.items()}
+        counts = Counter(crash_numbers[server] for server in servers)
+        likely = {
+            server: lost_at
+            for server, lost_at in servers.items()
+            if 2 * counts[crash_numbers[server]] >= sizes[crash_numbers[server]]
+        }
+        crashes = [crash_numbers[server] for server in likely]
+        if suspect not in requests:
+            crashes = sorted(set(crashes))
+        suspicions[suspect] = Suspicion(frozenset(runs), likely, tuple(crashes))
+    return suspicions
+
+
+def _number_crashes(lost_servers: Mapping[str, float]) -> dict[str, int]:
+    """Return for each server the number of the crash that it was lost in."""
+    numbers: dict[str, int] = {}
+    number, began_at = 0, float("-inf")
+    for server in sorted(lost_servers, key=lost_servers.__getitem__):
+        if lost_servers[server] - began_at > SAME_MOMENT_SECONDS:
+            number, began_at = number + 1, lost_servers[server]
+        numbers[server] = number
+    return numbers
+
+
+def _weigh(suspicion: Suspicion, explained: Collection[int]) -> float:
+    already = sum(crash in explained for crash in suspicion.crashes)
+    return len(suspicion.crashes) - already * (1.0 - EXPLAINED_WEIGHT)
+
+
+def _list_inseparable(
+    suspicions: Mapping[int, Suspicion], best: int, requests: Collection[int]
 ) -> set[int]:
-    """Return the parts that were there at the same losses as ``best``."""
+    """Return the parts that were in the same lost runs as ``best``."""
+    runs = suspicions[best].runs
     return {
         suspect
-        for suspect, servers in remaining.items()
-        if servers == remaining[best] and suspect not in requests
+        for suspect, suspicion in suspicions.items()
+        if suspicion.runs == runs and suspect not in requests
     }
--- a/src/sycamorehaven/decisions/strikes.py
+++ b/src/sycamorehaven/decisions/strikes.py
@@ -18,7 +18,7 @@
 
 import xxhash
 
-from sycamorehaven.decisions.crash_blame import MIN_LOSSES, Culprit, find_culprits
+from sycamorehaven.decisions.crash_blame import Culprit, find_culprits
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -96,7 +96,7 @@
     def __init__(self, generator: random.Random | None = None) -> None:
         self._random = generator or random.Random()
         self._runs: OrderedDict[tuple[str, int], LostRun] = OrderedDict()
-        self._losses: dict[int, dict[str, float]] = {}
+        self._losses: dict[int, dict[tuple[str, int], float]] = {}
         self._requests: set[int] = set()
         self._lost_servers: dict[str, float] = {}
         self._sound_until: OrderedDict[int, float] = OrderedDict()
@@ -110,12 +110,9 @@
     def culprits(self) -> tuple[Culprit, ...]:
         """Everything that is blamed."""
         if self._culprits is None:
-            often = {
-                suspect: servers
-                for suspect, servers in self._losses.items()
-                if len(servers) >= MIN_LOSSES
-            }
-            self._culprits = find_culprits(often, self._requests)
+            self._culprits = find_culprits(
+                self._losses, self._requests, self._lost_servers
+            )
         return self._culprits
 
     def add_run(self, run: LostRun, now: float) -> bool:
@@ -238,7 +235,8 @@
 
     def _index_run(self, run: LostRun, suspects: Iterable[int]) -> None:
         for suspect in suspects:
-            self._losses.setdefault(suspect, {})[run.server] = run.lost_at
+            runs = self._losses.setdefault(suspect, {})
+            runs[run.server, run.keys.request] = run.lost_at
         self._requests.add(run.keys.request)
         self._lost_servers[run.server] = run.lost_at
         self._culprits = None
--- a/tests/controllers/test_strike_exchange.py
+++ b/tests/controllers/test_strike_exchange.py
@@ -6,7 +6,7 @@
 
 from sycamorehaven.blackboard.members import Member
 from sycamorehaven.controllers.strike_exchange import StrikeExchange
-from sycamorehaven.decisions.crash_blame import MIN_LOSSES
+from sycamorehaven.decisions.crash_blame import MIN_CRASHES
 from sycamorehaven.decisions.strikes import STRIKE_LIFETIME_SECONDS, SuspectKeys
 from sycamorehaven.telemetry.decision_log import DecisionLog
 from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
@@ -62,7 +62,7 @@
     network: MemoryNetwork, clock: ManualClock
 ) -> None:
     routers = RouterPair(network, clock)
-    routers.lose_servers(MIN_LOSSES)
+    routers.lose_servers(MIN_CRASHES)
     assert not routers.is_quarantined()
     routers.join()
     assert routers.is_quarantined()
@@ -72,7 +72,7 @@
     network: MemoryNetwork, clock: ManualClock
 ) -> None:
     routers = RouterPair(network, clock)
-    routers.lose_servers(MIN_LOSSES)
+    routers.lose_servers(MIN_CRASHES)
     clock.advance(STRIKE_LIFETIME_SECONDS)
     routers.join()
     assert not routers.is_quarantined()
@@ -83,7 +83,7 @@
 ) -> None:
     routers = RouterPair(network, clock)
     routers.join()
-    routers.lose_servers(MIN_LOSSES)
+    routers.lose_servers(MIN_CRASHES)
     assert routers.is_quarantined()
     routers.exchanges["a1"].report_success(KEYS)
     routers.join()
--- a/tests/decisions/test_strikes.py
+++ b/tests/decisions/test_strikes.py
@@ -7,7 +7,7 @@
 from sycamorehaven.decisions.crash_blame import (
     FIRST_BLOCK_SECONDS,
     MAX_BLOCK_SECONDS,
-    MIN_LOSSES,
+    MIN_CRASHES,
     find_culprits,
 )
 from sycamorehaven.decisions.strikes import (
@@ -41,7 +41,7 @@
 
 def test_request_that_loses_three_servers_is_blocked() -> None:
     table, keys = StrikeTable(), SuspectKeys(100)
-    for number in range(MIN_LOSSES):
+    for number in range(MIN_CRASHES):
         assert not table.find_culprits(keys)
         table.add_run(LostRun(f"s{number}", 1.0, keys), 1.0)
     assert table.find_culprits(keys)[0].is_request
@@ -52,7 +52,7 @@
 def test_part_is_blamed_after_three_losses_whatever_else_requests_hold() -> None:
     for place in range(3):
         table, runs = StrikeTable(), []
-        for number in range(MIN_LOSSES):
+        for number in range(MIN_CRASHES):
             parts = [10 + number, 20 + number, 30 + number]
             parts.insert(place, BAD)
             runs.append(build_keys(100 + number, *parts))
@@ -90,7 +90,7 @@
 
 def test_parts_of_one_request_that_crashes_servers_are_not_blamed() -> None:
     table, poison = StrikeTable(), build_keys(100, OTHER)
-    lose_servers(table, [poison] * MIN_LOSSES)
+    lose_servers(table, [poison] * MIN_CRASHES)
     assert [culprit.is_request for culprit in table.culprits] == [True]
     assert table.find_culprits(poison)
     assert not table.find_culprits(build_keys(101, OTHER))
@@ -100,7 +100,7 @@
     table = StrikeTable()
     runs = [
         build_keys(100 + number, (BAD, OTHER, 4)[number % 3])
-        for number in range(3 * MIN_LOSSES)
+        for number in range(3 * MIN_CRASHES)
     ]
     lose_servers(table, runs)
     for part in (BAD, OTHER, 4):
@@ -130,14 +130,22 @@
 
 def test_block_ends_by_itself_and_grows_with_each_crash() -> None:
     table = StrikeTable()
-    ends = []
-    for number in range(MIN_LOSSES + 6):
-        run = LostRun(f"s{number}", 0.0, build_keys(100 + number, BAD))
-        table.add_run(run, 0.0)
-        ends += [culprit.blocked_until for culprit in table.culprits]
-    assert ends[0] == FIRST_BLOCK_SECONDS
-    assert ends == sorted(ends)
-    assert ends[-1] == MAX_BLOCK_SECONDS
+    blocks, now = [], 0.0
+    for number in range(MIN_CRASHES + 6):
+        table.add_run(LostRun(f"s{number}", now, build_keys(100 + number, BAD)), now)
+        for culprit in table.culprits:
+            blocks.append(round(culprit.blocked_until - now, 3))
+            now = culprit.blocked_until
+        now += 1.0
+    assert blocks[0] == FIRST_BLOCK_SECONDS
+    assert blocks == sorted(blocks)
+    assert blocks[-1] == MAX_BLOCK_SECONDS
+
+
+def test_runs_that_were_sent_before_the_block_do_not_lengthen_it() -> None:
+    table = StrikeTable()
+    lose_servers(table, [build_keys(100 + number, BAD) for number in range(6)])
+    assert table.culprits[0].blocked_until == 5.0 + FIRST_BLOCK_SECONDS
 
 
 def test_strikes_expire() -> None:
@@ -201,8 +209,38 @@
     assert {"s0", "s1", "s2"} <= {run.server for run in chosen}
 
 
+def test_bad_parts_in_different_requests_are_not_taken_for_one() -> None:
+    table = StrikeTable()
+    for number in range(MIN_CRASHES):
+        for part in (BAD, OTHER):
+            run = LostRun(f"s{number}", number, build_keys(10 * part + number, part))
+            table.add_run(run, number)
+    assert [len(culprit.keys) for culprit in table.culprits] == [1]
+
+
+def test_part_is_not_blamed_for_servers_that_crash_at_the_same_moment() -> None:
+    table = StrikeTable()
+    for crash in range(5):
+        now = 10.0 * crash
+        for number in range(5):
+            other = OTHER if number == crash else 1_000 + 10 * crash + number
+            run = LostRun(
+                f"s{number}/{crash}", now, build_keys(int(now) + number, other)
+            )
+            table.add_run(run, now)
+    assert not table.culprits
+    lose_servers(
+        table, [build_keys(900 + number, OTHER) for number in range(3)], now=99.0
+    )
+    assert table.find_culprits(build_keys(999, OTHER))
+
+
 def test_losses_of_a_request_and_its_part_are_explained_by_the_larger_number() -> None:
-    losses = {BAD: {"a": 0.0, "b": 1.0, "c": 2.0, "d": 3.0}, 100: {"a": 0.0, "b": 1.0}}
-    (culprit,) = find_culprits(losses, {100})
+    losses = {
+        BAD: {("a", 100): 0.0, ("b", 100): 1.0, ("c", 101): 2.0, ("d", 102): 3.0},
+        100: {("a", 100): 0.0, ("b", 100): 1.0},
+    }
+    servers = {server: lost_at for (server, _), lost_at in losses[BAD].items()}
+    (culprit,) = find_culprits(losses, {100}, servers)
     assert culprit.keys == {BAD}
     assert not culprit.is_request
--- a/tests/failures/test_gateways.py
+++ b/tests/failures/test_gateways.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from sycamorehaven.decisions.crash_blame import MIN_LOSSES
+from sycamorehaven.decisions.crash_blame import MIN_CRASHES
 from tests.soak.backend import (
     CRASH_PATH,
     EVENT_INTERVAL_SECONDS,
@@ -186,17 +186,17 @@
     def count_crashes() -> int:
         return sum(run.path == path for run in soak_fleet.collect_record().runs)
 
-    for number in range(MIN_LOSSES):
+    for number in range(MIN_CRASHES):
         await send_request(soak_fleet, ROUTER_HOSTS[number % 2], path, f"x{number}")
         await asyncio.sleep(0.2)
         for name in PLAIN_SERVERS:
             if soak_fleet.processes[name].returncode is not None:
                 await soak_fleet.start_server(name)
         await asyncio.sleep(RESTART_DETECTION_SECONDS)
-        if count_crashes() >= MIN_LOSSES:
+        if count_crashes() >= MIN_CRASHES:
             break
     crashes = count_crashes()
-    assert crashes >= MIN_LOSSES
+    assert crashes >= MIN_CRASHES
     for router in ROUTER_HOSTS:
         assert (await send_request(soak_fleet, router, path, f"y-{router}"))[0] == 503
     assert count_crashes() == crashes
