Test errors with which servers answer a request that resumes a stream

Tried after a report of operators of a similar system: an error's text in the middle of a stream, or a stream that ends as complete.

--- a/tests/support/gateway_harness.py
+++ b/tests/support/gateway_harness.py
@@ -30,6 +30,8 @@
 
 API_KEY = "key-of-oakcourt"
 ROUTE_HOST = "fleet.example"
+ERROR_TEXT = b"id: 3\ndata: the error's text\n\n"
+"""Body of a refusal to resume a stream; it looks like an event."""
 
 
 async def wait_until(condition: Callable[[], object]) -> None:
@@ -106,7 +108,8 @@
         ``"end_inside_event"`` (end a stream in its third event),
         ``"end_at_once"`` (end it before its first event), ``"reset"`` (reset
         the connection of a stream after two events), ``"drip"`` (send an event
-        every 50 ms without end) or ``"hang"``.
+        every 50 ms without end), ``"hang"`` or ``"refuse_resume"`` (answer a
+        request that resumes a stream with ``status`` and an error's text).
     :ivar framing: ``"chunks"``, or ``"connection"`` to send streams with
         neither a length nor chunks.
     :ivar behaviour_after_break: the behaviour once a stream was broken;
@@ -175,6 +178,8 @@
             "Sycamorehaven-Attempt-Id": attempt,
             "Sycamorehaven-Response-Signature": f"by-{self.name}",
         }
+        if self.behaviour == "refuse_resume" and "Last-Event-Id" in request.headers:
+            return web.Response(status=self.status, headers=headers, body=ERROR_TEXT)
         if "stream" not in request.path:
             body = b"by " + self.name.encode()
             return web.Response(status=self.status, headers=headers, body=body)
