Don't take a refusal of another request for a promise that this one has not run

Callers could get 503 or 421's promise 'not run' for a request that a server was running, if the server wrote an earlier refusal once more on a kept connection.

Cause: the check of responses looked at the mark of a refusal before it looked at the attempt id. Class of fault: a response is believed before it is known to be the one asked for. The id goes first now. A request that is sent again to a server that refused it has the same id as that refusal, so it gets a connection of its own. Requests that may run only once have always had one.

--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -417,6 +417,7 @@
                         self._reservation.server,
                         self._reservation.copy_source,
                         self._last_event_id,
+                        self._reservation.server.id in self._excluded_servers,
                     ),
                     self._request,
                     remaining=remaining,
--- a/src/sycamorehaven/routing/requests.py
+++ b/src/sycamorehaven/routing/requests.py
@@ -92,11 +92,13 @@
         copies the parts of the prompt that it has not cached, or "".
     :ivar last_event_id: id of the last event that the client has received;
         -1 if it has received none.
+    :ivar is_repeat: whether the request has been sent to this server before.
     """
 
     server: ServerRecord
     prompt_cache_source: str = ""
     last_event_id: int = -1
+    is_repeat: bool = False
 
 
 class ResponseHead(NamedTuple):
--- a/src/sycamorehaven/transport/routed_backend_client.py
+++ b/src/sycamorehaven/transport/routed_backend_client.py
@@ -81,7 +81,8 @@
 
     A request that may run only once gets a new connection of its own, because
     a pooled connection may have gone silent, or may hold bytes of an earlier
-    response.
+    response. So does one that is sent to a server again, because a refusal of
+    the first time has the same id.
 
     :param header_codec: writes and reads the platform's headers.
     """
@@ -107,7 +108,8 @@
         :param silence_timeout: seconds without a byte that end the attempt.
         :raises BackendError: if the attempt failed.
         """
-        server, single_use = plan.server, not request.route.is_repeatable
+        server = plan.server
+        single_use = plan.is_repeat or not request.route.is_repeatable
         pool = self._pools.get_pool(server.address, single_use=single_use)
         pool.acquire()
         response: aiohttp.ClientResponse | None = None
@@ -167,6 +169,13 @@
         a success without a signature, or has a status from which the client
         would wrongly conclude that the request has not run.
     """
+    # A refusal without an id is one of a request whose id was not read.
+    if head.attempt_id != request.head.attempt_id and (
+        head.was_executed or head.attempt_id
+    ):
+        raise AnswerInvalid(
+            f"the response belongs to request {head.attempt_id!r}", was_sent=True
+        )
     if not head.was_executed:
         if status == 421 or head.closes_connection:
             raise ServerLeaving(
@@ -175,10 +184,6 @@
         raise ServerOverloaded(
             f"the server returned the status {status}", was_sent=False
         )
-    if head.attempt_id != request.head.attempt_id:
-        raise AnswerInvalid(
-            f"the response belongs to request {head.attempt_id!r}", was_sent=True
-        )
     if status < 300 and not head.is_signed:
         raise AnswerInvalid("the successful response has no signature", was_sent=True)
     if status in NOT_RUN_STATUSES:
