Ask engines who keep the prompt of a stream that no router remembers

Reported by other operators.

Cause: a router that has just started took the one version that it saw for the only one that had served, and let a stream of unknown origin go on there. Class of fault: absence of evidence in an empty memory taken for evidence. Evidence: stream began at v1.1 and was taken up at v1.2 0.9 s after the routers were back; no line of a lookup with an answer; tests.platform.test_stream_versions, the test of a new router that sees one of two versions failed before (200 instead of 503).

Why this works: the engine that lists the last part of the prompt has read it, so it began the stream. If engines of two versions list it, or none, the stream is refused.

--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -206,6 +206,13 @@
         """
         self._origin = await self._controller.stream_origins.find(self._request)
         services = {part.service for part in self._request.route.weighted_services}
+        if self._origin:
+            self._context.decision_log.record(
+                "stream_origin_found",
+                request=self._request.head.attempt_id,
+                service=self._origin.service,
+                version=self._origin.version,
+            )
         if self._origin and self._origin.service in services:
             self._request = self._request._replace(service=self._origin.service)
 
--- a/src/sycamorehaven/controllers/stream_origins.py
+++ b/src/sycamorehaven/controllers/stream_origins.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from sycamorehaven.decisions.stream_origins import (
     StreamOrigin,
@@ -36,6 +36,20 @@
 """Number of times that a router that does not reply is asked."""
 MAX_STREAMS_PER_NOTICE = 1_024
 """Number of streams in one message."""
+MAX_ASKED_ENGINES = 16
+"""Number of engines of a service up to which they are asked for a prompt."""
+
+
+class PromptCacheSource(Protocol):
+    """Tells which parts of prompts engines keep."""
+
+    async def list_parts(self, server: ServerRecord) -> frozenset[str]:
+        """
+        Return the keys of the parts that an engine keeps.
+
+        :returns: nothing if the engine does not say.
+        """
+        ...
 
 
 class OriginLookup:
@@ -97,14 +111,21 @@
     :param board: shared state of this router.
     :param link: connection to the other routers.
     :param clock: returns monotonic time in seconds.
+    :param prompt_caches: tells which engine has read the prompt of a stream;
+        ``None`` if nothing does.
     """
 
     def __init__(
-        self, board: Blackboard, link: PeerLink, clock: Callable[[], float]
+        self,
+        board: Blackboard,
+        link: PeerLink,
+        clock: Callable[[], float],
+        prompt_caches: PromptCacheSource | None = None,
     ) -> None:
         self._board = board
         self._link = link
         self._clock = clock
+        self._prompt_caches = prompt_caches
         self._own_streams = StreamOrigins()
         self._held_streams = StreamOrigins()
         self._lookups: dict[int, OriginLookup] = {}
@@ -144,6 +165,8 @@
         lookup = await self._ask_routers(key)
         if lookup.origin is not None:
             return lookup.origin
+        if self._is_engine_asked(request, now):
+            return await self._find_at_engines(request, key)
         if len(versions.list_recent(request.service, now)) > 1:
             raise StreamOriginUnknown(
                 "servers of several software versions serve, and no router knows"
@@ -156,6 +179,61 @@
             )
         return None
 
+    def _is_engine_asked(self, request: RoutedRequest, now: float) -> bool:
+        """
+        Return whether the prompt of a stream tells where it began.
+
+        It has to if several versions may have served since the stream began,
+        of which a router that started later may see only the newest.
+        """
+        configuration = self._board.routing.configuration
+        service = configuration.services.get(request.service) if configuration else None
+        if (
+            self._prompt_caches is None
+            or not request.head.prompt_parts
+            or service is None
+            or service.engine_capacity is None
+        ):
+            return False
+        versions = self._board.routing.software_versions
+        return len(
+            versions.list_recent(request.service, now)
+        ) > 1 or not versions.is_observed_for(request.route.timeout, now)
+
+    async def _find_at_engines(self, request: RoutedRequest, key: int) -> StreamOrigin:
+        """
+        Return the origin of a stream by the engine that keeps its prompt.
+
+        :raises StreamOriginUnknown: if none does, or engines of several
+            versions do.
+        """
+        assert self._prompt_caches is not None
+        services = {part.service for part in request.route.weighted_services}
+        servers = [
+            server
+            for server in self._board.routing.list_servers()
+            if server.service in services
+        ]
+        origins: set[StreamOrigin] = set()
+        if len(servers) <= MAX_ASKED_ENGINES:
+            own_part = request.head.prompt_parts[-1].key
+            lists = await asyncio.gather(
+                *(self._prompt_caches.list_parts(server) for server in servers)
+            )
+            origins = {
+                StreamOrigin(server.service, server.software_version)
+                for server, parts in zip(servers, lists, strict=True)
+                if own_part in parts
+            }
+        if len(origins) != 1:
+            raise StreamOriginUnknown(
+                "no router knows which software version began the stream, and"
+                f" engines of {len(origins)} versions keep its prompt"
+            )
+        origin = origins.pop()
+        self._own_streams.record(key, origin, self._clock())
+        return origin
+
     def _find_known(self, key: int) -> StreamOrigin | None:
         now = self._clock()
         return self._own_streams.find(key, now) or self._held_streams.find(key, now)
--- a/src/sycamorehaven/decisions/software_versions.py
+++ b/src/sycamorehaven/decisions/software_versions.py
@@ -53,6 +53,14 @@
         """Return whether the servers have been observed just now."""
         return now - self._observed_at < MAX_OBSERVATION_AGE_SECONDS
 
+    def is_observed_for(self, seconds: float, now: float) -> bool:
+        """Return whether the servers have been observed for some time."""
+        return (
+            self._observed_since is not None
+            and now - self._observed_since >= seconds
+            and self.is_current(now)
+        )
+
     def is_settled(self, service: str, now: float) -> bool:
         """
         Return whether a service has certainly had a single version recently.
@@ -60,8 +68,6 @@
         This takes longer observation than a version is remembered for.
         """
         return (
-            self._observed_since is not None
-            and now - self._observed_since >= VERSION_MEMORY_SECONDS
-            and self.is_current(now)
+            self.is_observed_for(VERSION_MEMORY_SECONDS, now)
             and len(self.list_recent(service, now)) <= 1
         )
--- a/src/sycamorehaven/gateway.py
+++ b/src/sycamorehaven/gateway.py
@@ -18,6 +18,7 @@
 from sycamorehaven.controllers.routing_snapshots import RoutingSnapshotController
 from sycamorehaven.exceptions.startup import StartFailed
 from sycamorehaven.platform.header_codec import PlatformHeaderCodec
+from sycamorehaven.platform.prompt_cache_client import PlatformPromptCacheClient
 from sycamorehaven.platform.store_client import PlatformStoreClient
 from sycamorehaven.telemetry.decision_log import DecisionLog
 from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
@@ -57,6 +58,7 @@
         self._store = PlatformStoreClient.from_settings(settings)
         self._header_codec = PlatformHeaderCodec()
         self._backends = RoutedBackendClient(self._header_codec)
+        self._prompt_caches = PlatformPromptCacheClient()
         self._metrics = GatewayMetrics()
         self._frontend: FrontendListener | None = None
         self._forwarding: ForwardingController | None = None
@@ -98,7 +100,12 @@
         news = NewsLink(board, peers)
         dispatcher = Dispatcher(board, decision_log, metrics)
         context = ForwardingContext(
-            dispatcher, self._backends, decision_log, metrics, time.monotonic
+            dispatcher,
+            self._backends,
+            decision_log,
+            metrics,
+            time.monotonic,
+            self._prompt_caches,
         )
         forwarding = ForwardingController(board, peers, self._gateway_settings, context)
         frontend = FrontendListener(
@@ -160,4 +167,5 @@
     async def on_shutdown(self) -> None:
         """Close the connections that the services share."""
         await self._backends.close()
+        await self._prompt_caches.close()
         await self._store.close()
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from tests.support.gateway_client import COMPLETE_STREAM, send_request
+from tests.support.gateway_harness import build_configuration
 
 if TYPE_CHECKING:
     from tests.support.gateway_harness import FakeServer, GatewayHarness
@@ -46,6 +47,31 @@
     return status, body
 
 
+async def take_up_prompt(harness: GatewayHarness, attempt: str) -> int:
+    """Ask a router that knows nothing of it for the rest of a stream."""
+    status, _, _ = await send_request(
+        harness,
+        "/stream/1",
+        "POST",
+        attempt=attempt,
+        **{
+            "Last-Event-Id": "2",
+            "Resumes": "unknown",
+            "Sycamorehaven-Model": "m",
+            "Sycamorehaven-Prefix-Hash": f"shared:800,own-{attempt}:100",
+        },
+    )
+    return status
+
+
+async def publish_engines(harness: GatewayHarness) -> None:
+    """Make the servers model engines."""
+    engine = {"slots": 8, "kvCapacity": 100_000, "kvTokenBytes": 1, "linkMbps": 1}
+    services = [{"name": "plain", "maxConnections": 10, "engine": engine}]
+    harness.store.put("op/config", build_configuration(2, services=services))
+    await harness.wait_for_store()
+
+
 def list_resumed(server: FakeServer) -> list[str]:
     """Return the attempts that asked a server to go on with a stream."""
     return [
@@ -121,3 +147,39 @@
 ) -> None:
     status, _ = await take_up_stream(harness, "b", "unknown")
     assert status == 200
+
+
+async def test_new_router_joins_no_stream_from_two_versions_of_which_it_sees_one(
+    harness: GatewayHarness,
+) -> None:
+    await publish_engines(harness)
+    for server in harness.servers:
+        await set_version(harness, server, "v2")
+        server.kept_parts = {"shared"}
+    for number in range(STREAM_COUNT):
+        assert await take_up_prompt(harness, f"b{number}") == 503
+    assert not any(list_resumed(server) for server in harness.servers)
+
+
+async def test_new_router_lets_a_stream_go_on_where_its_prompt_is_kept(
+    harness: GatewayHarness,
+) -> None:
+    await publish_engines(harness)
+    first, other = harness.servers
+    await set_version(harness, other, "v2")
+    first.kept_parts = {f"own-b{number}" for number in range(STREAM_COUNT)}
+    for number in range(STREAM_COUNT):
+        assert await take_up_prompt(harness, f"b{number}") == 200
+    assert len(list_resumed(first)) == STREAM_COUNT
+    assert not list_resumed(other)
+
+
+async def test_stream_whose_prompt_two_versions_keep_is_refused(
+    harness: GatewayHarness,
+) -> None:
+    await publish_engines(harness)
+    await set_version(harness, harness.servers[1], "v2")
+    for server in harness.servers:
+        server.kept_parts = {"own-b"}
+    assert await take_up_prompt(harness, "b") == 503
+    assert not any(list_resumed(server) for server in harness.servers)
--- a/tests/support/gateway_harness.py
+++ b/tests/support/gateway_harness.py
@@ -120,6 +120,7 @@
     :ivar cancelled_count: number of hanging requests that were cancelled.
     :ivar bad_parts: parts of prompts on which the server crashes as soon as it
         begins to answer; it is back at once, with another start.
+    :ivar kept_parts: parts of prompts that it says it keeps.
     :ivar started_at_ms: Unix time of its last start, in milliseconds.
     :ivar crashed_attempt_ids: attempt ids of the requests that crashed it.
     """
@@ -137,6 +138,7 @@
         self.cancelled_count = 0
         self.status = 200
         self.bad_parts: set[str] = set()
+        self.kept_parts: set[str] = set()
         self.started_at_ms = 1
         self.crashed_attempt_ids: list[str] = []
 
@@ -154,6 +156,9 @@
 
     async def handle_request(self, request: BaseRequest) -> web.StreamResponse:
         """Answer a request according to the behaviour."""
+        if request.path == "/kv-list":
+            held = [["", part, 100, "m"] for part in sorted(self.kept_parts)]
+            return web.json_response({"epoch": 1, "next": 1, "held": held})
         attempt = request.headers["Sycamorehaven-Attempt-Id"]
         self.received_headers.append(dict(request.headers))
         if self.behaviour == "shed":
