Let streams of known origin go on before new requests, also when clients take them up

Cause: within an answer a stream that goes on waits for a place up to 1 s and is placed wherever there is one; the same stream that its client takes up was held to the latency target of a new request, with the time since its first attempt against it. Class of fault: one thing treated in two ways, by who asks for it.

It counts as a stream that goes on if its origin is known, so that nobody gets ahead by a header alone. The test failed before (503 instead of 200).

--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -442,7 +442,7 @@
                 self._request,
                 self._excluded_servers,
                 software_version=self._origin.version if self._origin else None,
-                is_resume=self._is_streaming,
+                is_resume=self._is_streaming or self._is_taken_up,
             )
         except Refusal as refusal:
             if self._history.may_have_run:
@@ -452,6 +452,11 @@
                 ) from refusal
             raise
 
+    @property
+    def _is_taken_up(self) -> bool:
+        """Whether the client has the beginning of a stream that is known."""
+        return self._origin is not None and self._request.head.last_event_id is not None
+
     def _choose_idle_timeout(self, reservation: ServerReservation, now: float) -> float:
         """
         Return how long the server may stay silent, in seconds.
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -183,3 +184,19 @@
         server.kept_parts = {"own-b"}
     assert await take_up_prompt(harness, "b") == 503
     assert not any(list_resumed(server) for server in harness.servers)
+
+
+async def test_taken_up_stream_of_known_origin_is_not_refused_as_a_late_new_one(
+    harness: GatewayHarness,
+) -> None:
+    await publish_engines(harness)
+    first, other = harness.servers
+    await set_version(harness, other, "v2")
+    first.kept_parts = {"own-b0", "own-b1"}
+    # Prompts that take longer to read than a new request may wait.
+    for server in harness.servers:
+        model = harness.board.fleet_load.find_model(server.name)
+        model.start_request(1_000_000, time.monotonic())
+    assert await take_up_prompt(harness, "new") == 503
+    assert await take_up_prompt(harness, "b0") == 200
+    assert await take_up_prompt(harness, "b1") == 200
