--- a/src/sycamorehaven/console/commands/explain.py
+++ b/src/sycamorehaven/console/commands/explain.py
@@ -17,6 +17,8 @@
 
 COLUMN_FIELDS = frozenset({"time", "host", "event", "request"})
 """Log fields that are shown in separate columns."""
+SUSPECT_EVENTS = frozenset({"suspect_blocked", "suspect_cleared", "suspect_tried"})
+"""Log events about what is blamed for lost servers."""
 CONTEXT_SECONDS = 5.0
 """Time before and after a request in which state changes are shown."""
 STATE_CHANGE_EVENTS = frozenset(
@@ -92,8 +94,9 @@
     """
     Return the log entries that concern a request, ordered by time.
 
-    These are the entries with the id of the request, and the state changes of
-    the same routers within ``CONTEXT_SECONDS`` of them.
+    These are the entries with the id of the request, the state changes of the
+    same routers within ``CONTEXT_SECONDS`` of them, and at any time and router
+    what is known of a suspect for which the request was refused.
 
     :param entries: entries of decision logs.
     :param request: id of the request.
@@ -114,4 +117,13 @@
         and entry["host"] in hosts
         and first <= entry["time"] <= last
     ]
-    return sorted(request_entries + state_changes, key=lambda entry: entry["time"])
+    suspects = {entry["suspect"] for entry in request_entries if "suspect" in entry}
+    blames = [
+        entry
+        for entry in all_entries
+        if entry["event"] in SUSPECT_EVENTS
+        and entry.get("suspect") in suspects
+        and entry.get("request") != request
+    ]
+    related = request_entries + state_changes + blames
+    return sorted(related, key=lambda entry: entry["time"])
--- a/tests/console/test_explain.py
+++ b/tests/console/test_explain.py
@@ -28,6 +28,15 @@
     {"time": 11.2, "host": "r2", "event": "server_left", "server": "s1"},
     {"time": 90.0, "host": "r1", "event": "server_left", "server": "s2"},
     {"time": 11.1, "host": "r1", "event": "placed", "request": "b", "server": "s1"},
+    {
+        "time": 50.0,
+        "host": "r1",
+        "event": "quarantined",
+        "request": "c",
+        "suspect": "7",
+    },
+    {"time": 20.0, "host": "r2", "event": "suspect_blocked", "suspect": "7"},
+    {"time": 20.0, "host": "r2", "event": "suspect_blocked", "suspect": "8"},
 ]
 
 
@@ -49,6 +58,14 @@
     assert entries == [("placed", "r1"), ("server_left", "r1"), ("request_ended", "r1")]
 
 
+def test_explain_leads_from_a_refused_request_to_the_crashes_that_count(
+    log_file: Path,
+) -> None:
+    result = CliRunner().invoke(application, ["explain", "c", str(log_file), "--json"])
+    entries = [(entry["event"], entry["host"]) for entry in json.loads(result.output)]
+    assert entries == [("suspect_blocked", "r2"), ("quarantined", "r1")]
+
+
 def test_explain_reads_logs_from_standard_input(log_file: Path) -> None:
     result = CliRunner().invoke(
         application, ["explain", "b"], input=log_file.read_bytes()
