--- a/src/sycamorehaven/controllers/reservations.py
+++ b/src/sycamorehaven/controllers/reservations.py
@@ -92,9 +92,9 @@
         else:
             health.record_answer(failed=True)
         if not error.was_sent:
-            self._refund(now)
+            self.refund(now)
 
-    def _refund(self, now: float) -> None:
+    def refund(self, now: float) -> None:
         """Take back the charge for a request that the server did not run."""
         if self._workspace:
             fleet_load = self._board.fleet_load
--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -412,8 +412,10 @@
         """
         while True:
             self._reservation = await self._acquire_reservation()
-            self._guard.check(may_have_run=self._history.may_have_run)
             now = self._sent_at = self._context.clock()
+            if self._guard.is_blamed:
+                self._reservation.refund(now)
+                self._guard.check(may_have_run=self._history.may_have_run)
             remaining = self._request.deadline - now
             idle_timeout = self._choose_idle_timeout(self._reservation, now)
             self._is_sending = True
