Count a crash from its first report, and keep trials in a module of their own

A router that notices a loss late (its connection was silent, or it was behind) moved the time of the crash, so that one crash looked like two and the block grew. The time of a crash is that of its earliest report now; the test failed before.

--- a/src/sycamorehaven/controllers/strike_exchange.py
+++ b/src/sycamorehaven/controllers/strike_exchange.py
@@ -9,21 +9,19 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 import time
 from typing import TYPE_CHECKING, Protocol
 
 from mode import Service
 
+from sycamorehaven.controllers.suspect_trials import SuspectTrials
 from sycamorehaven.decisions.rendezvous import choose_candidate
 from sycamorehaven.decisions.strikes import LostRun, StrikeTable, SuspectKeys
 from sycamorehaven.transport.messages.suspects import (
     Exoneration,
     LostRunReport,
     LostRuns,
-    TrialReply,
-    TrialRequest,
 )
 
 if TYPE_CHECKING:
@@ -47,12 +45,6 @@
 SURVIVAL_SECONDS = 0.25
 """Time after the loss of a server from which an event of an older run shows
 that it lives; what had arrived before the loss is passed on by then."""
-TRIAL_SECONDS = 10.0
-"""Time after which another request is tried if a trial has no outcome."""
-TRIAL_REPLY_SECONDS = 0.2
-"""Timeout for the reply of the router that decides on a trial."""
-TRIAL_DENIED_SECONDS = 1.0
-"""Time for which a router does not ask again after a denied trial."""
 
 
 class InterruptibleRun(Protocol):
@@ -100,13 +92,9 @@
         self._known_culprits: tuple[Culprit, ...] = ()
         self._known_members = self._map_members()
         self._waiting_runs: set[InterruptibleRun] = set()
-        self._trials: dict[int, float] = {}
-        self._trial_replies: dict[int, asyncio.Future[bool]] = {}
-        self._trials_denied_until: dict[int, float] = {}
+        self._trials = SuspectTrials(board, link, clock, self._is_suspect_blocked)
         link.subscribe(LostRuns, self._handle_lost_runs)
         link.subscribe(Exoneration, self._handle_exoneration)
-        link.subscribe(TrialRequest, self._handle_trial_request)
-        link.subscribe(TrialReply, self._handle_trial_reply)
         board.members.changed.subscribe(self._handle_members_change)
 
     def find_culprits(self, keys: SuspectKeys) -> list[Culprit]:
@@ -178,58 +166,15 @@
             self._handle_change()
 
     async def try_acquire_trial(self, culprit: Culprit) -> bool:
-        """
-        Return whether one request may be tried although it is blamed.
+        """Return whether one request may be tried although it is blamed."""
+        return await self._trials.try_acquire(min(culprit.keys))
 
-        One router decides for all that it reaches, so that they try one.
-        """
-        suspect, now = min(culprit.keys), self._clock()
-        denied_until = self._trials_denied_until.get(suspect, now)
-        if suspect in self._trial_replies or now < denied_until:
-            return False
-        owner = choose_candidate(
-            f"trial/{suspect}", self._board.members.map_failure_domains()
-        )
-        if owner in (None, self._board.identity.host):
-            is_allowed = self._grant_trial(suspect)
-        else:
-            is_allowed = await self._request_trial(str(owner), suspect)
-        if not is_allowed:
-            self._trials_denied_until = {
-                key: until
-                for key, until in self._trials_denied_until.items()
-                if until > now
-            }
-            self._trials_denied_until[suspect] = self._clock() + TRIAL_DENIED_SECONDS
-        return is_allowed
-
-    async def _request_trial(self, owner: str, suspect: int) -> bool:
-        reply = asyncio.get_running_loop().create_future()
-        self._trial_replies[suspect] = reply
-        try:
-            self._link.send(owner, TrialRequest(suspect))
-            async with asyncio.timeout(TRIAL_REPLY_SECONDS):
-                return bool(await reply)
-        except TimeoutError:
-            return False
-        finally:
-            del self._trial_replies[suspect]
-
-    def _grant_trial(self, suspect: int) -> bool:
+    def _is_suspect_blocked(self, suspect: int) -> bool:
         now = self._clock()
-        self._trials = {
-            key: granted_at
-            for key, granted_at in self._trials.items()
-            if now - granted_at < TRIAL_SECONDS
-        }
-        is_blocked = any(
+        return any(
             suspect in culprit.keys and now < culprit.blocked_until
             for culprit in self._table.culprits
         )
-        if is_blocked or suspect in self._trials:
-            return False
-        self._trials[suspect] = now
-        return True
 
     @Service.task
     async def _run(self) -> None:
@@ -339,17 +284,6 @@
             self._link.broadcast(Exoneration(cleared, [], is_reply=False))
         self._handle_change()
 
-    def _handle_trial_request(self, delivery: Delivery) -> None:
-        request: TrialRequest = delivery.message
-        is_allowed = self._grant_trial(request.suspect)
-        self._link.send_to(delivery.address, TrialReply(request.suspect, is_allowed))
-
-    def _handle_trial_reply(self, delivery: Delivery) -> None:
-        reply: TrialReply = delivery.message
-        waiter = self._trial_replies.get(reply.suspect)
-        if waiter is not None and not waiter.done():
-            waiter.set_result(reply.allowed)
-
 
 def _build_message(runs: Iterable[LostRun], now: float) -> LostRuns:
     return LostRuns(
--- a/src/sycamorehaven/decisions/crash_blame.py
+++ b/src/sycamorehaven/decisions/crash_blame.py
@@ -87,7 +87,7 @@
 
 
 def find_culprits(
-    losses: Mapping[int, Mapping[RunId, float]],
+    runs_by_suspect: Mapping[int, Collection[RunId]],
     requests: Collection[int],
     lost_servers: Mapping[str, float],
 ) -> tuple[Culprit, ...]:
@@ -97,12 +97,11 @@
     Of suspects that explain the same number of crashes, a request goes first:
     its parts are in others, too.
 
-    :param losses: for each suspect the lost runs with it, with the time of the
-        loss in monotonic seconds.
+    :param runs_by_suspect: the lost runs with each suspect.
     :param requests: the suspects that are requests as a whole.
     :param lost_servers: when each server was lost, in monotonic seconds.
     """
-    suspicions = _list_suspicions(losses, requests, lost_servers)
+    suspicions = _list_suspicions(runs_by_suspect, requests, lost_servers)
     culprits: list[Culprit] = []
     explained: set[int] = set()
     while suspicions:
@@ -130,23 +129,25 @@
 
 
 def _list_suspicions(
-    losses: Mapping[int, Mapping[RunId, float]],
+    runs_by_suspect: Mapping[int, Collection[RunId]],
     requests: Collection[int],
     lost_servers: Mapping[str, float],
 ) -> dict[int, Suspicion]:
     """Return what speaks against each suspect that may be blamed."""
     often = {
-        suspect: runs for suspect, runs in losses.items() if len(runs) >= MIN_CRASHES
+        suspect: runs
+        for suspect, runs in runs_by_suspect.items()
+        if len(runs) >= MIN_CRASHES
     }
     crash_numbers = _number_crashes(lost_servers) if often else {}
     sizes = Counter(crash_numbers.values())
     suspicions = {}
     for suspect, runs in often.items():
-        servers = {server: lost_at for (server, _), lost_at in runs.items()}
+        servers = {server for server, _ in runs}
         counts = Counter(crash_numbers[server] for server in servers)
         likely = {
-            server: lost_at
-            for server, lost_at in servers.items()
+            server: lost_servers[server]
+            for server in servers
             if 2 * counts[crash_numbers[server]] >= sizes[crash_numbers[server]]
         }
         crashes = [crash_numbers[server] for server in likely]
--- a/src/sycamorehaven/decisions/strikes.py
+++ b/src/sycamorehaven/decisions/strikes.py
@@ -96,7 +96,7 @@
     def __init__(self, generator: random.Random | None = None) -> None:
         self._random = generator or random.Random()
         self._runs: OrderedDict[tuple[str, int], LostRun] = OrderedDict()
-        self._losses: dict[int, dict[tuple[str, int], float]] = {}
+        self._losses: dict[int, set[tuple[str, int]]] = {}
         self._requests: set[int] = set()
         self._lost_servers: dict[str, float] = {}
         self._sound_until: OrderedDict[int, float] = OrderedDict()
@@ -235,10 +235,11 @@
 
     def _index_run(self, run: LostRun, suspects: Iterable[int]) -> None:
         for suspect in suspects:
-            runs = self._losses.setdefault(suspect, {})
-            runs[run.server, run.keys.request] = run.lost_at
+            self._losses.setdefault(suspect, set()).add((run.server, run.keys.request))
         self._requests.add(run.keys.request)
-        self._lost_servers[run.server] = run.lost_at
+        # A router that was late to notice must not make the crash a new one.
+        lost_at = self._lost_servers.get(run.server, run.lost_at)
+        self._lost_servers[run.server] = min(lost_at, run.lost_at)
         self._culprits = None
 
     def _expire(self, now: float) -> None:
--- a/tests/decisions/test_strikes.py
+++ b/tests/decisions/test_strikes.py
@@ -142,6 +142,14 @@
     assert blocks[-1] == MAX_BLOCK_SECONDS
 
 
+def test_late_report_of_a_crash_does_not_lengthen_the_block() -> None:
+    table = StrikeTable()
+    lose_servers(table, [build_keys(100 + number, BAD) for number in range(3)])
+    blocked_until = table.culprits[0].blocked_until
+    table.add_run(LostRun("s0", 30.0, build_keys(200, BAD)), 30.0)
+    assert table.culprits[0].blocked_until == blocked_until
+
+
 def test_runs_that_were_sent_before_the_block_do_not_lengthen_it() -> None:
     table = StrikeTable()
     lose_servers(table, [build_keys(100 + number, BAD) for number in range(6)])
@@ -236,11 +244,11 @@
 
 
 def test_losses_of_a_request_and_its_part_are_explained_by_the_larger_number() -> None:
-    losses = {
-        BAD: {("a", 100): 0.0, ("b", 100): 1.0, ("c", 101): 2.0, ("d", 102): 3.0},
-        100: {("a", 100): 0.0, ("b", 100): 1.0},
+    runs = {
+        BAD: {("a", 100), ("b", 100), ("c", 101), ("d", 102)},
+        100: {("a", 100), ("b", 100)},
     }
-    servers = {server: lost_at for (server, _), lost_at in losses[BAD].items()}
-    (culprit,) = find_culprits(losses, {100}, servers)
+    servers = {"a": 0.0, "b": 1.0, "c": 2.0, "d": 3.0}
+    (culprit,) = find_culprits(runs, {100}, servers)
     assert culprit.keys == {BAD}
     assert not culprit.is_request
