Bound the memory of strikes under prompts of many parts

2,048 lost runs of prompts with 64 parts each took 48 MB (tracemalloc), more than a router may use for control. The test needs a constant that is new, so it was not run on the code before.

--- a/src/sycamorehaven/decisions/strikes.py
+++ b/src/sycamorehaven/decisions/strikes.py
@@ -33,6 +33,11 @@
 """Time for which reports of the loss of a server that lives are ignored."""
 MAX_RUNS = 2_048
 """Limit on the lost runs that are remembered."""
+MAX_SUSPECTS = 16_384
+"""Limit on the requests and parts that are suspected."""
+MAX_BLAMED_RUNS = 128
+"""Limit on the runs of what is blamed that are kept when the limits are
+reached."""
 MAX_PARTS_PER_RUN = 64
 """Limit on the parts of a prompt that are suspected."""
 MAX_SOUND_SUSPECTS = 8_192
@@ -129,7 +134,7 @@
         has_survived = self._survivors.get(run.server, now) > now
         if key in self._runs or not suspects or is_expired or has_survived:
             return False
-        if len(self._runs) >= MAX_RUNS:
+        if len(self._runs) >= MAX_RUNS or len(self._losses) >= MAX_SUSPECTS:
             self._evict_runs()
         self._runs[key] = run
         self._index_run(run, suspects)
@@ -254,8 +259,7 @@
     def _evict_runs(self) -> None:
         """Forget the older half of the runs that nothing is blamed for."""
         blamed, others = self._split_runs()
-        kept = [*blamed, *others[len(others) // 2 :]]
-        self._keep_runs(kept[-MAX_RUNS * 3 // 4 :])
+        self._keep_runs([*blamed[-MAX_BLAMED_RUNS:], *others[-(len(others) // 2) :]])
 
     def _keep_runs(self, runs: Iterable[LostRun]) -> None:
         """Replace the runs and what follows from them."""
--- a/tests/decisions/test_strikes.py
+++ b/tests/decisions/test_strikes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import tracemalloc
 
 from sycamorehaven.decisions.crash_blame import (
     FIRST_BLOCK_SECONDS,
@@ -14,6 +15,7 @@
     MAX_PARTS_PER_RUN,
     MAX_RUNS,
     MAX_SOUND_SUSPECTS,
+    MAX_SUSPECTS,
     SOUND_LIFETIME_SECONDS,
     STRIKE_LIFETIME_SECONDS,
     LostRun,
@@ -24,6 +26,8 @@
 from tests.support.published_routes import STREAMING_ROUTE
 
 SYSTEM, BAD, OTHER = 1, 2, 3
+MAX_MEMORY_BYTES = 16 * 1_048_576
+"""Half of what a router may use for control."""
 
 
 def build_keys(request: int, *parts: int) -> SuspectKeys:
@@ -198,6 +202,24 @@
     assert table.find_culprits(build_keys(999, BAD))
 
 
+def test_prompts_of_many_parts_keep_to_the_memory_of_a_router() -> None:
+    tracemalloc.start()
+    try:
+        table = StrikeTable(random.Random(1))
+        lose_servers(table, [build_keys(100 + number, BAD) for number in range(3)])
+        for number in range(MAX_RUNS):
+            first = 1_000_000 + 100 * number
+            keys = SuspectKeys(first, tuple(range(first, first + MAX_PARTS_PER_RUN)))
+            table.add_run(LostRun(f"x{number % 40}", 5.0, keys), 5.0)
+            assert len(table._losses) <= MAX_SUSPECTS + MAX_PARTS_PER_RUN
+        table.record_sound(range(10**12, 10**12 + MAX_SOUND_SUSPECTS), 5.0)
+        used, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert used < MAX_MEMORY_BYTES
+    assert table.find_culprits(build_keys(999, BAD))
+
+
 def test_parts_of_a_prompt_are_limited() -> None:
     parts = tuple(PromptPart(f"{number:x}", 1) for number in range(10_000))
     head = RequestHead("a", None, "", "m", parts, 0, 0, None)
