Don't interrupt a request whose timeout has expired

Found by reading: a request that is blamed twice within one step of the event loop, or at the moment of its deadline, made asyncio raise RuntimeError in whatever reported the blame: the handling of a message of another router, or of another request's loss, which then got 500 and left other waiting requests uninterrupted. No log shows it. Both tests failed with that error before.

--- a/src/sycamorehaven/controllers/crash_guard.py
+++ b/src/sycamorehaven/controllers/crash_guard.py
@@ -106,6 +106,9 @@
         """End the waiting for an answer, because the request is blamed."""
         if culprit.keys in self._tried or self._timeout is None:
             return
+        # A timeout that has expired can't be made to expire again.
+        if self._timeout.expired():
+            return
         self._interrupted_by = culprit
         self._timeout.reschedule(asyncio.get_running_loop().time())
 
