Log what servers say of themselves in their responses

A response's Server-Limit, Server-Leaving and the Retry-After of a 503 are decoded in the adapter, kept by incarnation, and logged and counted when they are named, change or end. A response to another request and one with the status 421 say nothing of the expected server. No decision changes.

--- a/src/sycamorehaven/blackboard/board.py
+++ b/src/sycamorehaven/blackboard/board.py
@@ -19,6 +19,7 @@
 from sycamorehaven.blackboard.queues import QueuesSection
 from sycamorehaven.blackboard.routing import RoutingSection
 from sycamorehaven.blackboard.seeds import SeedsSection
+from sycamorehaven.blackboard.server_conditions import ServerConditionsSection
 from sycamorehaven.blackboard.server_statuses import ServerStatusesSection
 from sycamorehaven.blackboard.suspect_requests import SuspectRequestsSection
 from sycamorehaven.blackboard.tokens import TokensSection
@@ -74,6 +75,7 @@
         self._tokens = TokensSection()
         self._suspect_requests = SuspectRequestsSection()
         self._routing = RoutingSection()
+        self._server_conditions = ServerConditionsSection()
         self._fleet_load = FleetLoadSection(UsageWindow(quota_window))
 
     @classmethod
@@ -180,6 +182,11 @@
         """The published routes and servers."""
         return self._routing
 
+    @property
+    def server_conditions(self) -> ServerConditionsSection:
+        """What servers of published routes have said of themselves."""
+        return self._server_conditions
+
     @property
     def fleet_load(self) -> FleetLoadSection:
         """Load of the servers of published routes, and usage by workspaces."""
--- a/src/sycamorehaven/console/commands/explain.py
+++ b/src/sycamorehaven/console/commands/explain.py
@@ -33,7 +33,11 @@
         "reloaded",
         "server_draining",
         "server_joined",
+        "server_leaving",
         "server_left",
+        "server_limit",
+        "server_rest",
+        "server_unreadable",
         "started",
         "stopped",
     }
--- a/src/sycamorehaven/gateway.py
+++ b/src/sycamorehaven/gateway.py
@@ -16,6 +16,7 @@
 from sycamorehaven.controllers.membership import MembershipController
 from sycamorehaven.controllers.news_link import NewsLink
 from sycamorehaven.controllers.routing_snapshots import RoutingSnapshotController
+from sycamorehaven.controllers.server_conditions import ServerConditionRecorder
 from sycamorehaven.exceptions.startup import StartFailed
 from sycamorehaven.platform.header_codec import PlatformHeaderCodec
 from sycamorehaven.platform.prompt_cache_client import PlatformPromptCacheClient
@@ -57,9 +58,14 @@
         self._board.seeds.replace(settings.seeds)
         self._store = PlatformStoreClient.from_settings(settings)
         self._header_codec = PlatformHeaderCodec()
-        self._backends = RoutedBackendClient(self._header_codec)
-        self._prompt_caches = PlatformPromptCacheClient()
         self._metrics = GatewayMetrics()
+        self._condition_recorder = ServerConditionRecorder(
+            self._board, decision_log, self._metrics
+        )
+        self._backends = RoutedBackendClient(
+            self._header_codec, self._condition_recorder
+        )
+        self._prompt_caches = PlatformPromptCacheClient()
         self._frontend: FrontendListener | None = None
         self._forwarding: ForwardingController | None = None
 
--- a/src/sycamorehaven/platform/header_codec.py
+++ b/src/sycamorehaven/platform/header_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 from multidict import CIMultiDict
@@ -11,6 +12,7 @@
     PromptPart,
     RequestHead,
     ResponseHead,
+    ServerStatement,
 )
 from sycamorehaven.transport.headers import HOP_BY_HOP_HEADERS, list_connection_headers
 
@@ -48,9 +50,23 @@
 """Present if the server did not execute the request."""
 PROMPT_CACHE_SOURCE_HEADER = "Kv-Fetch"
 """Address of a server whose cache of the prompt is copied first."""
+SERVER_LIMIT_HEADER = "Server-Limit"
+"""Requests per second that a server takes from all routers together."""
+SERVER_LEAVING_HEADER = "Server-Leaving"
+"""``1`` in every response of a server that shuts down."""
+REST_HEADER = "Retry-After"
+"""In a 503 of a server: seconds for which it wants nothing from this router.
+Clients get the header from the router, never from a server."""
+REST_STATUS = 503
+"""Status of the responses in which a server may ask for rest."""
 MISDIRECTED_REQUEST_STATUS = 421
 """Status by which a server rejects a request meant for another server."""
 
+POSITIVE_DECIMAL = re.compile(r"(?=.*[1-9])\d{1,9}(\.\d{1,9})?", re.ASCII)
+"""A positive number without an exponent, of a sensible length."""
+MAX_LOGGED_VALUE_CHARACTERS = 40
+"""Length to which a value is cut that is no number."""
+
 ROUTER_CONTROLLED_HEADERS = frozenset(
     name.lower()
     for name in (
@@ -138,9 +154,50 @@
             was_executed=status != MISDIRECTED_REQUEST_STATUS
             and NOT_EXECUTED_HEADER not in values,
             closes_connection=values.get("Connection", "").lower() == "close",
+            statement=None
+            if status == MISDIRECTED_REQUEST_STATUS
+            else _parse_statement(status, values),
         )
 
 
+def _parse_statement(status: int, values: CIMultiDict[str]) -> ServerStatement:
+    """Return what a server says of itself in a response."""
+    unreadable: list[str] = []
+    rest = None
+    if status == REST_STATUS:
+        rest = _parse_positive_decimal(REST_HEADER, values, unreadable)
+    leaving = values.getall(SERVER_LEAVING_HEADER, [])
+    if leaving not in ([], ["1"]):
+        unreadable.append(_describe_header(SERVER_LEAVING_HEADER, leaving))
+    return ServerStatement(
+        _parse_positive_decimal(SERVER_LIMIT_HEADER, values, unreadable),
+        rest,
+        leaving == ["1"],
+        tuple(unreadable),
+    )
+
+
+def _parse_positive_decimal(
+    name: str, values: CIMultiDict[str], unreadable: list[str]
+) -> float | None:
+    """
+    Return the number in a header, ``None`` if it is missing or unreadable.
+
+    :param unreadable: gets the header if it cannot be read.
+    """
+    texts = values.getall(name, [])
+    if not texts:
+        return None
+    if len(texts) == 1 and POSITIVE_DECIMAL.fullmatch(texts[0].strip()):
+        return float(texts[0])
+    unreadable.append(_describe_header(name, texts))
+    return None
+
+
+def _describe_header(name: str, texts: list[str]) -> str:
+    return f"{name}: {', '.join(texts)[:MAX_LOGGED_VALUE_CHARACTERS]}"
+
+
 def _parse_prompt_parts(text: str) -> tuple[PromptPart, ...]:
     parts = []
     for entry in filter(None, (piece.strip() for piece in text.split(","))):
--- a/src/sycamorehaven/routing/requests.py
+++ b/src/sycamorehaven/routing/requests.py
@@ -101,6 +101,30 @@
     is_repeat: bool = False
 
 
+class ServerStatement(NamedTuple):
+    """
+    What a backend server says of itself in a response.
+
+    :ivar limit: requests per second that it takes from all routers together;
+        ``None`` if it names no limit.
+    :ivar rest: seconds for which it wants no request from this router, counted
+        from the response; ``None`` if it asks for no rest.
+    :ivar leaving: whether it says that it shuts down.
+    :ivar unreadable: headers of this kind whose values make no sense, as
+        ``name: value``, shortened.
+    """
+
+    limit: float | None = None
+    rest: float | None = None
+    leaving: bool = False
+    unreadable: tuple[str, ...] = ()
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether the server says nothing of itself."""
+        return self == ServerStatement()
+
+
 class ResponseHead(NamedTuple):
     """
     Metadata from the headers of a backend server's response.
@@ -111,12 +135,15 @@
         the request.
     :ivar closes_connection: whether the server closes the connection after the
         response.
+    :ivar statement: what the server says of itself; ``None`` if another server
+        answered, which has the address now.
     """
 
     attempt_id: str
     is_signed: bool
     was_executed: bool
     closes_connection: bool
+    statement: ServerStatement | None
 
 
 class HeaderCodec(Protocol):
--- a/src/sycamorehaven/telemetry/gateway_metrics.py
+++ b/src/sycamorehaven/telemetry/gateway_metrics.py
@@ -30,6 +30,9 @@
         lost servers.
     :ivar quarantined_requests: number of requests that were refused, or not
         repeated, because they or a part of their prompts are blamed.
+    :ivar server_conditions: number of times that servers named, changed or
+        ended a limit, a rest or their leaving, or sent a value that makes no
+        sense.
     :ivar dependency_up: 1 if a dependency responds, else 0.
     :ivar snapshot_age: age of the routes and servers in use, in seconds.
     :ivar waiting_requests: number of requests that wait at the router.
@@ -88,6 +91,12 @@
             ("kind",),
             registry=self._registry,
         )
+        self.server_conditions = Counter(
+            "sycamorehaven_server_conditions",
+            "Changes of what servers say of themselves.",
+            ("condition", "state"),
+            registry=self._registry,
+        )
         self.dependency_up = Gauge(
             "sycamorehaven_dependency_up",
             "Whether a dependency responds (1) or not (0).",
--- a/src/sycamorehaven/transport/routed_backend_client.py
+++ b/src/sycamorehaven/transport/routed_backend_client.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import functools
-from typing import TYPE_CHECKING
+import time
+from typing import TYPE_CHECKING, Protocol
 
 from yarl import URL
 
@@ -27,6 +28,7 @@
         ResponseHead,
         RoutedRequest,
         SendPlan,
+        ServerStatement,
     )
     from sycamorehaven.transport.connection_pool import ConnectionPool
     from sycamorehaven.transport.headers import Headers
@@ -38,6 +40,25 @@
 """Statuses from which a client concludes that its request has not run."""
 
 
+class StatementObserver(Protocol):
+    """Records what servers say of themselves."""
+
+    def record_response(
+        self,
+        server: ServerRecord,
+        request: str,
+        statement: ServerStatement,
+        sent_at: float,
+    ) -> None:
+        """
+        Record what a server says of itself in a response.
+
+        :param request: attempt id of the request that it answers.
+        :param sent_at: when the request was sent, in monotonic seconds.
+        """
+        ...
+
+
 class RoutedBackendResponse:
     """
     A backend server's response on a published route.
@@ -85,10 +106,12 @@
     the first time has the same id.
 
     :param header_codec: writes and reads the platform's headers.
+    :param observer: records what servers say of themselves.
     """
 
-    def __init__(self, header_codec: HeaderCodec) -> None:
+    def __init__(self, header_codec: HeaderCodec, observer: StatementObserver) -> None:
         self._header_codec = header_codec
+        self._observer = observer
         self._pools = ConnectionPoolManager(CONNECT_TIMEOUT_SECONDS)
 
     async def send(
@@ -114,11 +137,16 @@
         pool.acquire()
         response: aiohttp.ClientResponse | None = None
         headers = self._header_codec.build_request_headers(request, plan, remaining)
+        sent_at = time.monotonic()
         try:
             response = await _request(pool, server, request, headers, silence_timeout)
             head = self._header_codec.parse_response_headers(
                 response.status, response.headers.items()
             )
+            if head.statement is not None and is_answer_to(request, head):
+                self._observer.record_response(
+                    server, request.head.attempt_id, head.statement, sent_at
+                )
             check_response(request, response.status, head)
         except BaseException as error:
             if response is not None:
@@ -158,6 +186,13 @@
         raise classify_error(error) from error
 
 
+def is_answer_to(request: RoutedRequest, head: ResponseHead) -> bool:
+    """Return whether a response belongs to a request, as far as it tells."""
+    # A refusal without an id is one of a request whose id was not read.
+    is_refusal_without_id = not head.was_executed and not head.attempt_id
+    return head.attempt_id == request.head.attempt_id or is_refusal_without_id
+
+
 def check_response(request: RoutedRequest, status: int, head: ResponseHead) -> None:
     """
     Raise if a response must not be passed on to the client.
@@ -169,10 +204,7 @@
         a success without a signature, or has a status from which the client
         would wrongly conclude that the request has not run.
     """
-    # A refusal without an id is one of a request whose id was not read.
-    if head.attempt_id != request.head.attempt_id and (
-        head.was_executed or head.attempt_id
-    ):
+    if not is_answer_to(request, head):
         raise AnswerInvalid(
             f"the response belongs to request {head.attempt_id!r}", was_sent=True
         )
--- a/tests/support/gateway_harness.py
+++ b/tests/support/gateway_harness.py
@@ -8,10 +8,12 @@
 
 import asyncio
 import base64
+import time
 from typing import TYPE_CHECKING, Any
 
 import msgspec
 from aiohttp import web
+from multidict import CIMultiDict
 
 from sycamorehaven.gateway import Gateway
 from sycamorehaven.gateway_settings import GatewaySettings
@@ -117,6 +119,9 @@
     :ivar version: version of the server's software.
     :ivar run_attempt_ids: attempt ids of the requests that were run.
     :ivar received_headers: headers of all requests, in order of arrival.
+    :ivar received_at: when they arrived, in monotonic seconds.
+    :ivar statement_headers: headers of all its responses, by which it says
+        something of itself.
     :ivar cancelled_count: number of hanging requests that were cancelled.
     :ivar bad_parts: parts of prompts on which the server crashes as soon as it
         begins to answer; it is back at once, with another start.
@@ -135,6 +140,8 @@
         self.version = "v1"
         self.run_attempt_ids: list[str] = []
         self.received_headers: list[dict[str, str]] = []
+        self.received_at: list[float] = []
+        self.statement_headers: CIMultiDict[str] = CIMultiDict()
         self.cancelled_count = 0
         self.status = 200
         self.bad_parts: set[str] = set()
@@ -161,8 +168,10 @@
             return web.json_response({"epoch": 1, "next": 1, "held": held})
         attempt = request.headers["Sycamorehaven-Attempt-Id"]
         self.received_headers.append(dict(request.headers))
+        self.received_at.append(time.monotonic())
         if self.behaviour == "shed":
-            return web.Response(status=503, headers={"Sycamorehaven-Not-Executed": "1"})
+            refusal = {"Sycamorehaven-Not-Executed": "1"}
+            return web.Response(status=503, headers=self._add_statement(refusal))
         self.run_attempt_ids.append(attempt)
         if self.bad_parts & list_part_keys(request.headers):
             self.crashed_attempt_ids.append(attempt)
@@ -179,10 +188,12 @@
             except asyncio.CancelledError:
                 self.cancelled_count += 1
                 raise
-        headers = {
-            "Sycamorehaven-Attempt-Id": attempt,
-            "Sycamorehaven-Response-Signature": f"by-{self.name}",
-        }
+        headers = self._add_statement(
+            {
+                "Sycamorehaven-Attempt-Id": attempt,
+                "Sycamorehaven-Response-Signature": f"by-{self.name}",
+            }
+        )
         if self.behaviour == "refuse_resume" and "Last-Event-Id" in request.headers:
             return web.Response(status=self.status, headers=headers, body=ERROR_TEXT)
         if "stream" not in request.path:
@@ -192,8 +203,11 @@
             return self._stream_without_framing(request, headers)
         return await self._stream(request, headers)
 
+    def _add_statement(self, headers: dict[str, str]) -> CIMultiDict[str]:
+        return CIMultiDict([*headers.items(), *self.statement_headers.items()])
+
     def _stream_without_framing(
-        self, request: BaseRequest, headers: dict[str, str]
+        self, request: BaseRequest, headers: CIMultiDict[str]
     ) -> web.StreamResponse:
         """Send a stream that ends with its connection."""
         transport = request.transport
@@ -214,7 +228,7 @@
         return web.Response()
 
     async def _stream(
-        self, request: BaseRequest, headers: dict[str, str]
+        self, request: BaseRequest, headers: CIMultiDict[str]
     ) -> web.StreamResponse:
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
--- a/tests/support/raw_answers.py
+++ b/tests/support/raw_answers.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Mapping
 
 
 def reset_connection(transport: asyncio.WriteTransport) -> None:
@@ -17,7 +18,7 @@
     transport.abort()
 
 
-def build_unframed_head(headers: dict[str, str]) -> bytes:
+def build_unframed_head(headers: Mapping[str, str]) -> bytes:
     """Return the head of a stream with neither a length nor chunks."""
     lines = [
         "HTTP/1.1 200 OK",
