Divide the limit that a server names among all routers by their demand

Change: each router takes the part of the rate that its arrivals are of those that all routers tell, counts its own with the least that it told while others may still count by it, and paces what it sends. The candidate finder is the one place that asks, so repeats, resumed streams and waiting requests are bound as well. If all servers of a service are closed, a request that can't get its turn in time is refused at once with servers_limited.

--- a/benchmarks/routed_cost.py
+++ b/benchmarks/routed_cost.py
@@ -23,6 +23,7 @@
 from sycamorehaven.controllers.candidates import CandidateFinder, PendingRequest
 from sycamorehaven.controllers.dispatch import Dispatcher
 from sycamorehaven.controllers.fleet_state import FleetStateController
+from sycamorehaven.controllers.server_conditions import ServerConditionRecorder
 from sycamorehaven.decisions.placement import Candidate, choose_engine
 from sycamorehaven.decisions.prefix_cache import hash_prefixes
 from sycamorehaven.decisions.usage_window import UsageWindow
@@ -249,7 +250,9 @@
 def measure_news(size: FleetSize) -> float:
     """Return the seconds to decode and process one router's fleet news."""
     link = SilentLink()
-    FleetStateController(build_board(size), link)
+    board = build_board(size)
+    recorder = ServerConditionRecorder(board, DecisionLog("r0", None), GatewayMetrics())
+    FleetStateController(board, link, recorder)
     handle_news = link.handlers[FleetNews]
     news = FleetNews(
         1,
--- a/src/sycamorehaven/blackboard/board.py
+++ b/src/sycamorehaven/blackboard/board.py
@@ -75,7 +75,7 @@
         self._tokens = TokensSection()
         self._suspect_requests = SuspectRequestsSection()
         self._routing = RoutingSection()
-        self._server_conditions = ServerConditionsSection()
+        self._server_conditions = ServerConditionsSection(identity.host)
         self._fleet_load = FleetLoadSection(UsageWindow(quota_window))
 
     @classmethod
--- a/src/sycamorehaven/controllers/candidates.py
+++ b/src/sycamorehaven/controllers/candidates.py
@@ -13,11 +13,14 @@
     ServiceLoad,
     observe_server,
 )
+from sycamorehaven.decisions.limit_shares import NO_ALLOWANCE
+from sycamorehaven.decisions.news_routes import choose_settle_seconds
 from sycamorehaven.decisions.placement import (
     MAX_RANK,
     Candidate,
 )
 from sycamorehaven.decisions.rendezvous import rank_candidates
+from sycamorehaven.decisions.server_openings import ALWAYS_OPEN
 from sycamorehaven.routing.requests import RoutedRequest
 
 if TYPE_CHECKING:
@@ -25,6 +28,7 @@
 
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.decisions.server_model import ServerModel
+    from sycamorehaven.decisions.server_openings import Opening
     from sycamorehaven.routing.model import ServerRecord
 
 PrefixLevels = list[tuple[int, set[str]]]
@@ -92,13 +96,33 @@
         :param limit_factor: factor applied to the concurrency limits of
             engines.
         """
-        views = [
-            observe_server(server, self._get_model(server), now, limit_factor)
-            for server in self._board.routing.list_available_servers(service)
-            if software_version in (None, server.software_version)
-        ]
+        views = []
+        for server in self._board.routing.list_available_servers(service):
+            opening = self.find_opening(server, now)
+            if software_version in (None, server.software_version):
+                model = self._get_model(server)
+                views.append(observe_server(server, model, now, limit_factor, opening))
         return ServiceLoad(views, now)
 
+    def find_opening(self, server: ServerRecord, now: float) -> Opening:
+        """Return when a server takes the next request of this router."""
+        conditions = self._board.server_conditions
+        gate = conditions.find(server.incarnation_id)
+        if gate is None:
+            return ALWAYS_OPEN
+        limit = gate.conditions.limit.rate
+        if not limit:
+            return gate.find_opening(NO_ALLOWANCE, now)
+        members = self._board.members.count()
+        share = conditions.get_shares(server.service).get_allowance(
+            server.incarnation_id,
+            limit,
+            choose_settle_seconds(members),
+            now,
+            even_part=1.0 / members,
+        )
+        return gate.find_opening(share, now)
+
     def list_candidates(
         self, pending: PendingRequest, load: ServiceLoad
     ) -> list[Candidate]:
@@ -113,7 +137,11 @@
         available = load.map_available(pending.excluded_servers)
         server_ranks = self._rank_servers(pending)
         levels = self._board.fleet_load.prefix_index.list_holders(pending.prefixes)
-        copy_sources = _choose_copy_sources(available, levels, load.software_versions)
+        copy_sources = _choose_copy_sources(
+            load.map_copy_sources(pending.excluded_servers),
+            levels,
+            load.software_versions,
+        )
         compared = (
             _shortlist(available, load, levels, server_ranks)
             if has_prompt
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -18,6 +18,7 @@
 from sycamorehaven.decisions.load_shedding import (
     PlacementRequest,
     choose_busy_retry_after,
+    choose_closed_retry_after,
     choose_retry_after,
     decide_plain_request,
     decide_postponed_request,
@@ -40,15 +41,17 @@
     DeadlineUnreachable,
     NoBackendServer,
     RouterBusy,
+    ServersLimited,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Sequence
 
     from sycamorehaven.blackboard.board import Blackboard
-    from sycamorehaven.controllers.service_load import ServiceLoad
+    from sycamorehaven.controllers.service_load import ClosedServers, ServiceLoad
     from sycamorehaven.controllers.shares import ShareStatus
     from sycamorehaven.decisions.load_shedding import Action
+    from sycamorehaven.exceptions.refusals import Refusal
     from sycamorehaven.routing.requests import RoutedRequest
     from sycamorehaven.telemetry.decision_log import DecisionLog
     from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
@@ -65,6 +68,10 @@
 """Time after which a pass postpones the requests that are left."""
 NO_SERVER_RETRY_SECONDS = 1.0
 """Longest ``Retry-After`` of a refusal because no server is known."""
+MIN_RATE = 0.01
+"""Rate, in requests per second, below which servers count as taking none."""
+MAX_LOGGED_SERVERS = 16
+"""Number of servers in a line about a refusal."""
 OUTPUT_TOKEN_WEIGHT = 2.0
 """Cost of a generated token relative to that of a prompt token."""
 
@@ -133,6 +140,7 @@
         """
         now = self._clock()
         self._client_timeouts.record(request)
+        self._board.server_conditions.get_shares(request.service).record_arrival(now)
         prefixes = hash_prefixes(request.head.model, request.head.prompt_parts)
         if request.workspace and not excluded_servers:
             cost = compute_token_cost(request)
@@ -293,6 +301,10 @@
             )
             self._reject(pending, refusal, "no_server", placement_request, None, now)
             return
+        closed = load.summarize_closed()
+        if closed is not None:
+            self._wait_or_reject(pending, closed, loads, placement_request, now)
+            return
         candidates: list[Candidate] = []
         if placement_request.resumes or not placement_request.yields:
             candidates = self._candidate_finder.list_candidates(pending, load)
@@ -312,6 +324,32 @@
                 pending, late_refusal, "overload", placement_request, best, now
             )
 
+    def _wait_or_reject(
+        self,
+        pending: PendingRequest,
+        closed: ClosedServers,
+        loads: PassLoads,
+        placement_request: PlacementRequest,
+        now: float,
+    ) -> None:
+        """Reject a request at once if the servers open too late for it."""
+        ahead = loads.count_waiting(pending.request.service)
+        delay = max(closed.opens_at - now, 0.0) + ahead / max(closed.rate, MIN_RATE)
+        if decide_postponed_request(placement_request, delay, now) == "wait":
+            return
+        retry_after = choose_closed_retry_after(
+            delay, closed.rate, pending.position, pending.request.deadline - now
+        )
+        service = pending.request.service
+        refusal = ServersLimited(
+            f"the backend servers of the service '{service}' take"
+            f" {closed.rate:.2f} requests per second from this router",
+            retry_after=retry_after,
+        )
+        self._reject(
+            pending, refusal, refusal.code, placement_request, None, now, closed
+        )
+
     def _must_yield(
         self, service: str, load: ServiceLoad, share_status: ShareStatus, now: float
     ) -> bool:
@@ -362,6 +400,8 @@
     ) -> None:
         request, fleet_load = pending.request, self._board.fleet_load
         model = fleet_load.find_model(best.server.id)
+        if gate := self._board.server_conditions.find(best.server.incarnation_id):
+            gate.take()
         prefill = model.start_request(best.uncached_tokens, now)
         model.prefix_cache.record_prompt(pending.prefixes)
         fleet_load.add_placements(pending.prefixes, best.server.id)
@@ -405,11 +445,12 @@
     def _reject(
         self,
         pending: PendingRequest,
-        refusal: DeadlineUnreachable | NoBackendServer | RouterBusy,
+        refusal: Refusal,
         reason: str,
         placement_request: PlacementRequest,
         best: Placement | None,
         now: float,
+        closed: ClosedServers | None = None,
     ) -> None:
         self._decision_log.record(
             "turned_away",
@@ -425,6 +466,7 @@
             satisfaction=round(placement_request.satisfaction, 2),
             yields=placement_request.yields,
             retry_after=refusal.retry_after,
+            closed_servers=closed.servers[:MAX_LOGGED_SERVERS] if closed else (),
             snapshot_age=round(now - self._board.routing.read_at, 3),
         )
         pending.reservation.set_exception(refusal)
--- a/src/sycamorehaven/controllers/fleet_state.py
+++ b/src/sycamorehaven/controllers/fleet_state.py
@@ -14,13 +14,22 @@
 from mode import Service
 
 from sycamorehaven.blackboard.fleet_load import Contention
-from sycamorehaven.decisions.news_routes import uses_collectors
+from sycamorehaven.decisions.news_routes import (
+    COLLECTION_DELAY_SECONDS,
+    REPORT_LIFETIME_PERIODS,
+    choose_broadcast_period_seconds,
+    choose_report_lifetime_seconds,
+    choose_settle_seconds,
+    uses_collectors,
+)
 from sycamorehaven.decisions.server_model import RemoteLoad
 from sycamorehaven.transport.messages.fleet import (
     FleetNews,
     PlacedPart,
+    SaidOfItself,
     ServerLoad,
     ServiceContention,
+    ServiceDemand,
     WorkspaceUsage,
 )
 
@@ -28,22 +37,19 @@
     from collections.abc import Callable, Collection
 
     from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.controllers.server_conditions import ServerConditionRecorder
     from sycamorehaven.identity import RouterId
     from sycamorehaven.transport.codec import Delivery
     from sycamorehaven.transport.peer_link import PeerLink
 
-BROADCAST_PERIOD_PER_MEMBER_SECONDS = 0.005
-"""Broadcast interval for each member of a fleet without collectors."""
-MIN_BROADCAST_PERIOD_SECONDS = 0.02
-"""Shortest broadcast interval."""
-COLLECTED_PERIOD_PER_MEMBER_SECONDS = 0.0025
-"""Interval of reports for each member of a fleet with collectors."""
-MIN_COLLECTED_PERIOD_SECONDS = 0.2
-"""Shortest interval of reports in a fleet with collectors."""
-COLLECTION_DELAY_SECONDS = 0.5
-"""Time that two collectors may hold a report."""
-REPORT_LIFETIME_PERIODS = 2.0
-"""Number of broadcast intervals for which a report counts."""
+DEMAND_PERIOD_SECONDS = 0.2
+"""Longest time between two reports while a server names a limit, if a report
+can be sent that often."""
+SAID_REFRESH_SECONDS = 2.0
+"""Shortest time after which what a server has said is told again, in case
+messages were lost or routers have joined."""
+SAID_REFRESH_PER_MEMBER_SECONDS = 0.05
+"""The same time for each member of the fleet."""
 MIN_CONTENTION_LIFETIME_SECONDS = 0.3
 """Shortest time for which reported waiting requests count."""
 MIN_LOAD_LIFETIME_SECONDS = 2.0
@@ -55,41 +61,11 @@
 """The same interval for each member of the fleet."""
 
 
-def choose_broadcast_period_seconds(members: int) -> float:
-    """
-    Return the broadcast interval in seconds.
-
-    It grows with the number of members, so that the reports that a router
-    handles per second are the same in a fleet of any size.
-    """
-    if uses_collectors(members):
-        period = members * COLLECTED_PERIOD_PER_MEMBER_SECONDS
-        return max(period, MIN_COLLECTED_PERIOD_SECONDS)
-    return max(
-        members * BROADCAST_PERIOD_PER_MEMBER_SECONDS, MIN_BROADCAST_PERIOD_SECONDS
-    )
-
-
 def choose_refresh_period_seconds(members: int) -> float:
     """Return the interval at which all load is sent again, in seconds."""
     return max(members * REFRESH_PERIOD_PER_MEMBER_SECONDS, REFRESH_PERIOD_SECONDS)
 
 
-def choose_report_lifetime_seconds(members: int, shortest: float) -> float:
-    """
-    Return how long reported waiting requests count, in seconds.
-
-    It outlasts the time until the next report, and one lost message.
-
-    :param members: number of members of the fleet.
-    :param shortest: shortest time for which they count.
-    """
-    lifetime = choose_broadcast_period_seconds(members) * REPORT_LIFETIME_PERIODS
-    if uses_collectors(members):
-        lifetime += COLLECTION_DELAY_SECONDS
-    return max(lifetime, shortest)
-
-
 def choose_load_lifetime_seconds(members: int) -> float:
     """
     Return how long the reported load of a server counts, in seconds.
@@ -110,6 +86,7 @@
 
     :param board: the state of this router.
     :param link: messages to and from other routers.
+    :param recorder: records what other routers heard servers say.
     :param clock: returns the monotonic time in seconds.
     """
 
@@ -117,12 +94,16 @@
         self,
         board: Blackboard,
         link: PeerLink,
+        recorder: ServerConditionRecorder,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         super().__init__()
         self._board = board
         self._link = link
         self._clock = clock
+        self._recorder = recorder
+        self._limited_services: set[str] = set()
+        self._demands_told_at = 0.0
         self._last_refresh_at = 0.0
         self._had_contended = False
         self._sent_usage: dict[str, tuple[int, int]] = {}
@@ -153,14 +134,24 @@
         )
         changed_servers, placements = fleet_load.take_pending_updates()
         contended = fleet_load.list_own_contentions(now)
+        demands = self._list_demands(members, now)
+        said = self._list_said(members, now)
         through_collectors = uses_collectors(members)
         # Through collectors, reported requests count for long, so a report
         # without any ends them.
         ends_contention = self._had_contended and through_collectors
         if is_refresh:
             self._last_refresh_at = now
-        elif not (changed_servers or placements or contended or ends_contention):
+        elif not (
+            changed_servers
+            or placements
+            or contended
+            or ends_contention
+            or said
+            or (demands and now - self._demands_told_at >= DEMAND_PERIOD_SECONDS)
+        ):
             return None
+        self._demands_told_at = now
         self._had_contended = bool(contended)
         # Reports are rare in a large fleet, and routers agree on the limits of
         # engines only as often as they hear of them.
@@ -183,7 +174,47 @@
                 for service, contention in contended
             ],
             routing.position[0],
+            demands,
+            said,
+        )
+
+    def _list_demands(self, members: int, now: float) -> tuple[ServiceDemand, ...]:
+        """Return the demand for the services of which a server has a limit."""
+        conditions = self._board.server_conditions
+        limited = conditions.list_limited_services(self._board.routing.list_servers())
+        for service in self._limited_services - limited:
+            conditions.get_shares(service).forget_demands()
+        self._limited_services = limited
+        settle_seconds = choose_settle_seconds(members)
+        return tuple(
+            ServiceDemand(
+                service,
+                conditions.get_shares(service).tell_demand(
+                    settle_seconds, members, now
+                ),
+            )
+            for service in sorted(limited)
+        )
+
+    def _list_said(self, members: int, now: float) -> tuple[SaidOfItself, ...]:
+        """Return what servers have said of themselves and others must hear."""
+        section = self._board.server_conditions
+        refresh_seconds = max(
+            SAID_REFRESH_SECONDS, members * SAID_REFRESH_PER_MEMBER_SECONDS
         )
+        said = []
+        for name in section.take_news(refresh_seconds, now):
+            conditions = section.get(name).conditions
+            limit = conditions.limit
+            said.append(
+                SaidOfItself(
+                    name,
+                    limit.rate,
+                    max(now - limit.said_at, 0.0),
+                    conditions.leaving_since is not None,
+                )
+            )
+        return tuple(said)
 
     def _list_server_loads(
         self, names: Collection[str], changed_servers: Collection[str]
@@ -245,9 +276,19 @@
             contention = Contention(fill_level, waiting, expires_at)
             contentions.setdefault(service, []).append(contention)
         fleet_load.replace_contentions(delivery.sender.host, contentions)
+        for said in news.said:
+            self._recorder.record_news(said, delivery.sender.host)
+        self._record_demands(delivery.sender.host, news, now)
         if news.servers:
             fleet_load.changed.notify()
 
+    def _record_demands(self, host: str, news: FleetNews, now: float) -> None:
+        conditions = self._board.server_conditions
+        for demand in news.demands:
+            conditions.get_shares(demand.service).record_demand(host, demand.rate, now)
+        for service in self._limited_services:
+            conditions.get_shares(service).record_heard(host, now)
+
     def _record_usage(
         self, sender: RouterId, usage: WorkspaceUsage, now: float
     ) -> None:
--- a/src/sycamorehaven/controllers/news_link.py
+++ b/src/sycamorehaven/controllers/news_link.py
@@ -62,7 +62,8 @@
         """Return the news with the age that they have now."""
         news = self.report.news
         held = max(now - self.received_at, 0.0)
-        return self.report._replace(news=news._replace(age=news.age + held))
+        said = tuple(item._replace(age=item.age + held) for item in news.said)
+        return self.report._replace(news=news._replace(age=news.age + held, said=said))
 
 
 class NewsLink(Service):
--- a/src/sycamorehaven/controllers/pass_loads.py
+++ b/src/sycamorehaven/controllers/pass_loads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -36,6 +37,7 @@
         self._finder = finder
         self._now = now
         self._loads: dict[LoadKey, ServiceLoad] = {}
+        self._waiting: Counter[str] = Counter()
 
     def get(self, key: LoadKey) -> ServiceLoad:
         """Return the load of a service."""
@@ -46,9 +48,20 @@
             )
         return load
 
+    def count_waiting(self, service: str) -> int:
+        """
+        Return how many requests wait for closed servers before this one.
+
+        Each call counts one request more.
+        """
+        count = self._waiting[service]
+        self._waiting[service] += 1
+        return count
+
     def update(self, server: ServerRecord) -> None:
         """Update the state of a server that a request was assigned to."""
         versions = (None, server.software_version)
+        opening = self._finder.find_opening(server, self._now)
         for key, load in self._loads.items():
             if key.service == server.service and key.software_version in versions:
-                load.update(server.id)
+                load.update(server.id, opening)
--- a/src/sycamorehaven/controllers/reservations.py
+++ b/src/sycamorehaven/controllers/reservations.py
@@ -93,6 +93,8 @@
             health.record_answer(failed=True)
         if not error.was_sent:
             self.refund(now)
+        if isinstance(error, ConnectFailed):
+            self._return_allowance()
 
     def refund(self, now: float) -> None:
         """Take back the charge for a request that the server did not run."""
@@ -100,6 +102,17 @@
             fleet_load = self._board.fleet_load
             fleet_load.add_usage(self._workspace, 0.0, -self._cost, now)
 
+    def cancel(self, now: float) -> None:
+        """Take back everything for a request that is not sent."""
+        self.refund(now)
+        self._return_allowance()
+
+    def _return_allowance(self) -> None:
+        """Take back what counts against a limit of the server."""
+        gate = self._board.server_conditions.find(self._server.incarnation_id)
+        if gate is not None:
+            gate.give_back()
+
     def record_event_gap(self, gap: float, longest: float, now: float) -> None:
         """
         Record the time between two events of a stream.
--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -414,7 +414,7 @@
             self._reservation = await self._acquire_reservation()
             now = self._sent_at = self._context.clock()
             if self._guard.is_blamed:
-                self._reservation.refund(now)
+                self._reservation.cancel(now)
                 self._guard.check(may_have_run=self._history.may_have_run)
             remaining = self._request.deadline - now
             idle_timeout = self._choose_idle_timeout(self._reservation, now)
--- a/src/sycamorehaven/controllers/routing_snapshots.py
+++ b/src/sycamorehaven/controllers/routing_snapshots.py
@@ -221,6 +221,10 @@
     def _update_server_models(self, change: DirectoryChange) -> None:
         for server in change.joined:
             self._board.fleet_load.find_model(server.id).reset_after_restart()
+        incarnations = {
+            server.incarnation_id for server in self._board.routing.list_servers()
+        }
+        self._board.server_conditions.retain(incarnations, self._clock())
         if change.left:
             self._board.fleet_load.retain_models(self._board.routing.list_server_ids())
 
--- a/src/sycamorehaven/controllers/server_conditions.py
+++ b/src/sycamorehaven/controllers/server_conditions.py
@@ -5,6 +5,8 @@
 import time
 from typing import TYPE_CHECKING
 
+from sycamorehaven.decisions.server_conditions import NamedLimit
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
@@ -14,6 +16,10 @@
     from sycamorehaven.routing.requests import ServerStatement
     from sycamorehaven.telemetry.decision_log import DecisionLog
     from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
+    from sycamorehaven.transport.messages.fleet import SaidOfItself
+
+FLEET_CONDITIONS = frozenset({"limit", "leaving"})
+"""Conditions that concern all routers; a rest concerns only one."""
 
 
 class ServerConditionRecorder:
@@ -51,12 +57,30 @@
         :param request: attempt id of the request that it answers.
         :param sent_at: when the request was sent, in monotonic seconds.
         """
-        known = self._board.server_conditions.find(server.incarnation_id)
-        if known is None and statement.is_empty:
+        section, name = self._board.server_conditions, server.incarnation_id
+        if section.find(name) is None and statement.is_empty:
             return
-        conditions = known or self._board.server_conditions.get(server.incarnation_id)
-        changes = conditions.apply_response(statement, sent_at, self._clock())
-        self._log_changes(server.incarnation_id, changes, request, 0.0)
+        conditions, now = section.get(name).conditions, self._clock()
+        changes = conditions.end_rest(now)
+        changes += conditions.apply_response(statement, sent_at, now)
+        if any(change.condition in FLEET_CONDITIONS for change in changes):
+            section.mark_changed(name)
+        self._log_changes(name, changes, request, 0.0)
+
+    def record_news(self, said: SaidOfItself, host: str) -> None:
+        """
+        Record what a server has said to another router.
+
+        :param host: host of that router.
+        """
+        section, now = self._board.server_conditions, self._clock()
+        conditions = section.get(said.server).conditions
+        said_at = now - said.age
+        changes = conditions.apply_limit(NamedLimit(said.limit, said_at))
+        if said.leaving:
+            changes += conditions.apply_leaving(said_at)
+        section.mark_told(said.server, now)
+        self._log_changes(said.server, changes, host, said.age)
 
     def _log_changes(
         self,
--- a/src/sycamorehaven/controllers/service_load.py
+++ b/src/sycamorehaven/controllers/service_load.py
@@ -9,6 +9,7 @@
 
 from sycamorehaven.decisions.placement import PREFILL_WEIGHT, compute_load_cost
 from sycamorehaven.decisions.server_model import ServerModel
+from sycamorehaven.decisions.server_openings import ALWAYS_OPEN, Opening
 from sycamorehaven.routing.model import ServerRecord
 
 if TYPE_CHECKING:
@@ -20,6 +21,20 @@
 """Tokens that a server is assumed to read when servers are ordered by load."""
 
 
+class ClosedServers(NamedTuple):
+    """
+    Servers of which none takes a request now, by what they say of themselves.
+
+    :ivar opens_at: when the first of them takes one, in monotonic seconds.
+    :ivar rate: requests per second that they take from this router then.
+    :ivar servers: their ids.
+    """
+
+    opens_at: float
+    rate: float
+    servers: tuple[str, ...]
+
+
 class ServerView(NamedTuple):
     """
     The estimated state of a backend server at one moment.
@@ -30,6 +45,7 @@
     :ivar pending_tokens: prompt tokens that it has been sent and has yet to
         process.
     :ivar limit_factor: factor applied to its concurrency limit.
+    :ivar opening: when it takes the next request, by what it says of itself.
     """
 
     server: ServerRecord
@@ -37,6 +53,7 @@
     running_requests: int
     pending_tokens: float
     limit_factor: float = 1.0
+    opening: Opening = ALWAYS_OPEN
 
     @property
     def prompt_limit(self) -> float:
@@ -58,11 +75,13 @@
             server's slots.
         """
         limit = self.prompt_limit if has_prompt else self.server.slots
-        return self.running_requests < limit
+        return self.opening.is_open and self.running_requests < limit
 
     @property
     def free_prompt_slots(self) -> int:
         """Number of further requests with prompts that the server may run."""
+        if not self.opening.is_open:
+            return 0
         return max(math.ceil(self.prompt_limit - self.running_requests), 0)
 
 
@@ -86,6 +105,7 @@
             for view in self._views.values()
             if not self._is_ejected(view)
         )
+        self._has_closed = not all(view.opening.is_open for view in self.views)
         self._has_capacity: dict[bool, bool] = {}
         self._available: dict[str, ServerView] | None = None
         self._costs: dict[str, float] = {}
@@ -135,7 +155,7 @@
         self, excluded_servers: Collection[str]
     ) -> Mapping[str, ServerView]:
         """
-        Return the servers that are not ejected, by id.
+        Return the open servers that are not ejected, by id.
 
         If all are ejected, return the one whose ejection ends first.
 
@@ -145,15 +165,49 @@
             self._available = self._order_by_cost()
         if self._available and not excluded_servers:
             return self._available
+        open_views = {
+            name: view for name, view in self._views.items() if view.opening.is_open
+        }
         considered = [
-            view for name, view in self._views.items() if name not in excluded_servers
-        ] or list(self._views.values())
+            view for name, view in open_views.items() if name not in excluded_servers
+        ] or list(open_views.values())
+        if not considered:
+            return {}
         available = [view for view in considered if view.server.id in self._available]
         chosen = available or [
             min(considered, key=lambda view: view.model.health.ejected_until)
         ]
         return {view.server.id: view for view in chosen}
 
+    def map_copy_sources(
+        self, excluded_servers: Collection[str]
+    ) -> Mapping[str, ServerView]:
+        """
+        Return the servers from which cached prompts may be copied, by id.
+
+        A limit on requests does not concern copies.
+
+        :param excluded_servers: servers to leave out, unless that leaves none.
+        """
+        if not self._has_closed:
+            return self.map_available(excluded_servers)
+        return {
+            name: view
+            for name, view in self._views.items()
+            if not self._is_ejected(view) and name not in excluded_servers
+        }
+
+    def summarize_closed(self) -> ClosedServers | None:
+        """Return when the servers open; ``None`` if one of them is open."""
+        openings = [view.opening for view in self._views.values()]
+        if not self._has_closed or any(opening.is_open for opening in openings):
+            return None
+        return ClosedServers(
+            min(opening.at for opening in openings),
+            sum(opening.rate for opening in openings),
+            tuple(sorted(self._views)),
+        )
+
     def list_least_loaded(self) -> list[str]:
         """
         Return the ids of the least loaded servers.
@@ -192,16 +246,23 @@
         cost = self._costs.get(server, math.inf)
         return cost - PREFILL_WEIGHT * cached_tokens / rate
 
-    def update(self, server: str) -> None:
-        """Update the state of a server that a request was assigned to."""
+    def update(self, server: str, opening: Opening = ALWAYS_OPEN) -> None:
+        """
+        Update the state of a server that a request was assigned to.
+
+        :param opening: when it takes the next request.
+        """
         old = self._views[server]
         view = self._views[server] = observe_server(
-            old.server, old.model, self._now, old.limit_factor
+            old.server, old.model, self._now, old.limit_factor, opening
         )
         self._free_slots += self._count_free_slots(view) - self._count_free_slots(old)
         self._has_capacity.clear()
         if self._available and server in self._available:
             self._available[server] = view
+            if not opening.is_open:
+                self._has_closed = True
+                del self._available[server]
         if server not in self._costs:
             return
         del self._by_cost[
@@ -220,7 +281,7 @@
         available = {
             name: view
             for name, view in self._views.items()
-            if not self._is_ejected(view)
+            if not self._is_ejected(view) and view.opening.is_open
         }
         for view in available.values():
             self._add_cost(view)
@@ -242,12 +303,17 @@
 
 
 def observe_server(
-    server: ServerRecord, model: ServerModel, now: float, limit_factor: float = 1.0
+    server: ServerRecord,
+    model: ServerModel,
+    now: float,
+    limit_factor: float = 1.0,
+    opening: Opening = ALWAYS_OPEN,
 ) -> ServerView:
     """
     Return the estimated state of a server.
 
     :param limit_factor: factor applied to its concurrency limit.
+    :param opening: when it takes the next request.
     """
     return ServerView(
         server,
@@ -255,4 +321,5 @@
         model.count_requests(now),
         model.count_pending_tokens(now),
         limit_factor,
+        opening,
     )
--- a/src/sycamorehaven/decisions/load_shedding.py
+++ b/src/sycamorehaven/decisions/load_shedding.py
@@ -148,6 +148,24 @@
     return "wait" if now + delay - request.received_at < max_wait else "reject"
 
 
+def choose_closed_retry_after(
+    delay: float, rate: float, position: float, time_left: float
+) -> float:
+    """
+    Return the seconds after which to try servers again that take nothing now.
+
+    Clients return one after the other, at the rate that the servers take.
+
+    :param delay: seconds until they take the request if it waits.
+    :param rate: requests per second that they take.
+    :param position: position of the request among others, 0 to 1.
+    :param time_left: seconds until the client gives up.
+    """
+    spread = position * max(MIN_RETRY_AFTER_SECONDS, 1.0 / max(rate, 1e-3))
+    retry_after = max(delay, MIN_RETRY_AFTER_SECONDS) + spread
+    return min(retry_after, max(time_left, 0.0) * MAX_RETRY_AFTER_RATIO)
+
+
 def choose_busy_retry_after(time_left: float | None) -> float:
     """
     Return the seconds after which a client may try a busy router again.
--- a/src/sycamorehaven/decisions/news_routes.py
+++ b/src/sycamorehaven/decisions/news_routes.py
@@ -23,6 +23,21 @@
 ROUTERS_PER_COLLECTOR = 16
 """Routers of a failure domain for each of its collectors."""
 
+BROADCAST_PERIOD_PER_MEMBER_SECONDS = 0.005
+"""Broadcast interval for each member of a fleet without collectors."""
+MIN_BROADCAST_PERIOD_SECONDS = 0.02
+"""Shortest broadcast interval."""
+COLLECTED_PERIOD_PER_MEMBER_SECONDS = 0.0025
+"""Interval of reports for each member of a fleet with collectors."""
+MIN_COLLECTED_PERIOD_SECONDS = 0.2
+"""Shortest interval of reports in a fleet with collectors."""
+COLLECTION_DELAY_SECONDS = 0.5
+"""Time that two collectors may hold a report."""
+REPORT_LIFETIME_PERIODS = 2.0
+"""Number of broadcast intervals for which a report counts."""
+MIN_SETTLE_SECONDS = 0.5
+"""Shortest time after which all routers count as having heard a report."""
+
 
 def uses_collectors(members: int) -> bool:
     """Return whether news go through collectors in a fleet of this size."""
@@ -68,3 +83,42 @@
         return host
     audible = [name for name in candidates if name not in silent]
     return rank_candidates(f"reporter/{host}", audible)[0] if audible else None
+
+
+def choose_broadcast_period_seconds(members: int) -> float:
+    """
+    Return the broadcast interval in seconds.
+
+    It grows with the number of members, so that the reports that a router
+    handles per second are the same in a fleet of any size.
+    """
+    if uses_collectors(members):
+        period = members * COLLECTED_PERIOD_PER_MEMBER_SECONDS
+        return max(period, MIN_COLLECTED_PERIOD_SECONDS)
+    return max(
+        members * BROADCAST_PERIOD_PER_MEMBER_SECONDS, MIN_BROADCAST_PERIOD_SECONDS
+    )
+
+
+def choose_report_lifetime_seconds(members: int, shortest: float) -> float:
+    """
+    Return how long reported waiting requests count, in seconds.
+
+    It outlasts the time until the next report, and one lost message.
+
+    :param members: number of members of the fleet.
+    :param shortest: shortest time for which they count.
+    """
+    lifetime = choose_broadcast_period_seconds(members) * REPORT_LIFETIME_PERIODS
+    if uses_collectors(members):
+        lifetime += COLLECTION_DELAY_SECONDS
+    return max(lifetime, shortest)
+
+
+def choose_settle_seconds(members: int) -> float:
+    """
+    Return the time in which all routers have heard what one has told.
+
+    :param members: number of members of the fleet.
+    """
+    return choose_report_lifetime_seconds(members, MIN_SETTLE_SECONDS)
--- a/src/sycamorehaven/decisions/server_conditions.py
+++ b/src/sycamorehaven/decisions/server_conditions.py
@@ -19,6 +19,10 @@
 UNREADABLE_REPORT_SECONDS = 10.0
 """Least time between two reports that a server's headers make no sense."""
 
+MIN_LIMIT_RATE = 0.25
+"""Requests per second that are sent to a server in any case, since only its
+responses tell that a limit has ended."""
+
 Condition = Literal["limit", "rest", "leaving", "unreadable"]
 """Kind of a server's condition."""
 
@@ -78,6 +82,11 @@
         """When it was first heard that it leaves; ``None`` if it was not."""
         return self._leaving_since
 
+    @property
+    def holds_for_all(self) -> bool:
+        """Whether a condition holds that concerns all routers."""
+        return bool(self._limit.rate) or self._leaving_since is not None
+
     def apply_response(
         self, statement: ServerStatement, sent_at: float, now: float
     ) -> list[ConditionChange]:
@@ -87,12 +96,16 @@
         A response that names no limit ends the limit only if its request was
         sent after the limit was heard of. Otherwise it may be older.
 
+        A limit so small that hardly any response would come counts as
+        ``MIN_LIMIT_RATE``.
+
         :param sent_at: when the request was sent, in monotonic seconds.
         :param now: when the response was received, in monotonic seconds.
         """
         changes = []
         if statement.limit is not None:
-            changes += self.apply_limit(NamedLimit(statement.limit, now))
+            rate = max(statement.limit, MIN_LIMIT_RATE)
+            changes += self.apply_limit(NamedLimit(rate, now))
         elif not statement.unreadable and sent_at >= self._limit.said_at:
             changes += self.apply_limit(NamedLimit(0.0, now))
         if statement.rest is not None:
--- a/src/sycamorehaven/exceptions/refusals.py
+++ b/src/sycamorehaven/exceptions/refusals.py
@@ -251,6 +251,14 @@
     remedy = "send again after Retry-After seconds"
 
 
+class ServersLimited(Refusal):
+    """All backend servers of the service take fewer requests than arrive."""
+
+    code = "servers_limited"
+    status = 503
+    remedy = "send again after Retry-After seconds"
+
+
 class CrashSuspected(Refusal):
     """Servers were lost while they ran the request or others like it."""
 
--- a/src/sycamorehaven/gateway.py
+++ b/src/sycamorehaven/gateway.py
@@ -131,7 +131,7 @@
             MembershipController(board, peers, self._settings),
             news,
             RoutingSnapshotController(board, news, self._store, decision_log, metrics),
-            FleetStateController(board, news),
+            FleetStateController(board, news, self._condition_recorder),
             dispatcher,
             forwarding.strikes,
             frontend,
--- a/src/sycamorehaven/transport/messages/field_types.py
+++ b/src/sycamorehaven/transport/messages/field_types.py
@@ -13,3 +13,7 @@
 """An xxh3-128 hash."""
 ServerName = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
 """Name of a backend server."""
+IncarnationName = Annotated[
+    str, msgspec.Meta(min_length=1, max_length=2 * MAX_NAME_LENGTH)
+]
+"""Name of a backend server with the time of its start."""
--- a/src/sycamorehaven/transport/messages/fleet.py
+++ b/src/sycamorehaven/transport/messages/fleet.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from sycamorehaven.routing.model import Snapshot
-from sycamorehaven.transport.messages.field_types import ServerName
+from sycamorehaven.transport.messages.field_types import IncarnationName, ServerName
 
 Count = Annotated[int, msgspec.Meta(ge=0, lt=2**62)]
 NonNegativeNumber = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
@@ -74,6 +74,35 @@
     waiting: Count
 
 
+class ServiceDemand(NamedTuple):
+    """
+    The demand for a service at the sender.
+
+    :ivar service: name of the service.
+    :ivar rate: requests per second that arrive for it.
+    """
+
+    service: str
+    rate: NonNegativeNumber
+
+
+class SaidOfItself(NamedTuple):
+    """
+    What a server has said of itself to any router.
+
+    :ivar server: the server's incarnation.
+    :ivar limit: requests per second that it takes from all routers together;
+        0 if it names no limit.
+    :ivar age: seconds since a router received this.
+    :ivar leaving: whether it has said that it leaves.
+    """
+
+    server: IncarnationName
+    limit: NonNegativeNumber
+    age: NonNegativeNumber
+    leaving: bool
+
+
 class FleetNews(NamedTuple):
     """
     Reports what has changed at the sender since its last report.
@@ -85,6 +114,8 @@
     :ivar usage: workspaces whose usage has changed.
     :ivar contended: services for which requests have recently waited.
     :ivar era: era of that snapshot.
+    :ivar demands: demand for services of which a server names a limit.
+    :ivar said: what servers have said of themselves.
     """
 
     revision: Count
@@ -94,6 +125,8 @@
     usage: list[WorkspaceUsage]
     contended: list[ServiceContention]
     era: Count = 0
+    demands: tuple[ServiceDemand, ...] = ()
+    said: tuple[SaidOfItself, ...] = ()
 
 
 class NewsReport(NamedTuple):
--- a/src/sycamorehaven/transport/routed_backend_client.py
+++ b/src/sycamorehaven/transport/routed_backend_client.py
@@ -139,7 +139,9 @@
         headers = self._header_codec.build_request_headers(request, plan, remaining)
         sent_at = time.monotonic()
         try:
-            response = await _request(pool, server, request, headers, silence_timeout)
+            response = await self._request(
+                pool, server, request, headers, silence_timeout
+            )
             head = self._header_codec.parse_response_headers(
                 response.status, response.headers.items()
             )
@@ -165,25 +167,25 @@
         """Close every connection."""
         await self._pools.close()
 
-
-async def _request(
-    pool: ConnectionPool,
-    server: ServerRecord,
-    request: RoutedRequest,
-    headers: Headers,
-    silence_timeout: float,
-) -> aiohttp.ClientResponse:
-    try:
-        async with asyncio.timeout(silence_timeout):
-            return await pool.client.request(
-                request.method,
-                URL(f"http://{server.address}{request.target}", encoded=True),
-                headers=headers,
-                data=request.body or None,
-                allow_redirects=False,
-            )
-    except Exception as error:
-        raise classify_error(error) from error
+    async def _request(
+        self,
+        pool: ConnectionPool,
+        server: ServerRecord,
+        request: RoutedRequest,
+        headers: Headers,
+        silence_timeout: float,
+    ) -> aiohttp.ClientResponse:
+        try:
+            async with asyncio.timeout(silence_timeout):
+                return await pool.client.request(
+                    request.method,
+                    URL(f"http://{server.address}{request.target}", encoded=True),
+                    headers=headers,
+                    data=request.body or None,
+                    allow_redirects=False,
+                )
+        except Exception as error:
+            raise classify_error(error) from error
 
 
 def is_answer_to(request: RoutedRequest, head: ResponseHead) -> bool:
--- a/tests/controllers/test_fleet_state.py
+++ b/tests/controllers/test_fleet_state.py
@@ -10,14 +10,18 @@
     MIN_CONTENTION_LIFETIME_SECONDS,
     MIN_LOAD_LIFETIME_SECONDS,
     REFRESH_PERIOD_SECONDS,
+    SAID_REFRESH_SECONDS,
     FleetStateController,
+)
+from sycamorehaven.decisions.news_routes import (
     choose_broadcast_period_seconds,
     choose_report_lifetime_seconds,
 )
+from sycamorehaven.decisions.server_conditions import NamedLimit
 from sycamorehaven.identity import RouterId
 from sycamorehaven.routing.model import ServerRecord, Snapshot
 from sycamorehaven.transport.codec import Codec
-from tests.support.doubles import MemoryLink, create_board
+from tests.support.doubles import MemoryLink, create_board, create_recorder
 
 if TYPE_CHECKING:
     from sycamorehaven.blackboard.board import Blackboard
@@ -51,7 +55,10 @@
             other.members.replace(dict(members))
         board.routing.apply_snapshot(Snapshot(1, None, (SERVER,)), self._clock())
         self.controllers[host] = FleetStateController(
-            board, MemoryLink(board, self.network), self._clock
+            board,
+            MemoryLink(board, self.network),
+            create_recorder(board, self._clock),
+            self._clock,
         )
 
     def start_request(self, host: str, tokens: int) -> None:
@@ -258,3 +265,60 @@
         receiver.members.replace({**members, "a1": renewed})
     given = receiver.fleet_load.usage_window.get_received("oakcourt", clock())
     assert given == 200.0
+
+
+def test_limit_that_one_router_hears_of_holds_at_all(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    fleet = RouterFleet(network, clock)
+    heard = fleet.boards["a1"].server_conditions
+    heard.get("s1/1").conditions.apply_limit(NamedLimit(4.0, clock()))
+    heard.mark_changed("s1/1")
+    fleet.broadcast_changes()
+    for host in HOSTS:
+        gate = fleet.boards[host].server_conditions.find("s1/1")
+        assert gate is not None
+        assert gate.conditions.limit == NamedLimit(4.0, clock())
+
+
+def test_parts_of_a_limit_follow_the_demand_that_routers_tell(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    fleet = RouterFleet(network, clock)
+    heard = fleet.boards["a1"].server_conditions
+    heard.get("s1/1").conditions.apply_limit(NamedLimit(4.0, clock()))
+    heard.mark_changed("s1/1")
+    for step in range(400):
+        clock.advance(0.05)
+        for host, every in (("a1", 2), ("a2", 6)):
+            if step % every == 0:
+                shares = fleet.boards[host].server_conditions.get_shares("model")
+                shares.record_arrival(clock())
+        fleet.broadcast_changes()
+    rates = [
+        fleet.boards[host]
+        .server_conditions.get_shares("model")
+        .get_allowance("s1/1", 4.0, 0.5, clock())
+        .rate
+        for host in HOSTS
+    ]
+    assert sum(rates) <= 4.0
+    assert sum(rates) >= 0.9 * 4.0
+    assert 2.0 * rates[1] < rates[0] < 4.0 * rates[1]
+    assert rates[2] < 0.2
+
+
+def test_lost_message_delays_a_limit_only(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    fleet = RouterFleet(network, clock)
+    network.disconnected_pairs = {frozenset({"a1:1", "a2:1"})}
+    heard = fleet.boards["a1"].server_conditions
+    heard.get("s1/1").conditions.apply_leaving(clock())
+    heard.mark_changed("s1/1")
+    fleet.broadcast_changes()
+    assert fleet.boards["a2"].server_conditions.find("s1/1") is None
+    network.disconnected_pairs = set()
+    clock.advance(SAID_REFRESH_SECONDS)
+    fleet.broadcast_changes()
+    assert fleet.boards["a2"].server_conditions.find("s1/1") is not None
--- a/tests/controllers/test_news_link.py
+++ b/tests/controllers/test_news_link.py
@@ -8,7 +8,6 @@
 from sycamorehaven.blackboard.members import Member
 from sycamorehaven.controllers.fleet_state import (
     FleetStateController,
-    choose_broadcast_period_seconds,
 )
 from sycamorehaven.controllers.news_link import (
     BATCH_PERIOD_SECONDS,
@@ -16,9 +15,12 @@
     REMOTE_COLLECTORS_TRIED,
     NewsLink,
 )
-from sycamorehaven.decisions.news_routes import map_collectors
+from sycamorehaven.decisions.news_routes import (
+    choose_broadcast_period_seconds,
+    map_collectors,
+)
 from sycamorehaven.routing.model import ServerRecord, Snapshot
-from tests.support.doubles import MemoryLink, create_board
+from tests.support.doubles import MemoryLink, create_board, create_recorder
 
 if TYPE_CHECKING:
     from sycamorehaven.blackboard.board import Blackboard
@@ -58,7 +60,9 @@
             self.links[host] = NewsLink(board, plain, clock)
             board.members.replace(dict(members))
             board.routing.apply_snapshot(Snapshot(1, None, (SERVER,)), clock())
-            self.states[host] = FleetStateController(board, self.links[host], clock)
+            self.states[host] = FleetStateController(
+                board, self.links[host], create_recorder(board, clock), clock
+            )
         self.collectors = map_collectors(
             {host: member.failure_domain for host, member in members.items()}
         )
--- a/tests/controllers/test_reservations.py
+++ b/tests/controllers/test_reservations.py
@@ -19,7 +19,7 @@
 from sycamorehaven.routing.requests import PromptPart, RequestHead, RoutedRequest
 from sycamorehaven.telemetry.decision_log import DecisionLog
 from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
-from tests.support.doubles import MemoryLink, create_board
+from tests.support.doubles import MemoryLink, create_board, create_recorder
 from tests.support.published_routes import STREAMING_ROUTE
 
 if TYPE_CHECKING:
@@ -51,7 +51,9 @@
             board.members.replace(dict(members))
             self._publish(board)
             link = MemoryLink(board, network)
-            self._states[host] = FleetStateController(board, link, clock)
+            self._states[host] = FleetStateController(
+                board, link, create_recorder(board, clock), clock
+            )
         self._dispatcher = Dispatcher(
             self.boards["a1"], DecisionLog("a1", None), GatewayMetrics(), clock
         )
--- a/tests/controllers/test_routing_snapshots.py
+++ b/tests/controllers/test_routing_snapshots.py
@@ -40,6 +40,7 @@
     MemoryLink,
     MemoryNetwork,
     create_board,
+    create_recorder,
 )
 from tests.support.fixtures import async_fixture
 from tests.support.gateway_harness import wait_until
@@ -96,7 +97,9 @@
                 GatewayMetrics(),
                 clock,
             )
-            self.state_controllers[host] = FleetStateController(board, link, clock)
+            self.state_controllers[host] = FleetStateController(
+                board, link, create_recorder(board, clock), clock
+            )
         domains = self.boards["a0"].members.map_failure_domains()
         self.readers = [
             host
--- a/tests/decisions/test_contention.py
+++ b/tests/decisions/test_contention.py
@@ -29,7 +29,13 @@
 from sycamorehaven.routing.requests import PromptPart, RequestHead, RoutedRequest
 from sycamorehaven.telemetry.decision_log import DecisionLog
 from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
-from tests.support.doubles import ManualClock, MemoryLink, MemoryNetwork, create_board
+from tests.support.doubles import (
+    ManualClock,
+    MemoryLink,
+    MemoryNetwork,
+    create_board,
+    create_recorder,
+)
 
 if TYPE_CHECKING:
     from sycamorehaven.controllers.reservations import ServerReservation
@@ -85,7 +91,9 @@
         configuration = RoutingConfiguration(1, 1, (ROUTE,), services, LIMITS, None)
         self.board.routing.apply_snapshot(Snapshot(1, configuration, servers), clock())
         link = MemoryLink(self.board, network)
-        self.fleet_state = FleetStateController(self.board, link, clock)
+        self.fleet_state = FleetStateController(
+            self.board, link, create_recorder(self.board, clock), clock
+        )
         log = DecisionLog(host, None)
         self.dispatcher = Dispatcher(self.board, log, GatewayMetrics(), clock)
         self._running: list[tuple[float, ServerReservation]] = []
--- a/tests/decisions/test_server_conditions.py
+++ b/tests/decisions/test_server_conditions.py
@@ -81,12 +81,12 @@
 
 
 def test_server_that_leaves_is_remembered_after_its_entry_is_gone() -> None:
-    section = ServerConditionsSection()
-    section.get("s1/1").apply_leaving(5.0)
+    section = ServerConditionsSection("a1")
+    section.get("s1/1").conditions.apply_leaving(5.0)
     section.retain(set(), 10.0)
     section.retain(set(), 10.0 + MEMORY_SECONDS)
     known = section.find("s1/1")
     assert known is not None
-    assert known.leaving_since == 5.0
+    assert known.conditions.leaving_since == 5.0
     section.retain(set(), 10.1 + MEMORY_SECONDS)
     assert section.find("s1/1") is None
--- a/tests/failures/test_server_limits.py
+++ b/tests/failures/test_server_limits.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import bisect
+import time
 from typing import TYPE_CHECKING
 
+import msgspec
 from multidict import CIMultiDict
 
+from sycamorehaven.decisions.server_conditions import MIN_LIMIT_RATE
 from tests.support.gateway_client import send_request
 
 if TYPE_CHECKING:
@@ -67,3 +70,62 @@
     assert set(statuses) == {200}
     most = count_most_in_window(list_settled_arrivals(limited))
     assert most <= compute_allowance(2.0)
+
+
+async def test_limited_server_gets_its_part_until_its_responses_name_no_limit(
+    harness: GatewayHarness,
+) -> None:
+    limited = harness.servers[0]
+    limited.statement_headers = CIMultiDict({"Server-Limit": "4.0"})
+    await send_steadily(harness, 4.0)
+    begin = limited.received_at[0] + 2.0
+    assert sum(arrival >= begin for arrival in limited.received_at) >= 5
+    limited.statement_headers = CIMultiDict()
+    before = len(limited.received_at)
+    statuses = await send_steadily(harness, 3.0)
+    assert set(statuses) == {200}
+    # Half of the requests go to each server again.
+    assert len(limited.received_at) - before >= 0.7 * REQUESTS_PER_SECOND
+
+
+async def test_requests_beyond_the_limits_of_all_servers_are_refused_at_once(
+    harness: GatewayHarness,
+) -> None:
+    for server in harness.servers:
+        server.statement_headers = CIMultiDict({"Server-Limit": "1.0"})
+    await send_steadily(harness, 2.0)
+    retry_times = set()
+    for number in range(10):
+        began = time.monotonic()
+        status, body, headers = await send_request(
+            harness, "/look/x", attempt=f"b{number}"
+        )
+        if status == 200:
+            continue
+        problem = msgspec.json.decode(body)
+        assert (status, problem["code"], problem["was_run"]) == (
+            503,
+            "servers_limited",
+            "no",
+        )
+        assert "requests per second" in problem["detail"]
+        # A request waits only if its turn may come before its wait is over.
+        assert time.monotonic() - began < 0.35 * 0.4 + 0.1
+        # Clients wait for a third of the time that they have left at most.
+        assert 0.0 < float(headers["Retry-After"]) <= 1.0
+        retry_times.add(headers["Retry-After"])
+    assert retry_times
+
+
+async def test_limit_too_small_for_any_response_is_found_to_have_ended(
+    harness: GatewayHarness,
+) -> None:
+    for server in harness.servers:
+        server.statement_headers = CIMultiDict({"Server-Limit": "0.000001"})
+    await send_steadily(harness, 0.5)
+    for server in harness.servers:
+        server.statement_headers = CIMultiDict()
+    await asyncio.sleep(1.0 / MIN_LIMIT_RATE)
+    await send_steadily(harness, 1.0)
+    statuses = await send_steadily(harness, 1.0)
+    assert set(statuses) == {200}
--- a/tests/support/doubles.py
+++ b/tests/support/doubles.py
@@ -6,12 +6,15 @@
 from typing import TYPE_CHECKING, Any
 
 from sycamorehaven.blackboard.board import Blackboard
+from sycamorehaven.controllers.server_conditions import ServerConditionRecorder
 from sycamorehaven.identity import RouterId
+from sycamorehaven.telemetry.decision_log import DecisionLog
+from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
 from sycamorehaven.transport.codec import Delivery
 from tests.support.fixtures import fixture
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Callable, Iterable, Iterator
 
     from sycamorehaven.transport.peer_link import MessageHandler
 
@@ -133,6 +136,14 @@
     return Blackboard(RouterId(host, incarnation), f"{host}:1", failure_domain)
 
 
+def create_recorder(
+    board: Blackboard, clock: Callable[[], float]
+) -> ServerConditionRecorder:
+    """Return a recorder of what servers say that writes no log."""
+    log = DecisionLog(board.identity.host, None)
+    return ServerConditionRecorder(board, log, GatewayMetrics(), clock)
+
+
 @fixture
 def clock() -> Iterator[ManualClock]:
     """Yield a clock that only the test advances."""
--- a/tests/support/sharing_simulation.py
+++ b/tests/support/sharing_simulation.py
@@ -24,8 +24,8 @@
 )
 from sycamorehaven.controllers.fleet_state import (
     FleetStateController,
-    choose_broadcast_period_seconds,
 )
+from sycamorehaven.decisions.news_routes import choose_broadcast_period_seconds
 from sycamorehaven.exceptions.backends import ConnectFailed
 from sycamorehaven.exceptions.refusals import Refusal
 from sycamorehaven.routing.model import (
@@ -39,7 +39,13 @@
 from sycamorehaven.routing.requests import PromptPart, RequestHead, RoutedRequest
 from sycamorehaven.telemetry.decision_log import DecisionLog
 from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
-from tests.support.doubles import ManualClock, MemoryLink, MemoryNetwork, create_board
+from tests.support.doubles import (
+    ManualClock,
+    MemoryLink,
+    MemoryNetwork,
+    create_board,
+    create_recorder,
+)
 from tests.support.published_routes import STREAMING_ROUTE
 
 if TYPE_CHECKING:
@@ -116,7 +122,9 @@
             board.members.replace(dict(members))
             board.routing.apply_snapshot(self._build_snapshot(), self._clock())
             link = MemoryLink(board, self._network)
-            fleet_state = FleetStateController(board, link, self._clock)
+            fleet_state = FleetStateController(
+                board, link, create_recorder(board, self._clock), self._clock
+            )
             dispatcher = Dispatcher(
                 board, DecisionLog(host, None), GatewayMetrics(), self._clock
             )
