Send nothing to a server for as long as it asks to rest

Callers saw refusals: while two of five engines turned everything away for 5 s and asked for 3 s of rest, over a tenth of three kinds of requests got 503 though the others had room; a server that had asked a router for rest got 9 requests from it in that time. A 503 that has not run stopped new requests for 0.15 s, whatever the server said, and with all servers ejected the one whose ejection ended first was chosen. Class: an answer is read for what became of its request, not for what the server says of itself; LIMIT is of the same class.

A rest does not eject. At its end the server returns at two requests a second, doubled each half second, for 3 s. If all servers rest, a request is refused at once with servers_resting and a Retry-After that is spread. Prompts are neither copied nor listed from a server at rest.

--- a/src/sycamorehaven/blackboard/server_conditions.py
+++ b/src/sycamorehaven/blackboard/server_conditions.py
@@ -45,6 +45,11 @@
             gate = self._gates[incarnation] = ServerGate(ServerConditions())
         return gate
 
+    def is_shut(self, server: ServerRecord, now: float) -> bool:
+        """Return whether a server has asked for rest."""
+        gate = self._gates.get(server.incarnation_id)
+        return gate is not None and gate.is_shut(now)
+
     def get_shares(self, service: str) -> ServiceShares:
         """Return how the limits of a service's servers are divided."""
         shares = self._shares.get(service)
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -42,6 +42,7 @@
     NoBackendServer,
     RouterBusy,
     ServersLimited,
+    ServersResting,
 )
 
 if TYPE_CHECKING:
@@ -341,11 +342,18 @@
             delay, closed.rate, pending.position, pending.request.deadline - now
         )
         service = pending.request.service
-        refusal = ServersLimited(
-            f"the backend servers of the service '{service}' take"
-            f" {closed.rate:.2f} requests per second from this router",
-            retry_after=retry_after,
-        )
+        refusal: ServersLimited | ServersResting
+        if closed.all_rest:
+            refusal = ServersResting(
+                f"all backend servers of the service '{service}' have asked for rest",
+                retry_after=retry_after,
+            )
+        else:
+            refusal = ServersLimited(
+                f"the backend servers of the service '{service}' take"
+                f" {closed.rate:.2f} requests per second from this router",
+                retry_after=retry_after,
+            )
         self._reject(
             pending, refusal, refusal.code, placement_request, None, now, closed
         )
--- a/src/sycamorehaven/controllers/reservations.py
+++ b/src/sycamorehaven/controllers/reservations.py
@@ -10,6 +10,7 @@
     ServerLost,
     ServerOverloaded,
     ServerSilent,
+    ServerUnwilling,
 )
 
 if TYPE_CHECKING:
@@ -20,6 +21,8 @@
 
 CONNECTION_FAILURES = (ConnectFailed, ServerLeaving, ServerLost, ServerSilent)
 """Failures after which a server gets no requests for a while."""
+UNREACHED_FAILURES = (ConnectFailed, ServerUnwilling)
+"""Failures of requests that have not reached the server."""
 OVERLOAD_PAUSE_SECONDS = 0.15
 """Time without new requests for a server that reported an overload."""
 
@@ -85,7 +88,9 @@
     def record_failure(self, error: BackendError, now: float) -> None:
         """Record that the server failed the request."""
         health = self._model.health
-        if isinstance(error, ServerOverloaded):
+        if isinstance(error, ServerUnwilling):
+            pass
+        elif isinstance(error, ServerOverloaded):
             health.record_overload(now, OVERLOAD_PAUSE_SECONDS)
         elif isinstance(error, CONNECTION_FAILURES):
             health.record_connection_failure(now)
@@ -93,7 +98,7 @@
             health.record_answer(failed=True)
         if not error.was_sent:
             self.refund(now)
-        if isinstance(error, ConnectFailed):
+        if isinstance(error, UNREACHED_FAILURES):
             self._return_allowance()
 
     def refund(self, now: float) -> None:
--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -8,6 +8,7 @@
 
 from sycamorehaven.call import Answer
 from sycamorehaven.controllers.crash_guard import CrashGuard
+from sycamorehaven.controllers.reservations import UNREACHED_FAILURES
 from sycamorehaven.controllers.routed_body import RoutedBody, yield_body
 from sycamorehaven.controllers.routed_refusals import (
     create_failure_refusal,
@@ -24,7 +25,6 @@
 from sycamorehaven.exceptions.backends import (
     AnswerInvalid,
     BackendError,
-    ConnectFailed,
     ServerLost,
 )
 from sycamorehaven.exceptions.refusals import (
@@ -487,7 +487,7 @@
             self._guard.report_loss(server, has_begun=self._has_begun)
         self.close()
         self._excluded_servers.add(server.id)
-        has_reached_server = not isinstance(error, ConnectFailed)
+        has_reached_server = not isinstance(error, UNREACHED_FAILURES)
         self._history = self._history.add_attempt(
             reached=has_reached_server, may_have_run=error.was_sent
         )
--- a/src/sycamorehaven/controllers/server_conditions.py
+++ b/src/sycamorehaven/controllers/server_conditions.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from sycamorehaven.decisions.server_conditions import NamedLimit
+from sycamorehaven.exceptions.backends import ServerUnwilling
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -82,6 +83,17 @@
         section.mark_told(said.server, now)
         self._log_changes(said.server, changes, host, said.age)
 
+    def check_open(self, server: ServerRecord) -> None:
+        """
+        Check that a request may still be handed to a server's connection.
+
+        :raises ServerUnwilling: if the server has said otherwise meanwhile.
+        """
+        if self._board.server_conditions.is_shut(server, self._clock()):
+            raise ServerUnwilling(
+                f"server {server.id} has asked for rest", was_sent=False
+            )
+
     def _log_changes(
         self,
         incarnation: str,
--- a/src/sycamorehaven/controllers/service_load.py
+++ b/src/sycamorehaven/controllers/service_load.py
@@ -27,11 +27,13 @@
 
     :ivar opens_at: when the first of them takes one, in monotonic seconds.
     :ivar rate: requests per second that they take from this router then.
+    :ivar all_rest: whether all of them have asked for rest.
     :ivar servers: their ids.
     """
 
     opens_at: float
     rate: float
+    all_rest: bool
     servers: tuple[str, ...]
 
 
@@ -103,7 +105,7 @@
         self._total_slots = sum(
             view.prompt_limit
             for view in self._views.values()
-            if not self._is_ejected(view)
+            if not self._is_ejected(view) and view.opening.closed_by != "rest"
         )
         self._has_closed = not all(view.opening.is_open for view in self.views)
         self._has_capacity: dict[bool, bool] = {}
@@ -194,7 +196,9 @@
         return {
             name: view
             for name, view in self._views.items()
-            if not self._is_ejected(view) and name not in excluded_servers
+            if not self._is_ejected(view)
+            and view.opening.closed_by != "rest"
+            and name not in excluded_servers
         }
 
     def summarize_closed(self) -> ClosedServers | None:
@@ -205,6 +209,7 @@
         return ClosedServers(
             min(opening.at for opening in openings),
             sum(opening.rate for opening in openings),
+            all(opening.closed_by == "rest" for opening in openings),
             tuple(sorted(self._views)),
         )
 
--- a/src/sycamorehaven/controllers/stream_origins.py
+++ b/src/sycamorehaven/controllers/stream_origins.py
@@ -213,6 +213,7 @@
             server
             for server in self._board.routing.list_servers()
             if server.service in services
+            and not self._board.server_conditions.is_shut(server, self._clock())
         ]
         origins: set[StreamOrigin] = set()
         if len(servers) <= MAX_ASKED_ENGINES:
--- a/src/sycamorehaven/decisions/server_openings.py
+++ b/src/sycamorehaven/decisions/server_openings.py
@@ -11,9 +11,15 @@
 if TYPE_CHECKING:
     from sycamorehaven.decisions.server_conditions import ServerConditions
 
+RETURN_SECONDS = 3.0
+"""Time in which a server that has rested gets its requests back by degrees."""
+RETURN_RATE = 2.0
+"""Requests per second that a router sends to it at first."""
+RETURN_DOUBLING_SECONDS = 0.5
+"""Time after which this rate has doubled."""
 UNLIMITED = Allowance(math.inf, math.inf)
 
-ClosedBy = Literal["", "limit"]
+ClosedBy = Literal["", "limit", "rest"]
 """Why a server takes no request now; "" if it takes one."""
 
 
@@ -57,6 +63,10 @@
         """What the server has said of itself."""
         return self._conditions
 
+    def is_shut(self, now: float) -> bool:
+        """Return whether no request may be sent at all, even if chosen."""
+        return now < self._conditions.rest_until
+
     def find_opening(self, share: Allowance, now: float) -> Opening:
         """
         Return when the server takes the next request.
@@ -64,7 +74,11 @@
         :param share: this router's part of the limit, if the server names one.
         """
         conditions = self._conditions
-        allowance = share if conditions.limit.rate else UNLIMITED
+        if now < conditions.rest_until:
+            return Opening(conditions.rest_until, "rest", RETURN_RATE)
+        limited = share if conditions.limit.rate else UNLIMITED
+        returning = self._compute_return(now)
+        allowance = min(limited, returning)
         if math.isinf(allowance.rate):
             self._pacer = None
             return ALWAYS_OPEN
@@ -74,7 +88,8 @@
         at = self._pacer.get_opening(now)
         if at <= now:
             return Opening(at, rate=allowance.rate)
-        return Opening(at, "limit", allowance.rate)
+        closed_by: ClosedBy = "limit" if allowance is limited else "rest"
+        return Opening(at, closed_by, allowance.rate)
 
     def take(self) -> None:
         """Count a request that is sent to the server."""
@@ -85,3 +100,11 @@
         """Take back a request that did not reach the server."""
         if self._pacer is not None:
             self._pacer.give_back()
+
+    def _compute_return(self, now: float) -> Allowance:
+        """Return what a server that has rested until lately may be sent."""
+        rested_until = self._conditions.rest_until
+        since = now - rested_until
+        if not rested_until or since >= RETURN_SECONDS:
+            return UNLIMITED
+        return Allowance(RETURN_RATE * 2.0 ** (since / RETURN_DOUBLING_SECONDS), 1.0)
--- a/src/sycamorehaven/exceptions/backends.py
+++ b/src/sycamorehaven/exceptions/backends.py
@@ -61,6 +61,12 @@
     code = "server_overloaded"
 
 
+class ServerUnwilling(BackendError):
+    """The server wants no request now, so the call was not sent to it."""
+
+    code = "server_unwilling"
+
+
 class AnswerInvalid(BackendError):
     """
     The response is invalid.
--- a/src/sycamorehaven/exceptions/refusals.py
+++ b/src/sycamorehaven/exceptions/refusals.py
@@ -259,6 +259,14 @@
     remedy = "send again after Retry-After seconds"
 
 
+class ServersResting(Refusal):
+    """All backend servers of the service have asked for rest."""
+
+    code = "servers_resting"
+    status = 503
+    remedy = "send again after Retry-After seconds"
+
+
 class CrashSuspected(Refusal):
     """Servers were lost while they ran the request or others like it."""
 
--- a/src/sycamorehaven/transport/pool_manager.py
+++ b/src/sycamorehaven/transport/pool_manager.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import socket
+from typing import TYPE_CHECKING
 
 import aiohttp
 
 from sycamorehaven.transport.connection_pool import ConnectionPool
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from types import SimpleNamespace
+
 MAX_HEADER_BYTES = 32_768
 """Longest header line of a response."""
 IDLE_TIMEOUT_SECONDS = 3.0
@@ -52,6 +57,17 @@
     return created
 
 
+async def _check_before_sending(
+    _session: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    _params: aiohttp.TraceRequestHeadersSentParams,
+) -> None:
+    """Call the check that a request was given, once it has a connection."""
+    check: Callable[[], None] | None = context.trace_request_ctx
+    if check is not None:
+        check()
+
+
 class ConnectionPoolManager:
     """
     Keeps one pool of reusable connections per address.
@@ -113,8 +129,13 @@
             keepalive_timeout=None if force_close else IDLE_TIMEOUT_SECONDS,
             socket_factory=create_socket,
         )
+        # aiohttp reports the headers as sent before it writes them, so an
+        # exception of the check keeps the request from being sent.
+        trace = aiohttp.TraceConfig()
+        trace.on_request_headers_sent.append(_check_before_sending)
         client = aiohttp.ClientSession(
             connector=connector,
+            trace_configs=[trace],
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=self._connect_timeout
             ),
--- a/src/sycamorehaven/transport/routed_backend_client.py
+++ b/src/sycamorehaven/transport/routed_backend_client.py
@@ -41,7 +41,15 @@
 
 
 class StatementObserver(Protocol):
-    """Records what servers say of themselves."""
+    """Records what servers say of themselves, and tells what follows."""
+
+    def check_open(self, server: ServerRecord) -> None:
+        """
+        Check that a request may still be handed to a server's connection.
+
+        :raises ServerUnwilling: if the server has said otherwise meanwhile.
+        """
+        ...
 
     def record_response(
         self,
@@ -183,6 +191,9 @@
                     headers=headers,
                     data=request.body or None,
                     allow_redirects=False,
+                    trace_request_ctx=functools.partial(
+                        self._observer.check_open, server
+                    ),
                 )
         except Exception as error:
             raise classify_error(error) from error
