Send nothing to a server that says in its responses that it leaves

Callers saw late answers and refusals that a server gave while it left; the server got requests until the platform's list named it, and while the list can't be read for good. Cause: Server-Leaving was not read.

Change: the gate of a server's incarnation is shut for good from the first response that says so, for new requests, repeats, resumed streams, copies and requests that wait for a connection, whatever the list says. The server's own streams go on, and the next incarnation at the same address is another server.

--- a/src/sycamorehaven/blackboard/server_conditions.py
+++ b/src/sycamorehaven/blackboard/server_conditions.py
@@ -46,7 +46,7 @@
         return gate
 
     def is_shut(self, server: ServerRecord, now: float) -> bool:
-        """Return whether a server has asked for rest."""
+        """Return whether a server rests or leaves."""
         gate = self._gates.get(server.incarnation_id)
         return gate is not None and gate.is_shut(now)
 
--- a/src/sycamorehaven/controllers/candidates.py
+++ b/src/sycamorehaven/controllers/candidates.py
@@ -99,7 +99,10 @@
         views = []
         for server in self._board.routing.list_available_servers(service):
             opening = self.find_opening(server, now)
-            if software_version in (None, server.software_version):
+            if opening.closed_by != "leaving" and software_version in (
+                None,
+                server.software_version,
+            ):
                 model = self._get_model(server)
                 views.append(observe_server(server, model, now, limit_factor, opening))
         return ServiceLoad(views, now)
--- a/src/sycamorehaven/controllers/server_conditions.py
+++ b/src/sycamorehaven/controllers/server_conditions.py
@@ -91,7 +91,7 @@
         """
         if self._board.server_conditions.is_shut(server, self._clock()):
             raise ServerUnwilling(
-                f"server {server.id} has asked for rest", was_sent=False
+                f"server {server.id} has asked for rest or leaves", was_sent=False
             )
 
     def _log_changes(
--- a/src/sycamorehaven/decisions/server_openings.py
+++ b/src/sycamorehaven/decisions/server_openings.py
@@ -19,7 +19,7 @@
 """Time after which this rate has doubled."""
 UNLIMITED = Allowance(math.inf, math.inf)
 
-ClosedBy = Literal["", "limit", "rest"]
+ClosedBy = Literal["", "limit", "rest", "leaving"]
 """Why a server takes no request now; "" if it takes one."""
 
 
@@ -65,7 +65,8 @@
 
     def is_shut(self, now: float) -> bool:
         """Return whether no request may be sent at all, even if chosen."""
-        return now < self._conditions.rest_until
+        conditions = self._conditions
+        return conditions.leaving_since is not None or now < conditions.rest_until
 
     def find_opening(self, share: Allowance, now: float) -> Opening:
         """
@@ -74,6 +75,8 @@
         :param share: this router's part of the limit, if the server names one.
         """
         conditions = self._conditions
+        if conditions.leaving_since is not None:
+            return Opening(math.inf, "leaving", 0.0)
         if now < conditions.rest_until:
             return Opening(conditions.rest_until, "rest", RETURN_RATE)
         limited = share if conditions.limit.rate else UNLIMITED
--- a/tests/decisions/test_server_openings.py
+++ b/tests/decisions/test_server_openings.py
@@ -76,3 +76,12 @@
     assert not gate.find_opening(SHARE, 2.0).is_open
     gate.give_back()
     assert gate.find_opening(SHARE, 2.0).is_open
+
+
+def test_server_that_leaves_takes_nothing_for_good() -> None:
+    gate = ServerGate(ServerConditions())
+    gate.conditions.apply_response(ServerStatement(leaving=True), 0.9, 1.0)
+    gate.conditions.apply_response(ServerStatement(), 1.9, 2.0)
+    for now in (1.0, 100.0, 1e6):
+        assert gate.find_opening(SHARE, now).closed_by == "leaving"
+        assert gate.is_shut(now)
