Keep following the list of servers when another writer left an odd entry in it

Reported by operators of similar systems; it happens here. An entry with a value nested 200,000 deep made each read of the list end with a RecursionError, so the router stopped following it; one with a start time of 400 digits was accepted, and the list could no longer be told to other routers (OverflowError); one with port 99999 was taken for a server, and each request to it failed with a ValueError. Class: a decoder's other errors than its own were not expected, and numbers were taken at any size.

Change: such entries name no server, and a configuration like this keeps the previous one. The address has to be one of IPv4 with a port up to 65535 in ASCII digits. The same error is caught where the host list, engine states, load reports and cache lists are decoded.

--- a/src/sycamorehaven/controllers/server_health.py
+++ b/src/sycamorehaven/controllers/server_health.py
@@ -103,7 +103,13 @@
                     return None
                 body = await response.content.read(MAX_REPORT_BYTES)
                 return LoadReport(**msgspec.json.decode(body, type=LoadBody))
-        except (TimeoutError, aiohttp.ClientError, OSError, msgspec.MsgspecError):
+        except (
+            TimeoutError,
+            aiohttp.ClientError,
+            OSError,
+            msgspec.MsgspecError,
+            RecursionError,
+        ):
             return None
 
     async def close(self) -> None:
--- a/src/sycamorehaven/platform/decoding.py
+++ b/src/sycamorehaven/platform/decoding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 from typing import TYPE_CHECKING, cast
 
 import msgspec
@@ -26,6 +27,10 @@
 if TYPE_CHECKING:
     from sycamorehaven.routing.model import RouteKind
 
+MAX_PORT = 65_535
+"""Largest TCP port."""
+MAX_PORT_DIGITS = 5
+"""Digits of the largest port."""
 ROUTE_KINDS = ("idempotent", "non_idempotent", "streaming")
 """Valid values of a route's ``routeType``."""
 SERVER_STATES = ("ready", "draining")
@@ -44,6 +49,7 @@
     :param item: the store's item that holds it.
     :param era: the store's era when the item was read.
     :raises msgspec.MsgspecError: if the item is not a valid configuration.
+    :raises RecursionError: if it is nested too deeply to be read.
     """
     wire = _configuration_decoder.decode(item.value)
     workspaces_by_key = None
@@ -106,7 +112,7 @@
     """Decode a backend server; return ``None`` if the item is invalid."""
     try:
         wire = _server_decoder.decode(item.value)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return None
     if wire.state not in SERVER_STATES or not _is_ipv4_endpoint(wire.address):
         return None
@@ -124,4 +130,13 @@
 
 def _is_ipv4_endpoint(address: str) -> bool:
     host, _, port = address.rpartition(":")
-    return host.count(".") == 3 and port.isdigit()
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return (
+        port.isascii()
+        and port.isdigit()
+        and len(port) <= MAX_PORT_DIGITS
+        and 0 < int(port) <= MAX_PORT
+    )
--- a/src/sycamorehaven/platform/documents.py
+++ b/src/sycamorehaven/platform/documents.py
@@ -6,8 +6,15 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
+SlotCount = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+"""Number of requests; a larger one is a mistake of the writer."""
+UnixMilliseconds = Annotated[int, msgspec.Meta(ge=0, lt=2**62)]
+"""A time that routers can pass on to each other."""
+
 
 class WireSplit(msgspec.Struct):
     """A service that receives a share of a route's requests."""
@@ -91,13 +98,13 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: SlotCount
     state: str
     # Of the server's software; the versions of weights stand elsewhere.
     version: str = ""
     # When the process started, in Unix milliseconds; distinguishes two
     # processes with the same id.
-    born: int = 0
+    born: UnixMilliseconds = 0
 
 
 class WireItem(msgspec.Struct):
--- a/src/sycamorehaven/platform/prompt_cache_client.py
+++ b/src/sycamorehaven/platform/prompt_cache_client.py
@@ -75,7 +75,7 @@
             return frozenset(entry[1] for entry in _list_decoder.decode(body).held)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             logging.info("engine %s does not list its cache: %r", address, error)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             logging.warning(
                 "the cache list of engine %s is malformed: %s", address, error
             )
--- a/src/sycamorehaven/platform/store_client.py
+++ b/src/sycamorehaven/platform/store_client.py
@@ -105,7 +105,7 @@
         self._decoded_position = era, item.revision
         try:
             configuration = decode_configuration(item, era)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             logging.error(
                 "configuration of revision %d is malformed; keeping the one of"
                 " revision %d: %s",
@@ -148,7 +148,7 @@
         try:
             era = int(response.headers.get(ERA_HEADER, "0"))
             return StorePage(era, _page_decoder.decode(body))
-        except (msgspec.MsgspecError, ValueError) as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             raise PlatformUnavailable(
                 f"a page of the store is malformed: {error}"
             ) from error
--- a/src/sycamorehaven/transport/engine_control.py
+++ b/src/sycamorehaven/transport/engine_control.py
@@ -85,7 +85,7 @@
         body = await self._call("GET", server, "/state", None)
         try:
             state = msgspec.json.decode(body, type=StateBody)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise OrderFailed(
                 f"the state of '{server.name}' is malformed: {error}"
             ) from error
--- a/src/sycamorehaven/transport/platform_client.py
+++ b/src/sycamorehaven/transport/platform_client.py
@@ -121,7 +121,7 @@
         _, _, body = await self._get("/hosts", {}, READ_TIMEOUT_SECONDS)
         try:
             return msgspec.json.decode(body, type=list[ListedHost])
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise PlatformUnavailable(f"the host list is malformed: {error}") from error
 
     async def close(self) -> None:
