Take no stream up on an observation of the servers that is older than it

Cause: a service counted as settled at one version for up to two seconds after the last observation, so nobody was asked, and an unheard question was believed for as long. After a stand-still, queued news of others confirmed the old list with the age that they had when they were sent.

Change: only an observation made after the client's request covers the version at which a stream may have begun. Without one the other routers are asked, and the router waits up to a second for the next reading of the list; if it then neither has one nor hears anybody, it refuses with stream_origin_unknown. News don't confirm the list before a router has recovered from a pause.

Evidence: three tests of a router that has not seen the new version, is cut off before it, or reads the list in time failed before and pass.

--- a/src/sycamorehaven/controllers/routing_snapshots.py
+++ b/src/sycamorehaven/controllers/routing_snapshots.py
@@ -249,6 +249,9 @@
 
     def _apply_confirmation(self, host: str, age: float) -> None:
         """Renew the read time of a snapshot that a peer has read later."""
+        if not self._board.pauses.has_recovered:
+            # The news may have waited for this process while it stood still.
+            return
         routing = self._board.routing
         newer_by = self._clock() - age - routing.read_at
         if routing.snapshot is not None and newer_by > CONFIRMATION_PERIOD_SECONDS:
--- a/src/sycamorehaven/controllers/stream_origins.py
+++ b/src/sycamorehaven/controllers/stream_origins.py
@@ -38,6 +38,10 @@
 """Number of streams in one message."""
 MAX_ASKED_ENGINES = 16
 """Number of engines of a service up to which they are asked for a prompt."""
+OBSERVATION_WAIT_SECONDS = 1.0
+"""Longest time for which a stream that nobody remembers waits until the list
+of servers has been read since; routers read it every 0.6 s, and clients wait
+two seconds for an event."""
 
 
 class PromptCacheSource(Protocol):
@@ -160,11 +164,17 @@
         versions, now = self._board.routing.software_versions, self._clock()
         origin = self._find_known(key)
         is_shared = len(request.route.weighted_services) > 1
-        if origin or (versions.is_settled(request.service, now) and not is_shared):
+        # A stream began before its client takes it up. So an observation of
+        # the servers since then covers the version at which it began.
+        is_covered = versions.is_observed_since(request.received_at)
+        is_settled = is_covered and versions.is_settled(request.service, now)
+        if origin or (is_settled and not is_shared):
             return origin
         lookup = await self._ask_routers(key)
         if lookup.origin is not None:
             return lookup.origin
+        is_covered = await self._wait_for_observation(request.received_at)
+        now = self._clock()
         if self._is_engine_asked(request, now):
             return await self._find_at_engines(request, key)
         if len(versions.list_recent(request.service, now)) > 1:
@@ -172,13 +182,26 @@
                 "servers of several software versions serve, and no router knows"
                 " which of them began the stream"
             )
-        if lookup.is_unheard and not versions.is_current(now):
+        if lookup.is_unheard and not (is_covered and versions.is_current(now)):
             raise StreamOriginUnknown(
                 "the router reaches neither the platform nor another router that"
                 " may know which software version began the stream"
             )
         return None
 
+    async def _wait_for_observation(self, since: float) -> bool:
+        """
+        Wait until the servers have been observed since a time.
+
+        :returns: whether they have been before the wait ended.
+        """
+        routing = self._board.routing
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(OBSERVATION_WAIT_SECONDS):
+                while not routing.software_versions.is_observed_since(since):
+                    await routing.changed.wait()
+        return routing.software_versions.is_observed_since(since)
+
     def _is_engine_asked(self, request: RoutedRequest, now: float) -> bool:
         """
         Return whether the prompt of a stream tells where it began.
--- a/src/sycamorehaven/decisions/software_versions.py
+++ b/src/sycamorehaven/decisions/software_versions.py
@@ -53,6 +53,10 @@
         """Return whether the servers have been observed just now."""
         return now - self._observed_at < MAX_OBSERVATION_AGE_SECONDS
 
+    def is_observed_since(self, time: float) -> bool:
+        """Return whether the servers have been observed at a time or later."""
+        return self._observed_since is not None and self._observed_at >= time
+
     def is_observed_for(self, seconds: float, now: float) -> bool:
         """Return whether the servers have been observed for some time."""
         return (
--- a/tests/controllers/test_stream_origins.py
+++ b/tests/controllers/test_stream_origins.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from unittest import TestCase
 
 from sycamorehaven.blackboard.members import Member
 from sycamorehaven.controllers.stream_origins import StreamOriginExchange
@@ -44,11 +45,15 @@
 )
 
 
-def build_request(attempt: str, resumes: str = "") -> RoutedRequest:
+def build_request(
+    attempt: str, resumes: str = "", received_at: float = 0.0
+) -> RoutedRequest:
     """Return a request for a stream, or one that takes a stream up."""
     last_event_id = 2 if resumes else None
     head = RequestHead(attempt, None, "", "m", (), 0, 0, last_event_id, resumes)
-    return RoutedRequest(head, "POST", "/", (), b"", ROUTE, "model", "", 0.0, 10.0)
+    return RoutedRequest(
+        head, "POST", "/", (), b"", ROUTE, "model", "", received_at, 10.0
+    )
 
 
 class OriginFleet:
@@ -73,10 +78,12 @@
         self._revision = 0
         self.register(V1)
 
-    def register(self, *servers: ServerRecord) -> None:
-        """Make the servers known to all routers."""
+    def register(self, *servers: ServerRecord, without: str = "") -> None:
+        """Make the servers known to all routers, or to all but one."""
         self._revision += 1
-        for board in self.boards.values():
+        for host, board in self.boards.items():
+            if host == without:
+                continue
             snapshot = Snapshot(self._revision, None, servers)
             board.routing.apply_snapshot(snapshot, self._clock())
         self.network.deliver()
@@ -101,7 +108,7 @@
     async def find(self, host: str, resumes: str) -> StreamOrigin | None:
         """Ask a router where a stream may go on."""
         lookup = asyncio.ensure_future(
-            self.exchanges[host].find(build_request("later", resumes))
+            self.exchanges[host].find(build_request("later", resumes, self._clock()))
         )
         while not lookup.done():
             await asyncio.sleep(0.01)
@@ -218,3 +225,45 @@
     fleet.register(V1)
     assert await fleet.find("b1", "unknown") is None
     assert not fleet.links["b1"].sent_messages
+
+
+def start_at_unseen_version(fleet: OriginFleet, clock: ManualClock) -> None:
+    """Start a stream at a server that one router, ``b1``, has not seen yet."""
+    clock.advance(VERSION_MEMORY_SECONDS)
+    fleet.register(V1)
+    clock.advance(0.5)
+    fleet.register(V1, V2, without="b1")
+    fleet.start_stream("a1", "x", V2)
+
+
+async def test_router_that_has_not_seen_a_new_version_joins_no_stream_of_it(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    fleet = OriginFleet(network, clock)
+    start_at_unseen_version(fleet, clock)
+    assert await fleet.find("b1", "x") == StreamOrigin("model", "v2")
+
+
+async def test_router_cut_off_before_a_new_version_joins_no_stream_of_it(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    fleet = OriginFleet(network, clock)
+    fleet.cut("b1")
+    start_at_unseen_version(fleet, clock)
+    with TestCase().assertRaises(StreamOriginUnknown):
+        await fleet.find("b1", "x")
+
+
+async def test_router_that_reads_the_list_in_time_takes_a_stream_up(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    fleet = OriginFleet(network, clock)
+    fleet.cut("b1")
+    clock.advance(VERSION_MEMORY_SECONDS)
+    fleet.register(V1)
+    clock.advance(0.5)
+    lookup = asyncio.ensure_future(fleet.find("b1", "x"))
+    await asyncio.sleep(0.1)
+    assert not lookup.done()
+    fleet.register(V1)
+    assert await lookup is None
