--- a/src/sycamorehaven/blackboard/server_conditions.py
+++ b/src/sycamorehaven/blackboard/server_conditions.py
@@ -34,6 +34,11 @@
         self._changed: set[str] = set()
         self._told_at: dict[str, float] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no server has said anything of itself."""
+        return not self._gates
+
     def find(self, incarnation: str) -> ServerGate | None:
         """Return the gate of a server; ``None`` if it said nothing."""
         return self._gates.get(incarnation)
--- a/src/sycamorehaven/controllers/candidates.py
+++ b/src/sycamorehaven/controllers/candidates.py
@@ -110,6 +110,8 @@
     def find_opening(self, server: ServerRecord, now: float) -> Opening:
         """Return when a server takes the next request of this router."""
         conditions = self._board.server_conditions
+        if conditions.is_empty:
+            return ALWAYS_OPEN
         gate = conditions.find(server.incarnation_id)
         if gate is None:
             return ALWAYS_OPEN
--- a/src/sycamorehaven/controllers/service_load.py
+++ b/src/sycamorehaven/controllers/service_load.py
@@ -107,7 +107,7 @@
             for view in self._views.values()
             if not self._is_ejected(view) and view.opening.closed_by != "rest"
         )
-        self._has_closed = not all(view.opening.is_open for view in self.views)
+        self._has_closed = any(view.opening.closed_by for view in self.views)
         self._has_capacity: dict[bool, bool] = {}
         self._available: dict[str, ServerView] | None = None
         self._costs: dict[str, float] = {}
@@ -203,8 +203,10 @@
 
     def summarize_closed(self) -> ClosedServers | None:
         """Return when the servers open; ``None`` if one of them is open."""
+        if not self._has_closed:
+            return None
         openings = [view.opening for view in self._views.values()]
-        if not self._has_closed or any(opening.is_open for opening in openings):
+        if any(opening.is_open for opening in openings):
             return None
         return ClosedServers(
             min(opening.at for opening in openings),
