--- a/src/sycamorehaven/console/commands/explain.py
+++ b/src/sycamorehaven/console/commands/explain.py
@@ -19,6 +19,8 @@
 """Log fields that are shown in separate columns."""
 SUSPECT_EVENTS = frozenset({"suspect_blocked", "suspect_cleared", "suspect_tried"})
 """Log events about what is blamed for lost servers."""
+STATEMENT_EVENTS = frozenset({"server_leaving", "server_limit", "server_rest"})
+"""Log events about what servers say of themselves."""
 CONTEXT_SECONDS = 5.0
 """Time before and after a request in which state changes are shown."""
 STATE_CHANGE_EVENTS = frozenset(
@@ -99,8 +101,9 @@
     Return the log entries that concern a request, ordered by time.
 
     These are the entries with the id of the request, the state changes of the
-    same routers within ``CONTEXT_SECONDS`` of them, and at any time and router
-    what is known of a suspect for which the request was refused.
+    same routers within ``CONTEXT_SECONDS`` of them, at any time and router
+    what is known of a suspect for which the request was refused, and at any
+    time what servers last said of themselves that took no request.
 
     :param entries: entries of decision logs.
     :param request: id of the request.
@@ -129,5 +132,30 @@
         and entry.get("suspect") in suspects
         and entry.get("request") != request
     ]
-    related = request_entries + state_changes + blames
+    statements = _find_last_statements(all_entries, request_entries, state_changes)
+    related = request_entries + state_changes + blames + statements
     return sorted(related, key=lambda entry: entry["time"])
+
+
+def _find_last_statements(
+    entries: Iterable[dict[str, Any]],
+    request_entries: Iterable[dict[str, Any]],
+    shown: Iterable[dict[str, Any]],
+) -> list[dict[str, Any]]:
+    """
+    Return what closed servers said last before a request was refused.
+
+    :param shown: entries that are shown anyway.
+    """
+    refusals = [entry for entry in request_entries if entry.get("closed_servers")]
+    shown_entries = list(shown)
+    last: dict[tuple[str, str, str], dict[str, Any]] = {}
+    for entry in sorted(entries, key=lambda entry: entry["time"]):
+        if entry["event"] in STATEMENT_EVENTS and any(
+            entry["host"] == refusal["host"]
+            and entry["time"] <= refusal["time"]
+            and entry.get("server") in refusal["closed_servers"]
+            for refusal in refusals
+        ):
+            last[entry["host"], entry["server"], entry["event"]] = entry
+    return [entry for entry in last.values() if entry not in shown_entries]
--- a/tests/console/test_explain.py
+++ b/tests/console/test_explain.py
@@ -37,6 +37,17 @@
     },
     {"time": 20.0, "host": "r2", "event": "suspect_blocked", "suspect": "7"},
     {"time": 20.0, "host": "r2", "event": "suspect_blocked", "suspect": "8"},
+    {"time": 30.0, "host": "r1", "event": "server_limit", "server": "s3", "value": 5},
+    {"time": 31.0, "host": "r1", "event": "server_limit", "server": "s3", "value": 4},
+    {"time": 31.0, "host": "r2", "event": "server_limit", "server": "s3", "value": 4},
+    {"time": 32.0, "host": "r1", "event": "server_rest", "server": "s4", "value": 2},
+    {
+        "time": 70.0,
+        "host": "r1",
+        "event": "turned_away",
+        "request": "d",
+        "closed_servers": ["s3"],
+    },
 ]
 
 
@@ -66,6 +77,17 @@
     assert entries == [("suspect_blocked", "r2"), ("quarantined", "r1")]
 
 
+def test_explain_leads_from_a_refused_request_to_what_servers_said(
+    log_file: Path,
+) -> None:
+    result = CliRunner().invoke(application, ["explain", "d", str(log_file), "--json"])
+    entries = [
+        (entry["event"], entry["host"], entry["time"])
+        for entry in json.loads(result.output)
+    ]
+    assert entries == [("server_limit", "r1", 31.0), ("turned_away", "r1", 70.0)]
+
+
 def test_explain_reads_logs_from_standard_input(log_file: Path) -> None:
     result = CliRunner().invoke(
         application, ["explain", "b"], input=log_file.read_bytes()
