Build the refusal of closed services beside the other refusals

The dispatcher built texts of two refusals and rejected requests without servers in a method of 52 lines. The refusal moves to controllers/routed_refusals.py, and rejecting without servers is a method of its own. A new test shows that an unchanged demand isn't told with each report of a large fleet; routers whose servers say nothing don't walk the list for it.

--- a/src/sycamorehaven/blackboard/server_conditions.py
+++ b/src/sycamorehaven/blackboard/server_conditions.py
@@ -64,6 +64,8 @@
 
     def list_limited_services(self, servers: Iterable[ServerRecord]) -> set[str]:
         """Return the services of which a server names a limit."""
+        if not self._gates:
+            return set()
         return {
             server.service
             for server in servers
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -13,6 +13,7 @@
 from sycamorehaven.controllers.candidates import CandidateFinder, PendingRequest
 from sycamorehaven.controllers.pass_loads import LoadKey, PassLoads
 from sycamorehaven.controllers.reservations import ServerReservation
+from sycamorehaven.controllers.routed_refusals import create_closed_refusal
 from sycamorehaven.controllers.shares import WorkspaceShares
 from sycamorehaven.decisions.client_timeouts import ClientTimeouts
 from sycamorehaven.decisions.load_shedding import (
@@ -41,8 +42,6 @@
     DeadlineUnreachable,
     NoBackendServer,
     RouterBusy,
-    ServersLimited,
-    ServersResting,
 )
 
 if TYPE_CHECKING:
@@ -294,13 +293,7 @@
             ),
         )
         if not load.views:
-            refusal = NoBackendServer(
-                _describe_missing_servers(pending),
-                retry_after=min(
-                    NO_SERVER_RETRY_SECONDS, (request.deadline - now) * 0.3
-                ),
-            )
-            self._reject(pending, refusal, "no_server", placement_request, None, now)
+            self._reject_without_servers(pending, placement_request, now)
             return
         closed = load.summarize_closed()
         if closed is not None:
@@ -325,6 +318,17 @@
                 pending, late_refusal, "overload", placement_request, best, now
             )
 
+    def _reject_without_servers(
+        self, pending: PendingRequest, placement_request: PlacementRequest, now: float
+    ) -> None:
+        """Reject a request for which no server is known that takes work."""
+        time_left = pending.request.deadline - now
+        refusal = NoBackendServer(
+            _describe_missing_servers(pending),
+            retry_after=min(NO_SERVER_RETRY_SECONDS, time_left * 0.3),
+        )
+        self._reject(pending, refusal, "no_server", placement_request, None, now)
+
     def _wait_or_reject(
         self,
         pending: PendingRequest,
@@ -341,19 +345,7 @@
         retry_after = choose_closed_retry_after(
             delay, closed.rate, pending.position, pending.request.deadline - now
         )
-        service = pending.request.service
-        refusal: ServersLimited | ServersResting
-        if closed.all_rest:
-            refusal = ServersResting(
-                f"all backend servers of the service '{service}' have asked for rest",
-                retry_after=retry_after,
-            )
-        else:
-            refusal = ServersLimited(
-                f"the backend servers of the service '{service}' take"
-                f" {closed.rate:.2f} requests per second from this router",
-                retry_after=retry_after,
-            )
+        refusal = create_closed_refusal(pending.request.service, closed, retry_after)
         self._reject(
             pending, refusal, refusal.code, placement_request, None, now, closed
         )
--- a/src/sycamorehaven/controllers/routed_refusals.py
+++ b/src/sycamorehaven/controllers/routed_refusals.py
@@ -10,11 +10,14 @@
     CrashSuspected,
     DeadlineUnreachable,
     Refusal,
+    ServersLimited,
+    ServersResting,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from sycamorehaven.controllers.service_load import ClosedServers
     from sycamorehaven.decisions.crash_blame import Culprit
     from sycamorehaven.exceptions.backends import BackendError
 
@@ -51,6 +54,27 @@
     )
 
 
+def create_closed_refusal(
+    service: str, closed: ClosedServers, retry_after: float
+) -> ServersLimited | ServersResting:
+    """
+    Return the refusal while no server of a service takes a request.
+
+    :param closed: what the servers have said of themselves.
+    :param retry_after: seconds after which the client may try again.
+    """
+    if closed.all_rest:
+        return ServersResting(
+            f"all backend servers of the service '{service}' have asked for rest",
+            retry_after=retry_after,
+        )
+    return ServersLimited(
+        f"the backend servers of the service '{service}' take {closed.rate:.2f}"
+        " requests per second from this router",
+        retry_after=retry_after,
+    )
+
+
 def create_timeout_refusal(*, may_have_run: bool) -> Refusal:
     """Return the refusal of a request whose deadline has passed."""
     if may_have_run:
--- a/tests/controllers/test_fleet_state.py
+++ b/tests/controllers/test_fleet_state.py
@@ -7,6 +7,7 @@
 from sycamorehaven.blackboard.fleet_load import Contention
 from sycamorehaven.blackboard.members import Member
 from sycamorehaven.controllers.fleet_state import (
+    DEMAND_REFRESH_PER_MEMBER_SECONDS,
     MIN_CONTENTION_LIFETIME_SECONDS,
     MIN_LOAD_LIFETIME_SECONDS,
     REFRESH_PERIOD_SECONDS,
@@ -21,6 +22,7 @@
 from sycamorehaven.identity import RouterId
 from sycamorehaven.routing.model import ServerRecord, Snapshot
 from sycamorehaven.transport.codec import Codec
+from sycamorehaven.transport.messages.fleet import FleetNews
 from tests.support.doubles import MemoryLink, create_board, create_recorder
 
 if TYPE_CHECKING:
@@ -322,3 +324,27 @@
     clock.advance(SAID_REFRESH_SECONDS)
     fleet.broadcast_changes()
     assert fleet.boards["a2"].server_conditions.find("s1/1") is not None
+
+
+def test_unchanged_demand_is_not_told_with_each_report_of_a_large_fleet(
+    network: MemoryNetwork, clock: ManualClock
+) -> None:
+    fleet = RouterFleet(network, clock)
+    add_members(fleet, 417)
+    fleet.boards["a1"].server_conditions.get("s1/1").conditions.apply_limit(
+        NamedLimit(4.0, clock())
+    )
+    period = choose_broadcast_period_seconds(420)
+    for _ in range(20):
+        clock.advance(period)
+        fleet.controllers["a1"].broadcast_changes()
+    reports = [
+        message
+        for address, message in network.links["a1:1"].sent_messages
+        if isinstance(message, FleetNews) and address == "a2:1"
+    ]
+    told = [demand for news in reports for demand in news.demands]
+    assert len(reports) >= 19
+    assert {demand.service for demand in told} == {"model"}
+    refreshes = 20 * period / (420 * DEMAND_REFRESH_PER_MEMBER_SECONDS)
+    assert len(told) <= refreshes + 2
