Tell the demand anew after a silence, and end a failure of unwilling servers early

Cause: a router that stood still kept its unchanged demand for told, while the others may have given its part away; it would have used the part until the next refresh. Change: after a silence of more than the time to settle all demands are told again. A request that was not sent since its server closed meanwhile is cancelled in one place. Measured: the tests of news, reservations, limits and rests pass.

--- a/src/sycamorehaven/controllers/fleet_state.py
+++ b/src/sycamorehaven/controllers/fleet_state.py
@@ -199,8 +199,11 @@
         A demand that has not changed is told again now and then, in case a
         message was lost or a router has joined.
         """
-        self._demands_told_at = now
         settle_seconds = choose_settle_seconds(members)
+        if now - self._demands_told_at > settle_seconds:
+            # The others may have given away the part of a silent router.
+            self._sent_demands.clear()
+        self._demands_told_at = now
         refresh_seconds = members * DEMAND_REFRESH_PER_MEMBER_SECONDS
         demands = []
         for service in sorted(self._limited_services):
--- a/src/sycamorehaven/controllers/reservations.py
+++ b/src/sycamorehaven/controllers/reservations.py
@@ -87,10 +87,12 @@
 
     def record_failure(self, error: BackendError, now: float) -> None:
         """Record that the server failed the request."""
-        health = self._model.health
         if isinstance(error, ServerUnwilling):
-            pass
-        elif isinstance(error, ServerOverloaded):
+            # The server has failed nothing, as nothing was sent.
+            self.cancel(now)
+            return
+        health = self._model.health
+        if isinstance(error, ServerOverloaded):
             health.record_overload(now, OVERLOAD_PAUSE_SECONDS)
         elif isinstance(error, CONNECTION_FAILURES):
             health.record_connection_failure(now)
@@ -98,7 +100,7 @@
             health.record_answer(failed=True)
         if not error.was_sent:
             self.refund(now)
-        if isinstance(error, UNREACHED_FAILURES):
+        if isinstance(error, ConnectFailed):
             self._return_allowance()
 
     def refund(self, now: float) -> None:
