Start routers of the review with the default action for signals

Cause: a script that was run under nohup passed the ignored SIGHUP on to the routers, so that the case review/3 held there. Change: the scripts reset the signal's action before they start a process.

--- a/review/support/fleet.py
+++ b/review/support/fleet.py
@@ -529,6 +529,8 @@
     :param main: gets the record and whether to make trouble; returns whether
         the rule held.
     """
+    # Processes inherit it if the caller ignores the signal, as nohup does.
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
     folder = Path(os.environ["CASE_FOLDER"])
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
