Give routers of the review ports that no connection takes

Cause: a port that was free at the start of a script may be given to an outgoing connection while a router is down, so that the router cannot start again. Change: the scripts choose ports below the range of outgoing connections.

--- a/review/support/fleet.py
+++ b/review/support/fleet.py
@@ -11,6 +11,7 @@
 import contextlib
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -37,6 +38,9 @@
 """The bounds of the small deployments, as their pages give them."""
 MEMORY_MEGABYTES = 300
 """Memory of a machine of the small deployments."""
+PORTS = range(12_000, 32_000)
+"""Ports below those of outgoing connections."""
+_allocated: set[int] = set()
 START_SECONDS = 30.0
 """Longest time that a router may take to be ready."""
 
@@ -60,10 +64,15 @@
 
 
 def allocate_port(ip: str = "127.0.0.1") -> int:
-    """Return a port that is free."""
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return int(probe.getsockname()[1])
+    """Return a free port that no outgoing connection is given."""
+    while True:
+        port = random.choice(PORTS)
+        if port in _allocated:
+            continue
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.bind((ip, port))
+            _allocated.add(port)
+            return port
 
 
 def render(template: str, fields: dict) -> str:
