Close the connections of the review's stand-ins when a script ends

Cause: a script that ended while connections were open printed errors of asyncio. Change: the stand-ins close each connection on every way out. Measured: a run of the script for preempted streams prints nothing any more.

--- a/review/support/fleet.py
+++ b/review/support/fleet.py
@@ -326,7 +326,7 @@
         return json.dumps(page).encode()
 
     async def _serve(self, reader, writer) -> None:
-        with contextlib.suppress(OSError, EOFError):
+        with contextlib.suppress(OSError, EOFError), contextlib.closing(writer):
             while True:
                 first, _ = await read_head(reader)
                 fields = dict(parse_qsl(first.split()[1].partition("?")[2]))
@@ -344,7 +344,6 @@
                 )
                 writer.write(head.encode() + page)
                 await writer.drain()
-        writer.close()
 
 
 def build_entry(service: str, port: int, zone: str, slots: int, **fields) -> dict:
@@ -458,7 +457,10 @@
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
 
     async def _serve(self, reader, writer) -> None:
-        with contextlib.suppress(OSError, EOFError, ValueError):
+        with (
+            contextlib.suppress(OSError, EOFError, ValueError),
+            contextlib.closing(writer),
+        ):
             while True:
                 first, headers = await read_head(reader)
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
@@ -479,7 +481,6 @@
                     await asyncio.sleep(self.work_seconds)
                     writer.write(self.build_answer(attempt, f"by {self.name}".encode()))
                 await writer.drain()
-        writer.close()
 
     def build_answer(self, attempt: str, body: bytes) -> bytes:
         """Return a success with a length."""
