Report each second what a router did, and for whom

A workload line a second now tells, for the four busiest workspaces, what arrived, was rejected and why, was tried and began, with the entitled fraction and the share behind it, and for the host the processor time of dispatching, news, writing refusals and the rest, the lag of the event loop, the limit of requests in progress, and whether it has left the rotation. The processor time is also a metric by activity. No decision changes.

--- a/src/sycamorehaven/blackboard/board.py
+++ b/src/sycamorehaven/blackboard/board.py
@@ -24,6 +24,7 @@
 from sycamorehaven.blackboard.suspect_requests import SuspectRequestsSection
 from sycamorehaven.blackboard.tokens import TokensSection
 from sycamorehaven.blackboard.unserved_services import UnservedServicesSection
+from sycamorehaven.blackboard.workload import WorkloadSection
 from sycamorehaven.decisions.usage_window import UsageWindow
 from sycamorehaven.identity import RouterId, create_incarnation
 
@@ -77,6 +78,7 @@
         self._routing = RoutingSection()
         self._server_conditions = ServerConditionsSection(identity.host)
         self._fleet_load = FleetLoadSection(UsageWindow(quota_window))
+        self._workload = WorkloadSection()
 
     @classmethod
     def from_settings(cls, settings: RouterSettings) -> Blackboard:
@@ -191,3 +193,8 @@
     def fleet_load(self) -> FleetLoadSection:
         """Load of the servers of published routes, and usage by workspaces."""
         return self._fleet_load
+
+    @property
+    def workload(self) -> WorkloadSection:
+        """Requests of each workspace here, and time by activity."""
+        return self._workload
--- /dev/null
+++ b/src/sycamorehaven/blackboard/workload.py
@@ -0,0 +1,130 @@
+"""
+What became of each workspace's requests, and where processor time went.
+
+Written by the listener, the dispatcher, the runs and the handlers of news;
+the workload monitor takes it once a second.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import time
+from collections import Counter
+from typing import TYPE_CHECKING, Literal, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+Activity = Literal["dispatch", "news", "rejection"]
+"""Work of the event loop whose time is measured. All other work, relaying
+most of all, is the rest."""
+
+
+class WorkspaceCounts(NamedTuple):
+    """
+    Requests of one workspace at this router.
+
+    :ivar workspace: name of the workspace.
+    :ivar arrived: requests whose headers were read.
+    :ivar rejected: requests refused unrun, by reason.
+    :ivar tried: attempts on backend servers.
+    :ivar began: attempts whose first event arrived.
+    :ivar began_tokens: prompt tokens of these.
+    """
+
+    workspace: str
+    arrived: int
+    rejected: dict[str, int]
+    tried: int
+    began: int
+    began_tokens: int
+
+
+class WorkloadSection:
+    """
+    Counts since they were last taken.
+
+    :param clock: returns seconds for the measurement of activities.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.perf_counter) -> None:
+        self._clock = clock
+        self._arrived: Counter[str] = Counter()
+        self._rejected: dict[str, Counter[str]] = {}
+        self._tried: Counter[str] = Counter()
+        self._began: Counter[str] = Counter()
+        self._began_tokens: Counter[str] = Counter()
+        self._relayed_events = 0
+        self._seconds: dict[str, float] = {}
+
+    def count_arrival(self, workspace: str) -> None:
+        """Count a request whose headers were read."""
+        self._arrived[workspace] += 1
+
+    def count_rejection(self, workspace: str, reason: str) -> None:
+        """Count a request that is refused unrun."""
+        self._rejected.setdefault(workspace, Counter())[reason] += 1
+
+    def count_attempt(self, workspace: str) -> None:
+        """Count an attempt on a backend server."""
+        self._tried[workspace] += 1
+
+    def count_begin(self, workspace: str, tokens: int) -> None:
+        """
+        Count an attempt whose first event arrived.
+
+        :param tokens: prompt tokens of the request.
+        """
+        self._began[workspace] += 1
+        self._began_tokens[workspace] += tokens
+
+    def count_relayed(self) -> None:
+        """Count a chunk of an answer that was passed on to a client."""
+        self._relayed_events += 1
+
+    @contextlib.contextmanager
+    def measure(self, activity: Activity) -> Iterator[None]:
+        """Add the time that the context takes to an activity."""
+        started_at = self._clock()
+        try:
+            yield
+        finally:
+            elapsed = self._clock() - started_at
+            self._seconds[activity] = self._seconds.get(activity, 0.0) + elapsed
+
+    def take_seconds(self) -> dict[str, float]:
+        """Return and clear the seconds of each activity."""
+        seconds, self._seconds = self._seconds, {}
+        return seconds
+
+    def take_relayed_events(self) -> int:
+        """Return and clear the number of chunks passed on to clients."""
+        events, self._relayed_events = self._relayed_events, 0
+        return events
+
+    def take_workspaces(self, count: int) -> list[WorkspaceCounts]:
+        """
+        Return the busiest workspaces, and clear the counts of all.
+
+        :param count: largest number of workspaces to return.
+        """
+        busiest = [
+            WorkspaceCounts(
+                workspace,
+                arrived,
+                dict(self._rejected.get(workspace, {})),
+                self._tried[workspace],
+                self._began[workspace],
+                self._began_tokens[workspace],
+            )
+            for workspace, arrived in self._arrived.most_common(count)
+        ]
+        for counts in (
+            self._arrived,
+            self._rejected,
+            self._tried,
+            self._began,
+            self._began_tokens,
+        ):
+            counts.clear()
+        return busiest
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -200,7 +200,8 @@
         """
         started_at = self._clock()
         try:
-            self._make_pass(started_at)
+            with self._board.workload.measure("dispatch"):
+                self._make_pass(started_at)
         finally:
             ended_at = self._clock()
             elapsed = ended_at - started_at
@@ -409,6 +410,7 @@
         cost = compute_token_cost(request)
         if request.workspace:
             fleet_load.add_usage(request.workspace, 0.0, cost, now)
+        self._board.workload.count_attempt(request.workspace)
         waited = now - pending.queued_at
         self._metrics.queue_time.labels(request.service, request.route.kind).observe(
             waited
@@ -452,6 +454,7 @@
         now: float,
         closed: ClosedServers | None = None,
     ) -> None:
+        self._board.workload.count_rejection(pending.request.workspace, reason)
         self._decision_log.record(
             "turned_away",
             request=pending.request.head.attempt_id,
--- a/src/sycamorehaven/controllers/fleet_state.py
+++ b/src/sycamorehaven/controllers/fleet_state.py
@@ -270,6 +270,10 @@
         }
 
     def _handle_news(self, delivery: Delivery) -> None:
+        with self._board.workload.measure("news"):
+            self._merge_news(delivery)
+
+    def _merge_news(self, delivery: Delivery) -> None:
         news: FleetNews = delivery.message
         fleet_load, now = self._board.fleet_load, self._clock()
         members = self._board.members.count()
--- a/src/sycamorehaven/controllers/forwarding.py
+++ b/src/sycamorehaven/controllers/forwarding.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.blackboard.workload import WorkloadSection
     from sycamorehaven.call import Answer
     from sycamorehaven.gateway_settings import GatewaySettings
     from sycamorehaven.routing.requests import RoutedRequest
@@ -69,6 +70,11 @@
         self._event_buffers = EventBuffers()
         self._max_known_routers = 1
 
+    @property
+    def workload(self) -> WorkloadSection:
+        """Counts of each workspace's requests."""
+        return self._board.workload
+
     @property
     def event_buffers(self) -> EventBuffers:
         """Memory for events that are not complete."""
--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -419,6 +419,9 @@
         if not self._has_begun:
             self._has_begun = True
             self._guard.report_begin()
+            self._controller.workload.count_begin(
+                self._request.workspace, self._request.head.prompt_tokens
+            )
         if self._reservation is not None:
             self._guard.report_progress(self._reservation.server, self._sent_at)
 
--- /dev/null
+++ b/src/sycamorehaven/controllers/workload.py
@@ -0,0 +1,110 @@
+"""Reports once a second what a router did, and for whom."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from mode import Service
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.blackboard.workload import WorkspaceCounts
+    from sycamorehaven.telemetry.decision_log import DecisionLog
+    from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
+
+REPORT_PERIOD_SECONDS = 1.0
+"""Time between two reports."""
+MAX_REPORTED_WORKSPACES = 4
+"""Number of workspaces in a report, those with the most requests."""
+
+
+class WorkloadMonitor(Service):
+    """
+    Reports the work of this router by activity and by workspace.
+
+    :param board: shared state of this router.
+    :param decision_log: gets a ``workload`` line if there were requests.
+    :param metrics: gets the processor time of each activity.
+    :param is_short_of_time: returns whether the router has left the rotation.
+    :param clock: returns monotonic time in seconds.
+    :param processor_clock: returns the processor time of this process in
+        seconds.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        decision_log: DecisionLog,
+        metrics: GatewayMetrics,
+        is_short_of_time: Callable[[], bool] = lambda: False,
+        clock: Callable[[], float] = time.monotonic,
+        processor_clock: Callable[[], float] = time.process_time,
+    ) -> None:
+        super().__init__()
+        self._board = board
+        self._decision_log = decision_log
+        self._metrics = metrics
+        self._is_short_of_time = is_short_of_time
+        self._clock = clock
+        self._processor_clock = processor_clock
+        self._reported_at = clock()
+        self._processor_seconds = processor_clock()
+
+    @Service.task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(REPORT_PERIOD_SECONDS)
+            self.report()
+
+    def report(self) -> None:
+        """Report the time since the last report."""
+        now, processor_seconds = self._clock(), self._processor_clock()
+        elapsed = max(now - self._reported_at, 1e-3)
+        used = processor_seconds - self._processor_seconds
+        self._reported_at, self._processor_seconds = now, processor_seconds
+        workload = self._board.workload
+        seconds = workload.take_seconds()
+        seconds["rest"] = max(used - sum(seconds.values()), 0.0)
+        for activity, value in seconds.items():
+            self._metrics.processor_seconds.labels(activity).inc(value)
+        relayed_events = workload.take_relayed_events()
+        workspaces = workload.take_workspaces(MAX_REPORTED_WORKSPACES)
+        if not workspaces:
+            return
+        usage = self._board.fleet_load.usage_window
+        share = usage.get_fair_share(now)
+        event_loop = self._board.event_loop
+        self._decision_log.record(
+            "workload",
+            seconds=round(elapsed, 3),
+            processor={name: round(value, 4) for name, value in seconds.items()},
+            relayed_events=relayed_events,
+            lag=round(event_loop.lag, 3),
+            requests_in_progress=self._board.lifecycle.requests_in_progress,
+            request_limit=round(event_loop.request_limit, 1),
+            short_of_time=self._is_short_of_time(),
+            received_by_all=round(usage.get_total_received(now)),
+            fair_share=round(share) if share < float("inf") else None,
+            workspaces={
+                counts.workspace: self._describe_workspace(counts, share, now)
+                for counts in workspaces
+            },
+        )
+
+    def _describe_workspace(
+        self, counts: WorkspaceCounts, share: float, now: float
+    ) -> dict[str, object]:
+        usage, workspace = self._board.fleet_load.usage_window, counts.workspace
+        return {
+            "arrived": counts.arrived,
+            "rejected": counts.rejected,
+            "tried": counts.tried,
+            "began": counts.began,
+            "began_tokens": counts.began_tokens,
+            "entitled_ratio": round(usage.get_entitled_ratio(workspace, share, now), 3),
+            "satisfaction": round(usage.get_satisfaction(workspace, share, now), 3),
+        }
--- a/src/sycamorehaven/decisions/usage_window.py
+++ b/src/sycamorehaven/decisions/usage_window.py
@@ -83,6 +83,12 @@
         self._slide(now)
         return max(self._received.get(workspace, 0.0), 0.0)
 
+    def get_total_received(self, now: float) -> float:
+        """Return the service that all workspaces received in the window."""
+        self._slide(now)
+        # Charges that were taken back later may exceed what is left of them.
+        return max(sum(self._received.values()), 0.0)
+
     def demands_even_part(self, workspace: str, now: float) -> bool:
         """
         Return whether a workspace demands at least an even part of the total.
@@ -141,9 +147,7 @@
         engines. While none waits, it equals the total demand, so no workspace
         is limited.
         """
-        self._slide(now)
-        # Charges that were taken back later may exceed what is left of them.
-        received = max(sum(self._received.values()), 0.0) * HEADROOM_FACTOR
+        received = self.get_total_received(now) * HEADROOM_FACTOR
         return compute_max_min_share(self._demanded.values(), received)
 
     def _slide(self, now: float) -> None:
--- a/src/sycamorehaven/gateway.py
+++ b/src/sycamorehaven/gateway.py
@@ -17,6 +17,7 @@
 from sycamorehaven.controllers.news_link import NewsLink
 from sycamorehaven.controllers.routing_snapshots import RoutingSnapshotController
 from sycamorehaven.controllers.server_conditions import ServerConditionRecorder
+from sycamorehaven.controllers.workload import WorkloadMonitor
 from sycamorehaven.exceptions.startup import StartFailed
 from sycamorehaven.platform.header_codec import PlatformHeaderCodec
 from sycamorehaven.platform.store_client import PlatformStoreClient
@@ -119,6 +120,7 @@
         self._frontend, self._forwarding = frontend, forwarding
         return [
             EventLoopMonitor(board, decision_log, metrics),
+            WorkloadMonitor(board, decision_log, metrics, frontend.is_short_of_time),
             HealthListener(
                 board,
                 self._gateway_settings,
--- a/src/sycamorehaven/telemetry/gateway_metrics.py
+++ b/src/sycamorehaven/telemetry/gateway_metrics.py
@@ -43,6 +43,7 @@
         router rejects those of the workspaces that send the most.
     :ivar dispatch_duration: duration of a pass over the waiting requests, in
         seconds; the event loop does nothing else meanwhile.
+    :ivar processor_seconds: processor time by activity, in seconds.
     """
 
     def __init__(self) -> None:
@@ -135,6 +136,12 @@
             buckets=LAG_BUCKETS_SECONDS,
             registry=self._registry,
         )
+        self.processor_seconds = Counter(
+            "sycamorehaven_processor_seconds",
+            "Processor seconds by activity.",
+            ("activity",),
+            registry=self._registry,
+        )
 
     def render(self) -> bytes:
         """Return the metrics in the text format of Prometheus."""
--- a/src/sycamorehaven/transport/frontend_listener.py
+++ b/src/sycamorehaven/transport/frontend_listener.py
@@ -215,8 +215,11 @@
             routed = await self._read_request(request, head, received_at)
             answer = await self._handler.answer(routed)
         except Refusal as refusal:
-            self._record_end(request_id, routed, received_at, refusal.status, refusal)
-            return build_refusal_response(refusal, request_id)
+            with self._board.workload.measure("rejection"):
+                self._record_end(
+                    request_id, routed, received_at, refusal.status, refusal
+                )
+                return build_refusal_response(refusal, request_id)
         except asyncio.CancelledError:
             self._record_client_gone(request_id, received_at)
             raise
@@ -247,6 +250,7 @@
         if route is None:
             raise UnknownPath("no route matches the host and path of the request")
         workspace = find_workspace(configuration, route, head)
+        self._board.workload.count_arrival(workspace)
         if not self._has_time(workspace, received_at):
             raise RouterBusy(
                 "the router has more requests than it has time to relay",
@@ -301,6 +305,7 @@
         )
         if not is_admitted:
             event_loop.count_rejection()
+            self._board.workload.count_rejection(workspace, RouterBusy.code)
         if self._rotation.record(received_at, accepted=is_admitted):
             self._decision_log.record(
                 "rotation_left",
@@ -334,6 +339,7 @@
             await response.prepare(request)
             async for chunk in answer.chunks:
                 await response.write(chunk)
+                self._board.workload.count_relayed()
             await response.write_eof()
             self._durations.record(routed.route.name, self._clock() - received_at)
         except SycamorehavenError as error:
--- /dev/null
+++ b/tests/controllers/test_workload.py
@@ -0,0 +1,84 @@
+"""Reports of what a router did, and for whom."""
+
+from __future__ import annotations
+
+import json
+import os
+from typing import TYPE_CHECKING, Any
+
+from sycamorehaven.controllers.workload import (
+    MAX_REPORTED_WORKSPACES,
+    WorkloadMonitor,
+)
+from sycamorehaven.telemetry.decision_log import DecisionLog
+from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
+from tests.support.doubles import ManualClock, create_board
+
+if TYPE_CHECKING:
+    from sycamorehaven.blackboard.board import Blackboard
+
+
+def read_reports(
+    board: Blackboard, clock: ManualClock, metrics: GatewayMetrics, count: int = 1
+) -> list[dict[str, Any]]:
+    """Return the lines of some reports one second apart."""
+    reader, writer = os.pipe()
+    processor_clock = ManualClock()
+    log = DecisionLog("a1", writer, clock)
+    monitor = WorkloadMonitor(
+        board, log, metrics, clock=clock, processor_clock=processor_clock
+    )
+    for _ in range(count):
+        clock.advance(1.0)
+        processor_clock.advance(0.3)
+        monitor.report()
+    os.close(writer)
+    with os.fdopen(reader) as lines:
+        return [json.loads(line) for line in lines]
+
+
+def test_report_tells_rejections_for_lack_of_time_from_those_for_overload(
+    clock: ManualClock,
+) -> None:
+    board, metrics = create_board(), GatewayMetrics()
+    for _ in range(5):
+        board.workload.count_arrival("w1")
+    board.workload.count_rejection("w1", "router_busy")
+    board.workload.count_rejection("w1", "overload")
+    board.workload.count_attempt("w1")
+    board.workload.count_begin("w1", 700)
+    board.fleet_load.add_usage("w1", 2_000, 1_000, clock())
+    (line,) = read_reports(board, clock, metrics)
+    assert line["event"] == "workload"
+    counts = line["workspaces"]["w1"]
+    assert counts["arrived"] == 5
+    assert counts["rejected"] == {"router_busy": 1, "overload": 1}
+    assert (counts["tried"], counts["began"], counts["began_tokens"]) == (1, 1, 700)
+    assert counts["entitled_ratio"] == 0.55
+    assert line["received_by_all"] == 1_000
+
+
+def test_processor_time_that_no_activity_took_is_the_rest(clock: ManualClock) -> None:
+    board, metrics = create_board(), GatewayMetrics()
+    board.workload.count_arrival("w1")
+    with board.workload.measure("news"):
+        pass
+    (line,) = read_reports(board, clock, metrics)
+    assert abs(sum(line["processor"].values()) - 0.3) < 1e-3
+    assert b'processor_seconds_total{activity="rest"}' in metrics.render()
+
+
+def test_report_names_only_the_busiest_workspaces(clock: ManualClock) -> None:
+    board = create_board()
+    for number in range(2 * MAX_REPORTED_WORKSPACES):
+        for _ in range(number + 1):
+            board.workload.count_arrival(f"w{number}")
+    (line,) = read_reports(board, clock, GatewayMetrics())
+    assert len(line["workspaces"]) == MAX_REPORTED_WORKSPACES
+    assert f"w{2 * MAX_REPORTED_WORKSPACES - 1}" in line["workspaces"]
+
+
+def test_seconds_without_requests_are_not_reported(clock: ManualClock) -> None:
+    board = create_board()
+    board.workload.count_arrival("w1")
+    assert len(read_reports(board, clock, GatewayMetrics(), count=3)) == 1
