Reproduce the starved workspace with the processor of a small host

The simulation gave each router unlimited processor time, so it could not fail for this cause. A router now has a fraction of a core, its requests, events, rejections and looks at waiting requests take the measured time, it rejects and limits itself as a real one does, and a rejected client comes back to it. One workspace enters at one of 65 such hosts; the rate of another one rises at all others.

--- a/tests/controllers/test_sharing.py
+++ b/tests/controllers/test_sharing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from sycamorehaven.decisions.usage_window import YIELD_MARGIN_RATIO
-from tests.support.sharing_simulation import Flood, SharingSimulation
+from tests.support.sharing_simulation import Flood, RouterCosts, SharingSimulation
 
 ROUTERS = 65
 """Number of routers of a large fleet."""
@@ -113,3 +113,28 @@
     ratios = [simulation.get_served_ratio(name) for name in workspaces]
     print(ratios, simulation.get_served_ratio("flood"))
     assert min(ratios) >= 1.0 - YIELD_MARGIN_RATIO
+
+
+MEASURED_COSTS = RouterCosts(
+    request=1.6e-3, event=3 * 127e-6, rejection=0.45e-3, decision=0.1e-3
+)
+"""Costs that ``benchmarks.gateway`` and ``benchmarks.routed_cost`` print; an
+event of the simulation stands for three."""
+SMALLEST_QUOTA = 0.387
+"""Fraction of a core that the smallest host has."""
+
+
+# One small host gets all requests of a workspace while another one's rise.
+async def test_flood_that_rises_at_all_routers_starves_the_flood_of_one() -> None:
+    others = tuple(range(1, ROUTERS))
+    floods = (
+        Flood("at-one", 260.0, (0,)),
+        Flood("rising", 700.0, others, rate_before=120.0, rises_at=4.0),
+        *(Flood(name, 15.0, others) for name in "abcdefgh"),
+    )
+    simulation = SharingSimulation(ROUTERS, 20, 16, MEASURED_COSTS, SMALLEST_QUOTA)
+    await simulation.run(floods, 11.0)
+    ratios = simulation.list_fair_ratios("at-one", "rising")
+    print([round(ratio, 2) for ratio in ratios])
+    print(simulation.list_received("at-one"), simulation.list_received("rising"))
+    assert min(ratios) >= 0.5
