Relay events without nested generators and a timer for each chunk

An event passed five nested async generators, got a timeout of its own, and aiohttp parsed nothing once more after each chunk to resume reading that was not paused.

A run now returns its next events from one coroutine, a body has one timer that is moved only when it expires, a chunk that ends an event is passed on without being copied, and reading is resumed only if it was paused. Limits of time, bounds of bytes, resumed streams and the checks of the end stay.

--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -8,6 +8,7 @@
 
 from sycamorehaven.call import Answer
 from sycamorehaven.controllers.crash_guard import CrashGuard
+from sycamorehaven.controllers.event_relay import EventRelay
 from sycamorehaven.controllers.reservations import UNREACHED_FAILURES
 from sycamorehaven.controllers.routed_body import RoutedBody, yield_body
 from sycamorehaven.controllers.routed_refusals import (
@@ -36,9 +37,10 @@
     Refusal,
 )
 from sycamorehaven.routing.requests import SendPlan
+from sycamorehaven.transport.responses import BodyDeadlinePassed
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator, AsyncIterator
+    from collections.abc import AsyncGenerator
 
     from sycamorehaven.controllers.forwarding import ForwardingController
     from sycamorehaven.controllers.reservations import ServerReservation
@@ -86,6 +88,7 @@
         self._error_answer: Answer | None = None
         self._is_sending = False
         self._is_streaming = False
+        self._has_ended = False
         self._last_event_at = 0.0
         self._has_begun = False
         self._sent_at = 0.0
@@ -199,7 +202,10 @@
                 self._record_answer(failed=False)
                 rest = yield_body(self._splitter.flush())
                 return self._create_stream_answer(answer, rest)
-            return self._create_stream_answer(answer, self._relay_events(first_events))
+            self._is_streaming = True
+            self._limit_reads(answer)
+            chunks = EventRelay(self, first_events)
+            return Answer(answer.status, answer.headers, chunks)
 
     async def _restrict_to_origin(self) -> None:
         """
@@ -248,37 +254,38 @@
         :param beginning: what has been read of the body.
         :raises BackendError: if the body breaks off.
         """
+        assert self._answer is not None
+        self._set_body_deadline(self._answer)
         if beginning:
             yield beginning
-        async for chunk in self._read_until_deadline():
+        while chunk := await self._read_chunk():
             yield chunk
 
-    async def _relay_events(self, first_events: bytes) -> AsyncGenerator[bytes, None]:
+    async def read_events(self) -> bytes:
         """
-        Yield complete events.
+        Return the next complete events, nothing at the end of the stream.
 
         A broken stream is resumed on another server if the route allows it.
+
+        :raises Refusal: if the stream breaks off and can't be resumed.
         """
-        yield first_events
-        while True:
-            assert self._answer is not None
-            if self._is_last_attempt():
-                self._answer.body.set_chunk_timeout(UNLIMITED_SECONDS)
+        while not self._has_ended:
             try:
-                async for chunk in self._read_until_deadline():
+                chunk = await self._read_chunk()
+                if chunk:
                     if events := self._split_events(chunk):
-                        yield self._record_events(events)
-                    else:
-                        self._check_event_progress()
+                        return self._record_events(events)
+                    self._check_event_progress()
+                    continue
                 self._check_stream_end()
             except BackendError as error:
-                await self._resume_stream(error)
+                self._limit_reads(await self._resume_stream(error))
                 continue
-            break
-        if rest := self._splitter.flush():
-            yield rest
-        self._record_answer(failed=False)
-        self._controller.stream_origins.record_end(self._request)
+            self._has_ended = True
+            self._record_answer(failed=False)
+            self._controller.stream_origins.record_end(self._request)
+            return self._splitter.flush()
+        return b""
 
     def _split_events(self, chunk: bytes) -> bytes:
         """
@@ -330,38 +337,33 @@
         )
         check_stream_end(self._splitter, framing)
 
-    async def _read_until_deadline(self) -> AsyncGenerator[bytes, None]:
-        """Yield the chunks of the current answer until the deadline."""
-        assert self._answer is not None
-        chunks = self._answer.body.read_chunks()
-        while True:
-            try:
-                chunk = await self._read_chunk(chunks)
-            except TimeoutError:
-                raise BackendTimeout(
-                    "the stream did not end before the deadline", was_run="yes"
-                ) from None
-            if not chunk:
-                return
-            yield chunk
+    def _limit_reads(self, answer: RoutedBackendResponse) -> None:
+        """Set the time limits of a stream that has begun."""
+        self._set_body_deadline(answer)
+        if self._is_last_attempt():
+            answer.body.set_chunk_timeout(UNLIMITED_SECONDS)
 
-    async def _read_chunk(self, chunks: AsyncIterator[bytes]) -> bytes:
+    def _set_body_deadline(self, answer: RoutedBackendResponse) -> None:
+        remaining = self._request.deadline - self._context.clock()
+        answer.body.set_deadline(asyncio.get_running_loop().time() + remaining)
+
+    async def _read_chunk(self) -> bytes:
         """
         Return the next chunk, or nothing at the end of the body.
 
-        :raises TimeoutError: if it does not arrive before the deadline.
+        :raises BackendTimeout: if it does not arrive before the deadline.
         """
         assert self._answer is not None
-        remaining = self._request.deadline - self._context.clock()
-        if remaining > self._answer.body.chunk_timeout:
-            # The read ends before the deadline, so it needs no second timer.
-            return await anext(chunks, b"")
-        async with asyncio.timeout(remaining):
-            return await anext(chunks, b"")
+        try:
+            return await self._answer.body.read_chunk()
+        except BodyDeadlinePassed:
+            raise BackendTimeout(
+                "the stream did not end before the deadline", was_run="yes"
+            ) from None
 
-    async def _resume_stream(self, error: BackendError) -> None:
+    async def _resume_stream(self, error: BackendError) -> RoutedBackendResponse:
         """
-        Continue a broken stream on another server.
+        Continue a broken stream on another server, and return its answer.
 
         :raises Refusal: if the stream cannot be continued.
         """
@@ -390,7 +392,7 @@
                     version=server.software_version if server else "",
                     event_id=self._last_event_id,
                 )
-                return
+                return answer
             error = AnswerInvalid(
                 f"the server answered the resume request with status {answer.status}",
                 was_sent=True,
--- a/src/sycamorehaven/decisions/event_stream.py
+++ b/src/sycamorehaven/decisions/event_stream.py
@@ -23,6 +23,11 @@
     event_count: int
 
 
+def ends_event(chunk: bytes) -> bool:
+    """Return whether an event ends with a chunk."""
+    return chunk.endswith(b"\n\n") and chunk[-3:-2] not in (b"", b"\n")
+
+
 class EventSplitter:
     """
     Buffers each event until it is complete.
@@ -66,6 +71,8 @@
 
     def feed(self, chunk: bytes) -> EventBatch:
         """Add received bytes and return the events that are now complete."""
+        if not self._partial and not self._has_passed_part and ends_event(chunk):
+            return self._pass_whole_events(chunk)
         # The end of an event may have begun in the last chunk.
         searched = max(len(self._partial) - 2, 0)
         self._partial += chunk
@@ -85,6 +92,13 @@
         self._delivered_events += event_count
         return EventBatch(self._take(end), event_count)
 
+    def _pass_whole_events(self, chunk: bytes) -> EventBatch:
+        """Return a chunk that ends an event, without buffering it."""
+        event_count = len(EVENT_END.findall(chunk))
+        self._has_events = True
+        self._delivered_events += event_count
+        return EventBatch(chunk, event_count)
+
     def flush(self) -> bytes:
         """Return the buffered bytes after the stream has ended normally."""
         return self._take(len(self._partial))
--- a/src/sycamorehaven/transport/metered_protocol.py
+++ b/src/sycamorehaven/transport/metered_protocol.py
@@ -66,6 +66,11 @@
         self._measured_body = None
         super().set_response_params(**parameters)
 
+    def resume_reading(self, resume_parser: bool = True) -> None:  # noqa: FBT001, FBT002
+        """Go on reading, if it was paused; aiohttp asks after each chunk."""
+        if self._reading_paused:
+            super().resume_reading(resume_parser)
+
     def feed_data(
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
     ) -> None:
--- a/src/sycamorehaven/transport/responses.py
+++ b/src/sycamorehaven/transport/responses.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import math
 from typing import TYPE_CHECKING, Literal, Protocol
 
 import aiohttp
@@ -19,7 +20,7 @@
 from sycamorehaven.transport.headers import filter_response_headers
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable, Callable
+    from collections.abc import AsyncIterator, Callable
 
     from sycamorehaven.transport.headers import Headers
 
@@ -32,6 +33,10 @@
 """Exceptions that aiohttp raises when a connection breaks."""
 
 
+class BodyDeadlinePassed(TimeoutError):
+    """A body did not end before its deadline."""
+
+
 BodyFraming = Literal["length", "chunks", "connection"]
 """What marks the end of a body (RFC 9112 section 6.3): the length in the head,
 the last chunk, or the end of the connection."""
@@ -95,7 +100,11 @@
         self._on_close = on_close
         connection = response.connection
         self._protocol = connection.protocol if connection is not None else None
-        self._read_timeout: asyncio.Timeout | None = None
+        self._loop = asyncio.get_running_loop()
+        self._deadline = math.inf
+        self._waiting_since: float | None = None
+        self._bytes_before_wait = 0
+        self._timer: asyncio.TimerHandle | None = None
         self._interrupted = False
         self._closed = False
 
@@ -127,53 +136,100 @@
         """Replace the longest time between two chunks of the body."""
         self._chunk_timeout = seconds
 
+    def set_deadline(self, deadline: float) -> None:
+        """
+        Limit the time until the end of the body.
+
+        :param deadline: time of the event loop, in seconds.
+        """
+        self._deadline = deadline
+
     async def read_chunks(self) -> AsyncIterator[bytes]:
         """
         Yield the chunks of the body as they arrive.
 
         :raises BackendError: if the body breaks off.
         """
-        read = self._response.content.readany
-        while chunk := await self._read(read):
+        while chunk := await self.read_chunk():
             yield chunk
 
-    def interrupt(self) -> None:
-        """Make ``read_chunks`` raise ``RunPreempted``."""
-        self._interrupted = True
-        if self._read_timeout is not None:
-            self._read_timeout.reschedule(asyncio.get_running_loop().time())
-
-    def close(self) -> None:
-        """Return the connection to its pool, or close it mid-body."""
-        if self._closed:
-            return
-        self._closed = True
-        self._response.close()
-        self._on_close()
+    async def read_chunk(self) -> bytes:
+        """
+        Return all bytes of the body that have arrived, nothing at its end.
 
-    async def _read(self, read: Callable[[], Awaitable[bytes]]) -> bytes:
+        :raises BackendError: if the body breaks off.
+        :raises BodyDeadlinePassed: if it does not end before the deadline.
+        """
         if self._interrupted:
             raise RunPreempted
         try:
-            async with asyncio.timeout(self._chunk_timeout) as self._read_timeout:
-                chunk = await read()
+            self._start_waiting()
+            chunk = await self._response.content.readany()
             if not chunk:
                 self._check_body_end()
             return chunk
-        except TimeoutError as error:
-            if self._interrupted:
-                raise RunPreempted from error
+        except ServerSilent:
             self._on_connection_lost()
-            raise ServerSilent(
-                "no chunk of the response within the time limit", was_sent=True
-            ) from error
+            raise
+        except BodyDeadlinePassed:
+            raise
         except CONNECTION_ERRORS as error:
             self._on_connection_lost()
             raise ServerLost(repr(error), was_sent=True) from error
         except aiohttp.ClientError as error:
             raise AnswerInvalid(repr(error), was_sent=True) from error
         finally:
-            self._read_timeout = None
+            self._waiting_since = None
+
+    def interrupt(self) -> None:
+        """Make ``read_chunks`` raise ``RunPreempted``."""
+        self._interrupted = True
+        if self._waiting_since is not None:
+            self._response.content.set_exception(RunPreempted())
+
+    def close(self) -> None:
+        """Return the connection to its pool, or close it mid-body."""
+        if self._closed:
+            return
+        self._closed = True
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._response.close()
+        self._on_close()
+
+    def _start_waiting(self) -> None:
+        self._waiting_since = self._loop.time()
+        if self._waiting_since >= self._deadline:
+            raise BodyDeadlinePassed
+        self._bytes_before_wait = self._response.content.total_bytes
+        if self._timer is None:
+            self._set_timer(self._waiting_since)
+
+    def _set_timer(self, waiting_since: float) -> None:
+        # One timer serves all reads. It is moved only when it expires.
+        expires_at = min(waiting_since + self._chunk_timeout, self._deadline)
+        self._timer = self._loop.call_at(expires_at, self._handle_timer)
+
+    def _handle_timer(self) -> None:
+        """End a read that has taken too long."""
+        self._timer = None
+        if self._waiting_since is None:
+            return
+        content, now = self._response.content, self._loop.time()
+        has_arrived = content.total_bytes != self._bytes_before_wait
+        is_late = now >= self._deadline
+        is_silent = now >= self._waiting_since + self._chunk_timeout
+        if is_late:
+            content.set_exception(BodyDeadlinePassed())
+        elif has_arrived or content.is_eof() or not is_silent:
+            self._set_timer(now if has_arrived else self._waiting_since)
+        else:
+            content.set_exception(
+                ServerSilent(
+                    "no chunk of the response within the time limit", was_sent=True
+                )
+            )
 
     def _check_body_end(self) -> None:
         """
