Reject requests that there is no time for before they are parsed

Each rejection went through the HTTP server, a task and a response object.

A router that is late, or has as many requests in progress as it can relay, now reads a request that arrived whole by its head alone and writes the same response. Everything unusual is left to the HTTP server: other framing, a head or body in pieces, pipelined requests, unknown keys and paths. The decisions on time move from the listener to a class of their own.

--- a/src/sycamorehaven/decisions/arrivals.py
+++ b/src/sycamorehaven/decisions/arrivals.py
@@ -40,8 +40,26 @@
         :param now: time of its arrival, in monotonic seconds.
         :param has_room: whether the router can relay one request more.
         """
-        has_time = has_room and lag < MAX_LAG_SECONDS
-        if not has_time and self._window.demands_even_part(workspace, now):
+        if not self.has_time(lag, has_room=has_room) and self.takes_even_part(
+            workspace, now
+        ):
             return False
         self._window.add(workspace, 1.0, 0.0, now)
         return True
+
+    def has_time(self, lag: float, *, has_room: bool) -> bool:
+        """
+        Return whether the router has time for the requests of all workspaces.
+
+        :param lag: how late the event loop is, in seconds.
+        :param has_room: whether the router can relay one request more.
+        """
+        return has_room and lag < MAX_LAG_SECONDS
+
+    def takes_even_part(self, workspace: str, now: float) -> bool:
+        """
+        Return whether a workspace had at least an even part accepted.
+
+        :param now: monotonic seconds.
+        """
+        return self._window.demands_even_part(workspace, now)
--- a/src/sycamorehaven/transport/frontend_listener.py
+++ b/src/sycamorehaven/transport/frontend_listener.py
@@ -13,21 +13,15 @@
 from aiohttp import web
 from mode import Service
 
-from sycamorehaven.decisions.arrivals import ArrivalControl
 from sycamorehaven.decisions.drain_admission import AnswerDurations, can_end_in_time
-from sycamorehaven.decisions.load_shedding import choose_busy_retry_after
-from sycamorehaven.decisions.rotation import RotationControl
 from sycamorehaven.exceptions.base import SycamorehavenError
 from sycamorehaven.exceptions.refusals import (
     BodyTooLarge,
     Draining,
     HeadersTooLarge,
     InternalError,
-    InvalidWorkspaceKey,
     NotReady,
     Refusal,
-    RouterBusy,
-    UnknownPath,
 )
 from sycamorehaven.routing.requests import RoutedRequest
 from sycamorehaven.routing.table import choose_service
@@ -43,7 +37,9 @@
 from sycamorehaven.transport.problem_details import (
     PROTOCOL_OPTIONS,
     build_problem_response,
+    build_refusal_response,
 )
+from sycamorehaven.transport.time_gate import TimeGate, identify_request
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -52,7 +48,7 @@
 
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.call import Answer
-    from sycamorehaven.routing.model import Route, RoutingConfiguration
+    from sycamorehaven.routing.model import Route
     from sycamorehaven.routing.requests import HeaderCodec, RequestHead
     from sycamorehaven.settings import RouterSettings
     from sycamorehaven.telemetry.decision_log import DecisionLog
@@ -117,9 +113,10 @@
         self._metrics = metrics
         self._clock = clock
         self._random = random.Random(board.identity.incarnation)
-        self._arrivals = ArrivalControl()
         self._durations = AnswerDurations()
-        self._rotation = RotationControl()
+        self._gate = TimeGate(
+            board, header_codec, decision_log, self._record_refusal, clock
+        )
         self._server = web.Server(self._serve, handler_cancellation=True)
         self._listener: asyncio.Server | None = None
         self._idle_connections: OrderedDict[FrontendProtocol, None] = OrderedDict()
@@ -158,6 +155,7 @@
         protocol = FrontendProtocol(
             self._idle_connections,
             self._limit_connections,
+            self._gate.reject_early,
             self._server,
             loop=loop,
             **PROTOCOL_OPTIONS,
@@ -244,18 +242,10 @@
                 f"the headers exceed the limit of {limits.max_header_bytes} bytes"
             )
         target = request.raw_path
-        route = self._board.routing.route_table.find_route(
-            request.headers.get("Host", ""), target.partition("?")[0]
+        route, workspace = identify_request(
+            self._board.routing, request.headers.get("Host", ""), target, head
         )
-        if route is None:
-            raise UnknownPath("no route matches the host and path of the request")
-        workspace = find_workspace(configuration, route, head)
-        self._board.workload.count_arrival(workspace)
-        if not self._has_time(workspace, received_at):
-            raise RouterBusy(
-                "the router has more requests than it has time to relay",
-                retry_after=choose_busy_retry_after(head.client_timeout),
-            )
+        self._gate.check_time(workspace, head, received_at)
         body = await _read_body(request, limits.max_body_bytes)
         timeout = (
             head.client_timeout if head.client_timeout is not None else route.timeout
@@ -293,31 +283,9 @@
                 retry_after=DRAINING_RETRY_SECONDS,
             )
 
-    def _has_time(self, workspace: str, received_at: float) -> bool:
-        """Count a request and return whether the router has time for it."""
-        event_loop = self._board.event_loop
-        # The request itself is in progress already.
-        has_room = (
-            self._board.lifecycle.requests_in_progress <= event_loop.request_limit
-        )
-        is_admitted = self._arrivals.admit(
-            workspace, event_loop.lag, received_at, has_room=has_room
-        )
-        if not is_admitted:
-            event_loop.count_rejection()
-            self._board.workload.count_rejection(workspace, RouterBusy.code)
-        if self._rotation.record(received_at, accepted=is_admitted):
-            self._decision_log.record(
-                "rotation_left",
-                requests_in_progress=self._board.lifecycle.requests_in_progress,
-                request_limit=round(event_loop.request_limit, 1),
-                lag=round(event_loop.lag, 3),
-            )
-        return is_admitted
-
     def is_short_of_time(self) -> bool:
         """Return whether new connections should go to other routers."""
-        return self._rotation.is_absent(self._clock())
+        return self._gate.is_short_of_time()
 
     async def _stream(
         self,
@@ -372,6 +340,11 @@
             after=round(self._clock() - received_at, 3),
         )
 
+    def _record_refusal(
+        self, request_id: str, received_at: float, refusal: Refusal
+    ) -> None:
+        self._record_end(request_id, None, received_at, refusal.status, refusal)
+
     def _record_end(
         self,
         request_id: str,
@@ -403,14 +376,6 @@
         )
 
 
-def build_refusal_response(refusal: Refusal, request_id: str) -> web.Response:
-    """Return a problem response whose ``Retry-After`` has fractions."""
-    response = build_problem_response(refusal, request_id)
-    if refusal.retry_after is not None:
-        response.headers["Retry-After"] = f"{refusal.retry_after:.3f}"
-    return response
-
-
 def choose_max_connections(descriptors: int | None) -> int:
     """
     Return how many connections of clients may be open at a time.
@@ -423,22 +388,6 @@
     return max(int(descriptors * CLIENT_DESCRIPTORS_RATIO), 1)
 
 
-def find_workspace(
-    configuration: RoutingConfiguration, route: Route, head: RequestHead
-) -> str:
-    """
-    Return the workspace whose key a request carries, "" on a public route.
-
-    :raises InvalidWorkspaceKey: if the key belongs to no workspace.
-    """
-    if route.public or configuration.workspaces_by_key is None:
-        return ""
-    workspace = configuration.workspaces_by_key.get(head.client_key)
-    if workspace is None:
-        raise InvalidWorkspaceKey("the key belongs to no workspace")
-    return workspace
-
-
 async def _read_body(request: BaseRequest, limit: int) -> bytes:
     body = bytearray()
     async for chunk in request.content.iter_any():
--- a/src/sycamorehaven/transport/problem_details.py
+++ b/src/sycamorehaven/transport/problem_details.py
@@ -68,6 +68,25 @@
     )
 
 
+def build_refusal_response(refusal: Refusal, request_id: str) -> web.Response:
+    """Return a problem response whose ``Retry-After`` has fractions."""
+    response = build_problem_response(refusal, request_id)
+    if refusal.retry_after is not None:
+        response.headers["Retry-After"] = f"{refusal.retry_after:.3f}"
+    return response
+
+
+def render_response(response: web.Response) -> bytes:
+    """Return a response with a body in memory as the bytes to send."""
+    body = response.body
+    assert isinstance(body, bytes)
+    lines = [f"HTTP/1.1 {response.status} {response.reason}"]
+    lines += [f"{name}: {value}" for name, value in response.headers.items()]
+    if "Content-Length" not in response.headers:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
 @web.middleware
 async def problem_middleware(
     request: web.Request,
--- /dev/null
+++ b/src/sycamorehaven/transport/time_gate.py
@@ -0,0 +1,182 @@
+"""
+Rejection of requests that a router has no time for.
+
+A router that is short of time gets more requests than it can relay. To read
+one through the HTTP server and reject it takes a third of the time of serving
+it, and the clients come back to the same router. So a request that arrived
+whole is rejected by its head alone, before the HTTP server sees it.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from sycamorehaven.decisions.arrivals import ArrivalControl
+from sycamorehaven.decisions.load_shedding import choose_busy_retry_after
+from sycamorehaven.decisions.rotation import RotationControl
+from sycamorehaven.exceptions.refusals import (
+    InvalidWorkspaceKey,
+    Refusal,
+    RouterBusy,
+    UnknownPath,
+)
+from sycamorehaven.transport.problem_details import (
+    build_refusal_response,
+    render_response,
+)
+from sycamorehaven.transport.request_framing import parse_whole_request
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.blackboard.routing import RoutingSection
+    from sycamorehaven.routing.model import Route, RoutingConfiguration
+    from sycamorehaven.routing.requests import HeaderCodec, RequestHead
+    from sycamorehaven.telemetry.decision_log import DecisionLog
+
+
+class TimeGate:
+    """
+    Rejects requests of the workspaces that take most of a router's time.
+
+    :param board: shared state of this router.
+    :param header_codec: reads the platform's request headers.
+    :param decision_log: records when the router leaves the rotation.
+    :param record_refusal: called with the id of a request that is rejected
+        early, when it was received and the refusal.
+    :param clock: returns monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        header_codec: HeaderCodec,
+        decision_log: DecisionLog,
+        record_refusal: Callable[[str, float, Refusal], None],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._board = board
+        self._header_codec = header_codec
+        self._decision_log = decision_log
+        self._record_refusal = record_refusal
+        self._clock = clock
+        self._arrivals = ArrivalControl()
+        self._rotation = RotationControl()
+
+    def is_short_of_time(self) -> bool:
+        """Return whether new connections should go to other routers."""
+        return self._rotation.is_absent(self._clock())
+
+    def check_time(self, workspace: str, head: RequestHead, received_at: float) -> None:
+        """
+        Count a request in progress, and check that there is time for it.
+
+        :raises RouterBusy: if there is none.
+        """
+        self._board.workload.count_arrival(workspace)
+        event_loop = self._board.event_loop
+        in_progress = self._board.lifecycle.requests_in_progress
+        is_admitted = self._arrivals.admit(
+            workspace,
+            event_loop.lag,
+            received_at,
+            has_room=in_progress <= event_loop.request_limit,
+        )
+        self._count(workspace, received_at, is_admitted=is_admitted)
+        if not is_admitted:
+            raise create_busy_refusal(head)
+
+    def reject_early(self, data: bytes) -> bytes | None:
+        """
+        Return the response to a request that the router has no time for.
+
+        :param data: what a client without a request in progress has sent.
+        :returns: ``None`` if the request has to be read as usual.
+        """
+        event_loop, lifecycle = self._board.event_loop, self._board.lifecycle
+        # The request would be one more in progress.
+        has_room = lifecycle.requests_in_progress < event_loop.request_limit
+        if (
+            self._arrivals.has_time(event_loop.lag, has_room=has_room)
+            or lifecycle.is_draining
+            or not self._board.routing.is_ready
+        ):
+            return None
+        with self._board.workload.measure("rejection"):
+            return self._reject_whole_request(data)
+
+    def _reject_whole_request(self, data: bytes) -> bytes | None:
+        request = parse_whole_request(data)
+        if request is None:
+            return None
+        received_at = self._clock()
+        try:
+            head = self._header_codec.parse_request_headers(request.headers)
+            _, workspace = identify_request(
+                self._board.routing, request.host, request.target, head
+            )
+        except Refusal:
+            return None
+        if not self._arrivals.takes_even_part(workspace, received_at):
+            return None
+        self._board.workload.count_arrival(workspace)
+        self._count(workspace, received_at, is_admitted=False)
+        refusal = create_busy_refusal(head)
+        self._record_refusal(head.attempt_id, received_at, refusal)
+        return render_response(build_refusal_response(refusal, head.attempt_id))
+
+    def _count(self, workspace: str, received_at: float, *, is_admitted: bool) -> None:
+        event_loop = self._board.event_loop
+        if not is_admitted:
+            event_loop.count_rejection()
+            self._board.workload.count_rejection(workspace, RouterBusy.code)
+        if self._rotation.record(received_at, accepted=is_admitted):
+            self._decision_log.record(
+                "rotation_left",
+                requests_in_progress=self._board.lifecycle.requests_in_progress,
+                request_limit=round(event_loop.request_limit, 1),
+                lag=round(event_loop.lag, 3),
+            )
+
+
+def create_busy_refusal(head: RequestHead) -> RouterBusy:
+    """Return the refusal of a request that the router has no time for."""
+    return RouterBusy(
+        "the router has more requests than it has time to relay",
+        retry_after=choose_busy_retry_after(head.client_timeout),
+    )
+
+
+def identify_request(
+    routing: RoutingSection, host: str, target: str, head: RequestHead
+) -> tuple[Route, str]:
+    """
+    Return the route of a request and its workspace, "" on a public route.
+
+    :param host: the host that the client named.
+    :param target: path and query.
+    :raises UnknownPath: if it has no route.
+    :raises InvalidWorkspaceKey: if its key belongs to no workspace.
+    """
+    route = routing.route_table.find_route(host, target.partition("?")[0])
+    if route is None or routing.configuration is None:
+        raise UnknownPath("no route matches the host and path of the request")
+    return route, find_workspace(routing.configuration, route, head)
+
+
+def find_workspace(
+    configuration: RoutingConfiguration, route: Route, head: RequestHead
+) -> str:
+    """
+    Return the workspace whose key a request carries, "" on a public route.
+
+    :raises InvalidWorkspaceKey: if the key belongs to no workspace.
+    """
+    if route.public or configuration.workspaces_by_key is None:
+        return ""
+    workspace = configuration.workspaces_by_key.get(head.client_key)
+    if workspace is None:
+        raise InvalidWorkspaceKey("the key belongs to no workspace")
+    return workspace
