--- a/src/sycamorehaven/platform/header_codec.py
+++ b/src/sycamorehaven/platform/header_codec.py
@@ -11,6 +11,7 @@
 from sycamorehaven.routing.requests import (
     PromptPart,
     RequestHead,
+    RequestIdentity,
     ResponseHead,
     ServerStatement,
 )
@@ -86,6 +87,11 @@
 """Headers of a client that are never forwarded as the client sent them."""
 
 
+_ATTEMPT_ID_NAME = ATTEMPT_ID_HEADER.lower()
+_DEADLINE_NAME = DEADLINE_HEADER.lower()
+_KEY_NAME = KEY_HEADER.lower()
+
+
 class PlatformHeaderCodec:
     """Parses and builds the platform's headers."""
 
@@ -113,6 +119,19 @@
         except ValueError as error:
             raise BadRequest(f"a header of the request is malformed: {error}") from None
 
+    def parse_identity(self, headers: Iterable[tuple[str, str]]) -> RequestIdentity:
+        """Return whose request it is from the headers of the request."""
+        values = {name.lower(): value for name, value in headers}
+        deadline = values.get(_DEADLINE_NAME)
+        try:
+            return RequestIdentity(
+                attempt_id=values.get(_ATTEMPT_ID_NAME, ""),
+                client_timeout=float(deadline) / 1_000 if deadline else None,
+                client_key=values.get(_KEY_NAME, ""),
+            )
+        except ValueError as error:
+            raise BadRequest(f"a header of the request is malformed: {error}") from None
+
     def filter_request_headers(self, headers: Iterable[tuple[str, str]]) -> Headers:
         """Return the request headers that may be forwarded to a server."""
         pairs = list(headers)
--- a/src/sycamorehaven/routing/requests.py
+++ b/src/sycamorehaven/routing/requests.py
@@ -53,6 +53,21 @@
     resumed_attempt_id: str = ""
 
 
+class RequestIdentity(NamedTuple):
+    """
+    The part of a request's metadata that tells whose request it is.
+
+    :ivar attempt_id: id that the client gave this attempt, or "".
+    :ivar client_timeout: seconds for which the client waits; ``None`` if the
+        request does not say.
+    :ivar client_key: key that authenticates the client, or "".
+    """
+
+    attempt_id: str
+    client_timeout: float | None
+    client_key: str
+
+
 class RoutedRequest(NamedTuple):
     """
     A completely received request that is ready for a backend server.
@@ -157,6 +172,14 @@
         """
         ...
 
+    def parse_identity(self, headers: Iterable[tuple[str, str]]) -> RequestIdentity:
+        """
+        Return whose request it is, in a fraction of the time of all metadata.
+
+        :raises BadRequest: if a header of these is malformed.
+        """
+        ...
+
     def filter_request_headers(self, headers: Iterable[tuple[str, str]]) -> Headers:
         """Return the request headers that may be forwarded to a server."""
         ...
--- a/src/sycamorehaven/transport/frontend_listener.py
+++ b/src/sycamorehaven/transport/frontend_listener.py
@@ -243,7 +243,10 @@
             )
         target = request.raw_path
         route, workspace = identify_request(
-            self._board.routing, request.headers.get("Host", ""), target, head
+            self._board.routing,
+            request.headers.get("Host", ""),
+            target,
+            head.client_key,
         )
         self._gate.check_time(workspace, head, received_at)
         body = await _read_body(request, limits.max_body_bytes)
--- a/src/sycamorehaven/transport/problem_details.py
+++ b/src/sycamorehaven/transport/problem_details.py
@@ -27,6 +27,8 @@
 
     from aiohttp.web_request import BaseRequest
 
+PROBLEM_CONTENT_TYPE = "application/problem+json"
+"""Media type of problem details."""
 PROTOCOL_OPTIONS: dict[str, Any] = {
     "access_log": None,
     "auto_decompress": False,
@@ -45,6 +47,19 @@
     :param refusal: the reason why the request is not served.
     :param request_id: identifies the request in logs and traces.
     """
+    headers = {"Request-Id": request_id}
+    if refusal.retry_after is not None:
+        headers["Retry-After"] = str(max(math.ceil(refusal.retry_after), 1))
+    return web.Response(
+        status=refusal.status,
+        body=encode_problem(refusal, request_id),
+        headers=headers,
+        content_type=PROBLEM_CONTENT_TYPE,
+    )
+
+
+def encode_problem(refusal: Refusal, request_id: str) -> bytes:
+    """Return the body of the problem response for a refusal."""
     body: dict[str, object] = {
         "type": "about:blank",
         "title": HTTPStatus(refusal.status).phrase,
@@ -56,16 +71,9 @@
         "request_id": request_id,
         **refusal.problem_members,
     }
-    headers = {"Request-Id": request_id}
     if refusal.retry_after is not None:
-        headers["Retry-After"] = str(max(math.ceil(refusal.retry_after), 1))
         body["retry_after"] = round(refusal.retry_after, 3)
-    return web.Response(
-        status=refusal.status,
-        body=msgspec.json.encode(body),
-        headers=headers,
-        content_type="application/problem+json",
-    )
+    return msgspec.json.encode(body)
 
 
 def build_refusal_response(refusal: Refusal, request_id: str) -> web.Response:
@@ -76,15 +84,17 @@
     return response
 
 
-def render_response(response: web.Response) -> bytes:
-    """Return a response with a body in memory as the bytes to send."""
-    body = response.body
-    assert isinstance(body, bytes)
-    lines = [f"HTTP/1.1 {response.status} {response.reason}"]
-    lines += [f"{name}: {value}" for name, value in response.headers.items()]
-    if "Content-Length" not in response.headers:
-        lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join([*lines, "", ""]).encode() + body
+def render_refusal(refusal: Refusal, request_id: str) -> bytes:
+    """Return a problem response with ``Retry-After`` as the bytes to send."""
+    body = encode_problem(refusal, request_id)
+    head = (
+        f"HTTP/1.1 {refusal.status} {HTTPStatus(refusal.status).phrase}\r\n"
+        f"Content-Type: {PROBLEM_CONTENT_TYPE}\r\n"
+        f"Content-Length: {len(body)}\r\n"
+        f"Request-Id: {request_id}\r\n"
+        f"Retry-After: {refusal.retry_after or 0.0:.3f}\r\n\r\n"
+    )
+    return head.encode("latin-1") + body
 
 
 @web.middleware
--- a/src/sycamorehaven/transport/time_gate.py
+++ b/src/sycamorehaven/transport/time_gate.py
@@ -21,10 +21,7 @@
     RouterBusy,
     UnknownPath,
 )
-from sycamorehaven.transport.problem_details import (
-    build_refusal_response,
-    render_response,
-)
+from sycamorehaven.transport.problem_details import render_refusal
 from sycamorehaven.transport.request_framing import parse_whole_request
 
 if TYPE_CHECKING:
@@ -86,7 +83,7 @@
         )
         self._count(workspace, received_at, is_admitted=is_admitted)
         if not is_admitted:
-            raise create_busy_refusal(head)
+            raise create_busy_refusal(head.client_timeout)
 
     def reject_early(self, data: bytes) -> bytes | None:
         """
@@ -113,9 +110,9 @@
             return None
         received_at = self._clock()
         try:
-            head = self._header_codec.parse_request_headers(request.headers)
+            identity = self._header_codec.parse_identity(request.headers)
             _, workspace = identify_request(
-                self._board.routing, request.host, request.target, head
+                self._board.routing, request.host, request.target, identity.client_key
             )
         except Refusal:
             return None
@@ -123,9 +120,9 @@
             return None
         self._board.workload.count_arrival(workspace)
         self._count(workspace, received_at, is_admitted=False)
-        refusal = create_busy_refusal(head)
-        self._record_refusal(head.attempt_id, received_at, refusal)
-        return render_response(build_refusal_response(refusal, head.attempt_id))
+        refusal = create_busy_refusal(identity.client_timeout)
+        self._record_refusal(identity.attempt_id, received_at, refusal)
+        return render_refusal(refusal, identity.attempt_id)
 
     def _count(self, workspace: str, received_at: float, *, is_admitted: bool) -> None:
         event_loop = self._board.event_loop
@@ -141,33 +138,38 @@
             )
 
 
-def create_busy_refusal(head: RequestHead) -> RouterBusy:
-    """Return the refusal of a request that the router has no time for."""
+def create_busy_refusal(client_timeout: float | None) -> RouterBusy:
+    """
+    Return the refusal of a request that the router has no time for.
+
+    :param client_timeout: seconds for which the client waits.
+    """
     return RouterBusy(
         "the router has more requests than it has time to relay",
-        retry_after=choose_busy_retry_after(head.client_timeout),
+        retry_after=choose_busy_retry_after(client_timeout),
     )
 
 
 def identify_request(
-    routing: RoutingSection, host: str, target: str, head: RequestHead
+    routing: RoutingSection, host: str, target: str, client_key: str
 ) -> tuple[Route, str]:
     """
     Return the route of a request and its workspace, "" on a public route.
 
     :param host: the host that the client named.
     :param target: path and query.
+    :param client_key: key that authenticates the client, or "".
     :raises UnknownPath: if it has no route.
     :raises InvalidWorkspaceKey: if its key belongs to no workspace.
     """
     route = routing.route_table.find_route(host, target.partition("?")[0])
     if route is None or routing.configuration is None:
         raise UnknownPath("no route matches the host and path of the request")
-    return route, find_workspace(routing.configuration, route, head)
+    return route, find_workspace(routing.configuration, route, client_key)
 
 
 def find_workspace(
-    configuration: RoutingConfiguration, route: Route, head: RequestHead
+    configuration: RoutingConfiguration, route: Route, client_key: str
 ) -> str:
     """
     Return the workspace whose key a request carries, "" on a public route.
@@ -176,7 +178,7 @@
     """
     if route.public or configuration.workspaces_by_key is None:
         return ""
-    workspace = configuration.workspaces_by_key.get(head.client_key)
+    workspace = configuration.workspaces_by_key.get(client_key)
     if workspace is None:
         raise InvalidWorkspaceKey("the key belongs to no workspace")
     return workspace
