Tell all routers at once of servers whose process has ended

A request has few attempts, so entitled requests failed as well.

Cause: each of 70 routers learned of each crashed engine by its own attempts, and the engine looked idle. A refused connection and a 421 show that the process is gone, whoever sees it. The router that does tells all others, who avoid the server for as long as after a refusal of their own; a new entry ends that. Failures that a cut explains are told to nobody. A 421 counts like a refusal.

An attempt whose answer never began is no longer charged to the workspace: 2,076 silent attempts after second 10 counted as received.

--- a/src/sycamorehaven/controllers/forwarding.py
+++ b/src/sycamorehaven/controllers/forwarding.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from sycamorehaven.controllers.dispatch import Dispatcher
+from sycamorehaven.controllers.gone_servers import GoneServerExchange
 from sycamorehaven.controllers.routed_run import RoutedRun
 from sycamorehaven.controllers.stream_origins import StreamOriginExchange
 from sycamorehaven.controllers.strike_exchange import StrikeExchange
@@ -67,6 +68,9 @@
             board, link, context.decision_log, context.metrics, context.clock
         )
         self._stream_origins = StreamOriginExchange(board, link, context.clock)
+        self._gone_servers = GoneServerExchange(
+            board, link, context.decision_log, context.clock
+        )
         self._event_buffers = EventBuffers()
         self._max_known_routers = 1
 
@@ -85,6 +89,11 @@
         """Strikes against requests that seem to crash servers."""
         return self._strikes
 
+    @property
+    def gone_servers(self) -> GoneServerExchange:
+        """Servers whose process has ended."""
+        return self._gone_servers
+
     @property
     def stream_origins(self) -> StreamOriginExchange:
         """The servers at which streams began."""
--- a/src/sycamorehaven/controllers/reservations.py
+++ b/src/sycamorehaven/controllers/reservations.py
@@ -10,6 +10,7 @@
     ServerLeaving,
     ServerLost,
     ServerOverloaded,
+    ServerReplaced,
     ServerSilent,
     ServerUnwilling,
 )
@@ -95,19 +96,19 @@
         health = self._model.health
         if isinstance(error, ServerOverloaded):
             health.record_overload(now, OVERLOAD_PAUSE_SECONDS)
-        elif isinstance(error, ConnectRefused):
+        elif isinstance(error, (ConnectRefused, ServerReplaced)):
             health.record_refused_connection(now)
         elif isinstance(error, CONNECTION_FAILURES):
             health.record_connection_failure(now)
         else:
             health.record_answer(failed=True)
-        if not error.was_sent:
+        if self._prefill is not None:
             self.refund(now)
         if isinstance(error, ConnectFailed):
             self._return_allowance()
 
     def refund(self, now: float) -> None:
-        """Take back the charge for a request that the server did not run."""
+        """Take back the charge for a request whose answer did not begin."""
         if self._workspace:
             fleet_load = self._board.fleet_load
             fleet_load.add_usage(self._workspace, 0.0, -self._cost, now)
--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -526,6 +526,7 @@
         server, now = self._reservation.server, self._context.clock()
         remaining = self._request.deadline - now
         self._reservation.record_failure(error, now)
+        self._controller.gone_servers.record_failure(server, error)
         if isinstance(error, ServerLost) and error.was_sent:
             self._guard.report_loss(server, has_begun=self._has_begun)
         self.close()
--- a/src/sycamorehaven/exceptions/backends.py
+++ b/src/sycamorehaven/exceptions/backends.py
@@ -61,6 +61,12 @@
     code = "server_leaving"
 
 
+class ServerReplaced(ServerLeaving):
+    """Another process has the address of the backend server."""
+
+    code = "server_replaced"
+
+
 class ServerOverloaded(BackendError):
     """The backend server refused the call because it has no free capacity."""
 
--- a/src/sycamorehaven/transport/messages/kinds.py
+++ b/src/sycamorehaven/transport/messages/kinds.py
@@ -47,6 +47,7 @@
     RelayStatus,
 )
 from sycamorehaven.transport.messages.servers import (
+    GoneServer,
     LoadReply,
     LoadRequest,
     NoticeRequest,
@@ -125,6 +126,7 @@
     TrialReply,
     SoftwareVersionRequest,
     SoftwareVersionReply,
+    GoneServer,
 )
 
 BULK_MESSAGE_KINDS = frozenset(
--- a/src/sycamorehaven/transport/messages/servers.py
+++ b/src/sycamorehaven/transport/messages/servers.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+from sycamorehaven.transport.messages.field_types import ServerName
+
 
 class ServerStateRow(NamedTuple):
     """
@@ -65,3 +67,13 @@
     running: int
     capacity: int
     leaving: bool
+
+
+class GoneServer(NamedTuple):
+    """
+    Tells that the process of a backend server has ended.
+
+    :ivar incarnation_id: identifies the server together with its start.
+    """
+
+    incarnation_id: ServerName
--- a/src/sycamorehaven/transport/routed_backend_client.py
+++ b/src/sycamorehaven/transport/routed_backend_client.py
@@ -14,6 +14,7 @@
     ServerLeaving,
     ServerLost,
     ServerOverloaded,
+    ServerReplaced,
     ServerSilent,
 )
 from sycamorehaven.transport.pool_manager import ConnectionPoolManager
@@ -211,8 +212,8 @@
     Raise if a response must not be passed on to the client.
 
     :raises ServerOverloaded: if the server did not run the request.
-    :raises ServerLeaving: if another server has the address now, or the
-        server closes its connections.
+    :raises ServerReplaced: if another server has the address now.
+    :raises ServerLeaving: if the server closes its connections.
     :raises AnswerInvalid: if the response belongs to another request, reports
         a success without a signature, or has a status from which the client
         would wrongly conclude that the request has not run.
@@ -222,7 +223,9 @@
             f"the response belongs to request {head.attempt_id!r}", was_sent=True
         )
     if not head.was_executed:
-        if status == 421 or head.closes_connection:
+        if status == 421:
+            raise ServerReplaced("another process has the address", was_sent=False)
+        if head.closes_connection:
             raise ServerLeaving(
                 f"the server returned the status {status}", was_sent=False
             )
--- a/tests/controllers/test_reservations.py
+++ b/tests/controllers/test_reservations.py
@@ -7,7 +7,8 @@
 from sycamorehaven.blackboard.members import Member
 from sycamorehaven.controllers.dispatch import Dispatcher, compute_token_cost
 from sycamorehaven.controllers.fleet_state import FleetStateController
-from sycamorehaven.exceptions.backends import ConnectFailed
+from sycamorehaven.controllers.reservations import ServerReservation
+from sycamorehaven.exceptions.backends import ConnectFailed, ServerSilent
 from sycamorehaven.routing.model import (
     EngineCapacity,
     RequestLimits,
@@ -119,3 +120,21 @@
     assert engines.boards["a1"].fleet_load.received_tokens["w"] == before + received
     heard = engines.boards["a2"].fleet_load.usage_window.get_received("w", clock())
     assert heard == received
+
+
+async def test_workspace_is_not_charged_for_an_answer_that_never_began(
+    clock: ManualClock,
+) -> None:
+    board = create_board()
+    usage = board.fleet_load.usage_window
+    server = ServerRecord("s1", 1, "model", "s1:80", "a", 16, draining=False)
+    for has_begun in (False, True):
+        model = board.fleet_load.find_model("s1")
+        prefill = model.start_request(9_000, clock())
+        board.fleet_load.add_usage("w", 0.0, 9_000.0, clock())
+        reservation = ServerReservation(board, server, model, prefill, "", "w", 9_000.0)
+        if has_begun:
+            reservation.record_first_token(clock())
+        reservation.record_failure(ServerSilent("silent", was_sent=True), clock())
+        reservation.release()
+        assert usage.get_received("w", clock()) == (9_000.0 if has_begun else 0.0)
