Count a workspace with what it can use soon in the fair share

The demand of a workspace counts for at most three times what it received, or a fiftieth of the capacity.

--- a/src/sycamorehaven/decisions/usage_window.py
+++ b/src/sycamorehaven/decisions/usage_window.py
@@ -18,6 +18,10 @@
 
 HEADROOM_FACTOR = 1.1
 """Factor applied to the capacity, to leave room for requests in flight."""
+USABLE_GROWTH_FACTOR = 3.0
+"""Multiple of what it received that a workspace can use soon."""
+USABLE_FLOOR_RATIO = 0.02
+"""Fraction of the capacity that each workspace can use soon."""
 YIELD_MARGIN_RATIO = 0.15
 """Difference, as a fraction of the fair share, between what two workspaces
 received from which one yields to the other."""
@@ -174,10 +178,21 @@
 
         While requests wait, the total received equals the capacity of the
         engines. While none waits, it equals the total demand, so no workspace
-        is limited.
+        is limited. A workspace counts with what it can use soon at most, so
+        that one that reaches no engine holds back no other.
         """
-        received = self.get_total_received(now) * HEADROOM_FACTOR
-        return compute_max_min_share(self._demanded.values(), received)
+        capacity = self.get_total_received(now) * HEADROOM_FACTOR
+        if capacity <= 0.0:
+            return compute_max_min_share(self._demanded.values(), 0.0)
+        floor = USABLE_FLOOR_RATIO * capacity
+        usable = (
+            min(
+                demanded,
+                max(USABLE_GROWTH_FACTOR * self._received.get(workspace, 0.0), floor),
+            )
+            for workspace, demanded in self._demanded.items()
+        )
+        return compute_max_min_share(usable, capacity)
 
     def _slide(self, now: float) -> None:
         oldest = int(now / self._step) - BUCKET_COUNT
--- a/tests/decisions/test_proportional_admission.py
+++ b/tests/decisions/test_proportional_admission.py
@@ -83,3 +83,15 @@
     share = window.get_fair_share(1_004.5)
     assert share == 0.0
     assert window.get_entitled_ratio("a", share, 1_004.5) == 0.0
+
+
+def test_workspace_that_can_use_no_capacity_does_not_lower_the_share_of_others() -> (
+    None
+):
+    window = UsageWindow(4.0)
+    window.add("flood", 900.0, 300.0, 1_000.0)
+    window.add("cut-off", 900.0, 0.0, 1_000.0)
+    assert window.get_fair_share(1_000.0) > 300.0
+    # One that is served a little may get as much as the other one soon.
+    window.add("cut-off", 0.0, 100.0, 1_000.0)
+    assert window.get_fair_share(1_000.0) == 1.1 * 400.0 / 2
