Reject early only what the client reads and what has a body

Two cases found while reading the early rejection again. A client that sends requests without reading its responses would have filled the write buffer; such a connection is left to the HTTP server, which waits for it. A response to HEAD must have no body; other methods than the five usual ones are left to the HTTP server too.

--- a/src/sycamorehaven/transport/frontend_protocol.py
+++ b/src/sycamorehaven/transport/frontend_protocol.py
@@ -66,13 +66,19 @@
         super().data_received(data)
 
     def _is_waiting_for_request(self) -> bool:
-        """Return whether all earlier requests were answered completely."""
+        """
+        Return whether all earlier requests were answered completely.
+
+        A client that does not read its responses is left to the HTTP server,
+        which waits until it does.
+        """
         waiter = self._waiter
         return (
             waiter is not None
             and not waiter.done()
             and not self.has_active_request
             and self._current_request is None
+            and not self.writing_paused
             and self._framing.is_between_requests
         )
 
--- a/src/sycamorehaven/transport/request_framing.py
+++ b/src/sycamorehaven/transport/request_framing.py
@@ -9,6 +9,8 @@
 import re
 from typing import NamedTuple
 
+METHODS = frozenset({"GET", "POST", "PUT", "PATCH", "DELETE"})
+"""Methods whose responses have a body."""
 HEAD_END = b"\r\n\r\n"
 CONTENT_LENGTH_PATTERN = re.compile(
     rb"\r\ncontent-length:[ \t]*(\d+)[ \t]*(?=\r\n)", re.I
@@ -67,7 +69,9 @@
     head = data[: data.find(HEAD_END)].decode("latin-1")
     first_line, *lines = head.split("\r\n")
     words = first_line.split(" ")
-    if len(words) != 3 or words[2] != "HTTP/1.1" or not words[1].startswith("/"):
+    if len(words) != 3 or words[0] not in METHODS or words[2] != "HTTP/1.1":
+        return None
+    if not words[1].startswith("/"):
         return None
     headers = []
     for line in lines:
--- a/tests/transport/test_request_framing.py
+++ b/tests/transport/test_request_framing.py
@@ -35,6 +35,8 @@
         GET.replace(b"Key", b"Key "),
         GET.replace(b"\r\nKey", b"\nKey"),
         GET.replace(b"HTTP/1.1", b"HTTP/1.0"),
+        GET.replace(b"GET", b"HEAD"),
+        GET.replace(b"GET", b"CONNECT"),
         GET.replace(b"/look/1?a=b", b"http://fleet.example/look/1"),
         POST.replace(b"Content-Length: 5", b"Content-Length: 5\r\nContent-Length: 5"),
         POST.replace(b"Content-Length: 5", b"Content-Length : 5"),
