End silent bodies in time when their deadline is set late

A timer that the first events of a stream had set was not moved to an earlier deadline, so a stream that fell silent just before its route's timeout would have been held for up to the limit on silence longer. Found by reading the relay again; test_deadline_that_is_set_late_ends_a_silent_body_in_time failed before. A function without a caller is gone, its test asks the one in use.

--- a/src/sycamorehaven/decisions/proportional_admission.py
+++ b/src/sycamorehaven/decisions/proportional_admission.py
@@ -69,13 +69,6 @@
     return free_slots - max(requests_ahead, EXCESS_RESERVE_RATIO * total_slots)
 
 
-def must_yield(free_slots: int, total_slots: float, requests_ahead: int) -> bool:
-    """Return whether an excess request leaves all free slots to others."""
-    if not free_slots:
-        return False
-    return count_spare_slots(free_slots, total_slots, requests_ahead) <= 0.0
-
-
 def choose_limit_factor(satisfaction: float, *, entitled: bool) -> float:
     """
     Return the factor that a request applies to an engine's concurrency limit.
--- a/src/sycamorehaven/transport/responses.py
+++ b/src/sycamorehaven/transport/responses.py
@@ -143,6 +143,9 @@
         :param deadline: time of the event loop, in seconds.
         """
         self._deadline = deadline
+        if self._timer is not None and deadline < self._timer.when():
+            self._timer.cancel()
+            self._timer = self._loop.call_at(deadline, self._handle_timer)
 
     async def read_chunks(self) -> AsyncIterator[bytes]:
         """
--- a/tests/decisions/test_proportional_admission.py
+++ b/tests/decisions/test_proportional_admission.py
@@ -7,9 +7,9 @@
     STARVED_LIMIT_FACTOR,
     STARVED_SATISFACTION,
     choose_limit_factor,
+    count_spare_slots,
     draw_position,
     is_entitled,
-    must_yield,
 )
 from sycamorehaven.decisions.usage_window import UsageWindow
 
@@ -62,11 +62,11 @@
 
 def test_excess_request_leaves_reserve_and_slots_for_requests_ahead() -> None:
     reserve = int(100 * EXCESS_RESERVE_RATIO)
-    assert must_yield(reserve, 100.0, requests_ahead=0)
-    assert not must_yield(reserve + 1, 100.0, requests_ahead=0)
-    assert must_yield(20, 100.0, requests_ahead=20)
-    assert not must_yield(21, 100.0, requests_ahead=20)
-    assert not must_yield(0, 100.0, requests_ahead=20)
+    assert count_spare_slots(reserve, 100.0, requests_ahead=0) == 0
+    assert count_spare_slots(reserve + 1, 100.0, requests_ahead=0) == 1
+    assert count_spare_slots(20, 100.0, requests_ahead=20) == 0
+    assert count_spare_slots(21, 100.0, requests_ahead=20) == 1
+    assert count_spare_slots(0, 100.0, requests_ahead=20) < 0
 
 
 def test_entitled_request_of_starved_workspace_uses_more_slots() -> None:
--- a/tests/transport/test_responses.py
+++ b/tests/transport/test_responses.py
@@ -111,6 +111,17 @@
     assert not lost
 
 
+async def test_deadline_that_is_set_late_ends_a_silent_body_in_time() -> None:
+    fake, response = create_response()
+    response.set_chunk_timeout(3.0)
+    fake.content.feed_data(b"x")
+    assert await response.read_chunk() == b"x"
+    loop = asyncio.get_running_loop()
+    response.set_deadline(loop.time() + 0.1)
+    async with asyncio.timeout(1.0):
+        assert isinstance(await fail_to_read(response), BodyDeadlinePassed)
+
+
 async def test_interrupted_read_is_preempted() -> None:
     _, response = create_response()
     asyncio.get_running_loop().call_later(0.01, response.interrupt)
