--- a/tests/transport/test_request_framing.py
+++ b/tests/transport/test_request_framing.py
@@ -61,3 +61,8 @@
         framing.feed(data)
         framing.feed(GET)
         assert not framing.is_between_requests
+
+
+def test_length_of_thousands_of_digits_is_left_to_the_http_server() -> None:
+    data = POST.replace(b"Content-Length: 5", b"Content-Length: " + b"5" * 5_000)
+    assert measure_request(data) is None
