Tell late answers, starved workspaces and expected beside measured times

The line now names two more workspaces, those of whose requests the smallest fraction began in time, counts what came late of each, and sums both times. No decision changes.

Measured: tests.controllers.test_workload passes; formatter, linter and types pass.

--- a/src/sycamorehaven/blackboard/workload.py
+++ b/src/sycamorehaven/blackboard/workload.py
@@ -30,6 +30,7 @@
     :ivar tried: attempts on backend servers.
     :ivar began: attempts whose first event arrived.
     :ivar began_tokens: prompt tokens of these.
+    :ivar late: requests whose first event came later than the route's target.
     """
 
     workspace: str
@@ -38,6 +39,21 @@
     tried: int
     began: int
     began_tokens: int
+    late: int
+
+
+class FirstEvents(NamedTuple):
+    """
+    First events of prompts, as expected at the placement and as measured.
+
+    :ivar events: number of them.
+    :ivar expected_seconds: sum of the times that were expected.
+    :ivar measured_seconds: sum of the times from placement to first event.
+    """
+
+    events: int = 0
+    expected_seconds: float = 0.0
+    measured_seconds: float = 0.0
 
 
 class WorkloadSection:
@@ -54,6 +70,8 @@
         self._tried: Counter[str] = Counter()
         self._began: Counter[str] = Counter()
         self._began_tokens: Counter[str] = Counter()
+        self._late: Counter[str] = Counter()
+        self._first_events = FirstEvents()
         self._relayed_events = 0
         self._seconds: dict[str, float] = {}
 
@@ -78,6 +96,22 @@
         self._began[workspace] += 1
         self._began_tokens[workspace] += tokens
 
+    def count_late(self, workspace: str) -> None:
+        """Count a request whose first event came too late."""
+        self._late[workspace] += 1
+
+    def count_first_event(self, expected: float, measured: float) -> None:
+        """
+        Count the first event of a prompt.
+
+        :param expected: seconds that were expected when it was placed.
+        :param measured: seconds that it took.
+        """
+        events, expected_seconds, measured_seconds = self._first_events
+        self._first_events = FirstEvents(
+            events + 1, expected_seconds + expected, measured_seconds + measured
+        )
+
     def count_relayed(self) -> None:
         """Count a chunk of an answer that was passed on to a client."""
         self._relayed_events += 1
@@ -102,29 +136,46 @@
         events, self._relayed_events = self._relayed_events, 0
         return events
 
-    def take_workspaces(self, count: int) -> list[WorkspaceCounts]:
+    def take_first_events(self) -> FirstEvents:
+        """Return and clear the first events of prompts."""
+        first_events, self._first_events = self._first_events, FirstEvents()
+        return first_events
+
+    def take_workspaces(self, busiest: int, starved: int) -> list[WorkspaceCounts]:
         """
-        Return the busiest workspaces, and clear the counts of all.
+        Return some workspaces, and clear the counts of all.
 
-        :param count: largest number of workspaces to return.
+        :param busiest: largest number of those with the most requests.
+        :param starved: largest number of others, those of whose requests the
+            smallest fraction began in time.
         """
-        busiest = [
+        chosen = [name for name, _ in self._arrived.most_common(busiest)]
+        others = self._arrived.keys() - set(chosen)
+        chosen += sorted(others, key=self._get_good_ratio)[:starved]
+        counts = [
             WorkspaceCounts(
                 workspace,
-                arrived,
+                self._arrived[workspace],
                 dict(self._rejected.get(workspace, {})),
                 self._tried[workspace],
                 self._began[workspace],
                 self._began_tokens[workspace],
+                self._late[workspace],
             )
-            for workspace, arrived in self._arrived.most_common(count)
+            for workspace in chosen
         ]
-        for counts in (
+        for counter in (
             self._arrived,
             self._rejected,
             self._tried,
             self._began,
             self._began_tokens,
+            self._late,
         ):
-            counts.clear()
-        return busiest
+            counter.clear()
+        return counts
+
+    def _get_good_ratio(self, workspace: str) -> tuple[float, str]:
+        """Return the fraction of a workspace's requests that began in time."""
+        good = self._began[workspace] - self._late[workspace]
+        return good / self._arrived[workspace], workspace
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -459,6 +459,7 @@
                 best.copy_source,
                 request.workspace,
                 cost,
+                best.first_token_seconds if pending.prefixes else 0.0,
             )
         )
 
--- a/src/sycamorehaven/controllers/reservations.py
+++ b/src/sycamorehaven/controllers/reservations.py
@@ -42,6 +42,8 @@
         cache is copied, or "".
     :param workspace: workspace that is charged for the request, or "".
     :param cost: what it was charged, in prompt tokens.
+    :param expected_seconds: expected time to the first token; 0 if the request
+        has no prompt.
     """
 
     def __init__(
@@ -53,12 +55,14 @@
         copy_source: str = "",
         workspace: str = "",
         cost: float = 0.0,
+        expected_seconds: float = 0.0,
     ) -> None:
         self._board = board
         self._server = server
         self._copy_source = copy_source
         self._workspace = workspace
         self._cost = cost
+        self._expected_seconds = expected_seconds
         self._model = model
         self._prefill: Prefill | None = prefill
         self._is_released = False
@@ -83,6 +87,10 @@
         if self._prefill is None:
             return
         self._model.record_first_token(self._prefill, now)
+        if self._expected_seconds:
+            self._board.workload.count_first_event(
+                self._expected_seconds, now - self._prefill.sent_at
+            )
         self._board.fleet_load.record_start(now)
         self._prefill = None
         self._publish_load()
--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -424,6 +424,9 @@
             self._controller.workload.count_begin(
                 self._request.workspace, self._request.head.prompt_tokens
             )
+            elapsed = self._context.clock() - self._request.received_at
+            if elapsed > self._request.route.latency_target:
+                self._controller.workload.count_late(self._request.workspace)
         if self._reservation is not None:
             self._guard.report_progress(self._reservation.server, self._sent_at)
 
--- a/src/sycamorehaven/controllers/workload.py
+++ b/src/sycamorehaven/controllers/workload.py
@@ -20,6 +20,9 @@
 """Time between two reports."""
 MAX_REPORTED_WORKSPACES = 4
 """Number of workspaces in a report, those with the most requests."""
+MAX_REPORTED_STARVED = 2
+"""Number of other workspaces in a report, those of whose requests the smallest
+fraction began in time."""
 
 
 class WorkloadMonitor(Service):
@@ -72,7 +75,10 @@
         for activity, value in seconds.items():
             self._metrics.processor_seconds.labels(activity).inc(value)
         relayed_events = workload.take_relayed_events()
-        workspaces = workload.take_workspaces(MAX_REPORTED_WORKSPACES)
+        workspaces = workload.take_workspaces(
+            MAX_REPORTED_WORKSPACES, MAX_REPORTED_STARVED
+        )
+        first_events = workload.take_first_events()
         if not workspaces:
             return
         usage = self._board.fleet_load.usage_window
@@ -83,6 +89,11 @@
             seconds=round(elapsed, 3),
             processor={name: round(value, 4) for name, value in seconds.items()},
             relayed_events=relayed_events,
+            first_events={
+                "count": first_events.events,
+                "expected": round(first_events.expected_seconds, 3),
+                "measured": round(first_events.measured_seconds, 3),
+            },
             lag=round(event_loop.lag, 3),
             requests_in_progress=self._board.lifecycle.requests_in_progress,
             request_limit=round(event_loop.request_limit, 1),
@@ -105,6 +116,7 @@
             "tried": counts.tried,
             "began": counts.began,
             "began_tokens": counts.began_tokens,
+            "late": counts.late,
             "entitled_ratio": round(usage.get_entitled_ratio(workspace, share, now), 3),
             "satisfaction": round(usage.get_satisfaction(workspace, share, now), 3),
         }
