Let one router admit requests to each engine of a large fleet

Cause: each router of 70 admitted to each engine by itself, on news that are 0.2 to 0.65 s old, in which a busy engine gets 4 to 13 requests of others. They met in the engine's own queue, which serves in order of arrival, while other engines were idle; and each router took as capacity what was let through, which falls with what is refused.

Now one router, the scheduler of the engine, admits all requests with prompts to it. It knows what runs, learns speed and limit from all streams, lets those wait that are in time and orders them by what their workspaces received, so the engine's own queue stays under 0.1 s and the order is kept where it can be. A scheduler that is silent for 0.1 s is passed over. Fleets of up to 19 routers and requests without a prompt are placed as before.

--- a/src/sycamorehaven/controllers/candidates.py
+++ b/src/sycamorehaven/controllers/candidates.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import heapq
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from sycamorehaven.controllers.reservations import ServerReservation
 from sycamorehaven.controllers.service_load import (
@@ -44,6 +44,23 @@
 for it."""
 
 
+class ApplicationHistory:
+    """
+    The applications for admission of one pending request.
+
+    :ivar refused: number of those that were refused.
+    :ivar current: number of the one that has no answer yet, 0 for none.
+    """
+
+    def __init__(self) -> None:
+        self.refused = 0
+        self.current = 0
+
+
+NO_APPLICATIONS = ApplicationHistory()
+"""The history of a request that no scheduler is asked for."""
+
+
 class PendingRequest(NamedTuple):
     """
     A request that waits for a backend server.
@@ -58,6 +75,7 @@
     :ivar software_version: version of the servers that may serve it; ``None``
         for any.
     :ivar position: its position among the requests of its workspace, 0 to 1.
+    :ivar applications: what schedulers were asked for it.
     """
 
     request: RoutedRequest
@@ -68,6 +86,14 @@
     reservation: asyncio.Future[ServerReservation]
     software_version: str | None = None
     position: float = 0.0
+    applications: ApplicationHistory = NO_APPLICATIONS
+
+
+class SchedulerFinder(Protocol):
+    """Finds the routers that admit requests to engines."""
+
+    def find_scheduler(self, server: ServerRecord, now: float) -> str | None:
+        """Return the host to ask for admission to an engine, if any."""
 
 
 class CandidateFinder:
@@ -75,10 +101,15 @@
     Creates placement candidates from the estimated states of servers.
 
     :param board: shared state of this router.
+    :param schedulers: finds the schedulers of engines; ``None`` if there are
+        none.
     """
 
-    def __init__(self, board: Blackboard) -> None:
+    def __init__(
+        self, board: Blackboard, schedulers: SchedulerFinder | None = None
+    ) -> None:
         self._board = board
+        self._schedulers = schedulers
         self._server_ranks: dict[tuple[str, str], dict[str, int]] = {}
         board.routing.changed.subscribe(self._server_ranks.clear)
 
@@ -104,9 +135,25 @@
                 server.software_version,
             ):
                 model = self._get_model(server)
-                views.append(observe_server(server, model, now, limit_factor, opening))
+                views.append(
+                    observe_server(
+                        server,
+                        model,
+                        now,
+                        limit_factor,
+                        opening,
+                        has_scheduler=self.has_scheduler(server, now),
+                    )
+                )
         return ServiceLoad(views, now)
 
+    def has_scheduler(self, server: ServerRecord, now: float) -> bool:
+        """Return whether a router admits requests with prompts to a server."""
+        return (
+            self._schedulers is not None
+            and self._schedulers.find_scheduler(server, now) is not None
+        )
+
     def find_opening(self, server: ServerRecord, now: float) -> Opening:
         """Return when a server takes the next request of this router."""
         conditions = self._board.server_conditions
@@ -199,6 +246,7 @@
             error_ratio=model.health.error_ratio,
             is_local=server.failure_domain == own_domain,
             rank=server_ranks.get(server.id, len(server_ranks)),
+            has_scheduler=view.has_scheduler,
         )
 
     def _supports_prefix_transfer(self, name: str) -> bool:
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -11,7 +11,12 @@
 from absl import logging
 from mode import Service
 
-from sycamorehaven.controllers.candidates import CandidateFinder, PendingRequest
+from sycamorehaven.controllers.applications import EngineApplicant
+from sycamorehaven.controllers.candidates import (
+    ApplicationHistory,
+    CandidateFinder,
+    PendingRequest,
+)
 from sycamorehaven.controllers.pass_loads import LoadKey, PassLoads
 from sycamorehaven.controllers.reservations import ServerReservation
 from sycamorehaven.controllers.routed_refusals import create_closed_refusal
@@ -51,6 +56,8 @@
     from collections.abc import Callable, Collection, Sequence
 
     from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.controllers.admissions import AdmissionController
+    from sycamorehaven.controllers.engine_reports import Admission
     from sycamorehaven.controllers.service_load import ClosedServers, ServiceLoad
     from sycamorehaven.controllers.shares import ShareStatus
     from sycamorehaven.decisions.load_shedding import Action
@@ -75,8 +82,6 @@
 """Rate, in requests per second, below which servers count as taking none."""
 MAX_LOGGED_SERVERS = 16
 """Number of servers in a line about a refusal."""
-OUTPUT_TOKEN_WEIGHT = 2.0
-"""Cost of a generated token relative to that of a prompt token."""
 
 
 def _describe_missing_servers(pending: PendingRequest) -> str:
@@ -89,11 +94,6 @@
     )
 
 
-def compute_token_cost(request: RoutedRequest) -> float:
-    """Return the cost of a request in prompt tokens."""
-    return request.head.prompt_tokens + OUTPUT_TOKEN_WEIGHT * request.head.output_tokens
-
-
 class Dispatcher(Service):
     """
     Orders pending requests by fair share and assigns them to servers.
@@ -102,6 +102,8 @@
     :param decision_log: records each assignment and rejection.
     :param metrics: records queueing times.
     :param clock: returns monotonic time in seconds.
+    :param admissions: asks the schedulers of engines; ``None`` if this router
+        decides alone.
     """
 
     def __init__(
@@ -110,6 +112,7 @@
         decision_log: DecisionLog,
         metrics: GatewayMetrics,
         clock: Callable[[], float] = time.monotonic,
+        admissions: AdmissionController | None = None,
     ) -> None:
         super().__init__()
         self._board = board
@@ -118,7 +121,10 @@
         self._clock = clock
         self._pending: list[PendingRequest] = []
         self._client_timeouts = ClientTimeouts()
-        self._candidate_finder = CandidateFinder(board)
+        self._candidate_finder = CandidateFinder(board, admissions)
+        self._applicant = EngineApplicant(
+            board, self._candidate_finder, admissions, self, clock
+        )
         self._shares = WorkspaceShares(board)
         self._excess_allowances: defaultdict[str, ExcessAllowance] = defaultdict(
             ExcessAllowance
@@ -149,7 +155,7 @@
         self._board.server_conditions.get_shares(request.service).record_arrival(now)
         prefixes = hash_prefixes(request.head.model, request.head.prompt_parts)
         if request.workspace and not excluded_servers:
-            cost = compute_token_cost(request)
+            cost = request.token_cost
             self._board.fleet_load.add_usage(request.workspace, cost, 0.0, now)
         future: asyncio.Future[ServerReservation] = (
             asyncio.get_running_loop().create_future()
@@ -163,6 +169,7 @@
             future,
             software_version,
             draw_position(request.head.attempt_id),
+            ApplicationHistory(),
         )
         self._pending.append(pending)
         if len(self._pending) == 1 and now >= self._next_pass_at:
@@ -177,6 +184,7 @@
         finally:
             if pending in self._pending:
                 self._pending.remove(pending)
+            self._applicant.withdraw(pending)
 
     @Service.task
     async def _run(self) -> None:
@@ -218,6 +226,11 @@
         self._pending = [
             pending for pending in self._pending if not pending.reservation.done()
         ]
+        undecided = [
+            pending for pending in self._pending if not pending.applications.current
+        ]
+        if not undecided:
+            return
         share_statuses = self._shares.compute_statuses(
             {pending.request.workspace for pending in self._pending}, now
         )
@@ -229,7 +242,7 @@
             entitled = is_entitled(pending.position, share_status.entitled_ratio)
             return not entitled, not share_status.is_within_share, pending.queued_at
 
-        in_order = sorted(self._pending, key=sort_key)
+        in_order = sorted(undecided, key=sort_key)
         loads = PassLoads(self._candidate_finder, now)
         considered = 0
         for pending in in_order:
@@ -295,6 +308,7 @@
             pending,
             share_status,
             yields=not entitled
+            and not (pending.prefixes and load.has_schedulers)
             and self._must_yield(
                 request.service, loads.get(LoadKey(request.service)), share_status, now
             ),
@@ -312,20 +326,41 @@
         action, best = self._choose_action(
             placement_request, candidates, bool(pending.prefixes), now
         )
-        if action == "place" and best is not None:
+        if best is not None and self._applicant.has_scheduler(pending, best, now):
+            self._applicant.apply(pending, best, placement_request, now)
+        elif action == "place" and best is not None:
             if not entitled:
                 self._excess_allowances[request.service].take()
-            self._assign_server(pending, best, placement_request, now)
+            self.assign_server(pending, best, placement_request, now)
             loads.update(best.server)
         elif action == "reject":
             shortest_wait = min(view.estimated_wait_seconds for view in load.views)
-            late_refusal = DeadlineUnreachable(
-                "the backend servers cannot process the queued requests in time",
-                retry_after=choose_retry_after(placement_request, shortest_wait, now),
-            )
-            self._reject(
-                pending, late_refusal, "overload", placement_request, best, now
-            )
+            self.reject_late(pending, shortest_wait, placement_request, best, now)
+
+    def reconsider_pending(self) -> None:
+        """Look at the pending requests again as soon as a pass may begin."""
+        self._request_arrived.set()
+        if self._clock() >= self._next_pass_at:
+            self.dispatch_pending()
+
+    def reject_late(
+        self,
+        pending: PendingRequest,
+        shortest_wait: float,
+        placement_request: PlacementRequest,
+        best: Placement | None,
+        now: float,
+    ) -> None:
+        """
+        Reject a request that no engine can serve in time.
+
+        :param shortest_wait: seconds until an engine has read what it has.
+        """
+        refusal = DeadlineUnreachable(
+            "the backend servers cannot process the queued requests in time",
+            retry_after=choose_retry_after(placement_request, shortest_wait, now),
+        )
+        self._reject(pending, refusal, "overload", placement_request, best, now)
 
     def _reject_without_servers(
         self, pending: PendingRequest, placement_request: PlacementRequest, now: float
@@ -410,14 +445,22 @@
         best = choose_plain_server(candidates)
         return decide_plain_request(placement_request, best, now), best
 
-    def _assign_server(
+    def assign_server(
         self,
         pending: PendingRequest,
         best: Placement,
         placement_request: PlacementRequest,
         now: float,
+        admission: Admission | None = None,
     ) -> None:
+        """
+        Give a request the reservation on a server.
+
+        :param best: the server and the expected times.
+        :param admission: admission to the engine, if its scheduler gave one.
+        """
         request, fleet_load = pending.request, self._board.fleet_load
+        admission = admission or self._applicant.take_alone(pending, best)
         model = fleet_load.find_model(best.server.id)
         if gate := self._board.server_conditions.find(best.server.incarnation_id):
             gate.take()
@@ -425,7 +468,7 @@
         model.prefix_cache.record_prompt(pending.prefixes)
         fleet_load.add_placements(pending.prefixes, best.server.id)
         fleet_load.mark_load_changed(best.server.id)
-        cost = compute_token_cost(request)
+        cost = request.token_cost
         if request.workspace:
             fleet_load.add_usage(request.workspace, 0.0, cost, now)
         self._board.workload.count_attempt(request.workspace)
@@ -444,6 +487,7 @@
             uncached=best.uncached_tokens,
             source=best.copy_source,
             running=model.count_requests(now),
+            refused=pending.applications.refused,
             within_share=placement_request.within_share,
             entitled=placement_request.entitled,
             satisfaction=round(placement_request.satisfaction, 2),
@@ -460,6 +504,7 @@
                 request.workspace,
                 cost,
                 best.first_token_seconds if pending.prefixes else 0.0,
+                admission,
             )
         )
 
--- /dev/null
+++ b/src/sycamorehaven/controllers/engine_queues.py
@@ -0,0 +1,185 @@
+"""Admits requests to the engines that this router schedules."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from mode import Service
+
+from sycamorehaven.decisions.engine_queue import (
+    AdmissionKey,
+    EngineQueue,
+    QueuedRequest,
+)
+from sycamorehaven.identity import RouterId
+from sycamorehaven.transport.messages.admissions import (
+    AdmissionProgress,
+    AdmissionReply,
+    AdmissionRequest,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
+
+    from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.decisions.engine_queue import Verdict
+    from sycamorehaven.routing.model import ServerRecord
+    from sycamorehaven.transport.codec import Delivery
+    from sycamorehaven.transport.messages.admissions import EngineProgress
+    from sycamorehaven.transport.peer_link import PeerLink
+
+ADVANCE_PERIOD_SECONDS = 0.01
+"""Time between two looks at the waiting requests."""
+
+
+class EngineQueueController(Service):
+    """
+    Keeps the queues of engines and answers the routers that ask.
+
+    A router that takes itself for the scheduler of an engine may be one of two
+    for a while. Each then admits as if it were alone, so the engine may get
+    more than it has slots for.
+
+    :param board: shared state of this router.
+    :param link: connection to the other routers.
+    :param clock: returns monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        link: PeerLink,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        super().__init__()
+        self._board = board
+        self._link = link
+        self._clock = clock
+        self._queues: dict[str, EngineQueue] = {}
+        self._request_waits = asyncio.Event()
+        link.subscribe(AdmissionRequest, self._handle_request)
+        link.subscribe(AdmissionProgress, self._handle_progress)
+        board.members.changed.subscribe(self._forget_dead_routers)
+        board.routing.changed.subscribe(self._forget_gone_servers)
+
+    @Service.task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            if not any(queue.has_waiting for queue in self._queues.values()):
+                self._request_waits.clear()
+                await self.wait(self._request_waits.wait())
+            self.advance_all()
+            await asyncio.sleep(ADVANCE_PERIOD_SECONDS)
+
+    def advance_all(self) -> None:
+        """Admit the waiting requests whose turn it is."""
+        for queue in self._queues.values():
+            self._advance(queue)
+
+    def _advance(self, queue: EngineQueue) -> None:
+        now = self._clock()
+        for key, verdict in queue.advance(self._get_levels, now):
+            self._reply(queue, key, verdict, now)
+
+    def _handle_request(self, delivery: Delivery) -> None:
+        request: AdmissionRequest = delivery.message
+        now = self._clock()
+        key = AdmissionKey(delivery.sender, request.number)
+        queue = self._find_queue(request.server)
+        if queue is None:
+            refusal = AdmissionReply(request.number, "refused", 0, 0, 0.0, 0, 0.0, 0.0)
+            self._link.send(delivery.sender.host, refusal)
+            return
+        queued = QueuedRequest(
+            key,
+            request.workspace,
+            request.tokens,
+            request.cost,
+            request.resumes,
+            now,
+            now + request.max_wait,
+        )
+        verdict = queue.submit(queued, self._get_levels, now)
+        if verdict == "queued":
+            self._request_waits.set()
+        self._reply(queue, key, verdict, now)
+
+    def _handle_progress(self, delivery: Delivery) -> None:
+        report: AdmissionProgress = delivery.message
+        for progress in report.engines:
+            queue = self._find_queue(progress.server)
+            if queue is not None:
+                self._record_progress(queue, delivery.sender, progress)
+                self._advance(queue)
+
+    def _record_progress(
+        self, queue: EngineQueue, sender: RouterId, progress: EngineProgress
+    ) -> None:
+        now = self._clock()
+        for begun in progress.begun:
+            queue.record_begin(AdmissionKey(sender, begun.number), begun.seconds, now)
+        for number in progress.ended:
+            queue.record_end(AdmissionKey(sender, number), now)
+        if progress.on_time or progress.late:
+            queue.concurrency.observe_gaps(progress.on_time, progress.late, now)
+        if progress.held is not None:
+            queue.reconcile(sender, progress.held, now)
+
+    def _reply(
+        self, queue: EngineQueue, key: AdmissionKey, verdict: Verdict, now: float
+    ) -> None:
+        state = queue.get_state(now)
+        reply = AdmissionReply(
+            key.number,
+            verdict,
+            state.running,
+            state.waiting,
+            state.backlog_seconds,
+            state.waiting_tokens,
+            state.prefill_rate,
+            state.limit,
+        )
+        self._link.send(key.router.host, reply)
+
+    def _get_levels(self, workspaces: Collection[str]) -> dict[str, float]:
+        """Return what workspaces received, as fractions of what all did."""
+        usage, now = self._board.fleet_load.usage_window, self._clock()
+        total = usage.get_total_received(now)
+        if not total:
+            return dict.fromkeys(workspaces, 0.0)
+        return {name: usage.get_received(name, now) / total for name in workspaces}
+
+    def _find_queue(self, incarnation_id: str) -> EngineQueue | None:
+        """Return the queue of an engine; ``None`` if it is not registered."""
+        queue = self._queues.get(incarnation_id)
+        if queue is not None:
+            return queue
+        server = self._find_server(incarnation_id)
+        if server is None:
+            return None
+        window = self._board.fleet_load.usage_window.length
+        queue = self._queues[incarnation_id] = EngineQueue(server.slots, window)
+        return queue
+
+    def _find_server(self, incarnation_id: str) -> ServerRecord | None:
+        for server in self._board.routing.list_servers():
+            if server.incarnation_id == incarnation_id:
+                return server
+        return None
+
+    def _forget_dead_routers(self) -> None:
+        live = {
+            RouterId(member.host, member.incarnation)
+            for member in self._board.members.list()
+        }
+        for queue in self._queues.values():
+            queue.retain_routers(live)
+
+    def _forget_gone_servers(self) -> None:
+        registered = {
+            server.incarnation_id for server in self._board.routing.list_servers()
+        }
+        for incarnation_id in self._queues.keys() - registered:
+            del self._queues[incarnation_id]
--- a/src/sycamorehaven/controllers/reservations.py
+++ b/src/sycamorehaven/controllers/reservations.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from sycamorehaven.decisions.concurrency import is_late_gap
 from sycamorehaven.exceptions.backends import (
     ConnectFailed,
     ConnectRefused,
@@ -17,6 +18,7 @@
 
 if TYPE_CHECKING:
     from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.controllers.engine_reports import Admission
     from sycamorehaven.decisions.server_model import Prefill, ServerModel
     from sycamorehaven.exceptions.backends import BackendError
     from sycamorehaven.routing.model import ServerRecord
@@ -44,6 +46,8 @@
     :param cost: what it was charged, in prompt tokens.
     :param expected_seconds: expected time to the first token; 0 if the request
         has no prompt.
+    :param admission: tells the scheduler of the engine what becomes of the
+        request; ``None`` if the server has no scheduler.
     """
 
     def __init__(
@@ -56,6 +60,7 @@
         workspace: str = "",
         cost: float = 0.0,
         expected_seconds: float = 0.0,
+        admission: Admission | None = None,
     ) -> None:
         self._board = board
         self._server = server
@@ -63,6 +68,7 @@
         self._workspace = workspace
         self._cost = cost
         self._expected_seconds = expected_seconds
+        self._admission = admission
         self._model = model
         self._prefill: Prefill | None = prefill
         self._is_released = False
@@ -91,6 +97,8 @@
             self._board.workload.count_first_event(
                 self._expected_seconds, now - self._prefill.sent_at
             )
+        if self._admission is not None:
+            self._admission.begin(now - self._prefill.sent_at)
         self._board.fleet_load.record_start(now)
         self._prefill = None
         self._publish_load()
@@ -140,6 +148,10 @@
         :param longest: longest acceptable time in seconds.
         :param now: monotonic seconds.
         """
+        if self._admission is not None:
+            if longest:
+                self._admission.observe_gap(is_late=is_late_gap(gap, longest))
+            return
         self._model.concurrency.observe_gap(gap, longest, now)
 
     def release(self) -> None:
@@ -151,6 +163,8 @@
             self._model.abandon_prefill(self._prefill)
             self._prefill = None
         self._model.finish_request()
+        if self._admission is not None:
+            self._admission.end()
         self._publish_load()
 
     def _publish_load(self) -> None:
--- a/src/sycamorehaven/controllers/service_load.py
+++ b/src/sycamorehaven/controllers/service_load.py
@@ -48,6 +48,7 @@
         process.
     :ivar limit_factor: factor applied to its concurrency limit.
     :ivar opening: when it takes the next request, by what it says of itself.
+    :ivar has_scheduler: whether a router admits requests with prompts to it.
     """
 
     server: ServerRecord
@@ -56,6 +57,7 @@
     pending_tokens: float
     limit_factor: float = 1.0
     opening: Opening = ALWAYS_OPEN
+    has_scheduler: bool = False
 
     @property
     def prompt_limit(self) -> float:
@@ -74,8 +76,10 @@
 
         :param has_prompt: whether the request has a prompt. Prompts are
             limited by the learned concurrency limit, other requests by the
-            server's slots.
+            server's slots. They can wait for admission if it has a scheduler.
         """
+        if has_prompt and self.has_scheduler:
+            return self.opening.is_open
         limit = self.prompt_limit if has_prompt else self.server.slots
         return self.opening.is_open and self.running_requests < limit
 
@@ -108,6 +112,7 @@
             if not self._is_ejected(view) and view.opening.closed_by != "rest"
         )
         self._has_closed = any(view.opening.closed_by for view in self.views)
+        self._has_schedulers = any(view.has_scheduler for view in self.views)
         self._has_capacity: dict[bool, bool] = {}
         self._available: dict[str, ServerView] | None = None
         self._costs: dict[str, float] = {}
@@ -136,6 +141,11 @@
         """
         return self._total_slots
 
+    @property
+    def has_schedulers(self) -> bool:
+        """Whether a router admits requests with prompts to one of them."""
+        return self._has_schedulers
+
     @property
     def software_versions(self) -> Collection[str]:
         """The software versions of the servers."""
@@ -261,7 +271,12 @@
         """
         old = self._views[server]
         view = self._views[server] = observe_server(
-            old.server, old.model, self._now, old.limit_factor, opening
+            old.server,
+            old.model,
+            self._now,
+            old.limit_factor,
+            opening,
+            has_scheduler=old.has_scheduler,
         )
         self._free_slots += self._count_free_slots(view) - self._count_free_slots(old)
         self._has_capacity.clear()
@@ -315,12 +330,15 @@
     now: float,
     limit_factor: float = 1.0,
     opening: Opening = ALWAYS_OPEN,
+    *,
+    has_scheduler: bool = False,
 ) -> ServerView:
     """
     Return the estimated state of a server.
 
     :param limit_factor: factor applied to its concurrency limit.
     :param opening: when it takes the next request.
+    :param has_scheduler: whether a router admits requests with prompts to it.
     """
     return ServerView(
         server,
@@ -329,4 +347,5 @@
         model.count_pending_tokens(now),
         limit_factor,
         opening,
+        has_scheduler,
     )
--- a/src/sycamorehaven/decisions/concurrency.py
+++ b/src/sycamorehaven/decisions/concurrency.py
@@ -32,16 +32,29 @@
 running requests are that router's."""
 
 
+def is_late_gap(gap: float, max_gap: float) -> bool:
+    """
+    Return whether an event came late.
+
+    :param gap: time since the event before, in seconds.
+    :param max_gap: longest gap that the route allows, in seconds; 0 if it sets
+        none.
+    """
+    return max_gap > 0.0 and gap >= max_gap * LATE_GAP_RATIO
+
+
 class ConcurrencyLimit:
     """
     The number of requests that one engine may run.
 
     :param slots: number of requests that the engine can run.
+    :param initial_ratio: fraction of the slots used before anything has been
+        observed.
     """
 
-    def __init__(self, slots: int) -> None:
+    def __init__(self, slots: int, initial_ratio: float = INITIAL_SLOT_RATIO) -> None:
         self._slots = slots
-        self._limit = slots * INITIAL_SLOT_RATIO
+        self._limit = slots * initial_ratio
         self._decreased_at = 0.0
 
     @property
@@ -54,6 +67,11 @@
         """Number of requests that the engine may run now."""
         return self._limit
 
+    def replace(self, limit: float) -> None:
+        """Replace the limit by that of the engine's scheduler."""
+        lowest = self._slots * MIN_SLOT_RATIO
+        self._limit = min(max(limit, lowest), float(self._slots))
+
     def blend_peer_limit(
         self, peer_limit: float, peer_running: int, own_running: int
     ) -> None:
@@ -85,9 +103,18 @@
         """
         if not max_gap:
             return
-        if gap < max_gap * LATE_GAP_RATIO:
-            self._limit = min(self._limit + INCREASE_REQUESTS, float(self._slots))
-        elif now - self._decreased_at > DECREASE_INTERVAL_SECONDS:
+        is_late = is_late_gap(gap, max_gap)
+        self.observe_gaps(int(not is_late), int(is_late), now)
+
+    def observe_gaps(self, on_time: int, late: int, now: float) -> None:
+        """
+        Adjust the limit to the events of some streams.
+
+        :param on_time: number of events that came on time.
+        :param late: number of events that came late.
+        """
+        self._limit = min(self._limit + INCREASE_REQUESTS * on_time, float(self._slots))
+        if late and now - self._decreased_at > DECREASE_INTERVAL_SECONDS:
             self._decreased_at = now
             self._limit = max(
                 self._limit * DECREASE_FACTOR, self._slots * MIN_SLOT_RATIO
--- a/src/sycamorehaven/decisions/load_shedding.py
+++ b/src/sycamorehaven/decisions/load_shedding.py
@@ -45,6 +45,14 @@
 """Fraction of the client's remaining time after which it tries again at the
 latest; the limit is a third."""
 
+MAX_REFUSED_APPLICATIONS = 6
+"""Number of schedulers that may refuse a request before it is rejected."""
+MIN_REFUSED_APPLICATIONS = 2
+"""Number of schedulers that must have refused a request before the wait that
+the router expects elsewhere is taken for too long."""
+WAIT_TOLERANCE_SECONDS = 0.1
+"""Time by which the wait at the first engine may be longer than expected."""
+
 Action = Literal["place", "wait", "reject"]
 """What to do with a request now."""
 
@@ -115,6 +123,53 @@
     return "wait" if waited < MAX_WAIT_RATIO * request.target_seconds else "reject"
 
 
+def compute_max_wait(
+    request: PlacementRequest, placement: Placement, now: float
+) -> float:
+    """
+    Return how long a request may wait for admission to an engine, in seconds.
+
+    A request that would be late in any case may still use an idle engine.
+    """
+    if request.resumes:
+        return max(request.received_at + RESUME_WAIT_SECONDS - now, 0.0)
+    reading = min(placement.prefill_seconds, request.target_seconds / 2)
+    elapsed = now - request.first_asked_at
+    time_left = MAX_FIRST_TOKEN_RATIO * request.target_seconds - reading - elapsed
+    return max(time_left, IDLE_WAIT_SECONDS)
+
+
+def is_hopeless(refused: int, expected_wait: float, max_wait: float) -> bool:
+    """
+    Return whether a request need not ask any further scheduler.
+
+    :param refused: number of schedulers that have refused it.
+    :param expected_wait: seconds that it is expected to wait at the best one.
+    :param max_wait: seconds after which the request would be late.
+    """
+    if refused >= MAX_REFUSED_APPLICATIONS:
+        return True
+    return refused >= MIN_REFUSED_APPLICATIONS and expected_wait > max_wait
+
+
+def compute_tolerated_wait(
+    max_wait: float, expected_wait: float, refused: int
+) -> float:
+    """
+    Return how long a request waits at one engine before it tries another one.
+
+    A wait that is longer than expected shows that the choice of the engine
+    rested on old news, so another one may be better. The more engines have
+    refused the request, the less likely that is.
+
+    :param max_wait: seconds after which the request would be late.
+    :param expected_wait: seconds that the router expects there.
+    :param refused: number of engines that have refused it.
+    """
+    tolerance = WAIT_TOLERANCE_SECONDS * (1 + refused)
+    return min(expected_wait + tolerance, max_wait)
+
+
 def decide_plain_request(
     request: PlacementRequest, best: Placement | None, now: float
 ) -> Action:
--- a/src/sycamorehaven/decisions/placement.py
+++ b/src/sycamorehaven/decisions/placement.py
@@ -12,7 +12,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from sycamorehaven.decisions.server_model import FIRST_TOKEN_OVERHEAD_SECONDS
+from sycamorehaven.decisions.prefill_rate import FIRST_TOKEN_OVERHEAD_SECONDS
 from sycamorehaven.routing.model import ServerRecord
 
 if TYPE_CHECKING:
@@ -37,6 +37,9 @@
 """Cost, for a request without a prompt, of a server with all slots taken."""
 FULL_ENGINE_COST_SECONDS = 0.2
 """Cost of an engine that runs as many requests as its limit allows."""
+QUEUED_ENGINE_COST_SECONDS = 2.0
+"""Time until as many requests have ended as an engine's limit allows; requests
+beyond the limit wait for that."""
 
 
 class Candidate(NamedTuple):
@@ -56,6 +59,8 @@
     :ivar is_local: whether it is in this router's failure domain.
     :ivar rank: its place in the order of servers that all routers share for
         the subject of the request, 0 for the first.
+    :ivar has_scheduler: whether a router admits requests to it, at which a
+        request can wait while it is full.
     """
 
     server: ServerRecord
@@ -69,6 +74,18 @@
     error_ratio: float
     is_local: bool
     rank: int
+    has_scheduler: bool = False
+
+    @property
+    def running_ratio(self) -> float:
+        """Requests that it runs, as a fraction of its limit."""
+        return self.running_requests / self.concurrency_limit
+
+    @property
+    def wait_seconds(self) -> float:
+        """Expected time until it begins to read the prompt."""
+        reading = self.pending_tokens / self.prefill_rate
+        return max(reading, estimate_slot_wait(self.running_ratio))
 
 
 class Placement(NamedTuple):
@@ -98,14 +115,16 @@
 def choose_engine(candidates: Sequence[Candidate]) -> Placement | None:
     """Return the best engine for a prompt, or ``None`` if all are full."""
     free = [
-        item for item in candidates if item.running_requests < item.concurrency_limit
+        item
+        for item in candidates
+        if item.has_scheduler or item.running_requests < item.concurrency_limit
     ]
     if not free:
         return None
     best = min(free, key=_score_engine)
     return Placement(
         best.server,
-        best.pending_tokens / best.prefill_rate,
+        best.wait_seconds,
         best.uncached_tokens / best.prefill_rate,
         best.uncached_tokens,
         best.copy_source,
@@ -125,6 +144,15 @@
     return Placement(best.server, 0.0, 0.0, 0)
 
 
+def estimate_slot_wait(running_ratio: float) -> float:
+    """
+    Return the time until an engine has a free slot, in seconds.
+
+    :param running_ratio: requests that it has, as a fraction of its limit.
+    """
+    return QUEUED_ENGINE_COST_SECONDS * max(running_ratio - 1.0, 0.0)
+
+
 def compute_load_cost(
     pending_tokens: float,
     uncached_tokens: float,
@@ -144,7 +172,8 @@
     """
     return (
         (pending_tokens + PREFILL_WEIGHT * uncached_tokens) / prefill_rate
-        + FULL_ENGINE_COST_SECONDS * running_ratio
+        + FULL_ENGINE_COST_SECONDS * min(running_ratio, 1.0)
+        + estimate_slot_wait(running_ratio)
         + ERROR_COST_SECONDS * error_ratio
     )
 
@@ -155,7 +184,7 @@
             candidate.pending_tokens,
             candidate.uncached_tokens,
             candidate.prefill_rate,
-            candidate.running_requests / candidate.concurrency_limit,
+            candidate.running_ratio,
             candidate.error_ratio,
         )
         + COPY_COST_SECONDS * candidate.copied_tokens / 1_000
--- a/src/sycamorehaven/decisions/roles.py
+++ b/src/sycamorehaven/decisions/roles.py
@@ -26,10 +26,22 @@
     :param server: the backend server.
     :param domains: failure domain of each live host.
     """
-    local = [
-        host for host, domain in domains.items() if domain == server.failure_domain
-    ]
-    return choose_candidate(f"server/{server.name}", local or domains)
+    return choose_engine_scheduler(server.name, server.failure_domain, domains)
+
+
+def choose_engine_scheduler(
+    name: str, failure_domain: str, domains: Mapping[str, str]
+) -> str | None:
+    """
+    Return the host that schedules a server of a failure domain.
+
+    :param name: name or id of the server.
+    :param failure_domain: failure domain of the server; a host there is
+        preferred.
+    :param domains: failure domain of each live host.
+    """
+    local = [host for host, domain in domains.items() if domain == failure_domain]
+    return choose_candidate(f"server/{name}", local or domains)
 
 
 def choose_configuration_readers(domain: str, hosts: Iterable[str]) -> list[str]:
--- a/src/sycamorehaven/decisions/server_model.py
+++ b/src/sycamorehaven/decisions/server_model.py
@@ -8,25 +8,16 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from sycamorehaven.decisions.concurrency import ConcurrencyLimit
 from sycamorehaven.decisions.outlier_detection import ServerHealth
+from sycamorehaven.decisions.prefill_rate import PrefillRate
 from sycamorehaven.decisions.prefix_cache import PrefixCache, PrefixIndex
 
-INITIAL_TOKENS_PER_SECOND = 50_000.0
-"""Prefill rate that is assumed until one has been measured."""
-MIN_TOKENS_PER_SECOND = 2_000.0
-"""Lower bound on a measured prefill rate."""
-MAX_TOKENS_PER_SECOND = 200_000.0
-"""Upper bound on a measured prefill rate."""
-RATE_SMOOTHING_RATIO = 0.2
-"""Weight of the newest measurement in the moving average of the rate."""
-FIRST_TOKEN_OVERHEAD_SECONDS = 0.07
-"""Time to the first token in addition to the prefill of the prompt."""
-MIN_SAMPLE_TOKENS = 2_000
-"""Prompt tokens below which the time to the first token says too little about
-the prefill rate."""
+if TYPE_CHECKING:
+    from sycamorehaven.decisions.engine_queue import EngineState
+
 EXPIRY_INTERVAL_SECONDS = 0.25
 """Time between two searches for expired loads."""
 
@@ -60,6 +51,25 @@
     sent_at: float
 
 
+class LoadCorrection(NamedTuple):
+    """
+    What the scheduler of an engine knows beyond the counts of the routers.
+
+    :ivar requests: requests to add to the counted ones; negative if some of
+        these have ended.
+    :ivar pending_tokens: prompt tokens to add, likewise.
+    :ivar expires_at: when the news will have told the difference, in monotonic
+        seconds.
+    """
+
+    requests: int = 0
+    pending_tokens: float = 0.0
+    expires_at: float = 0.0
+
+
+NO_CORRECTION = LoadCorrection()
+
+
 class ServerModel:
     """
     Estimate of one server from the requests of all routers.
@@ -77,8 +87,9 @@
         self._remote_loads: dict[str, RemoteLoad] = {}
         self._remote_requests = 0
         self._remote_pending_tokens = 0
+        self._correction = NO_CORRECTION
         self._expired_at = 0.0
-        self._prefill_rate = INITIAL_TOKENS_PER_SECOND
+        self._prefill_rate = PrefillRate()
         self._prefix_cache = PrefixCache(index=prefix_index, server=server)
         self._health = ServerHealth()
 
@@ -100,7 +111,7 @@
     @property
     def prefill_rate(self) -> float:
         """Estimated number of prompt tokens that it reads per second."""
-        return self._prefill_rate
+        return self._prefill_rate.rate
 
     @property
     def own_requests(self) -> int:
@@ -127,12 +138,31 @@
     def count_requests(self, now: float) -> int:
         """Return the number of running requests of all routers."""
         self._expire(now)
-        return self._own_requests + self._remote_requests
+        counted = self._own_requests + self._remote_requests
+        return max(counted + self._correction.requests, self._own_requests)
 
     def count_pending_tokens(self, now: float) -> float:
         """Return the prompt tokens of all routers that are yet to be read."""
         self._expire(now)
-        return self._own_pending_tokens + self._remote_pending_tokens
+        counted = self._own_pending_tokens + self._remote_pending_tokens
+        return max(counted + self._correction.pending_tokens, 0.0)
+
+    def correct_load(self, state: EngineState, lifetime: float, now: float) -> None:
+        """
+        Take over what the scheduler of an engine knows of it.
+
+        :param lifetime: seconds until the news have told the same.
+        """
+        self._correction = NO_CORRECTION
+        self._prefill_rate.replace(state.prefill_rate)
+        self._concurrency.replace(state.limit)
+        requests = state.running + state.waiting
+        tokens = state.waiting_tokens + state.backlog_seconds * state.prefill_rate
+        self._correction = LoadCorrection(
+            requests - self.count_requests(now),
+            tokens - self.count_pending_tokens(now),
+            now + lifetime,
+        )
 
     def start_request(self, tokens: int, now: float) -> Prefill:
         """
@@ -149,14 +179,9 @@
     def record_first_token(self, prefill: Prefill, now: float) -> None:
         """Count a prompt as read and measure the prefill rate by it."""
         self._own_pending_tokens = max(self._own_pending_tokens - prefill.tokens, 0.0)
-        total = prefill.tokens + prefill.tokens_ahead
-        if total < MIN_SAMPLE_TOKENS:
-            return
-        elapsed = max(now - prefill.sent_at - FIRST_TOKEN_OVERHEAD_SECONDS, 0.01)
-        measured = min(
-            max(total / elapsed, MIN_TOKENS_PER_SECOND), MAX_TOKENS_PER_SECOND
+        self._prefill_rate.observe(
+            prefill.tokens + prefill.tokens_ahead, now - prefill.sent_at
         )
-        self._prefill_rate += (measured - self._prefill_rate) * RATE_SMOOTHING_RATIO
 
     def abandon_prefill(self, prefill: Prefill) -> None:
         """Stop counting a prompt that will not be read to its end."""
@@ -180,6 +205,8 @@
         self._health = ServerHealth()
 
     def _expire(self, now: float) -> None:
+        if now >= self._correction.expires_at:
+            self._correction = NO_CORRECTION
         # The sums make the cost of a look-up independent of the fleet's size.
         # A search for expired loads does not, so it takes place at intervals.
         if now - self._expired_at < EXPIRY_INTERVAL_SECONDS:
--- a/src/sycamorehaven/gateway.py
+++ b/src/sycamorehaven/gateway.py
@@ -9,7 +9,9 @@
 from zmq import ZMQError
 
 from sycamorehaven.blackboard.board import Blackboard
+from sycamorehaven.controllers.admissions import AdmissionController
 from sycamorehaven.controllers.dispatch import Dispatcher
+from sycamorehaven.controllers.engine_queues import EngineQueueController
 from sycamorehaven.controllers.event_loop import EventLoopMonitor
 from sycamorehaven.controllers.fleet_state import FleetStateController
 from sycamorehaven.controllers.forwarding import ForwardingContext, ForwardingController
@@ -103,7 +105,8 @@
         board, decision_log, metrics = self._board, self._decision_log, self._metrics
         peers = ZmqPeerLink(board, self._settings)
         news = NewsLink(board, peers)
-        dispatcher = Dispatcher(board, decision_log, metrics)
+        admissions = AdmissionController(board, peers, decision_log, metrics)
+        dispatcher = Dispatcher(board, decision_log, metrics, admissions=admissions)
         context = ForwardingContext(
             dispatcher, self._backends, decision_log, metrics, time.monotonic
         )
@@ -133,6 +136,8 @@
             news,
             RoutingSnapshotController(board, news, self._store, decision_log, metrics),
             FleetStateController(board, news, self._condition_recorder),
+            EngineQueueController(board, peers),
+            admissions,
             dispatcher,
             forwarding.strikes,
             frontend,
--- a/src/sycamorehaven/routing/requests.py
+++ b/src/sycamorehaven/routing/requests.py
@@ -11,6 +11,10 @@
     from collections.abc import Iterable
 
 
+OUTPUT_TOKEN_WEIGHT = 2.0
+"""Cost of a generated token relative to that of a prompt token."""
+
+
 class PromptPart(NamedTuple):
     """
     A part of a prompt that other requests may have in common.
@@ -97,6 +101,11 @@
     received_at: float
     deadline: float
 
+    @property
+    def token_cost(self) -> float:
+        """Cost of the request in prompt tokens."""
+        return self.head.prompt_tokens + OUTPUT_TOKEN_WEIGHT * self.head.output_tokens
+
 
 class SendPlan(NamedTuple):
     """
--- a/src/sycamorehaven/telemetry/gateway_metrics.py
+++ b/src/sycamorehaven/telemetry/gateway_metrics.py
@@ -26,6 +26,8 @@
     :ivar attempt_failures: number of failed attempts on backend servers.
     :ivar stream_ends: number of streams that servers ended, by what marks the
         end of the body and by whether it came inside an event.
+    :ivar admissions: number of applications to schedulers of engines, by
+        answer; "silent" if there was none.
     :ivar culprits: number of requests and parts of prompts that are blamed for
         lost servers.
     :ivar quarantined_requests: number of requests that were refused, or not
@@ -81,6 +83,12 @@
             ("framing", "position"),
             registry=self._registry,
         )
+        self.admissions = Counter(
+            "sycamorehaven_admissions",
+            "Applications to the schedulers of engines by answer.",
+            ("answer",),
+            registry=self._registry,
+        )
         self.culprits = Gauge(
             "sycamorehaven_crash_suspects",
             "Requests and parts of prompts that are blamed for lost servers.",
--- a/src/sycamorehaven/transport/messages/kinds.py
+++ b/src/sycamorehaven/transport/messages/kinds.py
@@ -7,6 +7,11 @@
 
 from __future__ import annotations
 
+from sycamorehaven.transport.messages.admissions import (
+    AdmissionProgress,
+    AdmissionReply,
+    AdmissionRequest,
+)
 from sycamorehaven.transport.messages.configuration import (
     ConfigurationNotice,
     ConfigurationReply,
@@ -127,6 +132,9 @@
     SoftwareVersionRequest,
     SoftwareVersionReply,
     GoneServer,
+    AdmissionRequest,
+    AdmissionReply,
+    AdmissionProgress,
 )
 
 BULK_MESSAGE_KINDS = frozenset(
--- a/tests/controllers/test_engine_queues.py
+++ b/tests/controllers/test_engine_queues.py
@@ -21,15 +21,17 @@
 
 
 async def simulate(
-    load: float, seconds: float, size: int = ROUTERS
+    load: float, seconds: float, size: int = ROUTERS, paused: int = 0
 ) -> EngineFleetSimulation:
     """
     Run large workspaces and a small one.
 
     :param load: demand as a multiple of what the engines read.
     :param size: number of routers and of engines.
+    :param paused: number of routers that do not answer.
     """
     simulation = EngineFleetSimulation(size, size)
+    simulation.paused = set(range(paused))
     total = load * simulation.read_rate / PROMPT_TOKENS
     rates = compute_rates(total, LARGE_WORKSPACES, SMALL_PART)
     await simulation.run(rates, seconds)
@@ -66,3 +68,10 @@
 async def test_placements_collapse_while_twice_too_much_is_asked() -> None:
     simulation = await simulate(2.0, seconds=10.0, size=SMALLER_FLEET)
     assert min(simulation.list_placed_ratios()[2:10]) >= 0.8
+
+
+async def test_engines_whose_scheduler_is_paused_are_not_used() -> None:
+    simulation = await simulate(0.5, seconds=5.0, size=SMALLER_FLEET, paused=12)
+    assert simulation.get_begun_ratio("small") >= 0.9
+    assert min(simulation.list_placed_ratios()[1:5]) >= 0.4
+    assert simulation.get_late_ratio(SETTLED_SECONDS) <= 0.2
--- a/tests/controllers/test_reservations.py
+++ b/tests/controllers/test_reservations.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sycamorehaven.blackboard.members import Member
-from sycamorehaven.controllers.dispatch import Dispatcher, compute_token_cost
+from sycamorehaven.controllers.dispatch import Dispatcher
 from sycamorehaven.controllers.fleet_state import FleetStateController
 from sycamorehaven.controllers.reservations import ServerReservation
 from sycamorehaven.exceptions.backends import ConnectFailed, ServerSilent
@@ -89,7 +89,7 @@
             reservation = await self._dispatcher.acquire(request, excluded)
             if reservation.server.id not in CRASHED:
                 reservation.record_first_token(self._clock())
-                return compute_token_cost(request)
+                return request.token_cost
             error = ConnectFailed("refused", was_sent=False)
             reservation.record_failure(error, self._clock())
             reservation.release()
--- a/tests/support/engine_fleet_simulation.py
+++ b/tests/support/engine_fleet_simulation.py
@@ -18,10 +18,18 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from sycamorehaven.blackboard.members import Member
+from sycamorehaven.controllers.admissions import (
+    REPORT_PERIOD_SECONDS,
+    AdmissionController,
+)
 from sycamorehaven.controllers.dispatch import (
     MIN_DISPATCH_PAUSE_SECONDS,
     Dispatcher,
 )
+from sycamorehaven.controllers.engine_queues import (
+    ADVANCE_PERIOD_SECONDS,
+    EngineQueueController,
+)
 from sycamorehaven.controllers.fleet_state import FleetStateController
 from sycamorehaven.controllers.news_link import BATCH_PERIOD_SECONDS, NewsLink
 from sycamorehaven.decisions.news_routes import choose_broadcast_period_seconds
@@ -172,6 +180,8 @@
     :ivar rejected_while_idle: requests that were rejected while a tenth of the
         engines had nothing to read.
     :ivar placed_tokens: prompt tokens placed in each second of the run.
+    :ivar paused: numbers of routers that neither send nor receive; no client
+        reaches them.
     """
 
     def __init__(self, routers: int, engines: int) -> None:
@@ -187,6 +197,7 @@
         self.begins: dict[str, list[Begin]] = {}
         self.asked: Counter[str] = Counter()
         self.rejected_while_idle = 0
+        self.paused: set[int] = set()
         self.placed_tokens: Counter[int] = Counter()
         self.engines = {
             f"s{number}": SimulatedEngine(
@@ -269,7 +280,10 @@
         """Deliver what was sent before; replies wait for the next step."""
         deliveries = self._network.pending_deliveries
         self._network.pending_deliveries = []
+        silent = {f"a{number}:1" for number in self.paused}
         for address, delivery in deliveries:
+            if silent & {address, delivery.address}:
+                continue
             self._network.links[address].dispatch(delivery)
 
     def _start_router(
@@ -283,7 +297,7 @@
         fleet_state = FleetStateController(
             board, news, create_recorder(board, clock), clock
         )
-        dispatcher = self._create_dispatcher(board)
+        dispatcher = self._create_dispatcher(board, link, offset)
         self._dispatchers.append(dispatcher)
         pause = MIN_DISPATCH_PAUSE_SECONDS
         self._repeat(offset * pause, pause, dispatcher.dispatch_pending)
@@ -293,9 +307,19 @@
         self._repeat(offset * batch_period, batch_period, news.send_batches)
         self._repeat(0.1, 0.1, link.sent_messages.clear)
 
-    def _create_dispatcher(self, board: Blackboard) -> Dispatcher:
+    def _create_dispatcher(
+        self, board: Blackboard, link: MemoryLink, offset: float
+    ) -> Dispatcher:
         log = PlacementLog(board.identity.host, self._expected)
-        return Dispatcher(board, log, GatewayMetrics(), self._clock)
+        metrics = GatewayMetrics()
+        admissions = AdmissionController(board, link, log, metrics, self._clock)
+        queues = EngineQueueController(board, link, self._clock)
+        period = REPORT_PERIOD_SECONDS
+        self._repeat(offset * period, period, admissions.report_progress)
+        self._repeat(offset * period, period, admissions.end_overdue_applications)
+        period = ADVANCE_PERIOD_SECONDS
+        self._repeat(offset * period, period, queues.advance_all)
+        return Dispatcher(board, log, metrics, self._clock, admissions)
 
     def _build_snapshot(self) -> Snapshot:
         servers = tuple(
@@ -335,7 +359,8 @@
             if arrives_at > self._arrivals_end_at:
                 return
             self.asked[workspace] += 1
-            router = self._random.randrange(len(self._dispatchers))
+            reached = set(range(len(self._dispatchers))) - self.paused
+            router = self._random.choice(sorted(reached))
             timeout = STREAMING_ROUTE.timeout
             self._send(workspace, timeout, router, is_repeat=False)
             self._schedule_arrival(workspace, rate, arrives_at)
--- a/tests/support/sharing_simulation.py
+++ b/tests/support/sharing_simulation.py
@@ -23,7 +23,6 @@
     DISPATCH_PAUSE_RATIO,
     MIN_DISPATCH_PAUSE_SECONDS,
     Dispatcher,
-    compute_token_cost,
 )
 from sycamorehaven.controllers.event_loop import OBSERVATION_PERIOD_SECONDS
 from sycamorehaven.controllers.fleet_state import (
@@ -391,7 +390,7 @@
     ) -> None:
         request = self._build_request(flood.workspace, timeout)
         if not is_repeat:
-            self.asked[flood.workspace] += int(compute_token_cost(request))
+            self.asked[flood.workspace] += int(request.token_cost)
         task = asyncio.create_task(self._run_request(flood, request, router, is_repeat))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -446,7 +445,7 @@
             reservation.release()
             return
         now = self._clock()
-        self.received[flood.workspace] += int(compute_token_cost(request))
+        self.received[flood.workspace] += int(request.token_cost)
         server = reservation.server.id
         first_event_at = (
             max(self._read_until[server], now)
