Count a request as load of an engine while its scheduler is asked

A router that gets many requests at once chose the same engine for all of a pass, since none of them counted anywhere until the scheduler had answered. All but a few were refused and asked again: one refusal is a round trip and up to 20 ms in front of a first token. Requests for which a scheduler is asked now count in this router's view until the scheduler counts them. A reservation also goes on teaching the router's own limit, which is used while a scheduler is silent.

--- a/src/sycamorehaven/controllers/admissions.py
+++ b/src/sycamorehaven/controllers/admissions.py
@@ -32,6 +32,7 @@
     from collections.abc import Callable
 
     from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.decisions.server_model import ServerModel
     from sycamorehaven.routing.model import ServerRecord
     from sycamorehaven.telemetry.decision_log import DecisionLog
     from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
@@ -73,6 +74,8 @@
     :ivar scheduler: host of the scheduler.
     :ivar answers_by: when the scheduler must have answered, in monotonic
         seconds.
+    :ivar is_counted: whether this router counts the request as load of the
+        engine, since its scheduler may not count it yet.
     """
 
     def __init__(
@@ -86,6 +89,7 @@
         self.admission = admission
         self.scheduler = scheduler
         self.answers_by = now + REPLY_TIMEOUT_SECONDS
+        self.is_counted = True
         self._max_wait = max_wait
         self._on_answer = on_answer
 
@@ -189,6 +193,7 @@
         self._applications[number] = Application(
             admission, scheduler, request.max_wait, on_answer, now
         )
+        self._find_model(server).add_application(request.tokens)
         message = request._replace(number=number, server=server.incarnation_id)
         self._link.send(scheduler, message)
         self._has_work.set()
@@ -198,6 +203,7 @@
         """End an application whose request is no longer wanted."""
         application = self._applications.pop(number, None)
         if application is not None:
+            self._stop_counting(application)
             self._end_unused(application.admission)
 
     def take_alone(self, server: ServerRecord, tokens: int) -> Admission | None:
@@ -246,6 +252,7 @@
         ]
         for number in overdue:
             application = self._applications.pop(number)
+            self._stop_counting(application)
             self._record_silence(application.scheduler, now)
             self._end_unused(application.admission)
             self._conclude(application, AdmissionAnswer("silent", None, None))
@@ -283,6 +290,7 @@
             return
         now = self._clock()
         admission = application.admission
+        self._stop_counting(application)
         is_admitted = reply.verdict == "admitted"
         state = EngineState(
             reply.running,
@@ -315,8 +323,17 @@
         self, server: ServerRecord, state: EngineState, now: float
     ) -> None:
         period = choose_news_period_seconds(self._board.members.count())
-        model = self._board.fleet_load.find_model(server.id)
-        model.correct_load(state, period, now)
+        self._find_model(server).correct_load(state, period, now)
+
+    def _stop_counting(self, application: Application) -> None:
+        if application.is_counted:
+            application.is_counted = False
+            admission = application.admission
+            model = self._find_model(admission.server)
+            model.remove_application(admission.tokens)
+
+    def _find_model(self, server: ServerRecord) -> ServerModel:
+        return self._board.fleet_load.find_model(server.id)
 
     def _end_unused(self, admission: Admission) -> None:
         """Tell the scheduler that a request is not wanted any longer."""
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -328,6 +328,7 @@
         )
         if best is not None and self._applicant.has_scheduler(pending, best, now):
             self._applicant.apply(pending, best, placement_request, now)
+            loads.update(best.server)
         elif action == "place" and best is not None:
             if not entitled:
                 self._excess_allowances[request.service].take()
--- a/src/sycamorehaven/controllers/reservations.py
+++ b/src/sycamorehaven/controllers/reservations.py
@@ -148,10 +148,8 @@
         :param longest: longest acceptable time in seconds.
         :param now: monotonic seconds.
         """
-        if self._admission is not None:
-            if longest:
-                self._admission.observe_gap(is_late=is_late_gap(gap, longest))
-            return
+        if self._admission is not None and longest:
+            self._admission.observe_gap(is_late=is_late_gap(gap, longest))
         self._model.concurrency.observe_gap(gap, longest, now)
 
     def release(self) -> None:
--- a/src/sycamorehaven/decisions/server_model.py
+++ b/src/sycamorehaven/decisions/server_model.py
@@ -84,6 +84,8 @@
         self._concurrency = ConcurrencyLimit(1)
         self._own_requests = 0
         self._own_pending_tokens = 0.0
+        self._applied_requests = 0
+        self._applied_tokens = 0
         self._remote_loads: dict[str, RemoteLoad] = {}
         self._remote_requests = 0
         self._remote_pending_tokens = 0
@@ -138,15 +140,33 @@
     def count_requests(self, now: float) -> int:
         """Return the number of running requests of all routers."""
         self._expire(now)
-        counted = self._own_requests + self._remote_requests
+        counted = self._own_requests + self._applied_requests + self._remote_requests
         return max(counted + self._correction.requests, self._own_requests)
 
     def count_pending_tokens(self, now: float) -> float:
         """Return the prompt tokens of all routers that are yet to be read."""
         self._expire(now)
-        counted = self._own_pending_tokens + self._remote_pending_tokens
+        counted = (
+            self._own_pending_tokens
+            + self._applied_tokens
+            + self._remote_pending_tokens
+        )
         return max(counted + self._correction.pending_tokens, 0.0)
 
+    def add_application(self, tokens: int) -> None:
+        """
+        Count a request for which the scheduler of the engine is asked.
+
+        :param tokens: prompt tokens that the engine must read.
+        """
+        self._applied_requests += 1
+        self._applied_tokens += tokens
+
+    def remove_application(self, tokens: int) -> None:
+        """Stop counting such a request, since the scheduler counts it now."""
+        self._applied_requests = max(self._applied_requests - 1, 0)
+        self._applied_tokens = max(self._applied_tokens - tokens, 0)
+
     def correct_load(self, state: EngineState, lifetime: float, now: float) -> None:
         """
         Take over what the scheduler of an engine knows of it.
--- a/tests/controllers/test_admissions.py
+++ b/tests/controllers/test_admissions.py
@@ -243,3 +243,18 @@
     scheduled_fleet.clock.advance(HELD_PERIOD_SECONDS)
     scheduled_fleet.report()
     second.admit(scheduled_fleet.network)
+
+
+def test_router_counts_what_it_asks_for_until_the_scheduler_does(
+    scheduled_fleet: Fleet,
+) -> None:
+    router = scheduled_fleet.others[0]
+    model = router.board.fleet_load.find_model(SERVER.id)
+    numbers = [router.apply() for _ in range(3)]
+    now = scheduled_fleet.clock()
+    assert (model.count_requests(now), model.count_pending_tokens(now)) == (3, 300.0)
+    router.admissions.withdraw(numbers[0])
+    assert model.count_requests(now) == 2
+    scheduled_fleet.clock.advance(REPLY_TIMEOUT_SECONDS)
+    router.admissions.end_overdue_applications()
+    assert model.count_requests(scheduled_fleet.clock()) == 0
