Decide on refused applications in the next pass

Each refusal of a scheduler began a pass of its own, and each pass compares all engines first: 1.1 ms at 70 engines for one request, 0.15 ms for each further one (fastest of 30, arm64). The scheduler of an engine is looked up by its id, and one silent scheduler no longer costs each lookup a second one.

--- a/src/sycamorehaven/controllers/admissions.py
+++ b/src/sycamorehaven/controllers/admissions.py
@@ -164,10 +164,8 @@
         :returns: ``None`` if the news are young enough to decide alone, or the
             scheduler is silent.
         """
-        if not uses_collectors(self._board.members.count()):
-            return None
         scheduler = self._get_scheduler(server)
-        if scheduler is None or now < self._silent_until.get(scheduler, 0.0):
+        if self._silent_until and now < self._silent_until.get(scheduler or "", 0.0):
             return None
         return scheduler
 
@@ -214,7 +212,7 @@
 
         :returns: ``None`` in a fleet without schedulers.
         """
-        if not uses_collectors(self._board.members.count()):
+        if self._get_scheduler(server) is None:
             return None
         admission = self._create_admission(server, next(self._numbers), tokens)
         admission.hold(must_list=True)
@@ -352,9 +350,15 @@
         return reports
 
     def _get_scheduler(self, server: ServerRecord) -> str | None:
-        if server.incarnation_id not in self._schedulers:
-            domains = self._board.members.map_failure_domains()
-            self._schedulers[server.incarnation_id] = choose_engine_scheduler(
-                server.id, server.failure_domain, domains
-            )
-        return self._schedulers[server.incarnation_id]
+        """Return the scheduler of an engine; ``None`` in a small fleet."""
+        try:
+            return self._schedulers[server.id]
+        except KeyError:
+            scheduler = None
+            if uses_collectors(self._board.members.count()):
+                domains = self._board.members.map_failure_domains()
+                scheduler = choose_engine_scheduler(
+                    server.id, server.failure_domain, domains
+                )
+            self._schedulers[server.id] = scheduler
+            return scheduler
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -339,10 +339,8 @@
             self.reject_late(pending, shortest_wait, placement_request, best, now)
 
     def reconsider_pending(self) -> None:
-        """Look at the pending requests again as soon as a pass may begin."""
+        """Look at the pending requests again in the next pass."""
         self._request_arrived.set()
-        if self._clock() >= self._next_pass_at:
-            self.dispatch_pending()
 
     def reject_late(
         self,
