Count the free slots of a service only where a decision needs them

Each pass counted the free and all slots of all engines and looked up the configured memory of each, though only requests placed without a scheduler need the former.

The test at twice the capacity sends for 4 s instead of 6: with 70 routers it took up to 120 s beside other load, which is the limit of the runner.

--- a/src/sycamorehaven/controllers/candidates.py
+++ b/src/sycamorehaven/controllers/candidates.py
@@ -27,7 +27,6 @@
     from collections.abc import Collection, Mapping
 
     from sycamorehaven.blackboard.board import Blackboard
-    from sycamorehaven.decisions.server_model import ServerModel
     from sycamorehaven.decisions.server_openings import Opening
     from sycamorehaven.routing.model import ServerRecord
 
@@ -128,13 +127,17 @@
             engines.
         """
         views = []
+        cache_tokens = self._get_cache_tokens(service)
         for server in self._board.routing.list_available_servers(service):
             opening = self.find_opening(server, now)
             if opening.closed_by != "leaving" and software_version in (
                 None,
                 server.software_version,
             ):
-                model = self._get_model(server)
+                # The model has to know the server's configured capacity.
+                model = self._board.fleet_load.update_capacity(
+                    server.id, cache_tokens, server.slots
+                )
                 views.append(
                     observe_server(
                         server,
@@ -289,18 +292,12 @@
         ranked = rank_candidates(subject, [server.id for server in servers])
         return {name: place for place, name in enumerate(ranked)}
 
-    def _get_model(self, server: ServerRecord) -> ServerModel:
-        """Return a server's model after setting its configured capacity."""
+    def _get_cache_tokens(self, name: str) -> int:
+        """Return how many tokens a server of a service keeps, 0 for none."""
         configuration = self._board.routing.configuration
-        service = configuration.services.get(server.service) if configuration else None
-        cache_tokens = (
-            service.engine_capacity.kv_cache_tokens
-            if service and service.engine_capacity
-            else 0
-        )
-        return self._board.fleet_load.update_capacity(
-            server.id, cache_tokens, server.slots
-        )
+        service = configuration.services.get(name) if configuration else None
+        capacity = service.engine_capacity if service else None
+        return capacity.kv_cache_tokens if capacity else 0
 
 
 def _count_cached_tokens(server: str, levels: PrefixLevels) -> int:
--- a/src/sycamorehaven/controllers/service_load.py
+++ b/src/sycamorehaven/controllers/service_load.py
@@ -105,12 +105,7 @@
         self._software_versions = {
             view.server.software_version for view in self._views.values()
         }
-        self._free_slots = sum(map(self._count_free_slots, self._views.values()))
-        self._total_slots = sum(
-            view.prompt_limit
-            for view in self._views.values()
-            if not self._is_ejected(view) and view.opening.closed_by != "rest"
-        )
+        self._free_slots: int | None = None
         self._has_closed = any(view.opening.closed_by for view in self.views)
         self._has_schedulers = any(view.has_scheduler for view in self.views)
         self._has_capacity: dict[bool, bool] = {}
@@ -130,6 +125,8 @@
 
         Ejected servers have none.
         """
+        if self._free_slots is None:
+            self._free_slots = sum(map(self._count_free_slots, self.views))
         return self._free_slots
 
     @property
@@ -139,7 +136,11 @@
 
         Ejected servers may run none.
         """
-        return self._total_slots
+        return sum(
+            view.prompt_limit
+            for view in self.views
+            if not self._is_ejected(view) and view.opening.closed_by != "rest"
+        )
 
     @property
     def has_schedulers(self) -> bool:
@@ -278,7 +279,9 @@
             opening,
             has_scheduler=old.has_scheduler,
         )
-        self._free_slots += self._count_free_slots(view) - self._count_free_slots(old)
+        if self._free_slots is not None:
+            freed = self._count_free_slots(view) - self._count_free_slots(old)
+            self._free_slots += freed
         self._has_capacity.clear()
         if self._available and server in self._available:
             self._available[server] = view
--- a/tests/controllers/test_engine_queues.py
+++ b/tests/controllers/test_engine_queues.py
@@ -16,7 +16,7 @@
 """Rate of the small workspace as a fraction of a large one's."""
 SMALLER_FLEET = 35
 """Routers and engines of a fleet that is simulated for longer."""
-SETTLED_SECONDS = 3.0
+SETTLED_SECONDS = 2.0
 """Time after which engines are expected to be known."""
 
 
@@ -44,9 +44,9 @@
     return simulation
 
 
-async def check_small_workspace(load: float) -> None:
+async def check_small_workspace(load: float, seconds: float = 6.0) -> None:
     """Check that a small workspace gets what it asks, about when expected."""
-    simulation = await simulate(load, seconds=6.0)
+    simulation = await simulate(load, seconds)
     assert simulation.get_begun_ratio("small") >= 0.9
     assert simulation.compare_with_expected(SETTLED_SECONDS) <= 1.5
 
@@ -61,7 +61,7 @@
 
 
 async def test_small_workspace_starves_while_twice_too_much_is_asked() -> None:
-    await check_small_workspace(load=2.0)
+    await check_small_workspace(load=2.0, seconds=4.0)
 
 
 # A share of what was let through falls with what is refused.
