Let a broken stream wait for admission as long as it may

A stream that goes on at another engine was refused like a new request: at the first engine if the wait there was 0.1 s longer than expected, and for good after two refusals if all engines looked full, though schedulers admit it before all others. After a crash of many engines its client would have seen the stream break within 0.1 s instead of going on. It now waits at the first engine for the second that it may wait.

--- a/src/sycamorehaven/controllers/applications.py
+++ b/src/sycamorehaven/controllers/applications.py
@@ -98,7 +98,7 @@
             return
         history, request = pending.applications, pending.request
         max_wait = compute_max_wait(placement_request, best, now)
-        if is_hopeless(history.refused, best.wait_seconds, max_wait):
+        if is_hopeless(placement_request, history.refused, best.wait_seconds, max_wait):
             self._placer.reject_late(
                 pending, best.wait_seconds, placement_request, best, now
             )
@@ -110,7 +110,7 @@
             tokens=best.uncached_tokens,
             cost=request.token_cost,
             max_wait=compute_tolerated_wait(
-                max_wait, best.wait_seconds, history.refused
+                placement_request, max_wait, best.wait_seconds, history.refused
             ),
             resumes=placement_request.resumes,
         )
--- a/src/sycamorehaven/decisions/load_shedding.py
+++ b/src/sycamorehaven/decisions/load_shedding.py
@@ -139,33 +139,43 @@
     return max(time_left, IDLE_WAIT_SECONDS)
 
 
-def is_hopeless(refused: int, expected_wait: float, max_wait: float) -> bool:
+def is_hopeless(
+    request: PlacementRequest, refused: int, expected_wait: float, max_wait: float
+) -> bool:
     """
     Return whether a request need not ask any further scheduler.
 
+    A stream that resumes waits less than the router expects, since it goes
+    before all others.
+
     :param refused: number of schedulers that have refused it.
     :param expected_wait: seconds that it is expected to wait at the best one.
     :param max_wait: seconds after which the request would be late.
     """
     if refused >= MAX_REFUSED_APPLICATIONS:
         return True
-    return refused >= MIN_REFUSED_APPLICATIONS and expected_wait > max_wait
+    if request.resumes or refused < MIN_REFUSED_APPLICATIONS:
+        return False
+    return expected_wait > max_wait
 
 
 def compute_tolerated_wait(
-    max_wait: float, expected_wait: float, refused: int
+    request: PlacementRequest, max_wait: float, expected_wait: float, refused: int
 ) -> float:
     """
     Return how long a request waits at one engine before it tries another one.
 
     A wait that is longer than expected shows that the choice of the engine
     rested on old news, so another one may be better. The more engines have
-    refused the request, the less likely that is.
+    refused the request, the less likely that is. A stream that resumes goes
+    before all others, so it need not look further.
 
     :param max_wait: seconds after which the request would be late.
     :param expected_wait: seconds that the router expects there.
     :param refused: number of engines that have refused it.
     """
+    if request.resumes:
+        return max_wait
     tolerance = WAIT_TOLERANCE_SECONDS * (1 + refused)
     return min(expected_wait + tolerance, max_wait)
 
