--- a/tests/controllers/test_workload.py
+++ b/tests/controllers/test_workload.py
@@ -105,3 +105,9 @@
     assert line["workspaces"]["w1"]["late"] == 1
     assert line["first_events"] == {"count": 1, "expected": 0.25, "measured": 1.5}
     assert next_line["first_events"]["count"] == 0
+
+
+def test_seconds_without_requests_are_not_reported(clock: ManualClock) -> None:
+    board = create_board()
+    board.workload.count_arrival("w1")
+    assert len(read_reports(board, clock, GatewayMetrics(), count=3)) == 1
