--- a/tests/controllers/test_admissions.py
+++ b/tests/controllers/test_admissions.py
@@ -189,6 +189,7 @@
     scheduled_fleet.network.deliver()
     scheduled_fleet.report()
     router.admit(scheduled_fleet.network)
+    assert router.answers[-1].verdict == "admitted"
 
 
 def test_request_that_was_sent_without_its_scheduler_is_counted_later(
@@ -230,6 +231,7 @@
     left["a1"] = left["a1"]._replace(incarnation=2)
     scheduled_fleet.replace_members(left)
     second.admit(scheduled_fleet.network)
+    assert second.answers[-1].verdict == "admitted"
 
 
 def test_lost_end_of_a_request_is_made_up_for(scheduled_fleet: Fleet) -> None:
@@ -243,6 +245,7 @@
     scheduled_fleet.clock.advance(HELD_PERIOD_SECONDS)
     scheduled_fleet.report()
     second.admit(scheduled_fleet.network)
+    assert second.answers[-1].verdict == "admitted"
 
 
 def test_router_counts_what_it_asks_for_until_the_scheduler_does(
