Tell how busy a host is, and where requests are rejected

The event loop now measures for how long it waits; the rest of the time it is busy, whatever its host gives it. A workload line has this as `busy`, the `cores` of the host (from the platform's limits, which nothing read), accepted connections and the stage at which requests were rejected; the metric is sycamorehaven_busy_ratio. The activities of `processor` now add up to the busy seconds.

--- a/src/sycamorehaven/blackboard/workload.py
+++ b/src/sycamorehaven/blackboard/workload.py
@@ -18,6 +18,9 @@
 Activity = Literal["dispatch", "news", "rejection"]
 """Work of the event loop whose time is measured. All other work, relaying
 most of all, is the rest."""
+RejectionStage = Literal["by_head", "by_server"]
+"""How far a request got that is rejected for lack of time: its head was read,
+or the HTTP server had it."""
 
 
 class WorkspaceCounts(NamedTuple):
@@ -73,6 +76,8 @@
         self._late: Counter[str] = Counter()
         self._first_events = FirstEvents()
         self._relayed_events = 0
+        self._connections = 0
+        self._rejection_stages: Counter[str] = Counter()
         self._seconds: dict[str, float] = {}
 
     def count_arrival(self, workspace: str) -> None:
@@ -83,6 +88,14 @@
         """Count a request that is refused unrun."""
         self._rejected.setdefault(workspace, Counter())[reason] += 1
 
+    def count_rejection_stage(self, stage: RejectionStage) -> None:
+        """Count a request that is rejected for lack of time."""
+        self._rejection_stages[stage] += 1
+
+    def count_connection(self) -> None:
+        """Count a connection of a client that was accepted."""
+        self._connections += 1
+
     def count_attempt(self, workspace: str) -> None:
         """Count an attempt on a backend server."""
         self._tried[workspace] += 1
@@ -136,6 +149,16 @@
         events, self._relayed_events = self._relayed_events, 0
         return events
 
+    def take_connections(self) -> int:
+        """Return and clear the number of accepted connections."""
+        connections, self._connections = self._connections, 0
+        return connections
+
+    def take_rejection_stages(self) -> dict[str, int]:
+        """Return and clear the rejections for lack of time, by stage."""
+        stages, self._rejection_stages = self._rejection_stages, Counter()
+        return dict(stages)
+
     def take_first_events(self) -> FirstEvents:
         """Return and clear the first events of prompts."""
         first_events, self._first_events = self._first_events, FirstEvents()
--- a/src/sycamorehaven/controllers/workload.py
+++ b/src/sycamorehaven/controllers/workload.py
@@ -8,6 +8,8 @@
 
 from mode import Service
 
+from sycamorehaven.transport.metered_loop import read_busy_seconds
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -31,11 +33,12 @@
 
     :param board: shared state of this router.
     :param decision_log: gets a ``workload`` line if there were requests.
-    :param metrics: gets the processor time of each activity.
+    :param metrics: gets the time of each activity.
     :param is_short_of_time: returns whether the router has left the rotation.
     :param clock: returns monotonic time in seconds.
-    :param processor_clock: returns the processor time of this process in
-        seconds.
+    :param busy_clock: returns the seconds for which this router had work to
+        do.
+    :param cores: processor that the host has, in cores.
     """
 
     def __init__(
@@ -45,7 +48,8 @@
         metrics: GatewayMetrics,
         is_short_of_time: Callable[[], bool] = lambda: False,
         clock: Callable[[], float] = time.monotonic,
-        processor_clock: Callable[[], float] = time.process_time,
+        busy_clock: Callable[[], float] = read_busy_seconds,
+        cores: float = 1.0,
     ) -> None:
         super().__init__()
         self._board = board
@@ -53,9 +57,14 @@
         self._metrics = metrics
         self._is_short_of_time = is_short_of_time
         self._clock = clock
-        self._processor_clock = processor_clock
+        self._busy_clock = busy_clock
+        self._cores = cores
         self._reported_at = clock()
-        self._processor_seconds = processor_clock()
+        self._busy_seconds = 0.0
+
+    async def on_start(self) -> None:
+        """Begin to measure."""
+        self._reported_at, self._busy_seconds = self._clock(), self._busy_clock()
 
     @Service.task
     async def _run(self) -> None:
@@ -65,13 +74,14 @@
 
     def report(self) -> None:
         """Report the time since the last report."""
-        now, processor_seconds = self._clock(), self._processor_clock()
+        now, busy_seconds = self._clock(), self._busy_clock()
         elapsed = max(now - self._reported_at, 1e-3)
-        used = processor_seconds - self._processor_seconds
-        self._reported_at, self._processor_seconds = now, processor_seconds
+        busy = busy_seconds - self._busy_seconds
+        self._reported_at, self._busy_seconds = now, busy_seconds
         workload = self._board.workload
         seconds = workload.take_seconds()
-        seconds["rest"] = max(used - sum(seconds.values()), 0.0)
+        seconds["rest"] = max(busy - sum(seconds.values()), 0.0)
+        self._metrics.busy_ratio.set(busy / elapsed)
         for activity, value in seconds.items():
             self._metrics.processor_seconds.labels(activity).inc(value)
         relayed_events = workload.take_relayed_events()
@@ -79,6 +89,8 @@
             MAX_REPORTED_WORKSPACES, MAX_REPORTED_STARVED
         )
         first_events = workload.take_first_events()
+        connections = workload.take_connections()
+        rejection_stages = workload.take_rejection_stages()
         if not workspaces:
             return
         usage = self._board.fleet_load.usage_window
@@ -88,6 +100,10 @@
             "workload",
             seconds=round(elapsed, 3),
             processor={name: round(value, 4) for name, value in seconds.items()},
+            busy=round(busy / elapsed, 3),
+            cores=round(self._cores, 3),
+            connections=connections,
+            rejections=rejection_stages,
             relayed_events=relayed_events,
             first_events={
                 "count": first_events.events,
--- a/src/sycamorehaven/gateway.py
+++ b/src/sycamorehaven/gateway.py
@@ -123,7 +123,13 @@
         self._frontend, self._forwarding = frontend, forwarding
         return [
             EventLoopMonitor(board, decision_log, metrics),
-            WorkloadMonitor(board, decision_log, metrics, frontend.is_short_of_time),
+            WorkloadMonitor(
+                board,
+                decision_log,
+                metrics,
+                frontend.is_short_of_time,
+                cores=self._gateway_settings.cores,
+            ),
             HealthListener(
                 board,
                 self._gateway_settings,
--- a/src/sycamorehaven/gateway_settings.py
+++ b/src/sycamorehaven/gateway_settings.py
@@ -23,6 +23,8 @@
     retry_slack: Annotated[float, Meta(ge=0)]
     quota_window: Seconds
     descriptors: NotRequired[Annotated[int, Meta(ge=64)]]
+    cpu_quota: NotRequired[Annotated[float, Meta(gt=0, le=1_024)]]
+    cpu_speed: NotRequired[Annotated[float, Meta(gt=0, le=1_024)]]
 
 
 class GatewaySettings(NamedTuple):
@@ -42,6 +44,8 @@
         in seconds.
     :ivar descriptors: number of file descriptors that the process may use;
         ``None`` for the limit that its operating system states.
+    :ivar cores: processor time that the host gives the process, in seconds of
+        a core per second.
     """
 
     readiness: str
@@ -52,6 +56,7 @@
     retry_slack: float
     quota_window: float
     descriptors: int | None = None
+    cores: float = 1.0
 
     @classmethod
     def from_table(cls, table: GatewayTable) -> GatewaySettings:
@@ -65,4 +70,5 @@
             retry_slack=table["retry_slack"],
             quota_window=table["quota_window"],
             descriptors=table.get("descriptors"),
+            cores=table.get("cpu_quota", 1.0) * table.get("cpu_speed", 1.0),
         )
--- a/src/sycamorehaven/router_command.py
+++ b/src/sycamorehaven/router_command.py
@@ -20,6 +20,7 @@
 from sycamorehaven.exceptions.validation import SettingsError
 from sycamorehaven.settings import RouterSettings
 from sycamorehaven.telemetry.logs import configure_logging
+from sycamorehaven.transport.metered_loop import MeteredEventLoop
 
 EXIT_START_FAILED = 1
 """Exit status if the router cannot start."""
@@ -53,7 +54,9 @@
             print(fault.format(), file=sys.stderr)
         raise typer.Exit(EXIT_INVALID_SETTINGS) from error
     configure_logging(router_settings)
-    raise typer.Exit(asyncio.run(run(settings, router_settings)))
+    with asyncio.Runner(loop_factory=MeteredEventLoop) as runner:
+        status = runner.run(run(settings, router_settings))
+    raise typer.Exit(status)
 
 
 def main() -> None:
--- a/src/sycamorehaven/telemetry/gateway_metrics.py
+++ b/src/sycamorehaven/telemetry/gateway_metrics.py
@@ -45,7 +45,10 @@
         router rejects those of the workspaces that send the most.
     :ivar dispatch_duration: duration of a pass over the waiting requests, in
         seconds; the event loop does nothing else meanwhile.
-    :ivar processor_seconds: processor time by activity, in seconds.
+    :ivar processor_seconds: busy time of the event loop by activity, in
+        seconds.
+    :ivar busy_ratio: fraction of the last second in which the event loop had
+        work to do.
     """
 
     def __init__(self) -> None:
@@ -146,10 +149,15 @@
         )
         self.processor_seconds = Counter(
             "sycamorehaven_processor_seconds",
-            "Processor seconds by activity.",
+            "Busy seconds of the event loop by activity.",
             ("activity",),
             registry=self._registry,
         )
+        self.busy_ratio = Gauge(
+            "sycamorehaven_busy_ratio",
+            "Fraction of the last second in which the event loop had work to do.",
+            registry=self._registry,
+        )
 
     def render(self) -> bytes:
         """Return the metrics in the text format of Prometheus."""
--- a/src/sycamorehaven/transport/frontend_listener.py
+++ b/src/sycamorehaven/transport/frontend_listener.py
@@ -170,6 +170,7 @@
         It may be the newest connection, if all others have a request in
         progress.
         """
+        self._board.workload.count_connection()
         open_connections = len(self._server.connections)
         self._metrics.open_connections.set(open_connections)
         if open_connections <= self._max_connections:
--- a/src/sycamorehaven/transport/time_gate.py
+++ b/src/sycamorehaven/transport/time_gate.py
@@ -83,6 +83,7 @@
         )
         self._count(workspace, received_at, is_admitted=is_admitted)
         if not is_admitted:
+            self._board.workload.count_rejection_stage("by_server")
             raise create_busy_refusal(head.client_timeout)
 
     def reject_early(self, data: bytes) -> bytes | None:
@@ -120,6 +121,7 @@
             return None
         self._board.workload.count_arrival(workspace)
         self._count(workspace, received_at, is_admitted=False)
+        self._board.workload.count_rejection_stage("by_head")
         refusal = create_busy_refusal(identity.client_timeout)
         self._record_refusal(identity.attempt_id, received_at, refusal)
         return render_refusal(refusal, identity.attempt_id)
--- a/tests/controllers/test_workload.py
+++ b/tests/controllers/test_workload.py
@@ -32,14 +32,15 @@
     :param again: workspace that sends a request after each report, if any.
     """
     reader, writer = os.pipe()
-    processor_clock = ManualClock()
+    busy_clock = ManualClock()
+    busy_clock.now = 0.0
     log = DecisionLog("a1", writer, clock)
     monitor = WorkloadMonitor(
-        board, log, metrics, clock=clock, processor_clock=processor_clock
+        board, log, metrics, clock=clock, busy_clock=busy_clock, cores=0.387
     )
     for _ in range(count):
         clock.advance(1.0)
-        processor_clock.advance(0.3)
+        busy_clock.advance(0.3)
         monitor.report()
         if again:
             board.workload.count_arrival(again)
@@ -79,6 +80,19 @@
     assert b'processor_seconds_total{activity="rest"}' in metrics.render()
 
 
+def test_report_tells_how_much_of_its_processor_a_host_uses(clock: ManualClock) -> None:
+    board, metrics = create_board(), GatewayMetrics()
+    board.workload.count_arrival("w1")
+    board.workload.count_connection()
+    board.workload.count_rejection_stage("by_head")
+    line, next_line = read_reports(board, clock, metrics, count=2, again="w1")
+    assert (line["busy"], line["cores"]) == (0.3, 0.387)
+    assert line["connections"] == 1
+    assert line["rejections"] == {"by_head": 1}
+    assert (next_line["connections"], next_line["rejections"]) == (0, {})
+    assert b"sycamorehaven_busy_ratio 0.3" in metrics.render()
+
+
 def test_report_names_only_the_busiest_and_the_starved_workspaces(
     clock: ManualClock,
 ) -> None:
