Answer a request whose length has thousands of digits

What a client saw: its connection ended without an answer, with a ValueError in the log, instead of 400. Cause: Python's int() refuses more than 4,300 digits, and the early look at a request read the length with it. Such a length is unusual framing now and left to the HTTP server, which answers 400.

--- a/src/sycamorehaven/transport/request_framing.py
+++ b/src/sycamorehaven/transport/request_framing.py
@@ -11,6 +11,8 @@
 
 METHODS = frozenset({"GET", "POST", "PUT", "PATCH", "DELETE"})
 """Methods whose responses have a body."""
+MAX_LENGTH_DIGITS = 18
+"""Digits of the length of a body; ``int`` refuses thousands of them."""
 HEAD_END = b"\r\n\r\n"
 CONTENT_LENGTH_PATTERN = re.compile(
     rb"\r\ncontent-length:[ \t]*(\d+)[ \t]*(?=\r\n)", re.I
@@ -53,7 +55,7 @@
     if UNUSUAL_HEADER_PATTERN.search(head) or head.count(b"\n") != head.count(b"\r\n"):
         return None
     lengths = CONTENT_LENGTH_PATTERN.findall(head)
-    if len(lengths) > 1:
+    if len(lengths) > 1 or (lengths and len(lengths[0]) > MAX_LENGTH_DIGITS):
         return None
     return len(head) + (int(lengths[0]) if lengths else 0)
 
