Keep an overloaded router away while its load is elsewhere

What callers saw: most requests of a workspace whose clients reach one small host were refused, over and over.

Cause: an overloaded router left the balancer's rotation for 4 to 16 s by a timer, knew nothing of where its load went, and took every host for as good as its own. Each return undid what the move had gained, and a host with much processor left as well.

Now a router that rejects, or has left, asks the routers of its failure domain how much of these workspaces they get. It stays away while one of them gets 50 requests a second more than it relayed itself; it leaves only if the others have as much processor on average and half of the domain stays ready. Nothing is sent while no router is overloaded. Routers of an older version don't answer, and then the timer decides as before.

--- a/src/sycamorehaven/gateway.py
+++ b/src/sycamorehaven/gateway.py
@@ -17,9 +17,11 @@
 from sycamorehaven.controllers.forwarding import ForwardingContext, ForwardingController
 from sycamorehaven.controllers.membership import MembershipController
 from sycamorehaven.controllers.news_link import NewsLink
+from sycamorehaven.controllers.rotation import RotationController
 from sycamorehaven.controllers.routing_snapshots import RoutingSnapshotController
 from sycamorehaven.controllers.server_conditions import ServerConditionRecorder
 from sycamorehaven.controllers.workload import WorkloadMonitor
+from sycamorehaven.decisions.rotation import RotationControl
 from sycamorehaven.exceptions.startup import StartFailed
 from sycamorehaven.platform.header_codec import PlatformHeaderCodec
 from sycamorehaven.platform.store_client import PlatformStoreClient
@@ -111,6 +113,7 @@
             dispatcher, self._backends, decision_log, metrics, time.monotonic
         )
         forwarding = ForwardingController(board, peers, self._gateway_settings, context)
+        rotation = RotationControl(self._gateway_settings.cores)
         frontend = FrontendListener(
             board,
             self._settings,
@@ -119,6 +122,7 @@
             decision_log,
             metrics,
             descriptors=self._gateway_settings.descriptors,
+            rotation=rotation,
         )
         self._frontend, self._forwarding = frontend, forwarding
         return [
@@ -139,6 +143,7 @@
             ),
             peers,
             MembershipController(board, peers, self._settings),
+            RotationController(board, peers, rotation, decision_log),
             news,
             RoutingSnapshotController(board, news, self._store, decision_log, metrics),
             FleetStateController(board, news, self._condition_recorder),
--- a/src/sycamorehaven/transport/frontend_listener.py
+++ b/src/sycamorehaven/transport/frontend_listener.py
@@ -48,6 +48,7 @@
 
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.call import Answer
+    from sycamorehaven.decisions.rotation import RotationControl
     from sycamorehaven.routing.model import Route
     from sycamorehaven.routing.requests import HeaderCodec, RequestHead
     from sycamorehaven.settings import RouterSettings
@@ -91,6 +92,7 @@
     :param clock: returns monotonic time, seconds.
     :param descriptors: number of file descriptors of the process, of which
         clients get a fraction; ``None`` for the limit of the process.
+    :param rotation: decides when the router leaves the balancer's rotation.
     """
 
     def __init__(
@@ -103,6 +105,7 @@
         metrics: GatewayMetrics,
         clock: Callable[[], float] = time.monotonic,
         descriptors: int | None = None,
+        rotation: RotationControl | None = None,
     ) -> None:
         super().__init__()
         self._board = board
@@ -115,7 +118,7 @@
         self._random = random.Random(board.identity.incarnation)
         self._durations = AnswerDurations()
         self._gate = TimeGate(
-            board, header_codec, decision_log, self._record_refusal, clock
+            board, header_codec, decision_log, self._record_refusal, clock, rotation
         )
         self._server = web.Server(self._serve, handler_cancellation=True)
         self._listener: asyncio.Server | None = None
--- a/src/sycamorehaven/transport/messages/kinds.py
+++ b/src/sycamorehaven/transport/messages/kinds.py
@@ -51,6 +51,10 @@
     RelayReply,
     RelayStatus,
 )
+from sycamorehaven.transport.messages.rotation import (
+    RotationReply,
+    RotationRequest,
+)
 from sycamorehaven.transport.messages.servers import (
     GoneServer,
     LoadReply,
@@ -135,6 +139,8 @@
     AdmissionRequest,
     AdmissionReply,
     AdmissionProgress,
+    RotationRequest,
+    RotationReply,
 )
 
 BULK_MESSAGE_KINDS = frozenset(
--- a/src/sycamorehaven/transport/time_gate.py
+++ b/src/sycamorehaven/transport/time_gate.py
@@ -44,6 +44,7 @@
     :param record_refusal: called with the id of a request that is rejected
         early, when it was received and the refusal.
     :param clock: returns monotonic time in seconds.
+    :param rotation: decides when the router leaves the balancer's rotation.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         decision_log: DecisionLog,
         record_refusal: Callable[[str, float, Refusal], None],
         clock: Callable[[], float] = time.monotonic,
+        rotation: RotationControl | None = None,
     ) -> None:
         self._board = board
         self._header_codec = header_codec
@@ -60,11 +62,11 @@
         self._record_refusal = record_refusal
         self._clock = clock
         self._arrivals = ArrivalControl()
-        self._rotation = RotationControl()
+        self._rotation = rotation or RotationControl()
 
     def is_short_of_time(self) -> bool:
         """Return whether new connections should go to other routers."""
-        return self._rotation.is_absent(self._clock())
+        return self._rotation.is_absent
 
     def check_time(self, workspace: str, head: RequestHead, received_at: float) -> None:
         """
@@ -131,9 +133,13 @@
         if not is_admitted:
             event_loop.count_rejection()
             self._board.workload.count_rejection(workspace, RouterBusy.code)
-        if self._rotation.record(received_at, accepted=is_admitted):
+        departure = self._rotation.record(workspace, received_at, accepted=is_admitted)
+        if departure is not None:
             self._decision_log.record(
-                "rotation_left",
+                "rotation_left" if departure == "left" else "rotation_kept",
+                reason=departure,
+                workspaces=self._rotation.flooding,
+                carried=round(self._rotation.carried_rate, 1),
                 requests_in_progress=self._board.lifecycle.requests_in_progress,
                 request_limit=round(event_loop.request_limit, 1),
                 lag=round(event_loop.lag, 3),
--- a/tests/platform/test_rotation.py
+++ b/tests/platform/test_rotation.py
@@ -92,6 +92,7 @@
     make_late(harness)
     for number in range(2 * MIN_REJECTIONS):
         await send_request(harness, "/look/1", attempt=f"late{number}")
+        await asyncio.sleep(0.005)
     assert not await is_ready(harness)
 
 
