Reject requests by their heads, and before a connection is set up for them

What callers saw: a small host that gets a flood answers a few of it.

Cause: rejecting cost more than it had to. Requests that arrived at once all found room, since none of them counted until its task began. And a request on a connection of its own waited for a transport, an HTTP protocol and a task.

Now a request is rejected once its head is there, and the rest of its body is discarded. Requests that have not begun count as in progress. While the router is short of time, a connection whose request has arrived whole is answered and closed as it is accepted. Bodies beyond the limit, unusual framing, unknown keys and paths are left to the HTTP server as before; the answers are the same.

--- a/src/sycamorehaven/blackboard/workload.py
+++ b/src/sycamorehaven/blackboard/workload.py
@@ -18,9 +18,9 @@
 Activity = Literal["dispatch", "news", "rejection"]
 """Work of the event loop whose time is measured. All other work, relaying
 most of all, is the rest."""
-RejectionStage = Literal["by_head", "by_server"]
-"""How far a request got that is rejected for lack of time: its head was read,
-or the HTTP server had it."""
+RejectionStage = Literal["on_arrival", "by_head", "by_server"]
+"""How far a request got that is rejected for lack of time: its connection was
+not accepted yet, its head was read, or the HTTP server had it."""
 
 
 class WorkspaceCounts(NamedTuple):
--- a/src/sycamorehaven/transport/frontend_listener.py
+++ b/src/sycamorehaven/transport/frontend_listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 import resource
 import time
@@ -34,6 +35,7 @@
     abort_connection,
     open_listener,
 )
+from sycamorehaven.transport.listening_socket import RejectingSocket
 from sycamorehaven.transport.problem_details import (
     PROTOCOL_OPTIONS,
     build_problem_response,
@@ -117,8 +119,15 @@
         self._clock = clock
         self._random = random.Random(board.identity.incarnation)
         self._durations = AnswerDurations()
+        self._arriving_connections: set[FrontendProtocol] = set()
         self._gate = TimeGate(
-            board, header_codec, decision_log, self._record_refusal, clock, rotation
+            board,
+            header_codec,
+            decision_log,
+            self._record_refusal,
+            clock,
+            rotation,
+            self._arriving_connections,
         )
         self._server = web.Server(self._serve, handler_cancellation=True)
         self._listener: asyncio.Server | None = None
@@ -128,7 +137,16 @@
     async def on_start(self) -> None:
         """Start listening on the callers' address."""
         host, port = split_address(self._settings.callers_address)
-        self._listener = await open_listener(self._create_protocol, host, port)
+        self._listener = await open_listener(
+            self._create_protocol,
+            host,
+            port,
+            wrap_socket=functools.partial(
+                RejectingSocket.from_socket,
+                is_short_of_time=self._gate.may_reject_early,
+                reject=self._gate.reject_arrival,
+            ),
+        )
         self._board.lifecycle.mark_listening()
 
     def close_idle(self) -> None:
@@ -157,6 +175,7 @@
         loop = asyncio.get_running_loop()
         protocol = FrontendProtocol(
             self._idle_connections,
+            self._arriving_connections,
             self._limit_connections,
             self._gate.reject_early,
             self._server,
--- a/src/sycamorehaven/transport/frontend_protocol.py
+++ b/src/sycamorehaven/transport/frontend_protocol.py
@@ -12,6 +12,8 @@
     from collections import OrderedDict
     from collections.abc import Callable
 
+    from sycamorehaven.transport.time_gate import EarlyRejection
+
 
 class FrontendProtocol(ProblemProtocol):
     """
@@ -20,7 +22,9 @@
     :param idle_connections: the open connections without a request, from the
         longest unused to the last used.
     :param on_connected: called when the connection has been made.
-    :param reject_early: returns the response to a request that the router has
+    :param arriving_connections: the connections with a request that the HTTP
+        server has not begun to answer.
+    :param reject_early: returns the rejection of a request that the router has
         no time for; ``None`` leaves the request to the HTTP server.
     :ivar has_active_request: whether a request on the connection is in
         progress, or has been received at least in part.
@@ -31,16 +35,19 @@
     def __init__(
         self,
         idle_connections: OrderedDict[FrontendProtocol, None],
+        arriving_connections: set[FrontendProtocol],
         on_connected: Callable[[], None],
-        reject_early: Callable[[bytes], bytes | None],
+        reject_early: Callable[[bytes], EarlyRejection | None],
         *args: Any,
         **options: Any,
     ) -> None:
         super().__init__(*args, **options)
         self._idle_connections = idle_connections
+        self._arriving_connections = arriving_connections
         self._on_connected = on_connected
         self._reject_early = reject_early
         self._framing = RequestFraming()
+        self._discarded_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Handle a new connection."""
@@ -51,20 +58,33 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Handle the end of the connection."""
         self._idle_connections.pop(self, None)
+        self._arriving_connections.discard(self)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
         """Handle data, which may hold a request that has yet to begin."""
+        data = self._discard(data)
+        if not data:
+            return
         if self._is_waiting_for_request():
-            response = self._reject_early(data)
-            if response is not None:
-                self._answer_early(response)
+            rejection = self._reject_early(data)
+            if rejection is not None:
+                self._answer_early(rejection)
                 return
+            self._arriving_connections.add(self)
         self._framing.feed(data)
         self.has_active_request = True
         self._idle_connections.pop(self, None)
         super().data_received(data)
 
+    def _discard(self, data: bytes) -> bytes:
+        """Return what does not belong to the body of a rejected request."""
+        if not self._discarded_bytes:
+            return data
+        discarded = min(self._discarded_bytes, len(data))
+        self._discarded_bytes -= discarded
+        return data[discarded:]
+
     def _is_waiting_for_request(self) -> bool:
         """
         Return whether all earlier requests were answered completely.
@@ -82,10 +102,11 @@
             and self._framing.is_between_requests
         )
 
-    def _answer_early(self, response: bytes) -> None:
+    def _answer_early(self, rejection: EarlyRejection) -> None:
         """Send a response to a request that the HTTP server has not seen."""
         assert self.transport is not None
-        self.transport.write(response)
+        self.transport.write(rejection.response)
+        self._discarded_bytes = rejection.remaining
         if self in self._idle_connections:
             self._idle_connections.move_to_end(self)
         # The HTTP server closes connections that it takes for unused.
@@ -94,6 +115,7 @@
     def begin_request(self) -> None:
         """Record that a request on the connection is in progress."""
         self.has_active_request = True
+        self._arriving_connections.discard(self)
         self._idle_connections.pop(self, None)
 
     def end_request(self) -> None:
@@ -110,6 +132,9 @@
         """
         if self.has_active_request or self.transport is None:
             return False
+        # A client that is still sending would lose the rejection.
+        if self._discarded_bytes:
+            return False
         if self.transport.is_closing():
             return False
         self.transport.close()
--- a/src/sycamorehaven/transport/listening.py
+++ b/src/sycamorehaven/transport/listening.py
@@ -35,6 +35,7 @@
     host: str,
     port: int,
     tls_context: ssl.SSLContext | None = None,
+    wrap_socket: Callable[[socket.socket], socket.socket] | None = None,
 ) -> asyncio.Server:
     """
     Listen on an address.
@@ -42,10 +43,14 @@
     :param create_protocol: creates the protocol of a new connection.
     :param host: IP address.
     :param tls_context: encrypts the connections, if given.
+    :param wrap_socket: returns the socket that accepts the connections, from
+        one that is bound to the address.
     :raises OSError: if the address is not available.
     """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     listening = socket.create_server((host, port), family=family)
+    if wrap_socket is not None:
+        listening = wrap_socket(listening)
     try:
         server = await asyncio.get_running_loop().create_server(
             create_protocol,
--- a/src/sycamorehaven/transport/problem_details.py
+++ b/src/sycamorehaven/transport/problem_details.py
@@ -84,14 +84,18 @@
     return response
 
 
-def render_refusal(refusal: Refusal, request_id: str) -> bytes:
+def render_refusal(
+    refusal: Refusal, request_id: str, *, closes_connection: bool = False
+) -> bytes:
     """Return a problem response with ``Retry-After`` as the bytes to send."""
+    connection = "Connection: close\r\n" if closes_connection else ""
     body = encode_problem(refusal, request_id)
     head = (
         f"HTTP/1.1 {refusal.status} {HTTPStatus(refusal.status).phrase}\r\n"
         f"Content-Type: {PROBLEM_CONTENT_TYPE}\r\n"
         f"Content-Length: {len(body)}\r\n"
         f"Request-Id: {request_id}\r\n"
+        f"{connection}"
         f"Retry-After: {refusal.retry_after or 0.0:.3f}\r\n\r\n"
     )
     return head.encode("latin-1") + body
--- a/src/sycamorehaven/transport/request_framing.py
+++ b/src/sycamorehaven/transport/request_framing.py
@@ -25,16 +25,18 @@
 """Headers with which a request is not recognized, and folded lines."""
 
 
-class WholeRequest(NamedTuple):
+class ArrivedRequest(NamedTuple):
     """
-    The head of a request that arrived whole.
+    A request of which at least the head has arrived.
 
     :ivar target: path and query.
     :ivar headers: its headers.
+    :ivar remaining: bytes of its body that have yet to arrive.
     """
 
     target: str
     headers: list[tuple[str, str]]
+    remaining: int
 
     @property
     def host(self) -> str:
@@ -60,13 +62,14 @@
     return len(head) + (int(lengths[0]) if lengths else 0)
 
 
-def parse_whole_request(data: bytes) -> WholeRequest | None:
+def parse_arrived_request(data: bytes) -> ArrivedRequest | None:
     """
-    Return the head of a request if the data are exactly one request.
+    Return the head of a request if the data hold it and nothing after it.
 
-    :returns: ``None`` if they are not, or the head is unusual.
+    :returns: ``None`` if they do not, or the head is unusual.
     """
-    if measure_request(data) != len(data):
+    length = measure_request(data)
+    if length is None or length < len(data):
         return None
     head = data[: data.find(HEAD_END)].decode("latin-1")
     first_line, *lines = head.split("\r\n")
@@ -81,7 +84,7 @@
         if not separator or not name or name != name.strip():
             return None
         headers.append((name, value.strip(" \t")))
-    return WholeRequest(words[1], headers)
+    return ArrivedRequest(words[1], headers, length - len(data))
 
 
 class RequestFraming:
--- a/src/sycamorehaven/transport/time_gate.py
+++ b/src/sycamorehaven/transport/time_gate.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from sycamorehaven.decisions.arrivals import ArrivalControl
 from sycamorehaven.decisions.load_shedding import choose_busy_retry_after
@@ -22,16 +22,30 @@
     UnknownPath,
 )
 from sycamorehaven.transport.problem_details import render_refusal
-from sycamorehaven.transport.request_framing import parse_whole_request
+from sycamorehaven.transport.request_framing import parse_arrived_request
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sized
 
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.blackboard.routing import RoutingSection
+    from sycamorehaven.blackboard.workload import RejectionStage
     from sycamorehaven.routing.model import Route, RoutingConfiguration
     from sycamorehaven.routing.requests import HeaderCodec, RequestHead
     from sycamorehaven.telemetry.decision_log import DecisionLog
+    from sycamorehaven.transport.request_framing import ArrivedRequest
+
+
+class EarlyRejection(NamedTuple):
+    """
+    The rejection of a request that the HTTP server has not seen.
+
+    :ivar response: response to the client.
+    :ivar remaining: bytes of the request's body that have yet to arrive.
+    """
+
+    response: bytes
+    remaining: int
 
 
 class TimeGate:
@@ -45,6 +59,8 @@
         early, when it was received and the refusal.
     :param clock: returns monotonic time in seconds.
     :param rotation: decides when the router leaves the balancer's rotation.
+    :param arriving_connections: the connections with a request that has not
+        begun.
     """
 
     def __init__(
@@ -55,6 +71,7 @@
         record_refusal: Callable[[str, float, Refusal], None],
         clock: Callable[[], float] = time.monotonic,
         rotation: RotationControl | None = None,
+        arriving_connections: Sized = (),
     ) -> None:
         self._board = board
         self._header_codec = header_codec
@@ -63,6 +80,7 @@
         self._clock = clock
         self._arrivals = ArrivalControl()
         self._rotation = rotation or RotationControl()
+        self._arriving_connections = arriving_connections
 
     def is_short_of_time(self) -> bool:
         """Return whether new connections should go to other routers."""
@@ -88,30 +106,56 @@
             self._board.workload.count_rejection_stage("by_server")
             raise create_busy_refusal(head.client_timeout)
 
-    def reject_early(self, data: bytes) -> bytes | None:
-        """
-        Return the response to a request that the router has no time for.
-
-        :param data: what a client without a request in progress has sent.
-        :returns: ``None`` if the request has to be read as usual.
-        """
+    def may_reject_early(self) -> bool:
+        """Return whether requests may be rejected before they are read."""
         event_loop, lifecycle = self._board.event_loop, self._board.lifecycle
         # The request would be one more in progress.
-        has_room = lifecycle.requests_in_progress < event_loop.request_limit
-        if (
+        begun = lifecycle.requests_in_progress + len(self._arriving_connections)
+        has_room = begun < event_loop.request_limit
+        return not (
             self._arrivals.has_time(event_loop.lag, has_room=has_room)
             or lifecycle.is_draining
             or not self._board.routing.is_ready
-        ):
+        )
+
+    def reject_early(self, data: bytes) -> EarlyRejection | None:
+        """
+        Return the rejection of a request that the router has no time for.
+
+        :param data: what a client without a request in progress has sent.
+        :returns: ``None`` if the request has to be read as usual.
+        """
+        if not self.may_reject_early():
             return None
         with self._board.workload.measure("rejection"):
-            return self._reject_whole_request(data)
+            request = parse_arrived_request(data)
+            if request is None:
+                return None
+            response = self._reject(request, "by_head")
+            if response is None:
+                return None
+            return EarlyRejection(response, request.remaining)
+
+    def reject_arrival(self, data: bytes) -> bytes | None:
+        """
+        Return the last response on a connection that is not yet accepted.
 
-    def _reject_whole_request(self, data: bytes) -> bytes | None:
-        request = parse_whole_request(data)
-        if request is None:
-            return None
+        :param data: all that it has received.
+        :returns: ``None`` if the connection has to be accepted.
+        """
+        with self._board.workload.measure("rejection"):
+            request = parse_arrived_request(data)
+            if request is None or request.remaining:
+                return None
+            return self._reject(request, "on_arrival")
+
+    def _reject(self, request: ArrivedRequest, stage: RejectionStage) -> bytes | None:
         received_at = self._clock()
+        configuration = self._board.routing.configuration
+        if configuration is None or (
+            request.remaining > configuration.limits.max_body_bytes
+        ):
+            return None
         try:
             identity = self._header_codec.parse_identity(request.headers)
             _, workspace = identify_request(
@@ -123,10 +167,12 @@
             return None
         self._board.workload.count_arrival(workspace)
         self._count(workspace, received_at, is_admitted=False)
-        self._board.workload.count_rejection_stage("by_head")
+        self._board.workload.count_rejection_stage(stage)
         refusal = create_busy_refusal(identity.client_timeout)
         self._record_refusal(identity.attempt_id, received_at, refusal)
-        return render_refusal(refusal, identity.attempt_id)
+        return render_refusal(
+            refusal, identity.attempt_id, closes_connection=stage == "on_arrival"
+        )
 
     def _count(self, workspace: str, received_at: float, *, is_admitted: bool) -> None:
         event_loop = self._board.event_loop
--- a/tests/transport/test_time_gate.py
+++ b/tests/transport/test_time_gate.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 from typing import TYPE_CHECKING
 
 from sycamorehaven.blackboard.event_loop import EventLoopSection
@@ -106,3 +107,67 @@
         assert b"inner" not in body
         with contextlib.suppress(TimeoutError):
             assert await asyncio.wait_for(reader.read(1), 0.3) == b""
+
+
+# Setting up connections to reject their requests takes the time for answers.
+async def test_late_router_sets_up_no_connection_for_requests_that_it_rejects(
+    harness: GatewayHarness,
+) -> None:
+    assert (await send_request(harness, "/look/1"))[0] == 200
+    make_late(harness)
+    workload = harness.board.workload
+    workload.take_connections()
+    host, port = harness.callers_address.rsplit(":", 1)
+    for number in range(3):
+        # The request is there before the router accepts the connection.
+        with socket.create_connection((host, int(port))) as client:
+            client.sendall(build_request(f"late{number}", body=b"x" * 20_000))
+            client.setblocking(False)
+            reader, writer = await asyncio.open_connection(sock=client)
+            status, head, body = await read_response(reader)
+            assert status == 503
+            assert b"router_busy" in body
+            assert f"late{number}".encode() in head
+            assert b"Connection: close" in head
+            assert await reader.read() == b""
+            writer.close()
+    assert workload.take_rejection_stages()["on_arrival"] == 3
+    assert workload.take_connections() == 0
+    make_late(harness, late=False)
+    assert (await send_request(harness, "/look/1", attempt="ok"))[0] == 200
+
+
+async def test_request_whose_body_is_still_arriving_is_rejected_by_its_head(
+    harness: GatewayHarness,
+) -> None:
+    assert (await send_request(harness, "/look/1"))[0] == 200
+    async with connect(harness) as (reader, writer):
+        writer.write(build_request("first"))
+        assert (await read_response(reader))[0] == 200
+        make_late(harness)
+        harness.board.workload.take_rejection_stages()
+        request = build_request("late", body=b"x" * 50_000)
+        writer.write(request[:1_000])
+        assert (await read_response(reader))[0] == 503
+        writer.write(request[1_000:])
+        writer.write(build_request("late2"))
+        status, _, body = await read_response(reader)
+        assert status == 503
+        assert b"late2" in body
+        assert harness.board.workload.take_rejection_stages() == {"by_head": 2}
+        assert harness.board.lifecycle.requests_in_progress == 0
+
+
+async def test_body_beyond_the_limit_is_left_to_its_own_refusal(
+    harness: GatewayHarness,
+) -> None:
+    assert (await send_request(harness, "/look/1"))[0] == 200
+    async with connect(harness) as (_, writer):
+        make_late(harness)
+        head = build_request("large").replace(
+            b"Content-Length: 0", b"Content-Length: 9999999"
+        )
+        writer.write(head)
+        harness.board.workload.take_rejection_stages()
+        await asyncio.sleep(0.1)
+        assert "by_head" not in harness.board.workload.take_rejection_stages()
