Begin with as many requests in progress as the host can relay

What callers saw: in the first second of a flood a host with 0.387 of a core took as many requests into progress as one with 2.15, was late with all of them, and the large one rejected 112 to 117 of some 365 requests though it was idle for two thirds of that second.

Cause: every host began with a limit of 128 requests in progress, whatever its processor. The limit then follows what is measured, but a flood is there before that. It begins with 128 for each core now.

Evidence: the new test fails on the code before.

--- a/src/sycamorehaven/controllers/event_loop.py
+++ b/src/sycamorehaven/controllers/event_loop.py
@@ -38,6 +38,7 @@
         time again.
     :param metrics: observes the lag.
     :param clock: returns monotonic time in seconds.
+    :param cores: processor that the host has, in cores.
     """
 
     def __init__(
@@ -46,13 +47,14 @@
         decision_log: DecisionLog,
         metrics: GatewayMetrics,
         clock: Callable[[], float] = time.monotonic,
+        cores: float = 1.0,
     ) -> None:
         super().__init__()
         self._board = board
         self._decision_log = decision_log
         self._metrics = metrics
         self._clock = clock
-        self._request_limit = RequestLimit()
+        self._request_limit = RequestLimit(cores)
         self._late_since: float | None = None
         self._last_late_at = 0.0
         self._longest_lag = 0.0
--- a/src/sycamorehaven/decisions/request_limit.py
+++ b/src/sycamorehaven/decisions/request_limit.py
@@ -21,8 +21,9 @@
 DECREASE_MEASUREMENTS = 2
 """Measurements from one decrease to the next, since the load falls only as
 requests end."""
-INITIAL_LIMIT = 128.0
-"""Requests in progress that are allowed before anything was measured."""
+INITIAL_LIMIT_PER_CORE = 128.0
+"""Requests in progress that are allowed for each core of the host before
+anything was measured."""
 MIN_LIMIT = 8.0
 """Requests in progress that are always allowed."""
 GROWTH_RATIO = 0.05
@@ -36,10 +37,14 @@
 
 
 class RequestLimit:
-    """The number of requests that a router may have in progress."""
+    """
+    The number of requests that a router may have in progress.
 
-    def __init__(self) -> None:
-        self._limit = INITIAL_LIMIT
+    :param cores: processor that the host has, in cores.
+    """
+
+    def __init__(self, cores: float = 1.0) -> None:
+        self._limit = max(INITIAL_LIMIT_PER_CORE * cores, MIN_LIMIT)
         self._remaining_pause = 0
 
     @property
--- a/src/sycamorehaven/gateway.py
+++ b/src/sycamorehaven/gateway.py
@@ -113,7 +113,8 @@
             dispatcher, self._backends, decision_log, metrics, time.monotonic
         )
         forwarding = ForwardingController(board, peers, self._gateway_settings, context)
-        rotation = RotationControl(self._gateway_settings.cores)
+        cores = self._gateway_settings.cores
+        rotation = RotationControl(cores)
         frontend = FrontendListener(
             board,
             self._settings,
@@ -126,13 +127,13 @@
         )
         self._frontend, self._forwarding = frontend, forwarding
         return [
-            EventLoopMonitor(board, decision_log, metrics),
+            EventLoopMonitor(board, decision_log, metrics, cores=cores),
             WorkloadMonitor(
                 board,
                 decision_log,
                 metrics,
                 frontend.is_short_of_time,
-                cores=self._gateway_settings.cores,
+                cores=cores,
             ),
             HealthListener(
                 board,
--- a/tests/decisions/test_request_limit.py
+++ b/tests/decisions/test_request_limit.py
@@ -130,3 +130,10 @@
     for _ in range(60):
         limit.observe(0.1, 80, rejections=14)
     assert limit.limit == MIN_LIMIT
+
+
+# A host with a third of a core is late for seconds with what a core can relay.
+def test_small_host_begins_with_as_much_as_a_whole_core() -> None:
+    assert RequestLimit(0.387).limit < 0.5 * RequestLimit().limit
+    assert RequestLimit(2.15).limit > 2.0 * RequestLimit().limit
+    assert RequestLimit(0.01).limit == MIN_LIMIT
