Bound what an absent router asks in a large failure domain

A router that has left the rotation asked each router of its failure domain twice a second. With 70 of them that is 138 messages each way. It asks every 20 ms times their number now, at least every half second; reports count for 3 s. A request has 61 to 85 bytes with its envelope and a reply 81 to 135 for one to four workspaces, so in a domain of 70 an absent router sends and gets less than 15 KB/s, of the 21 KB/s of the budget, the others 0.2 KB/s for each absent router.

What is read of a connection before it is accepted is at most 64 KB: larger buffers are mapped anew for each read.

Measured: the new test bounds the messages of a domain of 70; it fails on the code before (138 messages each half second).

--- a/src/sycamorehaven/controllers/rotation.py
+++ b/src/sycamorehaven/controllers/rotation.py
@@ -26,8 +26,10 @@
 
 UPDATE_PERIOD_SECONDS = 0.1
 """Time between two looks at whether the router is overloaded or may return."""
-REQUEST_PERIOD_SECONDS = 0.5
+MIN_REQUEST_PERIOD_SECONDS = 0.5
 """Shortest time between two requests to the other routers."""
+REQUEST_PERIOD_PER_ROUTER_SECONDS = 0.02
+"""The same time for each router of the failure domain."""
 
 
 class RotationController(Service):
@@ -72,9 +74,7 @@
         now = self._clock()
         if not self._rotation.needs_reports(now):
             return
-        if now - self._asked_at >= REQUEST_PERIOD_SECONDS:
-            self._asked_at = now
-            self._ask_others()
+        self._ask_others(now)
         if self._rotation.try_return(now):
             self._decision_log.record(
                 "rotation_entered",
@@ -83,12 +83,20 @@
                 carried=round(self._rotation.carried_rate, 1),
             )
 
-    def _ask_others(self) -> None:
+    def _ask_others(self, now: float) -> None:
+        """Ask the routers of the failure domain, unless they just were."""
         own = self._board.members.own
+        addresses = [
+            member.address
+            for member in self._board.members.list()
+            if member.failure_domain == own.failure_domain and member != own
+        ]
+        period = len(addresses) * REQUEST_PERIOD_PER_ROUTER_SECONDS
+        if now - self._asked_at < max(period, MIN_REQUEST_PERIOD_SECONDS):
+            return
+        self._asked_at = now
         request = RotationRequest(list(self._rotation.flooding))
-        for member in self._board.members.list():
-            if member.failure_domain == own.failure_domain and member != own:
-                self._link.send(member.host, request)
+        self._link.send_to_all(addresses, request)
 
     def _handle_request(self, delivery: Delivery) -> None:
         request: RotationRequest = delivery.message
--- a/src/sycamorehaven/transport/listening_socket.py
+++ b/src/sycamorehaven/transport/listening_socket.py
@@ -19,7 +19,7 @@
 
 MAX_REJECTIONS_PER_ACCEPT = 16
 """Connections that are closed in a row; other work gets its turn then."""
-MAX_REQUEST_BYTES = 262_144
+MAX_REQUEST_BYTES = 65_536
 """Bytes of a request that are read at once."""
 
 
--- a/tests/controllers/test_rotation.py
+++ b/tests/controllers/test_rotation.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from sycamorehaven.blackboard.lifecycle import LifecycleSection
 from sycamorehaven.blackboard.members import Member
@@ -11,6 +11,7 @@
     MIN_ABSENCE_SECONDS,
     RotationControl,
 )
+from sycamorehaven.identity import RouterId
 from sycamorehaven.routing.model import (
     EngineCapacity,
     RequestLimits,
@@ -20,9 +21,13 @@
     Snapshot,
 )
 from sycamorehaven.telemetry.decision_log import DecisionLog
+from sycamorehaven.transport.codec import Codec
 from tests.support.doubles import ManualClock, MemoryLink, MemoryNetwork, create_board
 from tests.support.published_routes import STREAMING_ROUTE
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
 DOMAINS = {"a1": "a", "a2": "a", "a3": "a", "b1": "b"}
 """Failure domain of each host."""
 CORES = {"a1": 0.4, "a2": 0.4, "a3": 2.0, "b1": 0.4}
@@ -36,6 +41,12 @@
 FLOOD_RATE = 300
 """Requests per second of the flood."""
 PERIOD_SECONDS = 0.5
+LARGE_DOMAIN = {f"a{number}": "a" for number in range(1, 71)}
+"""Hosts of a failure domain of the target size."""
+MESSAGE_BYTES = 150
+"""Bytes of a message with its envelope, at most."""
+MAX_BYTES_PER_SECOND = 21_000
+"""Bytes that control may cost a node."""
 
 
 class Router(NamedTuple):
@@ -61,20 +72,25 @@
     :ivar routers: the routers by host.
     """
 
-    def __init__(self, clock: ManualClock, network: MemoryNetwork) -> None:
+    def __init__(
+        self,
+        clock: ManualClock,
+        network: MemoryNetwork,
+        domains: Mapping[str, str] = DOMAINS,
+    ) -> None:
         self._clock = clock
         self._network = network
         members = {
             host: Member(host, 1, f"{host}:1", domain, "alive")
-            for host, domain in DOMAINS.items()
+            for host, domain in domains.items()
         }
         self.routers: dict[str, Router] = {}
-        for host, domain in DOMAINS.items():
+        for host, domain in domains.items():
             board = create_board(host, domain)
             board.members.replace(members)
             board.routing.apply_snapshot(SNAPSHOT, clock())
             link = MemoryLink(board, network)
-            rotation = RotationControl(CORES[host])
+            rotation = RotationControl(CORES.get(host, 0.4))
             log = DecisionLog(host, None)
             controller = RotationController(board, link, rotation, log, clock)
             self.routers[host] = Router(link, rotation, controller, board.lifecycle)
@@ -155,3 +171,19 @@
         fleet.routers[host].lifecycle.begin_draining()
     fleet.flood("a1", 2.0, accepted=False)
     assert not fleet.routers["a1"].rotation.is_absent
+
+
+def test_absent_router_keeps_the_budget_in_a_large_failure_domain(
+    clock: ManualClock, network: MemoryNetwork
+) -> None:
+    fleet = Fleet(clock, network, LARGE_DOMAIN)
+    fleet.flood("a1", 10.0, accepted=False)
+    assert fleet.routers["a1"].rotation.is_absent
+    request = fleet.routers["a1"].link.sent_messages[0][1]
+    reply = fleet.routers["a2"].link.sent_messages[0][1]
+    codec = Codec(RouterId("edge-gulf-east-a-1", 2**60), "10.100.100.100:8785")
+    assert max(len(codec.encode(message)) for message in (request, reply)) <= (
+        MESSAGE_BYTES
+    )
+    # The absent router sends the requests and gets the replies.
+    assert fleet.count_messages() / 10.0 * MESSAGE_BYTES <= MAX_BYTES_PER_SECOND
