Let unfinished heads take no room, and let connections be closed as before

Found by reading the change. Connections with a part of a head counted as requests that have arrived, so clients that never send the rest could have taken all room of a router. Only requests whose head is complete count now. A connection whose client still sends the body of a rejected request was not closed when the router stops or has too many, and was not found again afterwards; it is closed like any idle one.

--- a/src/sycamorehaven/controllers/workload.py
+++ b/src/sycamorehaven/controllers/workload.py
@@ -78,12 +78,8 @@
         elapsed = max(now - self._reported_at, 1e-3)
         busy = busy_seconds - self._busy_seconds
         self._reported_at, self._busy_seconds = now, busy_seconds
-        workload = self._board.workload
-        seconds = workload.take_seconds()
-        seconds["rest"] = max(busy - sum(seconds.values()), 0.0)
         self._metrics.busy_ratio.set(busy / elapsed)
-        for activity, value in seconds.items():
-            self._metrics.processor_seconds.labels(activity).inc(value)
+        workload, seconds = self._board.workload, self._take_seconds(busy)
         relayed_events = workload.take_relayed_events()
         workspaces = workload.take_workspaces(
             MAX_REPORTED_WORKSPACES, MAX_REPORTED_STARVED
@@ -122,6 +118,18 @@
             },
         )
 
+    def _take_seconds(self, busy: float) -> dict[str, float]:
+        """
+        Return and clear the seconds of each activity, and count them.
+
+        :param busy: seconds in which the event loop had work to do.
+        """
+        seconds = self._board.workload.take_seconds()
+        seconds["rest"] = max(busy - sum(seconds.values()), 0.0)
+        for activity, value in seconds.items():
+            self._metrics.processor_seconds.labels(activity).inc(value)
+        return seconds
+
     def _describe_workspace(
         self, counts: WorkspaceCounts, share: float, now: float
     ) -> dict[str, object]:
--- a/src/sycamorehaven/gateway.py
+++ b/src/sycamorehaven/gateway.py
@@ -33,6 +33,8 @@
 from sycamorehaven.transport.zmq_peer_link import ZmqPeerLink
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from mode.types import ServiceT
 
     from sycamorehaven.gateway_settings import GatewaySettings
@@ -113,8 +115,7 @@
             dispatcher, self._backends, decision_log, metrics, time.monotonic
         )
         forwarding = ForwardingController(board, peers, self._gateway_settings, context)
-        cores = self._gateway_settings.cores
-        rotation = RotationControl(cores)
+        rotation = RotationControl(self._gateway_settings.cores)
         frontend = FrontendListener(
             board,
             self._settings,
@@ -127,21 +128,7 @@
         )
         self._frontend, self._forwarding = frontend, forwarding
         return [
-            EventLoopMonitor(board, decision_log, metrics, cores=cores),
-            WorkloadMonitor(
-                board,
-                decision_log,
-                metrics,
-                frontend.is_short_of_time,
-                cores=cores,
-            ),
-            HealthListener(
-                board,
-                self._gateway_settings,
-                decision_log,
-                metrics,
-                is_short_of_time=frontend.is_short_of_time,
-            ),
+            *self._create_monitors(frontend.is_short_of_time),
             peers,
             MembershipController(board, peers, self._settings),
             RotationController(board, peers, rotation, decision_log),
@@ -155,6 +142,24 @@
             frontend,
         ]
 
+    def _create_monitors(self, is_short_of_time: Callable[[], bool]) -> list[ServiceT]:
+        """
+        Create the services that measure and report.
+
+        :param is_short_of_time: returns whether the router has left the load
+            balancer's rotation.
+        """
+        board, log, metrics = self._board, self._decision_log, self._metrics
+        settings = self._gateway_settings
+        cores = settings.cores
+        return [
+            EventLoopMonitor(board, log, metrics, cores=cores),
+            WorkloadMonitor(board, log, metrics, is_short_of_time, cores=cores),
+            HealthListener(
+                board, settings, log, metrics, is_short_of_time=is_short_of_time
+            ),
+        ]
+
     async def hand_over(self) -> bool:
         """
         Stop accepting requests.
--- a/src/sycamorehaven/transport/frontend_protocol.py
+++ b/src/sycamorehaven/transport/frontend_protocol.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from sycamorehaven.transport.problem_details import ProblemProtocol
-from sycamorehaven.transport.request_framing import RequestFraming
+from sycamorehaven.transport.request_framing import HEAD_END, RequestFraming
 
 if TYPE_CHECKING:
     import asyncio
@@ -22,8 +22,8 @@
     :param idle_connections: the open connections without a request, from the
         longest unused to the last used.
     :param on_connected: called when the connection has been made.
-    :param arriving_connections: the connections with a request that the HTTP
-        server has not begun to answer.
+    :param arriving_connections: the connections with a request whose head has
+        arrived and that the HTTP server has not begun to answer.
     :param reject_early: returns the rejection of a request that the router has
         no time for; ``None`` leaves the request to the HTTP server.
     :ivar has_active_request: whether a request on the connection is in
@@ -71,7 +71,8 @@
             if rejection is not None:
                 self._answer_early(rejection)
                 return
-            self._arriving_connections.add(self)
+            if HEAD_END in data:
+                self._arriving_connections.add(self)
         self._framing.feed(data)
         self.has_active_request = True
         self._idle_connections.pop(self, None)
@@ -132,9 +133,6 @@
         """
         if self.has_active_request or self.transport is None:
             return False
-        # A client that is still sending would lose the rejection.
-        if self._discarded_bytes:
-            return False
         if self.transport.is_closing():
             return False
         self.transport.close()
--- a/src/sycamorehaven/transport/listening_socket.py
+++ b/src/sycamorehaven/transport/listening_socket.py
@@ -24,11 +24,7 @@
 
 
 class RejectingSocket(socket.socket):
-    """
-    A listening socket that closes some connections with a response.
-
-    :param arguments: those of ``socket.socket``.
-    """
+    """A listening socket that closes some connections with a response."""
 
     _is_short_of_time: Callable[[], bool]
     _reject: Callable[[bytes], bytes | None]
