Assert in the tests of the rotation that a router is ready again

Both tests waited for it within a time limit, so that a failure was a TimeoutError; the check is the same and says what failed now.

--- a/tests/platform/test_rotation.py
+++ b/tests/platform/test_rotation.py
@@ -85,6 +85,16 @@
         return response.status == 200
 
 
+async def becomes_ready(harness: GatewayHarness, seconds: float) -> bool:
+    """Return whether a router is ready within some time."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            while not await is_ready(harness):  # noqa: ASYNC110
+                await asyncio.sleep(0.1)
+            return True
+    return False
+
+
 async def overload(harness: GatewayHarness) -> None:
     """Let a router reject so much that it leaves the rotation."""
     assert (await send_request(harness, "/look/1"))[0] == 200
@@ -134,15 +144,11 @@
         await overload(router_pair.first)
         await asyncio.sleep(MIN_ABSENCE_SECONDS + 1.5)
         assert not await is_ready(router_pair.first)
-    async with asyncio.timeout(10.0):
-        while not await is_ready(router_pair.first):  # noqa: ASYNC110
-            await asyncio.sleep(0.1)
+    assert await becomes_ready(router_pair.first, 10.0)
 
 
 async def test_overloaded_router_comes_back_once_its_load_is_gone(
     router_pair: RouterPair,
 ) -> None:
     await overload(router_pair.first)
-    async with asyncio.timeout(MIN_ABSENCE_SECONDS + 6.0):
-        while not await is_ready(router_pair.first):  # noqa: ASYNC110
-            await asyncio.sleep(0.1)
+    assert await becomes_ready(router_pair.first, MIN_ABSENCE_SECONDS + 6.0)
