Let no test be paused by a collection of what others left

A full collection of its garbage scans all that was loaded and all that earlier tests left, and a router whose event loop stands still for 0.2 s rejects requests with router_busy. The router process exempts what it has loaded from the collector; the runner did not.

--- a/tests/support/runner.py
+++ b/tests/support/runner.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import gc
 import sys
 import time
 import unittest
@@ -34,11 +35,23 @@
     }
 
 
+def exempt_live_objects() -> None:
+    """
+    Exempt all objects that are alive from the garbage collector.
+
+    A collection that scans what was loaded, or what earlier tests left, pauses
+    the routers in this process for so long that they reject requests.
+    """
+    gc.collect()
+    gc.freeze()
+
+
 class TimedTestResult(unittest.TextTestResult):
     """A test result that prints each test's name, outcome and duration."""
 
     def startTest(self, test: unittest.TestCase) -> None:  # noqa: N802
-        """Record the start time of a test."""
+        """Prepare the process for a test, and record its start time."""
+        exempt_live_objects()
         self._started = time.monotonic()
         super().startTest(test)
 
