--- a/src/sycamorehaven/blackboard/workload.py
+++ b/src/sycamorehaven/blackboard/workload.py
@@ -18,9 +18,24 @@
 Activity = Literal["dispatch", "news", "rejection"]
 """Work of the event loop whose time is measured. All other work, relaying
 most of all, is the rest."""
-RejectionStage = Literal["on_arrival", "by_head", "by_server"]
+RejectionStage = Literal["on_arrival", "by_head", "by_server", "by_dispatcher"]
 """How far a request got that is rejected for lack of time: its connection was
-not accepted yet, its head was read, or the HTTP server had it."""
+not accepted yet, its head was read, the HTTP server had it, or the dispatcher,
+which has read it whole."""
+
+
+class DispatchPasses(NamedTuple):
+    """
+    Passes of the dispatcher over the pending requests.
+
+    :ivar total: number of passes.
+    :ivar cut_short: number of those that took too long to look at all.
+    :ivar decisions: requests that they looked at.
+    """
+
+    total: int = 0
+    cut_short: int = 0
+    decisions: int = 0
 
 
 class WorkspaceCounts(NamedTuple):
@@ -77,7 +92,10 @@
         self._first_events = FirstEvents()
         self._relayed_events = 0
         self._connections = 0
+        self._accepted = 0
+        self._passes = DispatchPasses()
         self._rejection_stages: Counter[str] = Counter()
+        self._verdicts: dict[str, Counter[str]] = {}
         self._seconds: dict[str, float] = {}
 
     def count_arrival(self, workspace: str) -> None:
@@ -96,6 +114,32 @@
         """Count a connection of a client that was accepted."""
         self._connections += 1
 
+    def count_accepted(self) -> None:
+        """Count a request that the router has time for."""
+        self._accepted += 1
+
+    def count_pass(self, decisions: int, *, is_cut_short: bool) -> None:
+        """
+        Count a pass of the dispatcher.
+
+        :param decisions: requests that it looked at.
+        :param is_cut_short: whether it took too long to look at all.
+        """
+        total, cut_short, considered = self._passes
+        self._passes = DispatchPasses(
+            total + 1, cut_short + is_cut_short, considered + decisions
+        )
+
+    def count_verdict(self, verdict: str, *, is_over_share: bool) -> None:
+        """
+        Count what this router decided as the scheduler of an engine.
+
+        :param is_over_share: whether the workspace has received more than its
+            fair share.
+        """
+        side = "over_share" if is_over_share else "within_share"
+        self._verdicts.setdefault(side, Counter())[verdict] += 1
+
     def count_attempt(self, workspace: str) -> None:
         """Count an attempt on a backend server."""
         self._tried[workspace] += 1
@@ -154,6 +198,21 @@
         connections, self._connections = self._connections, 0
         return connections
 
+    def take_accepted(self) -> int:
+        """Return and clear the number of requests that there was time for."""
+        accepted, self._accepted = self._accepted, 0
+        return accepted
+
+    def take_passes(self) -> DispatchPasses:
+        """Return and clear the passes of the dispatcher."""
+        passes, self._passes = self._passes, DispatchPasses()
+        return passes
+
+    def take_verdicts(self) -> dict[str, dict[str, int]]:
+        """Return and clear the verdicts of a scheduler, by share."""
+        verdicts, self._verdicts = self._verdicts, {}
+        return {side: dict(counts) for side, counts in verdicts.items()}
+
     def take_rejection_stages(self) -> dict[str, int]:
         """Return and clear the rejections for lack of time, by stage."""
         stages, self._rejection_stages = self._rejection_stages, Counter()
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -251,7 +251,9 @@
             considered += 1
             share_status = share_statuses[pending.request.workspace]
             self._place_or_reject(pending, loads, share_status, now)
-        self._postpone(in_order[considered:], considered, share_statuses, now)
+        postponed = in_order[considered:]
+        self._board.workload.count_pass(considered, is_cut_short=bool(postponed))
+        self._postpone(postponed, considered, share_statuses, now)
         self._pending = [
             pending for pending in self._pending if not pending.reservation.done()
         ]
@@ -288,6 +290,7 @@
                 "the router has too many requests to decide on",
                 retry_after=choose_busy_retry_after(pending.request.deadline - now),
             )
+            self._board.workload.count_rejection_stage("by_dispatcher")
             self._reject(pending, refusal, "router_busy", placement_request, None, now)
 
     def _place_or_reject(
--- a/src/sycamorehaven/controllers/engine_queues.py
+++ b/src/sycamorehaven/controllers/engine_queues.py
@@ -102,6 +102,9 @@
             now + request.max_wait,
         )
         verdict = queue.submit(queued, self._get_levels, now)
+        self._board.workload.count_verdict(
+            verdict, is_over_share=self._is_over_share(request.workspace, now)
+        )
         if verdict == "queued":
             self._request_waits.set()
         self._reply(queue, key, verdict, now)
@@ -151,6 +154,11 @@
             return dict.fromkeys(workspaces, 0.0)
         return {name: usage.get_received(name, now) / total for name in workspaces}
 
+    def _is_over_share(self, workspace: str, now: float) -> bool:
+        """Return whether a workspace has received more than its fair share."""
+        usage = self._board.fleet_load.usage_window
+        return usage.get_received(workspace, now) > usage.get_fair_share(now)
+
     def _find_queue(self, incarnation_id: str) -> EngineQueue | None:
         """Return the queue of an engine; ``None`` if it is not registered."""
         queue = self._queues.get(incarnation_id)
--- a/src/sycamorehaven/controllers/workload.py
+++ b/src/sycamorehaven/controllers/workload.py
@@ -86,7 +86,9 @@
         )
         first_events = workload.take_first_events()
         connections = workload.take_connections()
+        accepted = workload.take_accepted()
         rejection_stages = workload.take_rejection_stages()
+        passes, verdicts = workload.take_passes(), workload.take_verdicts()
         if not workspaces:
             return
         usage = self._board.fleet_load.usage_window
@@ -99,7 +101,10 @@
             busy=round(busy / elapsed, 3),
             cores=round(self._cores, 3),
             connections=connections,
+            accepted=accepted,
             rejections=rejection_stages,
+            passes=passes._asdict(),
+            verdicts=verdicts,
             relayed_events=relayed_events,
             first_events={
                 "count": first_events.events,
--- a/src/sycamorehaven/transport/time_gate.py
+++ b/src/sycamorehaven/transport/time_gate.py
@@ -105,6 +105,7 @@
         if not is_admitted:
             self._board.workload.count_rejection_stage("by_server")
             raise create_busy_refusal(head.client_timeout)
+        self._board.workload.count_accepted()
 
     def may_reject_early(self) -> bool:
         """Return whether requests may be rejected before they are read."""
--- a/tests/controllers/test_workload.py
+++ b/tests/controllers/test_workload.py
@@ -125,3 +125,31 @@
     board = create_board()
     board.workload.count_arrival("w1")
     assert len(read_reports(board, clock, GatewayMetrics(), count=3)) == 1
+
+
+def test_report_tells_requests_that_are_read_before_they_are_rejected(
+    clock: ManualClock,
+) -> None:
+    board = create_board()
+    board.workload.count_arrival("w1")
+    board.workload.count_accepted()
+    board.workload.count_pass(3, is_cut_short=True)
+    board.workload.count_pass(2, is_cut_short=False)
+    board.workload.count_rejection_stage("by_dispatcher")
+    line, next_line = read_reports(board, clock, GatewayMetrics(), count=2, again="w1")
+    assert line["accepted"] == 1
+    assert line["passes"] == {"total": 2, "cut_short": 1, "decisions": 5}
+    assert line["rejections"] == {"by_dispatcher": 1}
+    assert (next_line["accepted"], next_line["passes"]["total"]) == (0, 0)
+
+
+def test_report_tells_whom_the_schedulers_of_engines_refuse(clock: ManualClock) -> None:
+    board = create_board()
+    board.workload.count_arrival("w1")
+    board.workload.count_verdict("refused", is_over_share=False)
+    board.workload.count_verdict("admitted", is_over_share=True)
+    (line,) = read_reports(board, clock, GatewayMetrics())
+    assert line["verdicts"] == {
+        "within_share": {"refused": 1},
+        "over_share": {"admitted": 1},
+    }
