--- a/src/sycamorehaven/blackboard/event_loop.py
+++ b/src/sycamorehaven/blackboard/event_loop.py
@@ -1,7 +1,8 @@
 """
 How late this process is in handling what has arrived.
 
-Written by the event loop monitor; the listener counts its rejections.
+Written by the event loop monitor; the listener counts its rejections, and the
+dispatcher tells its delay.
 """
 
 from __future__ import annotations
@@ -14,6 +15,8 @@
 
     def __init__(self) -> None:
         self._lag = 0.0
+        self._utilization = 0.0
+        self._dispatch_delay = 0.0
         self._request_limit = math.inf
         self._rejections = 0
 
@@ -22,6 +25,16 @@
         """Lag of the event loop when it was last measured, in seconds."""
         return self._lag
 
+    @property
+    def dispatch_delay(self) -> float:
+        """Seconds until the dispatcher looks at a request that arrives now."""
+        return self._dispatch_delay
+
+    @property
+    def utilization(self) -> float:
+        """Fraction of the last moments in which the loop had work to do."""
+        return self._utilization
+
     @property
     def request_limit(self) -> float:
         """Number of requests that may be in progress."""
@@ -36,6 +49,14 @@
         rejections, self._rejections = self._rejections, 0
         return rejections
 
+    def update_dispatch_delay(self, dispatch_delay: float) -> None:
+        """Replace the delay of the dispatcher, in seconds."""
+        self._dispatch_delay = dispatch_delay
+
+    def update_utilization(self, utilization: float) -> None:
+        """Replace the fraction of the time in which there was work to do."""
+        self._utilization = utilization
+
     def update(self, lag: float, request_limit: float) -> None:
         """
         Replace what is known.
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -74,6 +74,13 @@
 
 This leaves most of the event loop's time to the relaying of answers.
 """
+CUT_SHORT_PAUSE_RATIO = 1.0
+"""
+The same after a pass that was cut short.
+
+What it has not looked at was accepted because there is time for it. To reject
+it now would cost nearly as much as to serve it.
+"""
 MAX_PASS_SECONDS = 0.02
 """Time after which a pass postpones the requests that are left."""
 NO_SERVER_RETRY_SECONDS = 1.0
@@ -131,6 +138,7 @@
         )
         self._request_arrived = asyncio.Event()
         self._next_pass_at = 0.0
+        self._pause_ratio = DISPATCH_PAUSE_RATIO
 
     async def acquire(
         self,
@@ -219,7 +227,7 @@
         finally:
             ended_at = self._clock()
             elapsed = ended_at - started_at
-            self._next_pass_at = ended_at + elapsed * DISPATCH_PAUSE_RATIO
+            self._next_pass_at = ended_at + elapsed * self._pause_ratio
             self._metrics.dispatch_duration.observe(elapsed)
 
     def _make_pass(self, now: float) -> None:
@@ -230,6 +238,7 @@
             pending for pending in self._pending if not pending.applications.current
         ]
         if not undecided:
+            self._board.event_loop.update_dispatch_delay(0.0)
             return
         share_statuses = self._shares.compute_statuses(
             {pending.request.workspace for pending in self._pending}, now
@@ -252,6 +261,7 @@
             share_status = share_statuses[pending.request.workspace]
             self._place_or_reject(pending, loads, share_status, now)
         postponed = in_order[considered:]
+        self._pause_ratio = CUT_SHORT_PAUSE_RATIO if postponed else DISPATCH_PAUSE_RATIO
         self._board.workload.count_pass(considered, is_cut_short=bool(postponed))
         self._postpone(postponed, considered, share_statuses, now)
         self._pending = [
@@ -275,9 +285,12 @@
         :param started_at: when the pass began, in monotonic seconds.
         """
         if not postponed:
+            self._board.event_loop.update_dispatch_delay(0.0)
             return
         now = self._clock()
-        seconds_per_pass = (now - started_at) * (1.0 + DISPATCH_PAUSE_RATIO)
+        seconds_per_pass = (now - started_at) * (1.0 + CUT_SHORT_PAUSE_RATIO)
+        passes = math.ceil((len(postponed) + 1) / considered)
+        self._board.event_loop.update_dispatch_delay(passes * seconds_per_pass)
         for index, pending in enumerate(postponed, start=1):
             delay = math.ceil(index / considered) * seconds_per_pass
             share_status = share_statuses[pending.request.workspace]
--- a/src/sycamorehaven/controllers/event_loop.py
+++ b/src/sycamorehaven/controllers/event_loop.py
@@ -1,20 +1,24 @@
 """
-Measures how late the event loop is.
+Measures how late and how busy the event loop is.
 
 A process that has more to do than its processor allows resumes its tasks late.
 Requests then wait unread in the kernel, where no other measurement sees them.
+A loop that is busy all the time need not be late, though: the more has arrived
+meanwhile, the more it reads at once.
 """
 
 from __future__ import annotations
 
 import asyncio
 import time
+from collections import deque
 from typing import TYPE_CHECKING
 
 from mode import Service
 
 from sycamorehaven.decisions.arrivals import MAX_LAG_SECONDS
 from sycamorehaven.decisions.request_limit import RequestLimit
+from sycamorehaven.transport.metered_loop import read_busy_seconds
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,6 +29,8 @@
 
 OBSERVATION_PERIOD_SECONDS = 0.05
 """Time between two measurements."""
+UTILIZATION_MEASUREMENTS = 5
+"""Number of measurements over which the utilization is computed."""
 RECOVERY_SECONDS = 0.5
 """Time without such a lag after which the event loop counts as on time."""
 
@@ -39,6 +45,8 @@
     :param metrics: observes the lag.
     :param clock: returns monotonic time in seconds.
     :param cores: processor that the host has, in cores.
+    :param busy_clock: returns the seconds for which this router had work to
+        do.
     """
 
     def __init__(
@@ -48,13 +56,18 @@
         metrics: GatewayMetrics,
         clock: Callable[[], float] = time.monotonic,
         cores: float = 1.0,
+        busy_clock: Callable[[], float] = read_busy_seconds,
     ) -> None:
         super().__init__()
         self._board = board
         self._decision_log = decision_log
         self._metrics = metrics
         self._clock = clock
+        self._busy_clock = busy_clock
         self._request_limit = RequestLimit(cores)
+        self._measured: deque[tuple[float, float]] = deque(
+            maxlen=UTILIZATION_MEASUREMENTS + 1
+        )
         self._late_since: float | None = None
         self._last_late_at = 0.0
         self._longest_lag = 0.0
@@ -66,6 +79,14 @@
             await asyncio.sleep(OBSERVATION_PERIOD_SECONDS)
             lag = self._clock() - slept_at - OBSERVATION_PERIOD_SECONDS
             self.record_lag(max(lag, 0.0))
+            self._record_utilization()
+
+    def _record_utilization(self) -> None:
+        self._measured.append((self._clock(), self._busy_clock()))
+        (started_at, busy_before), (now, busy) = self._measured[0], self._measured[-1]
+        if now > started_at:
+            utilization = (busy - busy_before) / (now - started_at)
+            self._board.event_loop.update_utilization(utilization)
 
     def record_lag(self, lag: float) -> None:
         """
--- a/src/sycamorehaven/transport/time_gate.py
+++ b/src/sycamorehaven/transport/time_gate.py
@@ -14,6 +14,7 @@
 
 from sycamorehaven.decisions.arrivals import ArrivalControl
 from sycamorehaven.decisions.load_shedding import choose_busy_retry_after
+from sycamorehaven.decisions.relay_budget import RelayBudget
 from sycamorehaven.decisions.rotation import RotationControl
 from sycamorehaven.exceptions.refusals import (
     InvalidWorkspaceKey,
@@ -36,6 +37,12 @@
     from sycamorehaven.transport.request_framing import ArrivedRequest
 
 
+MAX_DISPATCH_DELAY_SECONDS = 0.1
+"""Time until the dispatcher looks at a request from which arriving ones are
+rejected. The dispatcher rejects what waits for about three times as long, and
+looks at many requests twice."""
+
+
 class EarlyRejection(NamedTuple):
     """
     The rejection of a request that the HTTP server has not seen.
@@ -80,6 +87,7 @@
         self._clock = clock
         self._arrivals = ArrivalControl()
         self._rotation = rotation or RotationControl()
+        self._budget = RelayBudget(self._rotation.cores)
         self._arriving_connections = arriving_connections
 
     def is_short_of_time(self) -> bool:
@@ -99,12 +107,14 @@
             workspace,
             event_loop.lag,
             received_at,
-            has_room=in_progress <= event_loop.request_limit,
+            has_room=in_progress <= event_loop.request_limit
+            and self._has_time_for_more(received_at),
         )
         self._count(workspace, received_at, is_admitted=is_admitted)
         if not is_admitted:
             self._board.workload.count_rejection_stage("by_server")
             raise create_busy_refusal(head.client_timeout)
+        self._budget.take(received_at)
         self._board.workload.count_accepted()
 
     def may_reject_early(self) -> bool:
@@ -112,13 +122,23 @@
         event_loop, lifecycle = self._board.event_loop, self._board.lifecycle
         # The request would be one more in progress.
         begun = lifecycle.requests_in_progress + len(self._arriving_connections)
-        has_room = begun < event_loop.request_limit
+        has_room = begun < event_loop.request_limit and self._has_time_for_more(
+            self._clock()
+        )
         return not (
             self._arrivals.has_time(event_loop.lag, has_room=has_room)
             or lifecycle.is_draining
             or not self._board.routing.is_ready
         )
 
+    def _has_time_for_more(self, now: float) -> bool:
+        """Return whether there is time to dispatch and relay one more."""
+        event_loop = self._board.event_loop
+        is_dispatched_in_time = event_loop.dispatch_delay < MAX_DISPATCH_DELAY_SECONDS
+        return (
+            self._budget.has_room(event_loop.utilization, now) and is_dispatched_in_time
+        )
+
     def reject_early(self, data: bytes) -> EarlyRejection | None:
         """
         Return the rejection of a request that the router has no time for.
