--- a/src/sycamorehaven/controllers/engine_queues.py
+++ b/src/sycamorehaven/controllers/engine_queues.py
@@ -92,6 +92,7 @@
             refusal = AdmissionReply(request.number, "refused", 0, 0, 0.0, 0, 0.0, 0.0)
             self._link.send(delivery.sender.host, refusal)
             return
+        is_over_share = self._is_over_share(request.workspace, now)
         queued = QueuedRequest(
             key,
             request.workspace,
@@ -100,11 +101,10 @@
             request.resumes,
             now,
             now + request.max_wait,
+            is_over_share,
         )
         verdict = queue.submit(queued, self._get_levels, now)
-        self._board.workload.count_verdict(
-            verdict, is_over_share=self._is_over_share(request.workspace, now)
-        )
+        self._board.workload.count_verdict(verdict, is_over_share=is_over_share)
         if verdict == "queued":
             self._request_waits.set()
         self._reply(queue, key, verdict, now)
--- a/src/sycamorehaven/decisions/engine_queue.py
+++ b/src/sycamorehaven/decisions/engine_queue.py
@@ -13,6 +13,11 @@
 - refuses at once a request whose turn would come too late.
 
 Nothing is refused while the engine has a free slot and little to read.
+
+The queue of one engine can't tell whether somebody waits at another one. While
+requests of workspaces within their share are denied here, it therefore leaves
+a part of the engine to them: a workspace above its share gets no slot that one
+of them finds taken a moment later.
 """
 
 from __future__ import annotations
@@ -34,6 +39,13 @@
 MAX_BACKLOG_SECONDS = 0.1
 """Time to read what was admitted up to which more is admitted. It covers the
 time until an admitted request reaches the engine."""
+RESERVED_RATIO = 0.125
+"""Fraction of the slots that is left to workspaces within their share while
+they are denied, at least one slot."""
+RESERVED_BACKLOG_RATIO = 0.5
+"""Fraction of the time to read that is left to them."""
+RESERVATION_SECONDS = 1.0
+"""Time for which the reservation holds after a request was denied."""
 INITIAL_RUN_SECONDS = 2.0
 """Time from admission to end that is assumed until one has been measured."""
 RUN_SMOOTHING_RATIO = 0.1
@@ -73,6 +85,8 @@
     :ivar resumes: whether its client already has a part of the answer.
     :ivar asked_at: when the router asked, in monotonic seconds.
     :ivar give_up_at: latest time at which it is still worth admitting.
+    :ivar is_over_share: whether its workspace has received more than its fair
+        share.
     """
 
     key: AdmissionKey
@@ -82,6 +96,7 @@
     resumes: bool
     asked_at: float
     give_up_at: float
+    is_over_share: bool = False
 
 
 class RunningRequest:
@@ -150,6 +165,7 @@
         self._running: dict[AdmissionKey, RunningRequest] = {}
         self._waiting: dict[AdmissionKey, QueuedRequest] = {}
         self._admitted_usage = UsageWindow(window_seconds)
+        self._reserved_until = 0.0
 
     @property
     def has_waiting(self) -> bool:
@@ -181,16 +197,20 @@
         :param get_levels: returns what workspaces received, as fractions of
             what all received.
         """
-        if not self._waiting and self._is_open(now, resumes=request.resumes):
+        if not self._waiting and self._is_open(request, now):
             self._admit(request, now)
             return "admitted"
+        if not request.is_over_share:
+            self._reserved_until = now + RESERVATION_SECONDS
         ranks = self._rank([*self._waiting.values(), request], get_levels, now)
         own_rank = ranks.pop(request.key)
         ahead = [self._waiting[key] for key, rank in ranks.items() if rank < own_rank]
-        if not ahead and self._is_open(now, resumes=request.resumes):
+        if not ahead and self._is_open(request, now):
             self._admit(request, now)
             return "admitted"
-        is_too_late = now + self._estimate_wait(ahead, now) > request.give_up_at
+        is_too_late = now + self._estimate_wait(request, ahead, now) > (
+            request.give_up_at
+        )
         if is_too_late or len(self._waiting) >= MAX_WAITING_REQUESTS:
             return "refused"
         self._waiting[request.key] = request
@@ -210,10 +230,10 @@
             if now > request.give_up_at:
                 del self._waiting[key]
                 decided.append((key, "refused"))
-        while self._waiting and self._is_open(now, resumes=True):
+        while self._waiting:
             ranks = self._rank(self._waiting.values(), get_levels, now)
             first = self._waiting[min(ranks, key=ranks.__getitem__)]
-            if not self._is_open(now, resumes=first.resumes):
+            if not self._is_open(first, now):
                 break
             del self._waiting[first.key]
             self._admit(first, now)
@@ -293,16 +313,27 @@
         self._adopt(request.key, request.tokens, now, has_begun=False)
         self._admitted_usage.add(request.workspace, 0.0, request.cost, now)
 
-    def _is_open(self, now: float, *, resumes: bool) -> bool:
+    def _is_open(self, request: QueuedRequest, now: float) -> bool:
+        """Return whether a request may be admitted."""
+        limit, max_backlog = self._get_limits(request, now)
+        return len(self._running) < limit and self._get_backlog(now) <= max_backlog
+
+    def _get_limits(self, request: QueuedRequest, now: float) -> tuple[float, float]:
         """
-        Return whether one more request may be admitted.
+        Return how much the engine may run, and have to read, for a request.
+
+        One that resumes a stream may use every slot.
 
-        :param resumes: whether it resumes a stream, which may use every slot.
+        :returns: number of requests, and seconds to read what was admitted.
         """
-        limit = self._slots if resumes else self._concurrency.limit
-        return (
-            len(self._running) < limit and self._get_backlog(now) <= MAX_BACKLOG_SECONDS
-        )
+        if request.resumes:
+            return self._slots, MAX_BACKLOG_SECONDS
+        limit = self._concurrency.limit
+        if not request.is_over_share or now >= self._reserved_until:
+            return limit, MAX_BACKLOG_SECONDS
+        reserved = max(RESERVED_RATIO * limit, 1.0)
+        max_backlog = MAX_BACKLOG_SECONDS * (1.0 - RESERVED_BACKLOG_RATIO)
+        return max(limit - reserved, 1.0), max_backlog
 
     def _get_backlog(self, now: float) -> float:
         return max(self._read_until - now, 0.0)
@@ -312,14 +343,14 @@
 
     def _rank(
         self, requests: Collection[QueuedRequest], get_levels: LevelSource, now: float
-    ) -> dict[AdmissionKey, tuple[bool, float, float]]:
+    ) -> dict[AdmissionKey, tuple[bool, bool, float, float]]:
         """
         Return the ranks of requests, lower ones first.
 
-        A workspace ranks by what it received of the fleet and of this engine.
-        What all engines gave is known late, and what this one gave at once.
-        Without the latter, all schedulers would prefer the same workspace
-        until the news arrive.
+        Workspaces within their share go first. A workspace then ranks by what
+        it received of the fleet and of this engine. What all engines gave is
+        known late, and what this one gave at once. Without the latter, all
+        schedulers would prefer the same workspace until the news arrive.
         """
         levels = get_levels({request.workspace for request in requests})
         usage = self._admitted_usage
@@ -327,6 +358,7 @@
         return {
             request.key: (
                 not request.resumes,
+                request.is_over_share,
                 levels[request.workspace]
                 + usage.get_received(request.workspace, now) / total,
                 request.asked_at,
@@ -334,11 +366,13 @@
             for request in requests
         }
 
-    def _estimate_wait(self, ahead: Iterable[QueuedRequest], now: float) -> float:
+    def _estimate_wait(
+        self, request: QueuedRequest, ahead: Iterable[QueuedRequest], now: float
+    ) -> float:
         """Return the time until a request is admitted after some others."""
-        tokens_ahead = [request.tokens for request in ahead]
+        limit, max_backlog = self._get_limits(request, now)
+        tokens_ahead = [other.tokens for other in ahead]
         reading = self._get_backlog(now) + sum(tokens_ahead) / self._rate.rate
-        limit = self._concurrency.limit
         missing_slots = len(self._running) + len(tokens_ahead) + 1 - limit
         ends = self._run_seconds / limit * max(missing_slots, 0.0)
-        return max(reading - MAX_BACKLOG_SECONDS, ends)
+        return max(reading - max_backlog, ends)
--- a/tests/decisions/test_engine_queue.py
+++ b/tests/decisions/test_engine_queue.py
@@ -6,6 +6,7 @@
 
 from sycamorehaven.decisions.engine_queue import (
     ADOPTION_GRACE_SECONDS,
+    RESERVATION_SECONDS,
     AdmissionKey,
     EngineQueue,
     QueuedRequest,
@@ -45,11 +46,18 @@
     *,
     resumes: bool = False,
     router: RouterId = ROUTER,
+    is_over_share: bool = False,
 ) -> QueuedRequest:
     """Return a request that is asked for at ``NOW``."""
-    key = AdmissionKey(router, number)
     return QueuedRequest(
-        key, workspace, tokens, float(tokens), resumes, NOW, NOW + max_wait
+        AdmissionKey(router, number),
+        workspace,
+        tokens,
+        float(tokens),
+        resumes,
+        NOW,
+        NOW + max_wait,
+        is_over_share,
     )
 
 
@@ -175,3 +183,41 @@
     assert abs(queue.get_state(NOW).backlog_seconds - 0.16) < 1e-6
     queue.record_begin(first.key, 0.15, NOW + 0.15)
     assert queue.get_state(NOW + 0.15).backlog_seconds < 0.05
+
+
+# Nobody waits at the engine whose slot it takes; the others wait elsewhere.
+def test_workspace_above_its_share_takes_the_slots_of_those_that_are_due(
+    queue: EngineQueue,
+) -> None:
+    fill(queue)
+    assert queue.submit(build_request(10, "due", max_wait=0.0), get_no_levels, NOW) == (
+        "refused"
+    )
+    queue.record_end(AdmissionKey(ROUTER, 0), NOW)
+    large = build_request(11, "large", max_wait=0.0, is_over_share=True)
+    assert queue.submit(large, get_no_levels, NOW) == "refused"
+    assert queue.submit(build_request(12, "due"), get_no_levels, NOW) == "admitted"
+
+
+def test_workspace_above_its_share_uses_every_slot_once_nobody_is_denied(
+    queue: EngineQueue,
+) -> None:
+    fill(queue)
+    queue.submit(build_request(10, "due", max_wait=0.0), get_no_levels, NOW)
+    queue.record_end(AdmissionKey(ROUTER, 0), NOW)
+    large = build_request(11, "large", is_over_share=True)
+    later = NOW + RESERVATION_SECONDS
+    assert queue.submit(large, get_no_levels, later) == "admitted"
+
+
+def test_workspace_within_its_share_goes_before_one_above_it(
+    queue: EngineQueue,
+) -> None:
+    fill(queue)
+    levels = {"due": 0.3, "large": 0.1}
+    large = build_request(10, "large", max_wait=3.0, is_over_share=True)
+    due = build_request(11, "due", max_wait=3.0)
+    for request in (large, due):
+        assert queue.submit(request, lambda _: levels, NOW) == "queued"
+    queue.record_end(AdmissionKey(ROUTER, 0), NOW)
+    assert queue.advance(lambda _: levels, NOW) == [(due.key, "admitted")]
