--- a/src/sycamorehaven/transport/backend_client.py
+++ b/src/sycamorehaven/transport/backend_client.py
@@ -17,7 +17,11 @@
     ServerSilent,
 )
 from sycamorehaven.transport.pool_manager import ConnectionPoolManager
-from sycamorehaven.transport.responses import HttpBackendResponse, classify_error
+from sycamorehaven.transport.responses import (
+    HttpBackendResponse,
+    check_final_status,
+    classify_error,
+)
 
 if TYPE_CHECKING:
     import aiohttp
@@ -85,6 +89,7 @@
         response: aiohttp.ClientResponse | None = None
         try:
             response = await self._request(pool, server, call, resume_from)
+            check_final_status(response.status)
             raise_if_refused(response, idempotent=call.rule.idempotent)
         except BaseException as error:
             if response is not None:
--- a/src/sycamorehaven/transport/responses.py
+++ b/src/sycamorehaven/transport/responses.py
@@ -33,6 +33,10 @@
 """Exceptions that aiohttp raises when a connection breaks."""
 
 
+FINAL_STATUSES = range(200, 600)
+"""Statuses that a final response may have (RFC 9110 section 15)."""
+
+
 class BodyDeadlinePassed(TimeoutError):
     """A body did not end before its deadline."""
 
@@ -269,3 +273,16 @@
     if isinstance(error, aiohttp.ClientError):
         return AnswerInvalid(repr(error), was_sent=True)
     return error
+
+
+def check_final_status(status: int) -> None:
+    """
+    Check that a response may end a request.
+
+    :raises AnswerInvalid: if its status is none of a final response.
+    """
+    if status not in FINAL_STATUSES:
+        raise AnswerInvalid(
+            f"the response has the status {status:03}, which is no final status",
+            was_sent=True,
+        )
--- a/src/sycamorehaven/transport/routed_backend_client.py
+++ b/src/sycamorehaven/transport/routed_backend_client.py
@@ -18,7 +18,11 @@
     ServerSilent,
 )
 from sycamorehaven.transport.pool_manager import ConnectionPoolManager
-from sycamorehaven.transport.responses import HttpBackendResponse, classify_error
+from sycamorehaven.transport.responses import (
+    HttpBackendResponse,
+    check_final_status,
+    classify_error,
+)
 
 if TYPE_CHECKING:
     import aiohttp
@@ -215,9 +219,11 @@
     :raises ServerReplaced: if another server has the address now.
     :raises ServerLeaving: if the server closes its connections.
     :raises AnswerInvalid: if the response belongs to another request, reports
-        a success without a signature, or has a status from which the client
-        would wrongly conclude that the request has not run.
+        a success without a signature, or has a status that no final response
+        has, or from which the client would wrongly conclude that the request
+        has not run.
     """
+    check_final_status(status)
     if not is_answer_to(request, head):
         raise AnswerInvalid(
             f"the response belongs to request {head.attempt_id!r}", was_sent=True
