--- a/src/sycamorehaven/decisions/relay_budget.py
+++ b/src/sycamorehaven/decisions/relay_budget.py
@@ -15,15 +15,16 @@
 INITIAL_RATE_PER_CORE = 250.0
 """Requests per second for each core of the host that are accepted before
 anything was measured; a short stream takes some 4 ms of a core."""
-MIN_RATE_PER_CORE = 50.0
-"""Requests per second for each core that are accepted at least. A rate can't
-fall further because of other work, which rejecting more does not shorten."""
-BURST_SECONDS = 0.1
+MIN_RATE_PER_CORE = 150.0
+"""Requests per second for each core that are accepted at least; a stream takes
+at most some 7 ms of a core. Rejections may take all other time, and accepting
+less would only lead to more of them."""
+BURST_SECONDS = 0.25
 """Time in which requests may arrive at once that are accepted at the rate."""
-BUSY_UTILIZATION = 0.85
+BUSY_UTILIZATION = 0.9
 """Fraction of the time in which the loop has work from which the rate
 counts."""
-SATURATED_UTILIZATION = 0.95
+SATURATED_UTILIZATION = 0.97
 """The same from which the rate falls."""
 ADAPTATION_SECONDS = 0.2
 """Time between two changes of the rate."""
@@ -53,21 +54,22 @@
         """Requests per second that are accepted while the loop is busy."""
         return self._rate
 
-    def has_room(self, utilization: float, now: float) -> bool:
+    def has_room(self, utilization: float, now: float, arriving: int = 0) -> bool:
         """
         Return whether one more request may be accepted.
 
         :param utilization: fraction of the time in which the event loop had
             work to do.
         :param now: monotonic seconds.
+        :param arriving: requests that will be accepted before this one.
         """
         self._refill(now)
-        if self._available < 1.0:
-            self._is_wanted = True
+        is_within_rate = self._available >= arriving + 1.0
+        self._is_wanted |= not is_within_rate
         if now - self._adapted_at >= ADAPTATION_SECONDS:
             self._adapt(utilization)
             self._adapted_at = now
-        return self._available >= 1.0 or utilization < BUSY_UTILIZATION
+        return is_within_rate or utilization < BUSY_UTILIZATION
 
     def take(self, now: float) -> None:
         """Count a request that is accepted, for lack of room, too."""
--- a/src/sycamorehaven/transport/time_gate.py
+++ b/src/sycamorehaven/transport/time_gate.py
@@ -37,10 +37,10 @@
     from sycamorehaven.transport.request_framing import ArrivedRequest
 
 
-MAX_DISPATCH_DELAY_SECONDS = 0.1
+MAX_DISPATCH_DELAY_SECONDS = 0.06
 """Time until the dispatcher looks at a request from which arriving ones are
-rejected. The dispatcher rejects what waits for about three times as long, and
-looks at many requests twice."""
+rejected; more than one further pass after the next. Many requests are looked
+at twice, and wait for a scheduler's answer in between."""
 
 
 class EarlyRejection(NamedTuple):
@@ -121,9 +121,10 @@
         """Return whether requests may be rejected before they are read."""
         event_loop, lifecycle = self._board.event_loop, self._board.lifecycle
         # The request would be one more in progress.
-        begun = lifecycle.requests_in_progress + len(self._arriving_connections)
-        has_room = begun < event_loop.request_limit and self._has_time_for_more(
-            self._clock()
+        arriving = len(self._arriving_connections)
+        has_room = (
+            lifecycle.requests_in_progress + arriving < event_loop.request_limit
+            and self._has_time_for_more(self._clock(), arriving)
         )
         return not (
             self._arrivals.has_time(event_loop.lag, has_room=has_room)
@@ -131,12 +132,16 @@
             or not self._board.routing.is_ready
         )
 
-    def _has_time_for_more(self, now: float) -> bool:
-        """Return whether there is time to dispatch and relay one more."""
+    def _has_time_for_more(self, now: float, arriving: int = 0) -> bool:
+        """
+        Return whether there is time to dispatch and relay one request more.
+
+        :param arriving: requests that will be accepted before it.
+        """
         event_loop = self._board.event_loop
         is_dispatched_in_time = event_loop.dispatch_delay < MAX_DISPATCH_DELAY_SECONDS
-        return (
-            self._budget.has_room(event_loop.utilization, now) and is_dispatched_in_time
+        return is_dispatched_in_time and self._budget.has_room(
+            event_loop.utilization, now, arriving
         )
 
     def reject_early(self, data: bytes) -> EarlyRejection | None:
