--- a/src/sycamorehaven/blackboard/workload.py
+++ b/src/sycamorehaven/blackboard/workload.py
@@ -79,10 +79,13 @@
     Counts since they were last taken.
 
     :param clock: returns seconds for the measurement of activities.
+    :ivar accept_rate: requests per second that the router accepts while it is
+        busy; 0 before the first request.
     """
 
     def __init__(self, clock: Callable[[], float] = time.perf_counter) -> None:
         self._clock = clock
+        self.accept_rate = 0.0
         self._arrived: Counter[str] = Counter()
         self._rejected: dict[str, Counter[str]] = {}
         self._tried: Counter[str] = Counter()
--- a/src/sycamorehaven/transport/time_gate.py
+++ b/src/sycamorehaven/transport/time_gate.py
@@ -115,6 +115,7 @@
             self._board.workload.count_rejection_stage("by_server")
             raise create_busy_refusal(head.client_timeout)
         self._budget.take(received_at)
+        self._board.workload.accept_rate = self._budget.rate
         self._board.workload.count_accepted()
 
     def may_reject_early(self) -> bool:
--- a/tests/controllers/test_workload.py
+++ b/tests/controllers/test_workload.py
@@ -133,11 +133,14 @@
     board = create_board()
     board.workload.count_arrival("w1")
     board.workload.count_accepted()
+    board.workload.accept_rate = 96.75
+    board.event_loop.update_dispatch_delay(0.08)
     board.workload.count_pass(3, is_cut_short=True)
     board.workload.count_pass(2, is_cut_short=False)
     board.workload.count_rejection_stage("by_dispatcher")
     line, next_line = read_reports(board, clock, GatewayMetrics(), count=2, again="w1")
-    assert line["accepted"] == 1
+    assert (line["accepted"], line["accept_rate"]) == (1, 96.8)
+    assert line["dispatch_delay"] == 0.08
     assert line["passes"] == {"total": 2, "cut_short": 1, "decisions": 5}
     assert line["rejections"] == {"by_dispatcher": 1}
     assert (next_line["accepted"], next_line["passes"]["total"]) == (0, 0)
