--- a/src/sycamorehaven/controllers/engine_queues.py
+++ b/src/sycamorehaven/controllers/engine_queues.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from typing import TYPE_CHECKING
 
@@ -32,6 +33,9 @@
 
 ADVANCE_PERIOD_SECONDS = 0.01
 """Time between two looks at the waiting requests."""
+SHARE_LIFETIME_SECONDS = 0.1
+"""Time for which the fair share is not computed again. The news that change it
+are older, and computing it takes 0.6 ms with 1,400 workspaces."""
 
 
 class EngineQueueController(Service):
@@ -59,6 +63,8 @@
         self._clock = clock
         self._queues: dict[str, EngineQueue] = {}
         self._request_waits = asyncio.Event()
+        self._fair_share = math.inf
+        self._share_expires_at = 0.0
         link.subscribe(AdmissionRequest, self._handle_request)
         link.subscribe(AdmissionProgress, self._handle_progress)
         board.members.changed.subscribe(self._forget_dead_routers)
@@ -157,7 +163,10 @@
     def _is_over_share(self, workspace: str, now: float) -> bool:
         """Return whether a workspace has received more than its fair share."""
         usage = self._board.fleet_load.usage_window
-        return usage.get_received(workspace, now) > usage.get_fair_share(now)
+        if now >= self._share_expires_at:
+            self._fair_share = usage.get_fair_share(now)
+            self._share_expires_at = now + SHARE_LIFETIME_SECONDS
+        return usage.get_received(workspace, now) > self._fair_share
 
     def _find_queue(self, incarnation_id: str) -> EngineQueue | None:
         """Return the queue of an engine; ``None`` if it is not registered."""
