--- a/src/sycamorehaven/decisions/engine_queue.py
+++ b/src/sycamorehaven/decisions/engine_queue.py
@@ -230,7 +230,7 @@
             if now > request.give_up_at:
                 del self._waiting[key]
                 decided.append((key, "refused"))
-        while self._waiting:
+        while self._waiting and self._has_room(self._slots, MAX_BACKLOG_SECONDS, now):
             ranks = self._rank(self._waiting.values(), get_levels, now)
             first = self._waiting[min(ranks, key=ranks.__getitem__)]
             if not self._is_open(first, now):
@@ -315,7 +315,9 @@
 
     def _is_open(self, request: QueuedRequest, now: float) -> bool:
         """Return whether a request may be admitted."""
-        limit, max_backlog = self._get_limits(request, now)
+        return self._has_room(*self._get_limits(request, now), now)
+
+    def _has_room(self, limit: float, max_backlog: float, now: float) -> bool:
         return len(self._running) < limit and self._get_backlog(now) <= max_backlog
 
     def _get_limits(self, request: QueuedRequest, now: float) -> tuple[float, float]:
--- a/tests/decisions/test_engine_queue.py
+++ b/tests/decisions/test_engine_queue.py
@@ -221,3 +221,16 @@
         assert queue.submit(request, lambda _: levels, NOW) == "queued"
     queue.record_end(AdmissionKey(ROUTER, 0), NOW)
     assert queue.advance(lambda _: levels, NOW) == [(due.key, "admitted")]
+
+
+# The queue is looked at a hundred times a second.
+def test_full_engine_compares_those_that_wait_again_and_again(
+    queue: EngineQueue,
+) -> None:
+    fill(queue)
+    queue.submit(build_request(10, max_wait=3.0), get_no_levels, NOW)
+
+    def fail(workspaces: Collection[str]) -> dict[str, float]:
+        raise AssertionError(workspaces)
+
+    assert queue.advance(fail, NOW) == []
