--- a/src/sycamorehaven/blackboard/event_loop.py
+++ b/src/sycamorehaven/blackboard/event_loop.py
@@ -16,7 +16,7 @@
     def __init__(self) -> None:
         self._lag = 0.0
         self._utilization = 0.0
-        self._dispatch_delay = 0.0
+        self._dispatches_at = 0.0
         self._request_limit = math.inf
         self._rejections = 0
 
@@ -25,11 +25,6 @@
         """Lag of the event loop when it was last measured, in seconds."""
         return self._lag
 
-    @property
-    def dispatch_delay(self) -> float:
-        """Seconds until the dispatcher looks at a request that arrives now."""
-        return self._dispatch_delay
-
     @property
     def utilization(self) -> float:
         """Fraction of the last moments in which the loop had work to do."""
@@ -49,9 +44,22 @@
         rejections, self._rejections = self._rejections, 0
         return rejections
 
-    def update_dispatch_delay(self, dispatch_delay: float) -> None:
-        """Replace the delay of the dispatcher, in seconds."""
-        self._dispatch_delay = dispatch_delay
+    def get_dispatch_delay(self, now: float) -> float:
+        """
+        Return the seconds until the dispatcher looks at an arriving request.
+
+        :param now: monotonic seconds.
+        """
+        return max(self._dispatches_at - now, 0.0)
+
+    def update_dispatch(self, dispatches_at: float) -> None:
+        """
+        Replace the time at which the dispatcher looks at an arriving request.
+
+        :param dispatches_at: monotonic seconds; a time that has passed if the
+            dispatcher is not behind.
+        """
+        self._dispatches_at = dispatches_at
 
     def update_utilization(self, utilization: float) -> None:
         """Replace the fraction of the time in which there was work to do."""
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -238,7 +238,7 @@
             pending for pending in self._pending if not pending.applications.current
         ]
         if not undecided:
-            self._board.event_loop.update_dispatch_delay(0.0)
+            self._board.event_loop.update_dispatch(now)
             return
         share_statuses = self._shares.compute_statuses(
             {pending.request.workspace for pending in self._pending}, now
@@ -285,12 +285,12 @@
         :param started_at: when the pass began, in monotonic seconds.
         """
         if not postponed:
-            self._board.event_loop.update_dispatch_delay(0.0)
+            self._board.event_loop.update_dispatch(started_at)
             return
         now = self._clock()
         seconds_per_pass = (now - started_at) * (1.0 + CUT_SHORT_PAUSE_RATIO)
         passes = math.ceil((len(postponed) + 1) / considered)
-        self._board.event_loop.update_dispatch_delay(passes * seconds_per_pass)
+        self._board.event_loop.update_dispatch(now + passes * seconds_per_pass)
         for index, pending in enumerate(postponed, start=1):
             delay = math.ceil(index / considered) * seconds_per_pass
             share_status = share_statuses[pending.request.workspace]
--- a/src/sycamorehaven/controllers/workload.py
+++ b/src/sycamorehaven/controllers/workload.py
@@ -113,7 +113,7 @@
                 "measured": round(first_events.measured_seconds, 3),
             },
             lag=round(event_loop.lag, 3),
-            dispatch_delay=round(event_loop.dispatch_delay, 3),
+            dispatch_delay=round(event_loop.get_dispatch_delay(now), 3),
             requests_in_progress=self._board.lifecycle.requests_in_progress,
             request_limit=round(event_loop.request_limit, 1),
             short_of_time=self._is_short_of_time(),
--- a/src/sycamorehaven/decisions/relay_budget.py
+++ b/src/sycamorehaven/decisions/relay_budget.py
@@ -24,7 +24,7 @@
 BUSY_UTILIZATION = 0.9
 """Fraction of the time in which the loop has work from which the rate
 counts."""
-SATURATED_UTILIZATION = 0.97
+SATURATED_UTILIZATION = 0.95
 """The same from which the rate falls."""
 ADAPTATION_SECONDS = 0.2
 """Time between two changes of the rate."""
--- a/src/sycamorehaven/transport/time_gate.py
+++ b/src/sycamorehaven/transport/time_gate.py
@@ -37,10 +37,10 @@
     from sycamorehaven.transport.request_framing import ArrivedRequest
 
 
-MAX_DISPATCH_DELAY_SECONDS = 0.06
+MAX_DISPATCH_DELAY_SECONDS = 0.04
 """Time until the dispatcher looks at a request from which arriving ones are
-rejected; more than one further pass after the next. Many requests are looked
-at twice, and wait for a scheduler's answer in between."""
+rejected; about one pass and its pause. Many requests are looked at twice, and
+wait for a scheduler's answer in between."""
 
 
 class EarlyRejection(NamedTuple):
@@ -140,10 +140,9 @@
         :param arriving: requests that will be accepted before it.
         """
         event_loop = self._board.event_loop
-        is_dispatched_in_time = event_loop.dispatch_delay < MAX_DISPATCH_DELAY_SECONDS
-        return is_dispatched_in_time and self._budget.has_room(
-            event_loop.utilization, now, arriving
-        )
+        if event_loop.get_dispatch_delay(now) >= MAX_DISPATCH_DELAY_SECONDS:
+            return False
+        return self._budget.has_room(event_loop.utilization, now, arriving)
 
     def reject_early(self, data: bytes) -> EarlyRejection | None:
         """
--- a/tests/transport/test_time_gate.py
+++ b/tests/transport/test_time_gate.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 from typing import TYPE_CHECKING
 
 from sycamorehaven.blackboard.event_loop import EventLoopSection
@@ -171,3 +172,14 @@
         harness.board.workload.take_rejection_stages()
         await asyncio.sleep(0.1)
         assert "by_head" not in harness.board.workload.take_rejection_stages()
+
+
+# Nothing looks at the dispatcher's delay again once nobody waits there.
+async def test_router_rejects_all_requests_after_those_that_waited_are_withdrawn(
+    harness: GatewayHarness,
+) -> None:
+    assert (await send_request(harness, "/look/1"))[0] == 200
+    harness.board.event_loop.update_dispatch(time.monotonic() + 0.3)
+    assert (await send_request(harness, "/look/1", attempt="a2"))[0] == 503
+    await asyncio.sleep(0.4)
+    assert (await send_request(harness, "/look/1", attempt="a3"))[0] == 200
