--- a/src/sycamorehaven/decisions/relay_budget.py
+++ b/src/sycamorehaven/decisions/relay_budget.py
@@ -65,11 +65,12 @@
         """
         self._refill(now)
         is_within_rate = self._available >= arriving + 1.0
-        self._is_wanted |= not is_within_rate
+        is_busy = utilization >= BUSY_UTILIZATION
+        self._is_wanted |= is_busy and not is_within_rate
         if now - self._adapted_at >= ADAPTATION_SECONDS:
             self._adapt(utilization)
             self._adapted_at = now
-        return is_within_rate or utilization < BUSY_UTILIZATION
+        return is_within_rate or not is_busy
 
     def take(self, now: float) -> None:
         """Count a request that is accepted, for lack of room, too."""
--- a/tests/decisions/test_relay_budget.py
+++ b/tests/decisions/test_relay_budget.py
@@ -68,3 +68,11 @@
     burst = int(INITIAL_RATE_PER_CORE * SMALLEST_QUOTA * BURST_SECONDS)
     assert budget.has_room(0.93, 0.0, arriving=burst - 1)
     assert not budget.has_room(0.93, 0.0, arriving=burst + 1)
+
+
+# Such a rate would let a flood in for seconds before it has fallen again.
+def test_rate_grows_by_bursts_at_a_host_that_is_not_busy() -> None:
+    budget = RelayBudget(SMALLEST_QUOTA)
+    before = budget.rate
+    count_accepted(budget, 0.5, 10.0)
+    assert budget.rate == before
