--- a/src/sycamorehaven/gateway_settings.py
+++ b/src/sycamorehaven/gateway_settings.py
@@ -11,6 +11,9 @@
 Seconds = Annotated[float, Meta(gt=0, le=3_600)]
 """A duration of at most an hour."""
 
+DEFAULT_EVACUATION_SECONDS = 5.0
+"""Time in which an evacuation takes effect, without a setting."""
+
 
 class GatewayTable(TypedDict):
     """The ``[gateway]`` table, which makes a router a gateway."""
@@ -25,6 +28,10 @@
     descriptors: NotRequired[Annotated[int, Meta(ge=64)]]
     cpu_quota: NotRequired[Annotated[float, Meta(gt=0, le=1_024)]]
     cpu_speed: NotRequired[Annotated[float, Meta(gt=0, le=1_024)]]
+    memory: NotRequired[Annotated[float, Meta(gt=0)]]
+    cold_overshoot: NotRequired[Annotated[float, Meta(ge=1, le=100)]]
+    cold_tolerance: NotRequired[Annotated[float, Meta(ge=0, le=1e6)]]
+    evacuation_timeout_ms: NotRequired[Annotated[float, Meta(gt=0, le=3_600_000)]]
 
 
 class GatewaySettings(NamedTuple):
@@ -46,6 +53,13 @@
         ``None`` for the limit that its operating system states.
     :ivar cores: processor time that the host gives the process, in seconds of
         a core per second.
+    :ivar memory: megabytes that the process may use; ``None`` for the memory
+        of its host.
+    :ivar cold_overshoot: factor by which the requests that a cold server gets
+        in one second may exceed what it tolerates.
+    :ivar cold_tolerance: requests that it may get in addition.
+    :ivar evacuation_timeout: seconds from the order to evacuate a failure
+        domain until nothing may reach its servers.
     """
 
     readiness: str
@@ -57,6 +71,10 @@
     quota_window: float
     descriptors: int | None = None
     cores: float = 1.0
+    memory: float | None = None
+    cold_overshoot: float = 1.0
+    cold_tolerance: float = 0.0
+    evacuation_timeout: float = DEFAULT_EVACUATION_SECONDS
 
     @classmethod
     def from_table(cls, table: GatewayTable) -> GatewaySettings:
@@ -71,4 +89,11 @@
             quota_window=table["quota_window"],
             descriptors=table.get("descriptors"),
             cores=table.get("cpu_quota", 1.0) * table.get("cpu_speed", 1.0),
+            memory=table.get("memory"),
+            cold_overshoot=table.get("cold_overshoot", 1.0),
+            cold_tolerance=table.get("cold_tolerance", 0.0),
+            evacuation_timeout=table.get(
+                "evacuation_timeout_ms", DEFAULT_EVACUATION_SECONDS * 1_000
+            )
+            / 1_000,
         )
--- a/src/sycamorehaven/platform/decoding.py
+++ b/src/sycamorehaven/platform/decoding.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import ipaddress
-from typing import TYPE_CHECKING, cast
+import math
+from typing import TYPE_CHECKING, NamedTuple, cast
 
 import msgspec
 
@@ -15,6 +16,7 @@
     WireServer,
 )
 from sycamorehaven.routing.model import (
+    ColdServer,
     EngineCapacity,
     RequestLimits,
     Route,
@@ -25,6 +27,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from sycamorehaven.routing.model import RouteKind
 
 MAX_PORT = 65_535
@@ -37,6 +41,23 @@
 """Valid values of a server's ``state``."""
 SERVERS_PREFIX = "servers/"
 """Key prefix of the registered backend servers."""
+EVACUATION_PREFIX = "op/evacuate/"
+"""Key prefix of the failure domains that operators evacuate."""
+MAX_COLD_SECONDS = 3_600.0
+"""Longest time for which an entry can say that a server stays cold."""
+
+
+class DecodedServer(NamedTuple):
+    """
+    An entry of a backend server.
+
+    :ivar record: the server.
+    :ivar cold: what the entry says of it being cold; ``None`` if it is not.
+    """
+
+    record: ServerRecord
+    cold: ColdServer | None
+
 
 _configuration_decoder = msgspec.json.Decoder(WireConfiguration)
 _server_decoder = msgspec.json.Decoder(WireServer)
@@ -62,6 +83,8 @@
             service.name,
             service.max_connections,
             _build_engine_capacity(service.engine) if service.engine else None,
+            service.cold_per_s,
+            service.cold_start_s,
         )
         for service in wire.services
     }
@@ -108,7 +131,7 @@
     )
 
 
-def decode_server(item: WireItem) -> ServerRecord | None:
+def decode_server(item: WireItem) -> DecodedServer | None:
     """Decode a backend server; return ``None`` if the item is invalid."""
     try:
         wire = _server_decoder.decode(item.value)
@@ -116,7 +139,7 @@
         return None
     if wire.state not in SERVER_STATES or not _is_ipv4_endpoint(wire.address):
         return None
-    return ServerRecord(
+    record = ServerRecord(
         id=item.key.removeprefix(SERVERS_PREFIX),
         started_at_ms=wire.born,
         service=wire.service,
@@ -126,6 +149,36 @@
         draining=wire.state == "draining",
         software_version=wire.version,
     )
+    seconds = _parse_cold_seconds(wire.cold_remaining_ms)
+    if not seconds:
+        return DecodedServer(record, None)
+    return DecodedServer(
+        record, ColdServer(record.incarnation_id, seconds, item.revision)
+    )
+
+
+def decode_evacuated_domains(items: Iterable[WireItem]) -> tuple[str, ...]:
+    """Return the failure domains that operators evacuate, in order."""
+    domains = {
+        item.key.removeprefix(EVACUATION_PREFIX)
+        for item in items
+        if item.key.startswith(EVACUATION_PREFIX)
+    }
+    return tuple(sorted(domains - {""}))
+
+
+def _parse_cold_seconds(value: object) -> float:
+    """
+    Return how long a server stays cold.
+
+    :returns: seconds; infinite if the value is malformed.
+    """
+    if value is None:
+        return 0.0
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        return math.inf
+    seconds = value / 1_000
+    return seconds if 0.0 <= seconds <= MAX_COLD_SECONDS else math.inf
 
 
 def _is_ipv4_endpoint(address: str) -> bool:
--- a/src/sycamorehaven/platform/documents.py
+++ b/src/sycamorehaven/platform/documents.py
@@ -12,6 +12,8 @@
 
 SlotCount = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
 """Number of requests; a larger one is a mistake of the writer."""
+NonNegative = Annotated[float, msgspec.Meta(ge=0.0, le=1e6)]
+"""A duration in seconds or a rate."""
 UnixMilliseconds = Annotated[int, msgspec.Meta(ge=0, lt=2**62)]
 """A time that routers can pass on to each other."""
 
@@ -62,6 +64,9 @@
     # Connections that each server accepts, over all of its callers.
     max_connections: int = 0
     engine: WireEngine | None = None
+    cold_start_s: NonNegative = 0.0
+    # Requests per second from all routers together.
+    cold_per_s: NonNegative = 0.0
 
 
 class WireLimits(msgspec.Struct, rename="camel"):
@@ -105,6 +110,9 @@
     # When the process started, in Unix milliseconds; distinguishes two
     # processes with the same id.
     born: UnixMilliseconds = 0
+    # How long the server stays cold. Any value is read, since a malformed one
+    # must not hide the server.
+    cold_remaining_ms: object = msgspec.field(default=0, name="coldRemainingMs")
 
 
 class WireItem(msgspec.Struct):
--- a/src/sycamorehaven/platform/store_client.py
+++ b/src/sycamorehaven/platform/store_client.py
@@ -12,6 +12,7 @@
 from sycamorehaven.platform.decoding import (
     SERVERS_PREFIX,
     decode_configuration,
+    decode_evacuated_domains,
     decode_server,
 )
 from sycamorehaven.platform.documents import WireItem, WirePage
@@ -96,13 +97,22 @@
         if len(eras) > 1:
             raise PlatformUnavailable("the store was restored while it was read")
         era = eras.pop()
-        self._update_configuration(_list_items(operator_pages), era)
-        found = [decode_server(item) for item in _list_items(server_pages)]
-        records = tuple(server for server in found if server is not None)
+        operator_items = _list_items(operator_pages)
+        self._update_configuration(operator_items, era)
+        decoded = [decode_server(item) for item in _list_items(server_pages)]
+        found = [server for server in decoded if server is not None]
         servers_revision = min(page.content.at for page in server_pages)
         # What was written while the pages were read is in some of them only.
         revision = min(servers_revision, *(page.content.at for page in operator_pages))
-        return Snapshot(revision, self._configuration, records, era, servers_revision)
+        return Snapshot(
+            revision,
+            self._configuration,
+            tuple(server.record for server in found),
+            era,
+            servers_revision,
+            tuple(server.cold for server in found if server.cold is not None),
+            decode_evacuated_domains(operator_items),
+        )
 
     async def close(self) -> None:
         """Close all connections to the store."""
--- a/src/sycamorehaven/routing/model.py
+++ b/src/sycamorehaven/routing/model.py
@@ -89,11 +89,16 @@
         all callers.
     :ivar engine_capacity: capacity of each model engine; ``None`` if the
         service runs none.
+    :ivar cold_rate: requests per second from all routers that a cold server
+        tolerates; 0 if its servers are never cold.
+    :ivar cold_start: seconds for which a server is cold after it has started.
     """
 
     name: str
     max_connections: int
     engine_capacity: EngineCapacity | None
+    cold_rate: float = 0.0
+    cold_start: float = 0.0
 
 
 class RequestLimits(NamedTuple):
@@ -182,6 +187,21 @@
         return f"{self.id}/{self.started_at_ms}"
 
 
+class ColdServer(NamedTuple):
+    """
+    A backend server whose entry says that it is cold.
+
+    :ivar incarnation_id: the server's incarnation.
+    :ivar seconds: how long it stays cold after the entry was written.
+    :ivar revision: revision of the entry's last change. An unchanged entry
+        does not say that the server is cold for longer.
+    """
+
+    incarnation_id: str
+    seconds: float
+    revision: int
+
+
 class Snapshot(NamedTuple):
     """
     What the platform published, pieced together from several pages.
@@ -195,6 +215,9 @@
         of itself. Revisions go back each time.
     :ivar servers_revision: the same as ``revision`` for the servers alone; 0
         if it is not newer.
+    :ivar cold_servers: the servers that are cold by their entries.
+    :ivar evacuated_domains: the failure domains to whose servers nothing may
+        be sent, in order.
     """
 
     revision: int
@@ -202,6 +225,8 @@
     servers: tuple[ServerRecord, ...]
     era: int = 0
     servers_revision: int = 0
+    cold_servers: tuple[ColdServer, ...] = ()
+    evacuated_domains: tuple[str, ...] = ()
 
     @property
     def position(self) -> tuple[int, int]:
