Add the section of cold servers

Cause: nothing keeps which servers are cold, so no rule can apply to them. Nothing calls them yet; not run.

--- a/src/sycamorehaven/blackboard/board.py
+++ b/src/sycamorehaven/blackboard/board.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sycamorehaven.blackboard.admission import AdmissionSection
+from sycamorehaven.blackboard.cold_servers import ColdServersSection
 from sycamorehaven.blackboard.configuration import ConfigurationSection
 from sycamorehaven.blackboard.control_traffic import ControlTrafficSection
 from sycamorehaven.blackboard.counters import CountersSection
@@ -25,6 +26,7 @@
 from sycamorehaven.blackboard.tokens import TokensSection
 from sycamorehaven.blackboard.unserved_services import UnservedServicesSection
 from sycamorehaven.blackboard.workload import WorkloadSection
+from sycamorehaven.decisions.cold_servers.paces import ColdAllowance
 from sycamorehaven.decisions.usage_window import UsageWindow
 from sycamorehaven.identity import RouterId, create_incarnation
 
@@ -34,6 +36,8 @@
 
 DEFAULT_QUOTA_WINDOW_SECONDS = 4.0
 """Length of the window over which usage is summed, without a setting."""
+NO_ALLOWANCE = ColdAllowance()
+"""Allowance of cold servers without a setting."""
 
 
 class Blackboard:
@@ -45,6 +49,8 @@
     :param failure_domain: failure domain of this router's host.
     :param quota_window: length of the sliding window over which the usage of
         capacity is summed, in seconds.
+    :param cold_allowance: by how much the limits of cold servers may be
+        exceeded.
     """
 
     def __init__(
@@ -53,6 +59,7 @@
         address: str,
         failure_domain: str,
         quota_window: float = DEFAULT_QUOTA_WINDOW_SECONDS,
+        cold_allowance: ColdAllowance = NO_ALLOWANCE,
     ) -> None:
         own = Member(
             identity.host, identity.incarnation, address, failure_domain, "alive"
@@ -77,6 +84,7 @@
         self._suspect_requests = SuspectRequestsSection()
         self._routing = RoutingSection()
         self._server_conditions = ServerConditionsSection(identity.host)
+        self._cold_servers = ColdServersSection(cold_allowance)
         self._fleet_load = FleetLoadSection(UsageWindow(quota_window))
         self._workload = WorkloadSection()
 
@@ -84,10 +92,12 @@
     def from_settings(cls, settings: RouterSettings) -> Blackboard:
         """Return the initial state of a new process."""
         identity = RouterId(settings.host, create_incarnation())
-        window = DEFAULT_QUOTA_WINDOW_SECONDS
-        if settings.gateway is not None:
-            window = settings.gateway.quota_window
-        return cls(identity, settings.peers_address, settings.failure_domain, window)
+        address, domain = settings.peers_address, settings.failure_domain
+        gateway = settings.gateway
+        if gateway is None:
+            return cls(identity, address, domain)
+        allowance = ColdAllowance(gateway.cold_overshoot, gateway.cold_tolerance)
+        return cls(identity, address, domain, gateway.quota_window, allowance)
 
     @property
     def identity(self) -> RouterId:
@@ -189,6 +199,11 @@
         """What servers of published routes have said of themselves."""
         return self._server_conditions
 
+    @property
+    def cold_servers(self) -> ColdServersSection:
+        """The servers that have just started, and what they may get."""
+        return self._cold_servers
+
     @property
     def fleet_load(self) -> FleetLoadSection:
         """Load of the servers of published routes, and usage by workspaces."""
--- /dev/null
+++ b/src/sycamorehaven/controllers/cold_servers/__init__.py
@@ -0,0 +1,1 @@
+"""Keeps track of cold servers and limits what is sent to them."""
--- /dev/null
+++ b/src/sycamorehaven/decisions/cold_servers/__init__.py
@@ -0,0 +1,1 @@
+"""Pacing of requests to servers that have just started."""
--- a/src/sycamorehaven/decisions/pacing.py
+++ b/src/sycamorehaven/decisions/pacing.py
@@ -34,9 +34,13 @@
         self._tokens = min(self._tokens + earned, self._saved)
         self._rate, self._updated_at = rate, now
 
-    def get_opening(self, now: float) -> float:
-        """Return when the next request may be sent, ``inf`` at a rate of 0."""
-        missing = 1.0 - self._tokens
+    def get_opening(self, now: float, ahead: int = 0) -> float:
+        """
+        Return when the next request may be sent, ``inf`` at a rate of 0.
+
+        :param ahead: requests that are sent before it.
+        """
+        missing = 1.0 + ahead - self._tokens
         if missing <= 0.0:
             return now
         if not self._rate:
