Pace what cold engines get by their schedulers

Cause: nothing limited what a cold engine gets. It looks idle to every router, so its slots are filled at once and as often as short answers free them.

Change: the recorder marks servers that join, whose entries say that they are cold, or that were reported gone; responses may say it too. The scheduler of a cold engine admits by a token bucket of coldPerS with a burst of two, those that wait included, and at (coldOvershoot - 1) x coldPerS while another router may schedule the same engine. Routers send cold engines nothing without an admission, and leave one that refused alone for the wait that it told. Such refusals count towards a bound of their own, 12. Servers without a scheduler get requests from a few routers only, each at its part of the rate.

--- a/src/sycamorehaven/blackboard/cold_servers.py
+++ b/src/sycamorehaven/blackboard/cold_servers.py
@@ -26,11 +26,13 @@
     :ivar rate: requests per second from all routers together.
     :ivar start_seconds: how long it is cold after it has started.
     :ivar failure_domain: its failure domain.
+    :ivar has_engine: whether it is an engine, which may have a scheduler.
     """
 
     rate: float
     start_seconds: float
     failure_domain: str
+    has_engine: bool = False
 
 
 class ColdServersSection:
--- a/src/sycamorehaven/blackboard/routing.py
+++ b/src/sycamorehaven/blackboard/routing.py
@@ -113,7 +113,9 @@
         known = self._snapshot
         if known is not None and snapshot.servers_position < known.servers_position:
             snapshot = snapshot._replace(
-                servers=known.servers, servers_revision=known.servers_revision
+                servers=known.servers,
+                servers_revision=known.servers_revision,
+                cold_servers=known.cold_servers,
             )
         change = self._directory.apply_snapshot(snapshot, self._read_at)
         self._software_versions.observe(self.list_servers(), self._read_at)
--- a/src/sycamorehaven/controllers/applications.py
+++ b/src/sycamorehaven/controllers/applications.py
@@ -23,6 +23,11 @@
     from sycamorehaven.controllers.engine_reports import Admission
     from sycamorehaven.decisions.load_shedding import PlacementRequest
     from sycamorehaven.decisions.placement import Placement
+    from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
+
+
+MIN_COLD_WAIT_SECONDS = 0.1
+"""Least time for which a cold engine that refused a request is not asked."""
 
 
 class RequestPlacer(Protocol):
@@ -61,6 +66,7 @@
     :param admissions: asks the schedulers; ``None`` if this router decides
         alone.
     :param placer: carries out what follows from the answers.
+    :param metrics: counts what cold engines refuse.
     :param clock: returns monotonic time in seconds.
     """
 
@@ -70,12 +76,14 @@
         candidate_finder: CandidateFinder,
         admissions: AdmissionController | None,
         placer: RequestPlacer,
+        metrics: GatewayMetrics,
         clock: Callable[[], float],
     ) -> None:
         self._board = board
         self._candidate_finder = candidate_finder
         self._admissions = admissions
         self._placer = placer
+        self._metrics = metrics
         self._clock = clock
 
     def has_scheduler(
@@ -98,7 +106,13 @@
             return
         history, request = pending.applications, pending.request
         max_wait = compute_max_wait(placement_request, best, now)
-        if is_hopeless(placement_request, history.refused, best.wait_seconds, max_wait):
+        if is_hopeless(
+            placement_request,
+            history.refused,
+            best.wait_seconds,
+            max_wait,
+            history.refused_by_cold,
+        ):
             self._placer.reject_late(
                 pending, best.wait_seconds, placement_request, best, now
             )
@@ -155,9 +169,27 @@
                 )
                 return
             admission.end()
-        pending.applications.refused += answer.verdict == "refused"
+        if answer.verdict == "refused":
+            self._record_refusal(pending, best, answer, now)
         self._placer.reconsider_pending()
 
+    def _record_refusal(
+        self,
+        pending: PendingRequest,
+        best: Placement,
+        answer: AdmissionAnswer,
+        now: float,
+    ) -> None:
+        """Count a refusal, and leave a cold engine alone for a while."""
+        cold_servers, name = self._board.cold_servers, best.server.incarnation_id
+        if cold_servers.find(name, now) is None:
+            pending.applications.refused += 1
+            return
+        pending.applications.refused_by_cold += 1
+        self._metrics.cold_refusals.inc()
+        wait = answer.state.backlog_seconds if answer.state else 0.0
+        cold_servers.defer(name, now + max(wait, MIN_COLD_WAIT_SECONDS))
+
     def _takes_request(self, best: Placement, now: float) -> bool:
         """Return whether a server still takes a request that was admitted."""
         available = self._board.routing.list_available_servers(best.server.service)
@@ -165,5 +197,7 @@
         return (
             best.server in available
             and model.health.ejected_until <= now
-            and self._candidate_finder.find_opening(best.server, now).is_open
+            and self._candidate_finder.find_opening(
+                best.server, now, is_admitted=True
+            ).is_open
         )
--- a/src/sycamorehaven/controllers/candidates.py
+++ b/src/sycamorehaven/controllers/candidates.py
@@ -4,8 +4,12 @@
 
 import asyncio
 import heapq
-from typing import TYPE_CHECKING, NamedTuple, Protocol
+from typing import TYPE_CHECKING, NamedTuple
 
+from sycamorehaven.controllers.cold_servers.openings import (
+    ColdOpenings,
+    SchedulerFinder,
+)
 from sycamorehaven.controllers.reservations import ServerReservation
 from sycamorehaven.controllers.service_load import (
     LEAST_LOADED_SERVERS,
@@ -48,11 +52,14 @@
     The applications for admission of one pending request.
 
     :ivar refused: number of those that were refused.
+    :ivar refused_by_cold: number of those that were refused for a cold engine,
+        which does not show that other engines are full.
     :ivar current: number of the one that has no answer yet, 0 for none.
     """
 
     def __init__(self) -> None:
         self.refused = 0
+        self.refused_by_cold = 0
         self.current = 0
 
 
@@ -88,13 +95,6 @@
     applications: ApplicationHistory = NO_APPLICATIONS
 
 
-class SchedulerFinder(Protocol):
-    """Finds the routers that admit requests to engines."""
-
-    def find_scheduler(self, server: ServerRecord, now: float) -> str | None:
-        """Return the host to ask for admission to an engine, if any."""
-
-
 class CandidateFinder:
     """
     Creates placement candidates from the estimated states of servers.
@@ -109,6 +109,7 @@
     ) -> None:
         self._board = board
         self._schedulers = schedulers
+        self._cold_openings = ColdOpenings(board, schedulers)
         self._server_ranks: dict[tuple[str, str], dict[str, int]] = {}
         board.routing.changed.subscribe(self._server_ranks.clear)
 
@@ -157,8 +158,24 @@
             and self._schedulers.find_scheduler(server, now) is not None
         )
 
-    def find_opening(self, server: ServerRecord, now: float) -> Opening:
-        """Return when a server takes the next request of this router."""
+    def find_opening(
+        self, server: ServerRecord, now: float, *, is_admitted: bool = False
+    ) -> Opening:
+        """
+        Return when a server takes the next request of this router.
+
+        :param is_admitted: whether its scheduler has admitted the request.
+        """
+        opening = self._find_stated_opening(server, now)
+        if self._board.cold_servers.is_empty or opening.closed_by == "leaving":
+            return opening
+        cold = self._cold_openings.find_opening(server, now, is_admitted=is_admitted)
+        if opening.is_open:
+            return opening if cold is ALWAYS_OPEN else cold
+        return max(opening, cold)
+
+    def _find_stated_opening(self, server: ServerRecord, now: float) -> Opening:
+        """Return when a server takes a request, by what it says of itself."""
         conditions = self._board.server_conditions
         if conditions.is_empty:
             return ALWAYS_OPEN
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -130,7 +130,7 @@
         self._client_timeouts = ClientTimeouts()
         self._candidate_finder = CandidateFinder(board, admissions)
         self._applicant = EngineApplicant(
-            board, self._candidate_finder, admissions, self, clock
+            board, self._candidate_finder, admissions, self, metrics, clock
         )
         self._shares = WorkspaceShares(board)
         self._excess_allowances: defaultdict[str, ExcessAllowance] = defaultdict(
@@ -479,6 +479,7 @@
         model = fleet_load.find_model(best.server.id)
         if gate := self._board.server_conditions.find(best.server.incarnation_id):
             gate.take()
+        self._board.cold_servers.take(best.server.incarnation_id)
         prefill = model.start_request(best.uncached_tokens, now)
         model.prefix_cache.record_prompt(pending.prefixes)
         fleet_load.add_placements(pending.prefixes, best.server.id)
--- a/src/sycamorehaven/controllers/engine_queues.py
+++ b/src/sycamorehaven/controllers/engine_queues.py
@@ -9,6 +9,7 @@
 
 from mode import Service
 
+from sycamorehaven.controllers.cold_servers.admission_pacing import AdmissionPacing
 from sycamorehaven.decisions.engine_queue import (
     AdmissionKey,
     EngineQueue,
@@ -27,6 +28,7 @@
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.decisions.engine_queue import Verdict
     from sycamorehaven.routing.model import ServerRecord
+    from sycamorehaven.telemetry.decision_log import DecisionLog
     from sycamorehaven.transport.codec import Delivery
     from sycamorehaven.transport.messages.admissions import EngineProgress
     from sycamorehaven.transport.peer_link import PeerLink
@@ -44,11 +46,12 @@
 
     A router that takes itself for the scheduler of an engine may be one of two
     for a while. Each then admits as if it were alone, so the engine may get
-    more than it has slots for.
+    more than it has slots for, but not more than it tolerates while cold.
 
     :param board: shared state of this router.
     :param link: connection to the other routers.
     :param clock: returns monotonic time in seconds.
+    :param decision_log: records the admissions to cold engines.
     """
 
     def __init__(
@@ -56,12 +59,14 @@
         board: Blackboard,
         link: PeerLink,
         clock: Callable[[], float] = time.monotonic,
+        decision_log: DecisionLog | None = None,
     ) -> None:
         super().__init__()
         self._board = board
         self._link = link
         self._clock = clock
         self._queues: dict[str, EngineQueue] = {}
+        self._pacing = AdmissionPacing(board, decision_log, clock)
         self._request_waits = asyncio.Event()
         self._fair_share = math.inf
         self._share_expires_at = 0.0
@@ -81,13 +86,18 @@
 
     def advance_all(self) -> None:
         """Admit the waiting requests whose turn it is."""
-        for queue in self._queues.values():
-            self._advance(queue)
+        for incarnation_id, queue in self._queues.items():
+            self._advance(incarnation_id, queue)
 
-    def _advance(self, queue: EngineQueue) -> None:
+    def _advance(self, incarnation_id: str, queue: EngineQueue) -> None:
         now = self._clock()
-        for key, verdict in queue.advance(self._get_levels, now):
+        self._pacing.update(incarnation_id, queue, now)
+        decided = queue.advance(self._get_levels, now)
+        for key, verdict in decided:
             self._reply(queue, key, verdict, now)
+        if queue.is_paced:
+            verdicts = [verdict for _, verdict in decided]
+            self._pacing.record(incarnation_id, queue, verdicts, now)
 
     def _handle_request(self, delivery: Delivery) -> None:
         request: AdmissionRequest = delivery.message
@@ -98,6 +108,7 @@
             refusal = AdmissionReply(request.number, "refused", 0, 0, 0.0, 0, 0.0, 0.0)
             self._link.send(delivery.sender.host, refusal)
             return
+        self._pacing.update(request.server, queue, now)
         is_over_share = self._is_over_share(request.workspace, now)
         queued = QueuedRequest(
             key,
@@ -111,6 +122,7 @@
         )
         verdict = queue.submit(queued, self._get_levels, now)
         self._board.workload.count_verdict(verdict, is_over_share=is_over_share)
+        self._pacing.record(request.server, queue, (verdict,), now)
         if verdict == "queued":
             self._request_waits.set()
         self._reply(queue, key, verdict, now)
@@ -121,7 +133,7 @@
             queue = self._find_queue(progress.server)
             if queue is not None:
                 self._record_progress(queue, delivery.sender, progress)
-                self._advance(queue)
+                self._advance(progress.server, queue)
 
     def _record_progress(
         self, queue: EngineQueue, sender: RouterId, progress: EngineProgress
@@ -200,3 +212,4 @@
         }
         for incarnation_id in self._queues.keys() - registered:
             del self._queues[incarnation_id]
+            self._pacing.forget(incarnation_id)
--- a/src/sycamorehaven/controllers/gone_servers.py
+++ b/src/sycamorehaven/controllers/gone_servers.py
@@ -63,6 +63,7 @@
         """Tell the other routers if a failure shows that a server is gone."""
         if not isinstance(error, (ConnectRefused, ServerReplaced)):
             return
+        self._mark_cold(server)
         if self._remember(server.incarnation_id):
             self._decision_log.record(
                 "server_gone", server=server.id, code=error.code, origin="own"
@@ -77,6 +78,7 @@
             if server.incarnation_id == incarnation_id:
                 model = self._board.fleet_load.find_model(server.id)
                 model.health.record_refused_connection(self._clock())
+                self._mark_cold(server)
                 self._decision_log.record(
                     "server_gone",
                     server=server.id,
@@ -84,6 +86,18 @@
                     origin=delivery.sender.host,
                 )
 
+    def _mark_cold(self, server: ServerRecord) -> None:
+        """
+        Take a server for cold after its ejection.
+
+        It may have restarted under the same id, and its new entry comes later.
+        """
+        model = self._board.fleet_load.find_model(server.id)
+        ejected_until, now = model.health.ejected_until, self._clock()
+        self._board.cold_servers.mark_started(
+            server.incarnation_id, max(ejected_until, now), "gone", now
+        )
+
     def _remember(self, incarnation_id: str) -> bool:
         """Record that a server is gone; return whether that is news."""
         now = self._clock()
--- a/src/sycamorehaven/controllers/reservations.py
+++ b/src/sycamorehaven/controllers/reservations.py
@@ -122,6 +122,8 @@
             self.refund(now)
         if isinstance(error, ConnectFailed):
             self._return_allowance()
+        elif isinstance(error, ServerReplaced):
+            self._board.cold_servers.give_back(self._server.incarnation_id)
 
     def refund(self, now: float) -> None:
         """Take back the charge for a request whose answer did not begin."""
@@ -139,6 +141,7 @@
         gate = self._board.server_conditions.find(self._server.incarnation_id)
         if gate is not None:
             gate.give_back()
+        self._board.cold_servers.give_back(self._server.incarnation_id)
 
     def record_event_gap(self, gap: float, longest: float, now: float) -> None:
         """
--- a/src/sycamorehaven/controllers/routed_refusals.py
+++ b/src/sycamorehaven/controllers/routed_refusals.py
@@ -76,6 +76,12 @@
             f"all backend servers of the service '{service}' have asked for rest",
             retry_after=retry_after,
         )
+    if closed.all_cold:
+        return ServersLimited(
+            f"all backend servers of the service '{service}' have just started and"
+            " take few requests",
+            retry_after=retry_after,
+        )
     return ServersLimited(
         f"the backend servers of the service '{service}' take {closed.rate:.2f}"
         " requests per second from this router",
--- a/src/sycamorehaven/controllers/server_conditions.py
+++ b/src/sycamorehaven/controllers/server_conditions.py
@@ -59,6 +59,11 @@
         :param sent_at: when the request was sent, in monotonic seconds.
         """
         section, name = self._board.server_conditions, server.incarnation_id
+        if statement.cold_seconds is not None:
+            now = self._clock()
+            until = now + statement.cold_seconds
+            self._board.cold_servers.mark_cold(name, until, "response", now)
+            statement = statement._replace(cold_seconds=None)
         if section.find(name) is None and statement.is_empty:
             return
         conditions, now = section.get(name).conditions, self._clock()
--- a/src/sycamorehaven/controllers/service_load.py
+++ b/src/sycamorehaven/controllers/service_load.py
@@ -23,11 +23,12 @@
 
 class ClosedServers(NamedTuple):
     """
-    Servers of which none takes a request now, by what they say of themselves.
+    Servers of which none takes a request now: they said so, or are cold.
 
     :ivar opens_at: when the first of them takes one, in monotonic seconds.
     :ivar rate: requests per second that they take from this router then.
     :ivar all_rest: whether all of them have asked for rest.
+    :ivar all_cold: whether all of them have just started.
     :ivar servers: their ids.
     """
 
@@ -35,6 +36,7 @@
     rate: float
     all_rest: bool
     servers: tuple[str, ...]
+    all_cold: bool = False
 
 
 class ServerView(NamedTuple):
@@ -76,10 +78,13 @@
 
         :param has_prompt: whether the request has a prompt. Prompts are
             limited by the learned concurrency limit, other requests by the
-            server's slots. They can wait for admission if it has a scheduler.
+            server's slots. Prompts can wait for admission if it has a
+            scheduler, and a cold engine with a scheduler takes nothing else.
         """
         if has_prompt and self.has_scheduler:
             return self.opening.is_open
+        if self.opening.needs_admission:
+            return False
         limit = self.prompt_limit if has_prompt else self.server.slots
         return self.opening.is_open and self.running_requests < limit
 
@@ -134,12 +139,13 @@
         """
         Number of requests with prompts that the servers may run.
 
-        Ejected servers may run none.
+        Ejected servers may run none, nor do closed ones that rest or are cold.
         """
         return sum(
             view.prompt_limit
             for view in self.views
-            if not self._is_ejected(view) and view.opening.closed_by != "rest"
+            if not self._is_ejected(view)
+            and view.opening.closed_by not in ("rest", "cold")
         )
 
     @property
@@ -224,6 +230,7 @@
             sum(opening.rate for opening in openings),
             all(opening.closed_by == "rest" for opening in openings),
             tuple(sorted(self._views)),
+            all(opening.closed_by == "cold" for opening in openings),
         )
 
     def list_least_loaded(self) -> list[str]:
--- a/src/sycamorehaven/decisions/engine_queue.py
+++ b/src/sycamorehaven/decisions/engine_queue.py
@@ -12,7 +12,10 @@
 - lets the others wait here, in the order of what their workspaces received,
 - refuses at once a request whose turn would come too late.
 
-Nothing is refused while the engine has a free slot and little to read.
+While an engine is cold, admissions are paced as well, in the same order.
+
+Nothing is refused while the engine has a free slot and little to read, unless
+it is cold.
 
 The queue of one engine can't tell whether somebody waits at another one. While
 requests of workspaces within their share are denied here, it therefore leaves
@@ -25,6 +28,7 @@
 from collections.abc import Callable, Collection, Mapping
 from typing import TYPE_CHECKING, Literal, NamedTuple
 
+from sycamorehaven.decisions.cold_servers.admission_pacer import AdmissionPacer
 from sycamorehaven.decisions.concurrency import ConcurrencyLimit
 from sycamorehaven.decisions.prefill_rate import (
     FIRST_TOKEN_OVERHEAD_SECONDS,
@@ -36,6 +40,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from sycamorehaven.decisions.cold_servers.paces import Pace
+
 MAX_BACKLOG_SECONDS = 0.1
 """Time to read what was admitted up to which more is admitted. It covers the
 time until an admitted request reaches the engine."""
@@ -122,7 +128,8 @@
 
     :ivar running: requests that were admitted and have not ended.
     :ivar waiting: requests that wait for admission.
-    :ivar backlog_seconds: time until all that was admitted is read.
+    :ivar backlog_seconds: time until all that was admitted is read, or until
+        a cold engine takes what does not wait yet.
     :ivar waiting_tokens: prompt tokens of the requests that wait.
     :ivar prefill_rate: prompt tokens that the engine reads per second.
     :ivar limit: requests that it may run.
@@ -166,6 +173,12 @@
         self._waiting: dict[AdmissionKey, QueuedRequest] = {}
         self._admitted_usage = UsageWindow(window_seconds)
         self._reserved_until = 0.0
+        self._cold_pacer = AdmissionPacer()
+
+    @property
+    def is_paced(self) -> bool:
+        """Whether admissions are paced because the engine is cold."""
+        return self._cold_pacer.is_active
 
     @property
     def has_waiting(self) -> bool:
@@ -182,12 +195,23 @@
         return EngineState(
             len(self._running),
             len(self._waiting),
-            self._get_backlog(now),
+            max(
+                self._get_backlog(now),
+                self._cold_pacer.get_delay(len(self._waiting), now),
+            ),
             sum(request.tokens for request in self._waiting.values()),
             self._rate.rate,
             self._concurrency.limit,
         )
 
+    def set_pace(self, pace: Pace | None, now: float) -> None:
+        """
+        Set the pace of admissions, for those that wait as well.
+
+        :param pace: ``None`` if the engine is not cold.
+        """
+        self._cold_pacer.set_pace(pace, now)
+
     def submit(
         self, request: QueuedRequest, get_levels: LevelSource, now: float
     ) -> Verdict:
@@ -311,11 +335,14 @@
 
     def _admit(self, request: QueuedRequest, now: float) -> None:
         self._adopt(request.key, request.tokens, now, has_begun=False)
+        self._cold_pacer.take()
         self._admitted_usage.add(request.workspace, 0.0, request.cost, now)
 
     def _is_open(self, request: QueuedRequest, now: float) -> bool:
         """Return whether a request may be admitted."""
-        return self._has_room(*self._get_limits(request, now), now)
+        return self._cold_pacer.is_open(now) and self._has_room(
+            *self._get_limits(request, now), now
+        )
 
     def _has_room(self, limit: float, max_backlog: float, now: float) -> bool:
         return len(self._running) < limit and self._get_backlog(now) <= max_backlog
@@ -377,4 +404,5 @@
         reading = self._get_backlog(now) + sum(tokens_ahead) / self._rate.rate
         missing_slots = len(self._running) + len(tokens_ahead) + 1 - limit
         ends = self._run_seconds / limit * max(missing_slots, 0.0)
-        return max(reading - max_backlog, ends)
+        pacing = self._cold_pacer.get_delay(len(tokens_ahead), now)
+        return max(reading - max_backlog, ends, pacing)
--- a/src/sycamorehaven/decisions/load_shedding.py
+++ b/src/sycamorehaven/decisions/load_shedding.py
@@ -50,6 +50,9 @@
 MIN_REFUSED_APPLICATIONS = 2
 """Number of schedulers that must have refused a request before the wait that
 the router expects elsewhere is taken for too long."""
+MAX_APPLICATIONS = 12
+"""Number of schedulers that may refuse a request before it is rejected, those
+of cold engines included. Each costs a round trip."""
 WAIT_TOLERANCE_SECONDS = 0.1
 """Time by which the wait at the first engine may be longer than expected."""
 
@@ -140,7 +143,11 @@
 
 
 def is_hopeless(
-    request: PlacementRequest, refused: int, expected_wait: float, max_wait: float
+    request: PlacementRequest,
+    refused: int,
+    expected_wait: float,
+    max_wait: float,
+    refused_by_cold: int = 0,
 ) -> bool:
     """
     Return whether a request need not ask any further scheduler.
@@ -151,8 +158,13 @@
     :param refused: number of schedulers that have refused it.
     :param expected_wait: seconds that it is expected to wait at the best one.
     :param max_wait: seconds after which the request would be late.
+    :param refused_by_cold: number of schedulers of cold engines that have
+        refused it in addition; others may still have room.
     """
-    if refused >= MAX_REFUSED_APPLICATIONS:
+    if (
+        refused >= MAX_REFUSED_APPLICATIONS
+        or refused + refused_by_cold >= MAX_APPLICATIONS
+    ):
         return True
     if request.resumes or refused < MIN_REFUSED_APPLICATIONS:
         return False
--- a/src/sycamorehaven/decisions/server_openings.py
+++ b/src/sycamorehaven/decisions/server_openings.py
@@ -19,7 +19,7 @@
 """Time after which this rate has doubled."""
 UNLIMITED = Allowance(math.inf, math.inf)
 
-ClosedBy = Literal["", "limit", "rest", "leaving"]
+ClosedBy = Literal["", "limit", "rest", "leaving", "cold"]
 """Why a server takes no request now; "" if it takes one."""
 
 
@@ -31,11 +31,13 @@
         infinite if it is not known when.
     :ivar closed_by: why it takes none before.
     :ivar rate: requests per second that it takes from then on.
+    :ivar needs_admission: whether it takes only what its scheduler admits.
     """
 
     at: float
     closed_by: ClosedBy = ""
     rate: float = math.inf
+    needs_admission: bool = False
 
     @property
     def is_open(self) -> bool:
@@ -45,6 +47,8 @@
 
 ALWAYS_OPEN = Opening(-math.inf)
 """Opening of a server that has said nothing of itself."""
+OPEN_BY_ADMISSION = Opening(-math.inf, needs_admission=True)
+"""Opening of a cold engine whose scheduler may be asked."""
 
 
 class ServerGate:
--- a/src/sycamorehaven/gateway.py
+++ b/src/sycamorehaven/gateway.py
@@ -10,6 +10,7 @@
 
 from sycamorehaven.blackboard.board import Blackboard
 from sycamorehaven.controllers.admissions import AdmissionController
+from sycamorehaven.controllers.cold_servers.recorder import ColdServerRecorder
 from sycamorehaven.controllers.dispatch import Dispatcher
 from sycamorehaven.controllers.engine_queues import EngineQueueController
 from sycamorehaven.controllers.event_loop import EventLoopMonitor
@@ -68,6 +69,8 @@
         self._condition_recorder = ServerConditionRecorder(
             self._board, decision_log, self._metrics
         )
+        # Before the controllers, so that they find what it has marked.
+        ColdServerRecorder(self._board, decision_log, self._metrics)
         self._backends = RoutedBackendClient(
             self._header_codec, self._condition_recorder
         )
@@ -135,7 +138,7 @@
             news,
             RoutingSnapshotController(board, news, self._store, decision_log, metrics),
             FleetStateController(board, news, self._condition_recorder),
-            EngineQueueController(board, peers),
+            EngineQueueController(board, peers, decision_log=decision_log),
             admissions,
             dispatcher,
             forwarding.strikes,
--- a/src/sycamorehaven/platform/header_codec.py
+++ b/src/sycamorehaven/platform/header_codec.py
@@ -8,6 +8,7 @@
 from multidict import CIMultiDict
 
 from sycamorehaven.exceptions.refusals import BadRequest
+from sycamorehaven.platform.decoding import MAX_COLD_SECONDS
 from sycamorehaven.routing.requests import (
     PromptPart,
     RequestHead,
@@ -55,6 +56,8 @@
 """Requests per second that a server takes from all routers together."""
 SERVER_LEAVING_HEADER = "Server-Leaving"
 """``1`` in every response of a server that shuts down."""
+COLD_HEADER = "Sycamorehaven-Cold-Remaining-Ms"
+"""Milliseconds for which a server stays cold."""
 REST_HEADER = "Retry-After"
 """In a 503 of a server: seconds for which it wants nothing from this router.
 Clients get the header from the router, never from a server."""
@@ -65,6 +68,8 @@
 
 POSITIVE_DECIMAL = re.compile(r"(?=.*[1-9])\d{1,9}(\.\d{1,9})?", re.ASCII)
 """A positive number without an exponent, of a sensible length."""
+NON_NEGATIVE_DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
+"""The same, or zero."""
 MAX_LOGGED_VALUE_CHARACTERS = 40
 """Length to which a value is cut that is no number."""
 
@@ -188,14 +193,36 @@
     leaving = values.getall(SERVER_LEAVING_HEADER, [])
     if leaving not in ([], ["1"]):
         unreadable.append(_describe_header(SERVER_LEAVING_HEADER, leaving))
+    limit = _parse_positive_decimal(SERVER_LIMIT_HEADER, values, unreadable)
+    cold_seconds = _parse_cold_seconds(values, unreadable)
     return ServerStatement(
-        _parse_positive_decimal(SERVER_LIMIT_HEADER, values, unreadable),
+        limit,
         rest,
         leaving == ["1"],
         tuple(unreadable),
+        cold_seconds,
     )
 
 
+def _parse_cold_seconds(
+    values: CIMultiDict[str], unreadable: list[str]
+) -> float | None:
+    """
+    Return how long a server stays cold, ``None`` if it does not say.
+
+    :param unreadable: gets the header if it cannot be read.
+    """
+    texts = values.getall(COLD_HEADER, [])
+    if not texts:
+        return None
+    if len(texts) == 1 and NON_NEGATIVE_DECIMAL.fullmatch(texts[0].strip()):
+        seconds = float(texts[0]) / 1_000
+        if seconds <= MAX_COLD_SECONDS:
+            return seconds
+    unreadable.append(_describe_header(COLD_HEADER, texts))
+    return None
+
+
 def _parse_positive_decimal(
     name: str, values: CIMultiDict[str], unreadable: list[str]
 ) -> float | None:
--- a/src/sycamorehaven/routing/requests.py
+++ b/src/sycamorehaven/routing/requests.py
@@ -136,12 +136,14 @@
     :ivar leaving: whether it says that it shuts down.
     :ivar unreadable: headers of this kind whose values make no sense, as
         ``name: value``, shortened.
+    :ivar cold_seconds: how long it stays cold; ``None`` if it does not say.
     """
 
     limit: float | None = None
     rest: float | None = None
     leaving: bool = False
     unreadable: tuple[str, ...] = ()
+    cold_seconds: float | None = None
 
     @property
     def is_empty(self) -> bool:
--- a/src/sycamorehaven/telemetry/gateway_metrics.py
+++ b/src/sycamorehaven/telemetry/gateway_metrics.py
@@ -35,6 +35,9 @@
     :ivar server_conditions: number of times that servers named, changed or
         ended a limit, a rest or their leaving, or sent a value that makes no
         sense.
+    :ivar cold_servers: number of servers that count as cold.
+    :ivar cold_refusals: number of applications that schedulers refused for
+        engines that are cold.
     :ivar dependency_up: 1 if a dependency responds, else 0.
     :ivar snapshot_age: age of the routes and servers in use, in seconds.
     :ivar waiting_requests: number of requests that wait at the router.
@@ -109,6 +112,16 @@
             ("condition", "state"),
             registry=self._registry,
         )
+        self.cold_servers = Gauge(
+            "sycamorehaven_cold_servers",
+            "Backend servers that count as cold.",
+            registry=self._registry,
+        )
+        self.cold_refusals = Counter(
+            "sycamorehaven_cold_refusals",
+            "Applications that schedulers refused for engines that are cold.",
+            registry=self._registry,
+        )
         self.dependency_up = Gauge(
             "sycamorehaven_dependency_up",
             "Whether a dependency responds (1) or not (0).",
--- /dev/null
+++ b/tests/decisions/cold_servers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of cold servers."""
--- a/tests/support/doubles.py
+++ b/tests/support/doubles.py
@@ -5,7 +5,7 @@
 import random
 from typing import TYPE_CHECKING, Any
 
-from sycamorehaven.blackboard.board import Blackboard
+from sycamorehaven.blackboard.board import NO_ALLOWANCE, Blackboard
 from sycamorehaven.controllers.server_conditions import ServerConditionRecorder
 from sycamorehaven.identity import RouterId
 from sycamorehaven.telemetry.decision_log import DecisionLog
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
+    from sycamorehaven.decisions.cold_servers.paces import ColdAllowance
     from sycamorehaven.transport.peer_link import MessageHandler
 
 
@@ -130,10 +131,18 @@
 
 
 def create_board(
-    host: str = "a1", failure_domain: str = "a", incarnation: int = 1
+    host: str = "a1",
+    failure_domain: str = "a",
+    incarnation: int = 1,
+    cold_allowance: ColdAllowance = NO_ALLOWANCE,
 ) -> Blackboard:
     """Return the blackboard of a router that has just started."""
-    return Blackboard(RouterId(host, incarnation), f"{host}:1", failure_domain)
+    return Blackboard(
+        RouterId(host, incarnation),
+        f"{host}:1",
+        failure_domain,
+        cold_allowance=cold_allowance,
+    )
 
 
 def create_recorder(
--- a/tests/support/engine_fleet_simulation.py
+++ b/tests/support/engine_fleet_simulation.py
@@ -22,6 +22,7 @@
     REPORT_PERIOD_SECONDS,
     AdmissionController,
 )
+from sycamorehaven.controllers.cold_servers.recorder import ColdServerRecorder
 from sycamorehaven.controllers.dispatch import (
     MIN_DISPATCH_PAUSE_SECONDS,
     Dispatcher,
@@ -32,6 +33,7 @@
 )
 from sycamorehaven.controllers.fleet_state import FleetStateController
 from sycamorehaven.controllers.news_link import BATCH_PERIOD_SECONDS, NewsLink
+from sycamorehaven.decisions.cold_servers.paces import ColdAllowance
 from sycamorehaven.decisions.news_routes import choose_broadcast_period_seconds
 from sycamorehaven.exceptions.backends import ServerSilent
 from sycamorehaven.exceptions.refusals import Refusal
@@ -56,7 +58,7 @@
 from tests.support.published_routes import STREAMING_ROUTE
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.controllers.reservations import ServerReservation
@@ -78,15 +80,35 @@
 EVENTS = 10
 """Events of a stream after the first one."""
 PROMPT_TOKENS = 8_000
-"""Tokens of each prompt, of which no engine keeps any."""
+"""Tokens of a prompt."""
 OUTPUT_TOKENS = 100
 """Tokens of each stream."""
 DRAIN_SECONDS = 1.0
 """Time for which requests are answered after the last one has arrived."""
+COLD_ALLOWANCE = ColdAllowance(1.5, 5.0)
+"""By how much the limit of cold engines may be exceeded."""
+COLD_SECONDS = 3.0
+"""Time for which an engine is cold."""
 SILENCE_SECONDS = 2.0
 """Time without an event after which an attempt counts as failed."""
 
 
+class Work(NamedTuple):
+    """
+    What each request costs an engine.
+
+    :ivar prompt_tokens: tokens of its prompt, of which no engine keeps any.
+    :ivar stream_seconds: time from its first event to its last one.
+    """
+
+    prompt_tokens: int = PROMPT_TOKENS
+    stream_seconds: float = STREAM_SECONDS
+
+
+DEFAULT_WORK = Work()
+"""Work of a long prompt."""
+
+
 class Begin(NamedTuple):
     """
     A first event, as its router saw it.
@@ -123,7 +145,10 @@
     :param speed: factor applied to the rate at which it reads.
     :param schedule: calls an action after some seconds.
     :param clock: returns the time of the simulation in seconds.
+    :param work: what each request costs it.
     :ivar read_tokens: prompt tokens that it has read.
+    :ivar started_at: when it started, in seconds of the clock.
+    :ivar arrivals: when requests reached it, in seconds of the clock.
     """
 
     def __init__(
@@ -131,7 +156,11 @@
         speed: float,
         schedule: Callable[[float, Callable[[], None]], None],
         clock: ManualClock,
+        work: Work,
     ) -> None:
+        self._work = work
+        self.started_at = clock()
+        self.arrivals: list[float] = []
         self._rate = PREFILL_TOKENS_PER_SECOND * speed
         self._schedule = schedule
         self._clock = clock
@@ -147,6 +176,7 @@
 
     def submit(self, begin: Callable[[], None]) -> None:
         """Run a request once its turn comes, and call ``begin`` then."""
+        self.arrivals.append(self._clock())
         self._waiting.append(begin)
         self._start_requests()
 
@@ -155,14 +185,15 @@
             begin = self._waiting.popleft()
             self._running += 1
             now = self._clock()
-            self._read_until = max(self._read_until, now) + PROMPT_TOKENS / self._rate
+            reading = self._work.prompt_tokens / self._rate
+            self._read_until = max(self._read_until, now) + reading
             delay = self._read_until + FIRST_TOKEN_SECONDS - now
             self._schedule(delay, functools.partial(self._finish_reading, begin))
 
     def _finish_reading(self, begin: Callable[[], None]) -> None:
-        self.read_tokens += PROMPT_TOKENS
+        self.read_tokens += self._work.prompt_tokens
         begin()
-        self._schedule(STREAM_SECONDS, self._end)
+        self._schedule(self._work.stream_seconds, self._end)
 
     def _end(self) -> None:
         self._running -= 1
@@ -175,25 +206,39 @@
 
     :param routers: number of routers.
     :param engines: number of engines.
+    :param work: what each request costs an engine.
+    :param cold_rate: requests per second that a cold engine tolerates.
     :ivar begins: the first events, by workspace.
     :ivar asked: requests of each workspace without repeats.
     :ivar rejected_while_idle: requests that were rejected while a tenth of the
         engines had nothing to read.
     :ivar placed_tokens: prompt tokens placed in each second of the run.
+    :ivar boards: the state of each router.
     :ivar paused: numbers of routers that neither send nor receive; no client
         reaches them.
     """
 
-    def __init__(self, routers: int, engines: int) -> None:
+    def __init__(
+        self,
+        routers: int,
+        engines: int,
+        work: Work = DEFAULT_WORK,
+        cold_rate: float = 0.0,
+    ) -> None:
+        self._work = work
+        self.cold_rate = cold_rate
         self._clock = ManualClock()
         self._started_at = self._arrivals_end_at = self._clock()
         self._network = MemoryNetwork()
         self._random = random.Random(5)
         self._numbers = itertools.count()
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._events: list[tuple[float, int, Callable[[], object]]] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._expected: dict[str, float] = {}
         self._dispatchers: list[Dispatcher] = []
+        self._revision = 1
+        self._starts: Counter[str] = Counter()
+        self.boards: list[Blackboard] = []
         self.begins: dict[str, list[Begin]] = {}
         self.asked: Counter[str] = Counter()
         self.rejected_while_idle = 0
@@ -201,7 +246,7 @@
         self.placed_tokens: Counter[int] = Counter()
         self.engines = {
             f"s{number}": SimulatedEngine(
-                SPEEDS[number % len(SPEEDS)], self._schedule, self._clock
+                SPEEDS[number % len(SPEEDS)], self.schedule, self._clock, work
             )
             for number in range(engines)
         }
@@ -211,7 +256,7 @@
             for host, domain in hosts.items()
         }
         for number, (host, domain) in enumerate(hosts.items()):
-            board = create_board(host, domain)
+            board = create_board(host, domain, cold_allowance=COLD_ALLOWANCE)
             self._start_router(board, members, number / routers)
 
     @property
@@ -293,7 +338,14 @@
         link = MemoryLink(board, self._network)
         news = NewsLink(board, link, clock)
         board.members.replace(dict(members))
-        board.routing.apply_snapshot(self._build_snapshot(), clock())
+        ColdServerRecorder(
+            board, DecisionLog(board.identity.host, None), GatewayMetrics(), clock
+        )
+        board.routing.apply_snapshot(self.build_snapshot(), clock())
+        self.boards.append(board)
+        if self.cold_rate:
+            confirm = functools.partial(self._confirm_snapshot, board)
+            self._repeat(offset, 1.0, confirm)
         fleet_state = FleetStateController(
             board, news, create_recorder(board, clock), clock
         )
@@ -307,6 +359,11 @@
         self._repeat(offset * batch_period, batch_period, news.send_batches)
         self._repeat(0.1, 0.1, link.sent_messages.clear)
 
+    def _confirm_snapshot(self, board: Blackboard) -> None:
+        """Let a router read the same again, so that the store is there."""
+        if board.routing.snapshot is not None:
+            board.routing.apply_snapshot(board.routing.snapshot, self._clock())
+
     def _create_dispatcher(
         self, board: Blackboard, link: MemoryLink, offset: float
     ) -> Dispatcher:
@@ -321,11 +378,16 @@
         self._repeat(offset * period, period, queues.advance_all)
         return Dispatcher(board, log, metrics, self._clock, admissions)
 
-    def _build_snapshot(self) -> Snapshot:
+    def build_snapshot(self, absent: Collection[str] = ()) -> Snapshot:
+        """
+        Return the newest snapshot.
+
+        :param absent: engines that are not registered.
+        """
         servers = tuple(
             ServerRecord(
                 name,
-                1,
+                1 + self._starts[name],
                 "model",
                 f"{name}:80",
                 DOMAINS[number % len(DOMAINS)],
@@ -333,24 +395,61 @@
                 draining=False,
             )
             for number, name in enumerate(self.engines)
+            if name not in absent
         )
-        services = {"model": RoutedService("model", 64, EngineCapacity(SLOTS, 0, 0.0))}
+        engine = EngineCapacity(SLOTS, 0, 0.0)
+        service = RoutedService("model", 64, engine, self.cold_rate, COLD_SECONDS)
         limits = RequestLimits(16_384, 100_000, 3.0, 15.0, 0.0)
         configuration = RoutingConfiguration(
-            1, 1, (STREAMING_ROUTE,), services, limits, None
+            1, 1, (STREAMING_ROUTE,), {"model": service}, limits, None
         )
-        return Snapshot(1, configuration, servers)
+        return Snapshot(self._revision, configuration, servers)
+
+    def stop_engines(self, names: Collection[str]) -> None:
+        """Remove engines from the directories of all routers."""
+        self._revision += 1
+        for board in self.boards:
+            board.routing.apply_snapshot(self.build_snapshot(names), self._clock())
+
+    def start_engines(self, names: Collection[str], max_lag: float) -> None:
+        """
+        Start engines anew.
 
-    def _schedule(self, delay: float, action: Callable[[], None]) -> None:
+        :param max_lag: longest time after which a router knows of it, seconds.
+        """
+        self._revision += 1
+        for number, name in enumerate(self.engines):
+            if name in names:
+                self._starts[name] += 1
+                speed = SPEEDS[number % len(SPEEDS)]
+                self.engines[name] = SimulatedEngine(
+                    speed, self.schedule, self._clock, self._work
+                )
+        for board in self.boards:
+            self.schedule(
+                self._random.uniform(0.0, max_lag),
+                functools.partial(
+                    board.routing.apply_snapshot, self.build_snapshot(), self._clock()
+                ),
+            )
+
+    def list_arrivals(self, engine: str, seconds: float) -> list[float]:
+        """Return when requests reached an engine soon after its start."""
+        found = self.engines[engine]
+        ends_at = found.started_at + seconds
+        return [time for time in found.arrivals if time < ends_at]
+
+    def schedule(self, delay: float, action: Callable[[], object]) -> None:
+        """Call an action after some seconds."""
         entry = self._clock() + delay, next(self._numbers), action
         heapq.heappush(self._events, entry)
 
     def _repeat(self, delay: float, period: float, action: Callable[[], None]) -> None:
         def act() -> None:
             action()
-            self._schedule(period, act)
+            self.schedule(period, act)
 
-        self._schedule(delay, act)
+        self.schedule(delay, act)
 
     def _schedule_arrival(self, workspace: str, rate: float, after: float) -> None:
         arrives_at = after + self._random.expovariate(rate)
@@ -365,7 +464,7 @@
             self._send(workspace, timeout, router, is_repeat=False)
             self._schedule_arrival(workspace, rate, arrives_at)
 
-        self._schedule(arrives_at - self._clock(), arrive)
+        self.schedule(arrives_at - self._clock(), arrive)
 
     def _send(
         self, workspace: str, timeout: float, router: int, *, is_repeat: bool
@@ -377,10 +476,9 @@
 
     def _build_request(self, workspace: str, timeout: float) -> RoutedRequest:
         name, now = f"x{next(self._numbers)}", self._clock()
-        parts = (PromptPart(name, PROMPT_TOKENS),)
-        head = RequestHead(
-            name, timeout, "", "m", parts, PROMPT_TOKENS, OUTPUT_TOKENS, None
-        )
+        tokens = self._work.prompt_tokens
+        parts = (PromptPart(name, tokens),)
+        head = RequestHead(name, timeout, "", "m", parts, tokens, OUTPUT_TOKENS, None)
         return RoutedRequest(
             head,
             "POST",
@@ -408,7 +506,7 @@
             time_left = request.deadline - self._clock() - delay
             if not is_repeat:
                 workspace = request.workspace
-                self._schedule(
+                self.schedule(
                     delay,
                     lambda: self._send(workspace, time_left, router, is_repeat=True),
                 )
@@ -423,7 +521,8 @@
         self, request: RoutedRequest, reservation: ServerReservation
     ) -> None:
         placed_at = self._clock()
-        self.placed_tokens[int(placed_at - self._started_at)] += PROMPT_TOKENS
+        second = int(placed_at - self._started_at)
+        self.placed_tokens[second] += self._work.prompt_tokens
         has_begun = given_up = False
 
         def begin() -> None:
@@ -437,10 +536,10 @@
             self.begins.setdefault(request.workspace, []).append(
                 Begin(placed_at - self._started_at, expected, now - placed_at)
             )
-            self._schedule(STREAM_SECONDS, end)
+            self.schedule(self._work.stream_seconds, end)
 
         def end() -> None:
-            gap = STREAM_SECONDS / EVENTS
+            gap = self._work.stream_seconds / EVENTS
             for _ in range(EVENTS):
                 reservation.record_event_gap(gap, 0.5, self._clock())
             reservation.release()
@@ -454,7 +553,7 @@
             reservation.record_failure(silence, self._clock())
             reservation.release()
 
-        self._schedule(SILENCE_SECONDS, give_up)
+        self.schedule(SILENCE_SECONDS, give_up)
         self.engines[reservation.server.id].submit(begin)
 
 
