--- a/src/sycamorehaven/controllers/cold_servers/admission_pacing.py
+++ b/src/sycamorehaven/controllers/cold_servers/admission_pacing.py
@@ -77,8 +77,8 @@
             return
         counts = self._counts.setdefault(incarnation_id, Counter())
         counts.update(verdicts)
-        due_at = self._reported_at.get(incarnation_id, 0.0) + REPORT_PERIOD_SECONDS
-        if now < due_at or not counts.total():
+        reported_at = self._reported_at.setdefault(incarnation_id, now)
+        if now < reported_at + REPORT_PERIOD_SECONDS or not counts.total():
             return
         self._reported_at[incarnation_id] = now
         self._decision_log.record(
--- a/src/sycamorehaven/controllers/cold_servers/recorder.py
+++ b/src/sycamorehaven/controllers/cold_servers/recorder.py
@@ -12,7 +12,11 @@
     from collections.abc import Callable, Mapping
 
     from sycamorehaven.blackboard.board import Blackboard
-    from sycamorehaven.routing.model import RoutedService, RoutingConfiguration
+    from sycamorehaven.routing.model import (
+        ColdServer,
+        RoutedService,
+        RoutingConfiguration,
+    )
     from sycamorehaven.telemetry.decision_log import DecisionLog
     from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
 
@@ -41,6 +45,8 @@
         self._clock = clock
         self._configuration: RoutingConfiguration | None = None
         self._services: Mapping[str, RoutedService] = {}
+        self._limits: dict[str, ColdLimit] = {}
+        self._cold_servers: tuple[ColdServer, ...] = ()
         self._entries = ColdEntries()
         self._joined = JoinedServers()
         section = board.cold_servers
@@ -58,43 +64,49 @@
                 section.replace_limits({}, now)
                 self._joined.clear()
             return
-        limits = self._list_limits()
-        section.replace_limits(limits, now)
-        for incarnation_id in self._joined.observe(limits.keys(), now):
+        self._update_limits()
+        section.replace_limits(self._limits, now)
+        for incarnation_id in self._joined.observe(set(self._limits), now):
             section.mark_started(incarnation_id, now, "joined", now)
-        self._read_entries(limits, now)
+        self._read_entries(now)
 
     def _update_services(self) -> None:
         """Find the services whose servers can be cold."""
         configuration = self._board.routing.configuration
         if configuration is self._configuration or configuration is None:
             return
-        self._configuration = configuration
+        self._configuration, self._limits = configuration, {}
         self._services = {
             name: service
             for name, service in configuration.services.items()
             if service.cold_rate > 0.0
         }
 
-    def _list_limits(self) -> dict[str, ColdLimit]:
-        return {
-            server.incarnation_id: ColdLimit(
+    def _update_limits(self) -> None:
+        """Find the limits of the registered servers, known ones kept."""
+        known, self._limits = self._limits, {}
+        for server in self._board.routing.list_servers():
+            service = self._services.get(server.service)
+            if service is None:
+                continue
+            name = server.incarnation_id
+            self._limits[name] = known.get(name) or ColdLimit(
                 service.cold_rate,
                 service.cold_start,
                 server.failure_domain,
                 has_engine=service.engine_capacity is not None,
             )
-            for server in self._board.routing.list_servers()
-            if (service := self._services.get(server.service))
-        }
 
-    def _read_entries(self, limits: Mapping[str, ColdLimit], now: float) -> None:
+    def _read_entries(self, now: float) -> None:
         """Mark the servers whose entries say anew that they are cold."""
         routing, section = self._board.routing, self._board.cold_servers
         snapshot = routing.snapshot
-        self._entries.retain(self._joined.known)
-        for entry in snapshot.cold_servers if snapshot else ():
-            limit = limits.get(entry.incarnation_id)
+        if snapshot is None or snapshot.cold_servers is self._cold_servers:
+            return
+        self._cold_servers = snapshot.cold_servers
+        self._entries.retain(self._limits)
+        for entry in snapshot.cold_servers:
+            limit = self._limits.get(entry.incarnation_id)
             if limit is None:
                 continue
             era, _ = routing.position
--- a/src/sycamorehaven/decisions/cold_servers/paces.py
+++ b/src/sycamorehaven/decisions/cold_servers/paces.py
@@ -38,6 +38,14 @@
     overshoot: float = 1.0
     tolerance: float = 0.0
 
+    def compute_bound(self, rate: float) -> float:
+        """
+        Return the requests that a cold server may get in any one second.
+
+        :param rate: requests per second that it tolerates.
+        """
+        return rate * self.overshoot + self.tolerance
+
 
 class Pace(NamedTuple):
     """
@@ -66,7 +74,7 @@
     """
     if may_have_rival:
         return Pace((allowance.overshoot - 1.0) * rate, SCHEDULER_BURST)
-    return Pace(rate, SCHEDULER_BURST)
+    return _fit_pace(rate, SCHEDULER_BURST, allowance.compute_bound(rate))
 
 
 def choose_senders(
@@ -89,8 +97,21 @@
 
     :param rate: requests per second that the server tolerates.
     """
-    senders = _count_senders(rate, allowance)
-    return Pace(rate / (MEMBERSHIP_VIEWS * senders), SENDER_BURST)
+    parts = MEMBERSHIP_VIEWS * _count_senders(rate, allowance)
+    return _fit_pace(rate / parts, SENDER_BURST, allowance.compute_bound(rate) / parts)
+
+
+def _fit_pace(rate: float, burst: float, bound: float) -> Pace:
+    """
+    Return a pace that stays within a bound.
+
+    Without an allowance the rate makes room for the burst, but is at least
+    halved only, so that a server with a small rate gets something.
+
+    :param bound: requests in any one second.
+    """
+    burst = min(burst, max(bound / 2.0, 1.0))
+    return Pace(min(rate, max(bound - burst, rate / 2.0)), burst)
 
 
 def _count_senders(rate: float, allowance: ColdAllowance) -> int:
--- a/src/sycamorehaven/decisions/cold_servers/periods.py
+++ b/src/sycamorehaven/decisions/cold_servers/periods.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Collection
+    from collections.abc import Set as AbstractSet
 
     from sycamorehaven.routing.model import ColdServer
 
@@ -117,29 +118,28 @@
     """Tells which servers join a directory that was already known."""
 
     def __init__(self) -> None:
-        self._seen: dict[str, float] | None = None
+        self._present: AbstractSet[str] | None = None
+        self._left_at: dict[str, float] = {}
 
-    @property
-    def known(self) -> Collection[str]:
-        """The servers seen of late."""
-        return self._seen or ()
-
-    def observe(self, incarnations: Collection[str], now: float) -> list[str]:
+    def observe(self, incarnations: AbstractSet[str], now: float) -> list[str]:
         """
         Return the servers that have started since the first call.
 
         :param incarnations: the servers that the directory holds now.
         """
-        seen = self._seen
-        joined = [] if seen is None else [n for n in incarnations if n not in seen]
-        self._seen = {
-            name: seen_at
-            for name, seen_at in (seen or {}).items()
-            if now - seen_at < INCARNATION_MEMORY_SECONDS
+        present, self._present = self._present, incarnations
+        if present is None or present == incarnations:
+            return []
+        remembered = {
+            name
+            for name, left_at in self._left_at.items()
+            if now - left_at < INCARNATION_MEMORY_SECONDS
         }
-        self._seen.update(dict.fromkeys(incarnations, now))
-        return joined
+        self._left_at = {name: self._left_at[name] for name in remembered}
+        self._left_at.update(dict.fromkeys(present - incarnations, now))
+        return sorted(incarnations - present - remembered)
 
     def clear(self) -> None:
         """Take the next directory for the first one."""
-        self._seen = None
+        self._present = None
+        self._left_at = {}
--- a/tests/controllers/cold_servers/test_cold_engines.py
+++ b/tests/controllers/cold_servers/test_cold_engines.py
@@ -29,7 +29,7 @@
 """Short answers, by which an engine's slots are freed many times a second."""
 COLD_RATE = 8.8
 """Requests per second that a cold engine tolerates."""
-BOUND = COLD_RATE * COLD_ALLOWANCE.overshoot + COLD_ALLOWANCE.tolerance
+BOUND = COLD_ALLOWANCE.compute_bound(COLD_RATE)
 """Requests that a cold engine may get in any one second."""
 ENGINE_RATE = 16 / 0.38
 """Requests per second that a warm engine serves."""
