--- a/src/sycamorehaven/platform/decoding.py
+++ b/src/sycamorehaven/platform/decoding.py
@@ -4,7 +4,7 @@
 
 import ipaddress
 import math
-from typing import TYPE_CHECKING, NamedTuple, cast
+from typing import TYPE_CHECKING, Annotated, NamedTuple, cast
 
 import msgspec
 
@@ -60,6 +60,9 @@
 
 
 _configuration_decoder = msgspec.json.Decoder(WireConfiguration)
+_milliseconds_decoder = msgspec.json.Decoder(
+    Annotated[float, msgspec.Meta(ge=0.0, le=MAX_COLD_SECONDS * 1_000)] | None
+)
 _server_decoder = msgspec.json.Decoder(WireServer)
 
 
@@ -167,18 +170,17 @@
     return tuple(sorted(domains - {""}))
 
 
-def _parse_cold_seconds(value: object) -> float:
+def _parse_cold_seconds(raw: msgspec.Raw) -> float:
     """
     Return how long a server stays cold.
 
     :returns: seconds; infinite if the value is malformed.
     """
-    if value is None:
-        return 0.0
-    if isinstance(value, bool) or not isinstance(value, (int, float)):
+    try:
+        milliseconds = _milliseconds_decoder.decode(raw)
+    except (msgspec.MsgspecError, RecursionError):
         return math.inf
-    seconds = value / 1_000
-    return seconds if 0.0 <= seconds <= MAX_COLD_SECONDS else math.inf
+    return (milliseconds or 0.0) / 1_000
 
 
 def _is_ipv4_endpoint(address: str) -> bool:
--- a/src/sycamorehaven/platform/documents.py
+++ b/src/sycamorehaven/platform/documents.py
@@ -110,9 +110,11 @@
     # When the process started, in Unix milliseconds; distinguishes two
     # processes with the same id.
     born: UnixMilliseconds = 0
-    # How long the server stays cold. Any value is read, since a malformed one
-    # must not hide the server.
-    cold_remaining_ms: object = msgspec.field(default=0, name="coldRemainingMs")
+    # How long the server stays cold. It is decoded apart from the rest, since
+    # a malformed value must not hide the server.
+    cold_remaining_ms: msgspec.Raw = msgspec.field(
+        default=msgspec.Raw(b"0"), name="coldRemainingMs"
+    )
 
 
 class WireItem(msgspec.Struct):
