--- a/src/sycamorehaven/decisions/engine_queue.py
+++ b/src/sycamorehaven/decisions/engine_queue.py
@@ -254,7 +254,11 @@
             if now > request.give_up_at:
                 del self._waiting[key]
                 decided.append((key, "refused"))
-        while self._waiting and self._has_room(self._slots, MAX_BACKLOG_SECONDS, now):
+        while (
+            self._waiting
+            and self._cold_pacer.is_open(now)
+            and self._has_room(self._slots, MAX_BACKLOG_SECONDS, now)
+        ):
             ranks = self._rank(self._waiting.values(), get_levels, now)
             first = self._waiting[min(ranks, key=ranks.__getitem__)]
             if not self._is_open(first, now):
