--- a/src/sycamorehaven/blackboard/routing.py
+++ b/src/sycamorehaven/blackboard/routing.py
@@ -5,11 +5,15 @@
 from typing import TYPE_CHECKING
 
 from sycamorehaven.blackboard.signal import Signal
+from sycamorehaven.decisions.evacuation.evacuations import Evacuations
+from sycamorehaven.decisions.evacuation.openings import find_evacuated_opening
 from sycamorehaven.decisions.server_directory import DirectoryChange, ServerDirectory
 from sycamorehaven.decisions.software_versions import SoftwareVersions
+from sycamorehaven.gateway_settings import DEFAULT_EVACUATION_SECONDS
 from sycamorehaven.routing.table import RouteTable
 
 if TYPE_CHECKING:
+    from sycamorehaven.decisions.server_openings import Opening
     from sycamorehaven.routing.model import (
         RoutingConfiguration,
         ServerRecord,
@@ -18,13 +22,20 @@
 
 
 class RoutingSection:
-    """The newest snapshot, read from the platform's store or by a peer."""
+    """
+    The newest snapshot, read from the platform's store or by a peer.
 
-    def __init__(self) -> None:
+    :param copy_seconds: time for which prompts may be copied from the engines
+        of a failure domain after its evacuation has become known.
+    """
+
+    def __init__(self, copy_seconds: float = DEFAULT_EVACUATION_SECONDS) -> None:
+        self._copy_seconds = copy_seconds
         self._snapshot: Snapshot | None = None
         self._configuration: RoutingConfiguration | None = None
         self._route_table = RouteTable(())
         self._directory = ServerDirectory()
+        self._evacuations = Evacuations()
         self._software_versions = SoftwareVersions()
         self._read_at = 0.0
         self._changed = Signal()
@@ -74,6 +85,35 @@
         """The software versions of the servers, also of those that left."""
         return self._software_versions
 
+    @property
+    def evacuated_domains(self) -> frozenset[str]:
+        """The failure domains to whose servers nothing may be sent."""
+        return self._evacuations.domains
+
+    def is_evacuated(self, server: ServerRecord) -> bool:
+        """Return whether nothing may be sent to a server."""
+        return self._evacuations.get_known_since(server.failure_domain) is not None
+
+    def find_evacuated_opening(
+        self, server: ServerRecord, now: float
+    ) -> Opening | None:
+        """Return the opening of an evacuated server, else ``None``."""
+        known_since = self._evacuations.get_known_since(server.failure_domain)
+        if known_since is None:
+            return None
+        return find_evacuated_opening(known_since, self._copy_seconds, now)
+
+    def allows_copies_from(self, address: str, now: float) -> bool:
+        """Return whether a server may be copied from, by its address."""
+        if not self._evacuations.domains:
+            return True
+        openings = (
+            self.find_evacuated_opening(server, now)
+            for server in self._directory.servers.values()
+            if server.address == address
+        )
+        return all(opening is None or opening.allows_copies for opening in openings)
+
     def list_servers(self) -> list[ServerRecord]:
         """Return all registered servers."""
         return list(self._directory.servers.values())
@@ -99,25 +139,32 @@
         A configuration is never replaced by an older one, which a restored
         store may hold; a newer one is taken from an outdated snapshot, too.
         Servers that were read later than those of the snapshot are kept.
+        Evacuations are merged from outdated snapshots, too.
 
         :param snapshot: the snapshot.
         :param read_at: when this router or a peer read it from the store, in
             seconds of the monotonic clock.
         """
         is_merged = self._merge_configuration(snapshot.configuration)
-        if (snapshot.position, read_at) < (self.position, self._read_at):
-            if is_merged:
+        is_outdated = (snapshot.position, read_at) < (self.position, self._read_at)
+        evacuated_domains = self.evacuated_domains
+        self._evacuations.merge(snapshot, max(read_at, self._read_at))
+        known = self._snapshot
+        if is_outdated:
+            if known is not None and snapshot.era == known.era:
+                self._snapshot = self._evacuations.update_snapshot(known)
+            if is_merged or self.evacuated_domains != evacuated_domains:
                 self._changed.notify()
             return None
         self._read_at = max(read_at, self._read_at)
-        known = self._snapshot
         if known is not None and snapshot.servers_position < known.servers_position:
             snapshot = snapshot._replace(
                 servers=known.servers, servers_revision=known.servers_revision
             )
         change = self._directory.apply_snapshot(snapshot, self._read_at)
         self._software_versions.observe(self.list_servers(), self._read_at)
-        self._snapshot = snapshot._replace(configuration=self._configuration)
+        snapshot = snapshot._replace(configuration=self._configuration)
+        self._snapshot = self._evacuations.update_snapshot(snapshot)
         self._changed.notify()
         return change
 
--- /dev/null
+++ b/src/sycamorehaven/decisions/evacuation/__init__.py
@@ -0,0 +1,3 @@
+"""Which failure domains are evacuated, and what that means for requests."""
+
+from __future__ import annotations
--- a/src/sycamorehaven/decisions/server_openings.py
+++ b/src/sycamorehaven/decisions/server_openings.py
@@ -19,7 +19,7 @@
 """Time after which this rate has doubled."""
 UNLIMITED = Allowance(math.inf, math.inf)
 
-ClosedBy = Literal["", "limit", "rest", "leaving"]
+ClosedBy = Literal["", "limit", "rest", "leaving", "evacuated"]
 """Why a server takes no request now; "" if it takes one."""
 
 
@@ -31,11 +31,13 @@
         infinite if it is not known when.
     :ivar closed_by: why it takes none before.
     :ivar rate: requests per second that it takes from then on.
+    :ivar allows_copies: whether other servers may copy from its cache.
     """
 
     at: float
     closed_by: ClosedBy = ""
     rate: float = math.inf
+    allows_copies: bool = True
 
     @property
     def is_open(self) -> bool:
@@ -78,7 +80,9 @@
         if conditions.leaving_since is not None:
             return Opening(math.inf, "leaving", 0.0)
         if now < conditions.rest_until:
-            return Opening(conditions.rest_until, "rest", RETURN_RATE)
+            return Opening(
+                conditions.rest_until, "rest", RETURN_RATE, allows_copies=False
+            )
         limited = share if conditions.limit.rate else UNLIMITED
         returning = self._compute_return(now)
         allowance = min(limited, returning)
@@ -92,7 +96,9 @@
         if at <= now:
             return Opening(at, rate=allowance.rate)
         closed_by: ClosedBy = "limit" if allowance is limited else "rest"
-        return Opening(at, closed_by, allowance.rate)
+        return Opening(
+            at, closed_by, allowance.rate, allows_copies=closed_by == "limit"
+        )
 
     def take(self) -> None:
         """Count a request that is sent to the server."""
--- a/src/sycamorehaven/platform/decoding.py
+++ b/src/sycamorehaven/platform/decoding.py
@@ -18,6 +18,7 @@
 from sycamorehaven.routing.model import (
     ColdServer,
     EngineCapacity,
+    Evacuation,
     RequestLimits,
     Route,
     RoutedService,
@@ -43,6 +44,8 @@
 """Key prefix of the registered backend servers."""
 EVACUATION_PREFIX = "op/evacuate/"
 """Key prefix of the failure domains that operators evacuate."""
+MAX_DOMAIN_LENGTH = 256
+"""Limit of the name of an evacuated failure domain, which routers pass on."""
 MAX_COLD_SECONDS = 3_600.0
 """Longest time for which an entry can say that a server stays cold."""
 
@@ -157,14 +160,25 @@
     )
 
 
-def decode_evacuated_domains(items: Iterable[WireItem]) -> tuple[str, ...]:
-    """Return the failure domains that operators evacuate, in order."""
-    domains = {
-        item.key.removeprefix(EVACUATION_PREFIX)
+def decode_evacuations(items: Iterable[WireItem]) -> tuple[Evacuation, ...]:
+    """
+    Return the failure domains that operators evacuate, in order.
+
+    The values of the items are not looked at: an order counts even if its
+    value is malformed.
+    """
+    evacuations = (
+        Evacuation(item.key.removeprefix(EVACUATION_PREFIX), item.revision)
         for item in items
-        if item.key.startswith(EVACUATION_PREFIX)
-    }
-    return tuple(sorted(domains - {""}))
+        if item.key.startswith(EVACUATION_PREFIX) and not is_malformed_evacuation(item)
+    )
+    return tuple(sorted(evacuations))
+
+
+def is_malformed_evacuation(item: WireItem) -> bool:
+    """Return whether an item orders an evacuation without a usable name."""
+    name = item.key.removeprefix(EVACUATION_PREFIX)
+    return name != item.key and not 0 < len(name) <= MAX_DOMAIN_LENGTH
 
 
 def _parse_cold_seconds(value: object) -> float:
--- a/src/sycamorehaven/platform/store_client.py
+++ b/src/sycamorehaven/platform/store_client.py
@@ -10,13 +10,15 @@
 from absl import logging
 
 from sycamorehaven.platform.decoding import (
+    EVACUATION_PREFIX,
     SERVERS_PREFIX,
     decode_configuration,
-    decode_evacuated_domains,
+    decode_evacuations,
     decode_server,
+    is_malformed_evacuation,
 )
 from sycamorehaven.platform.documents import WireItem, WirePage
-from sycamorehaven.routing.model import RoutingConfiguration, Snapshot
+from sycamorehaven.routing.model import Evacuation, RoutingConfiguration, Snapshot
 from sycamorehaven.transport.platform_client import PlatformUnavailable, read_body
 
 if TYPE_CHECKING:
@@ -78,6 +80,7 @@
         self._session: aiohttp.ClientSession | None = None
         self._configuration: RoutingConfiguration | None = None
         self._decoded_position = 0, 0
+        self._malformed_keys: set[str] = set()
 
     @classmethod
     def from_settings(cls, settings: RouterSettings) -> PlatformStoreClient:
@@ -103,7 +106,8 @@
         found = [server for server in decoded if server is not None]
         servers_revision = min(page.content.at for page in server_pages)
         # What was written while the pages were read is in some of them only.
-        revision = min(servers_revision, *(page.content.at for page in operator_pages))
+        operator_revision = min(page.content.at for page in operator_pages)
+        revision = min(servers_revision, operator_revision)
         return Snapshot(
             revision,
             self._configuration,
@@ -111,7 +115,8 @@
             era,
             servers_revision,
             tuple(server.cold for server in found if server.cold is not None),
-            decode_evacuated_domains(operator_items),
+            self._decode_evacuations(operator_items),
+            operator_revision,
         )
 
     async def close(self) -> None:
@@ -138,6 +143,19 @@
         if self._configuration is None or configuration.replaces(self._configuration):
             self._configuration = configuration
 
+    def _decode_evacuations(self, items: list[WireItem]) -> tuple[Evacuation, ...]:
+        """Return the evacuations; log each item without a usable name once."""
+        malformed = {item.key for item in items if is_malformed_evacuation(item)}
+        for key in sorted(malformed - self._malformed_keys):
+            logging.error(
+                "item %.80r names no failure domain; it is ignored (its name has %d"
+                " characters)",
+                key,
+                len(key.removeprefix(EVACUATION_PREFIX)),
+            )
+        self._malformed_keys = malformed
+        return decode_evacuations(items)
+
     async def _list_pages(self, prefix: str) -> list[StorePage]:
         pages: list[StorePage] = []
         after = ""
--- a/src/sycamorehaven/routing/model.py
+++ b/src/sycamorehaven/routing/model.py
@@ -202,6 +202,18 @@
     revision: int
 
 
+class Evacuation(NamedTuple):
+    """
+    An order to send nothing to the servers of a failure domain.
+
+    :ivar domain: the failure domain.
+    :ivar revision: revision of the last change of the item that orders it.
+    """
+
+    domain: str
+    revision: int
+
+
 class Snapshot(NamedTuple):
     """
     What the platform published, pieced together from several pages.
@@ -216,8 +228,10 @@
     :ivar servers_revision: the same as ``revision`` for the servers alone; 0
         if it is not newer.
     :ivar cold_servers: the servers that are cold by their entries.
-    :ivar evacuated_domains: the failure domains to whose servers nothing may
-        be sent, in order.
+    :ivar evacuations: the failure domains to whose servers nothing may be
+        sent, in order.
+    :ivar operator_revision: the same as ``revision`` for the operators' items
+        alone; 0 if it is not newer.
     """
 
     revision: int
@@ -226,7 +240,8 @@
     era: int = 0
     servers_revision: int = 0
     cold_servers: tuple[ColdServer, ...] = ()
-    evacuated_domains: tuple[str, ...] = ()
+    evacuations: tuple[Evacuation, ...] = ()
+    operator_revision: int = 0
 
     @property
     def position(self) -> tuple[int, int]:
@@ -237,3 +252,13 @@
     def servers_position(self) -> tuple[int, int]:
         """Era and revision up to which the servers are known."""
         return self.era, max(self.servers_revision, self.revision)
+
+    @property
+    def operator_position(self) -> tuple[int, int]:
+        """Era and revision up to which the evacuations are known."""
+        return self.era, max(self.operator_revision, self.revision)
+
+    @property
+    def evacuated_domains(self) -> tuple[str, ...]:
+        """The failure domains to whose servers nothing may be sent."""
+        return tuple(evacuation.domain for evacuation in self.evacuations)
