Send nothing to the servers of an evacuated failure domain

Nothing acted on the items below op/evacuate/: requests, retries and resumed streams went on to the servers of the failure domain, and if all were evacuated they were served there.

The servers of an evacuated domain are closed for placement, and a request whose server was chosen before is checked again before its first byte. Prompts may be copied from engines there until evacuation_timeout after the evacuation became known. If all servers of a service are evacuated, its requests are rejected at once with domains_evacuated.

--- a/src/sycamorehaven/controllers/candidates.py
+++ b/src/sycamorehaven/controllers/candidates.py
@@ -160,9 +160,11 @@
     def find_opening(self, server: ServerRecord, now: float) -> Opening:
         """Return when a server takes the next request of this router."""
         conditions = self._board.server_conditions
-        if conditions.is_empty:
-            return ALWAYS_OPEN
         gate = conditions.find(server.incarnation_id)
+        evacuated = self._board.routing.find_evacuated_opening(server, now)
+        is_leaving = gate is not None and gate.conditions.leaving_since is not None
+        if evacuated is not None and not is_leaving:
+            return evacuated
         if gate is None:
             return ALWAYS_OPEN
         limit = gate.conditions.limit.rate
@@ -288,8 +290,10 @@
         return ranks
 
     def _compute_ranks(self, service: str, subject: str) -> dict[str, int]:
-        servers = self._board.routing.list_available_servers(service)
-        ranked = rank_candidates(subject, [server.id for server in servers])
+        routing = self._board.routing
+        servers = routing.list_available_servers(service)
+        names = [server.id for server in servers if not routing.is_evacuated(server)]
+        ranked = rank_candidates(subject, names)
         return {name: place for place, name in enumerate(ranked)}
 
     def _get_cache_tokens(self, name: str) -> int:
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -401,8 +401,12 @@
         delay = max(closed.opens_at - now, 0.0) + ahead / max(closed.rate, MIN_RATE)
         if decide_postponed_request(placement_request, delay, now) == "wait":
             return
+        # Nobody knows when an evacuation ends; its delay is infinite.
         retry_after = choose_closed_retry_after(
-            delay, closed.rate, pending.position, pending.request.deadline - now
+            NO_SERVER_RETRY_SECONDS if closed.all_evacuated else delay,
+            closed.rate,
+            pending.position,
+            pending.request.deadline - now,
         )
         refusal = create_closed_refusal(pending.request.service, closed, retry_after)
         self._reject(
--- /dev/null
+++ b/src/sycamorehaven/controllers/evacuation/__init__.py
@@ -0,0 +1,3 @@
+"""Carries out the evacuation of failure domains."""
+
+from __future__ import annotations
--- a/src/sycamorehaven/controllers/routed_refusals.py
+++ b/src/sycamorehaven/controllers/routed_refusals.py
@@ -10,6 +10,7 @@
     BackendTimeout,
     CrashSuspected,
     DeadlineUnreachable,
+    DomainsEvacuated,
     NoBackendServer,
     Refusal,
     ServersLimited,
@@ -64,13 +65,19 @@
 
 def create_closed_refusal(
     service: str, closed: ClosedServers, retry_after: float
-) -> ServersLimited | ServersResting:
+) -> DomainsEvacuated | ServersLimited | ServersResting:
     """
     Return the refusal while no server of a service takes a request.
 
-    :param closed: what the servers have said of themselves.
+    :param closed: why the servers take none.
     :param retry_after: seconds after which the client may try again.
     """
+    if closed.all_evacuated:
+        return DomainsEvacuated(
+            f"all backend servers of the service '{service}' are in evacuated"
+            " failure domains",
+            retry_after=retry_after,
+        )
     if closed.all_rest:
         return ServersResting(
             f"all backend servers of the service '{service}' have asked for rest",
--- a/src/sycamorehaven/controllers/routing_snapshots.py
+++ b/src/sycamorehaven/controllers/routing_snapshots.py
@@ -15,6 +15,7 @@
 
 from mode import Service
 
+from sycamorehaven.controllers.evacuation.recorder import EvacuationRecorder
 from sycamorehaven.decisions.snapshot_reads import (
     DOMAIN_READER_AGE_SECONDS,
     choose_read_age,
@@ -30,6 +31,7 @@
     from collections.abc import Callable
 
     from sycamorehaven.blackboard.board import Blackboard
+    from sycamorehaven.controllers.evacuation.recorder import EvacuationEndObserver
     from sycamorehaven.decisions.server_directory import DirectoryChange
     from sycamorehaven.routing.model import Snapshot
     from sycamorehaven.telemetry.decision_log import DecisionLog
@@ -79,6 +81,7 @@
     :param decision_log: records changes of routes, servers and platform state.
     :param metrics: records whether the platform can be read.
     :param clock: returns the monotonic time in seconds.
+    :param evacuation_observer: told of servers whose evacuation has ended.
     """
 
     def __init__(
@@ -89,6 +92,7 @@
         decision_log: DecisionLog,
         metrics: GatewayMetrics,
         clock: Callable[[], float] = time.monotonic,
+        evacuation_observer: EvacuationEndObserver | None = None,
     ) -> None:
         super().__init__()
         self._board = board
@@ -97,6 +101,9 @@
         self._decision_log = decision_log
         self._metrics = metrics
         self._clock = clock
+        self._evacuations = EvacuationRecorder(
+            board, decision_log, metrics, evacuation_observer
+        )
         self._read_tasks: set[asyncio.Task[None]] = set()
         self._is_available: bool | None = None
         self._random = random.Random(board.identity.incarnation)
@@ -187,7 +194,9 @@
         routing = self._board.routing
         previous_configuration = routing.configuration
         previous_era, previous_revision = routing.position
+        previous_domains = routing.evacuated_domains
         change = routing.apply_snapshot(snapshot, self._clock() - age)
+        self._evacuations.record_change(previous_domains, origin, age, self._clock())
         configuration = routing.configuration
         if configuration and configuration is not previous_configuration:
             self._decision_log.record(
--- a/src/sycamorehaven/controllers/server_conditions.py
+++ b/src/sycamorehaven/controllers/server_conditions.py
@@ -83,13 +83,27 @@
         section.mark_told(said.server, now)
         self._log_changes(said.server, changes, host, said.age)
 
-    def check_open(self, server: ServerRecord) -> None:
+    def check_open(self, server: ServerRecord, copy_source: str = "") -> None:
         """
         Check that a request may still be handed to a server's connection.
 
-        :raises ServerUnwilling: if the server has said otherwise meanwhile.
+        :param copy_source: address of the server to copy from, or "".
+        :raises ServerUnwilling: if the server has said otherwise meanwhile, or
+            one of the two is in a failure domain that was evacuated.
         """
-        if self._board.server_conditions.is_shut(server, self._clock()):
+        routing, now = self._board.routing, self._clock()
+        if routing.is_evacuated(server):
+            raise ServerUnwilling(
+                f"the failure domain of server {server.id} is evacuated",
+                was_sent=False,
+            )
+        if copy_source and not routing.allows_copies_from(copy_source, now):
+            raise ServerUnwilling(
+                f"the failure domain of {copy_source}, from which server"
+                f" {server.id} would copy, is evacuated",
+                was_sent=False,
+            )
+        if self._board.server_conditions.is_shut(server, now):
             raise ServerUnwilling(
                 f"server {server.id} has asked for rest or leaves", was_sent=False
             )
--- a/src/sycamorehaven/controllers/service_load.py
+++ b/src/sycamorehaven/controllers/service_load.py
@@ -29,12 +29,14 @@
     :ivar rate: requests per second that they take from this router then.
     :ivar all_rest: whether all of them have asked for rest.
     :ivar servers: their ids.
+    :ivar all_evacuated: whether their failure domains are evacuated.
     """
 
     opens_at: float
     rate: float
     all_rest: bool
     servers: tuple[str, ...]
+    all_evacuated: bool = False
 
 
 class ServerView(NamedTuple):
@@ -110,6 +112,7 @@
         self._has_schedulers = any(view.has_scheduler for view in self.views)
         self._has_capacity: dict[bool, bool] = {}
         self._available: dict[str, ServerView] | None = None
+        self._copy_sources: dict[str, ServerView] | None = None
         self._costs: dict[str, float] = {}
         self._by_cost: list[tuple[float, str]] = []
 
@@ -139,7 +142,8 @@
         return sum(
             view.prompt_limit
             for view in self.views
-            if not self._is_ejected(view) and view.opening.closed_by != "rest"
+            if not self._is_ejected(view)
+            and view.opening.closed_by not in ("rest", "evacuated")
         )
 
     @property
@@ -204,12 +208,18 @@
         """
         if not self._has_closed:
             return self.map_available(excluded_servers)
+        if self._copy_sources is None:
+            self._copy_sources = {
+                name: view
+                for name, view in self._views.items()
+                if not self._is_ejected(view) and view.opening.allows_copies
+            }
+        if not excluded_servers:
+            return self._copy_sources
         return {
             name: view
-            for name, view in self._views.items()
-            if not self._is_ejected(view)
-            and view.opening.closed_by != "rest"
-            and name not in excluded_servers
+            for name, view in self._copy_sources.items()
+            if name not in excluded_servers
         }
 
     def summarize_closed(self) -> ClosedServers | None:
@@ -219,11 +229,13 @@
         openings = [view.opening for view in self._views.values()]
         if any(opening.is_open for opening in openings):
             return None
+        reasons = {opening.closed_by for opening in openings}
         return ClosedServers(
             min(opening.at for opening in openings),
             sum(opening.rate for opening in openings),
-            all(opening.closed_by == "rest" for opening in openings),
+            reasons - {"evacuated"} == {"rest"},
             tuple(sorted(self._views)),
+            reasons == {"evacuated"},
         )
 
     def list_least_loaded(self) -> list[str]:
--- a/src/sycamorehaven/exceptions/refusals.py
+++ b/src/sycamorehaven/exceptions/refusals.py
@@ -267,6 +267,14 @@
     remedy = "send again after Retry-After seconds"
 
 
+class DomainsEvacuated(Refusal):
+    """All backend servers of the service are in evacuated failure domains."""
+
+    code = "domains_evacuated"
+    status = 503
+    remedy = "send again after Retry-After seconds"
+
+
 class CrashSuspected(Refusal):
     """Servers were lost while they ran the request or others like it."""
 
--- a/src/sycamorehaven/gateway.py
+++ b/src/sycamorehaven/gateway.py
@@ -87,6 +87,11 @@
         """The blackboard, which holds the state of this router."""
         return self._board
 
+    @property
+    def condition_recorder(self) -> ServerConditionRecorder:
+        """Records what servers say, and checks requests before sending."""
+        return self._condition_recorder
+
     @property
     def decision_log(self) -> DecisionLog:
         """The log of decisions and of changes of the fleet's state."""
--- a/src/sycamorehaven/telemetry/gateway_metrics.py
+++ b/src/sycamorehaven/telemetry/gateway_metrics.py
@@ -36,6 +36,8 @@
         ended a limit, a rest or their leaving, or sent a value that makes no
         sense.
     :ivar dependency_up: 1 if a dependency responds, else 0.
+    :ivar evacuated_domains: number of failure domains to whose servers nothing
+        is sent.
     :ivar snapshot_age: age of the routes and servers in use, in seconds.
     :ivar waiting_requests: number of requests that wait at the router.
     :ivar open_connections: number of open connections of clients.
@@ -120,6 +122,11 @@
             "Age in seconds of the published routes and servers in use.",
             registry=self._registry,
         )
+        self.evacuated_domains = Gauge(
+            "sycamorehaven_evacuated_domains",
+            "Failure domains to whose servers nothing is sent.",
+            registry=self._registry,
+        )
         self.waiting_requests = Gauge(
             "sycamorehaven_waiting_requests",
             "Requests that wait at the router.",
--- a/src/sycamorehaven/transport/routed_backend_client.py
+++ b/src/sycamorehaven/transport/routed_backend_client.py
@@ -48,11 +48,12 @@
 class StatementObserver(Protocol):
     """Records what servers say of themselves, and tells what follows."""
 
-    def check_open(self, server: ServerRecord) -> None:
+    def check_open(self, server: ServerRecord, copy_source: str = "") -> None:
         """
         Check that a request may still be handed to a server's connection.
 
-        :raises ServerUnwilling: if the server has said otherwise meanwhile.
+        :param copy_source: address of the server to copy from, or "".
+        :raises ServerUnwilling: if it may not be sent there any more.
         """
         ...
 
@@ -153,7 +154,7 @@
         sent_at = time.monotonic()
         try:
             response = await self._request(
-                pool, server, request, headers, silence_timeout
+                pool, plan, request, headers, silence_timeout
             )
             head = self._header_codec.parse_response_headers(
                 response.status, response.headers.items()
@@ -183,7 +184,7 @@
     async def _request(
         self,
         pool: ConnectionPool,
-        server: ServerRecord,
+        plan: SendPlan,
         request: RoutedRequest,
         headers: Headers,
         silence_timeout: float,
@@ -192,12 +193,14 @@
             async with asyncio.timeout(silence_timeout):
                 return await pool.client.request(
                     request.method,
-                    URL(f"http://{server.address}{request.target}", encoded=True),
+                    URL(f"http://{plan.server.address}{request.target}", encoded=True),
                     headers=headers,
                     data=request.body or None,
                     allow_redirects=False,
                     trace_request_ctx=functools.partial(
-                        self._observer.check_open, server
+                        self._observer.check_open,
+                        plan.server,
+                        plan.prompt_cache_source,
                     ),
                 )
         except Exception as error:
--- /dev/null
+++ b/tests/controllers/evacuation/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the evacuation of failure domains."""
+
+from __future__ import annotations
--- a/tests/support/gateway_harness.py
+++ b/tests/support/gateway_harness.py
@@ -121,6 +121,7 @@
     :ivar behaviour_after_break: the behaviour once a stream was broken;
         unchanged if empty.
     :ivar version: version of the server's software.
+    :ivar failure_domain: the failure domain that its entry names.
     :ivar run_attempt_ids: attempt ids of the requests that were run.
     :ivar received_headers: headers of all requests, in order of arrival.
     :ivar received_at: when they arrived, in monotonic seconds.
@@ -143,6 +144,7 @@
         self.behaviour_after_break = ""
         self.framing = "chunks"
         self.version = "v1"
+        self.failure_domain = "north"
         self.run_attempt_ids: list[str] = []
         self.received_headers: list[dict[str, str]] = []
         self.received_at: list[float] = []
@@ -160,7 +162,7 @@
         return {
             "service": self.service,
             "address": self.address,
-            "zone": "north",
+            "zone": self.failure_domain,
             "slots": 8,
             "state": state,
             "version": self.version,
@@ -327,10 +329,12 @@
         """Write the entry of a server to the store."""
         self.store.put(f"servers/{server.name}", server.build_entry(state))
 
-    async def add_server(self, name: str, version: str) -> FakeServer:
+    async def add_server(
+        self, name: str, version: str, failure_domain: str = "north"
+    ) -> FakeServer:
         """Start and register another server; return it once it is known."""
         server = FakeServer(name, "plain")
-        server.version = version
+        server.version, server.failure_domain = version, failure_domain
         server.address = await self._listen(server)
         self.servers.append(server)
         self.register(server)
--- a/tests/transport/test_routed_backend_client.py
+++ b/tests/transport/test_routed_backend_client.py
@@ -27,7 +27,7 @@
     def __init__(self) -> None:
         self.checks = 0
 
-    def check_open(self, server: ServerRecord) -> None:
+    def check_open(self, server: ServerRecord, copy_source: str = "") -> None:  # noqa: ARG002
         """Refuse each request that has got its connection."""
         self.checks += 1
         raise ServerUnwilling(f"server {server.id} rests", was_sent=False)
