Withdraw applications to evacuated engines and test how routers learn

A request that waited for its scheduler's admission to an engine stayed there until the scheduler answered, though the engine was evacuated and could not be used. Its application is withdrawn when the evacuation becomes known, and an admission whose copy source has passed its timeout is not used.

Without a network, routers that do not read the store and a third that the store refuses learn of a change of only the evacuations within two reads and within the bound. With items written and deleted between pages (2, 14 and 66 routers), no router has an evacuation wrong at a position that includes its change.

--- a/src/sycamorehaven/controllers/applications.py
+++ b/src/sycamorehaven/controllers/applications.py
@@ -12,7 +12,7 @@
 from sycamorehaven.transport.messages.admissions import AdmissionRequest
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.controllers.admissions import (
@@ -119,6 +119,7 @@
             history.current = 0
             self._handle_answer(pending, best, placement_request, answer)
 
+        history.server = best.server
         history.current = self._admissions.apply(
             application, best.server, handle_answer
         )
@@ -128,6 +129,20 @@
         if self._admissions is not None:
             self._admissions.withdraw(pending.applications.current)
 
+    def withdraw_evacuated(self, pending_requests: Iterable[PendingRequest]) -> None:
+        """Withdraw the applications to engines that have been evacuated."""
+        routing = self._board.routing
+        if not routing.evacuated_domains:
+            return
+        for pending in pending_requests:
+            history = pending.applications
+            if not history.current or history.server is None:
+                continue
+            if routing.is_evacuated(history.server):
+                self.withdraw(pending)
+                history.current = 0
+                self._placer.reconsider_pending()
+
     def take_alone(self, pending: PendingRequest, best: Placement) -> Admission | None:
         """
         Return the admission of a request whose scheduler was not asked.
@@ -160,10 +175,12 @@
 
     def _takes_request(self, best: Placement, now: float) -> bool:
         """Return whether a server still takes a request that was admitted."""
-        available = self._board.routing.list_available_servers(best.server.service)
+        routing, source = self._board.routing, best.copy_source
+        available = routing.list_available_servers(best.server.service)
         model = self._board.fleet_load.find_model(best.server.id)
         return (
             best.server in available
+            and (not source or routing.allows_copies_from(source, now))
             and model.health.ejected_until <= now
             and self._candidate_finder.find_opening(best.server, now).is_open
         )
--- a/src/sycamorehaven/controllers/candidates.py
+++ b/src/sycamorehaven/controllers/candidates.py
@@ -49,11 +49,13 @@
 
     :ivar refused: number of those that were refused.
     :ivar current: number of the one that has no answer yet, 0 for none.
+    :ivar server: the engine of the latest one.
     """
 
     def __init__(self) -> None:
         self.refused = 0
         self.current = 0
+        self.server: ServerRecord | None = None
 
 
 NO_APPLICATIONS = ApplicationHistory()
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -139,6 +139,7 @@
         self._request_arrived = asyncio.Event()
         self._next_pass_at = 0.0
         self._pause_ratio = DISPATCH_PAUSE_RATIO
+        board.routing.changed.subscribe(self._withdraw_evacuated)
 
     async def acquire(
         self,
@@ -354,6 +355,9 @@
             shortest_wait = min(view.estimated_wait_seconds for view in load.views)
             self.reject_late(pending, shortest_wait, placement_request, best, now)
 
+    def _withdraw_evacuated(self) -> None:
+        self._applicant.withdraw_evacuated(self._pending)
+
     def reconsider_pending(self) -> None:
         """Look at the pending requests again in the next pass."""
         self._request_arrived.set()
--- a/tests/support/snapshot_simulation.py
+++ b/tests/support/snapshot_simulation.py
@@ -55,6 +55,8 @@
 
     :ivar configurations: each version that was published.
     :ivar removals: the removal of each server, by id.
+    :ivar evacuations: the last change of each evacuation, by failure domain,
+        and whether it is in force.
     :ivar page_seconds: shortest and longest time of a page.
     :ivar read_pages: number of pages that were read.
     """
@@ -63,6 +65,7 @@
         self.chance = random.Random(seed)
         self.configurations: dict[int, Write] = {}
         self.removals: dict[str, Write] = {}
+        self.evacuations: dict[str, tuple[Write, bool]] = {}
         self.page_seconds = 0.002, 0.01
         self.read_pages = 0
         self._revision = 0
@@ -106,6 +109,17 @@
         now = asyncio.get_running_loop().time()
         self.removals[name] = Write(self._revision, now)
 
+    def evacuate(self, domain: str) -> None:
+        """Write the item that evacuates a failure domain."""
+        self.evacuations[domain] = self.put(f"op/evacuate/{domain}", {}), True
+
+    def end_evacuation(self, domain: str) -> None:
+        """Delete the item that evacuates a failure domain."""
+        del self._items[f"op/evacuate/{domain}"]
+        self._revision += 1
+        now = asyncio.get_running_loop().time()
+        self.evacuations[domain] = Write(self._revision, now), False
+
     async def read_page(self, prefix: str, after: str) -> StorePage:
         """Return a page as it is at some moment of the call."""
         self.read_pages += 1
@@ -229,6 +243,7 @@
                     faults.append(f"{host}: position includes version {version}")
                 if now - write.written_at > deadline:
                     faults.append(f"{host}: version {version} is not in force")
+            faults += self._list_evacuation_faults(router, deadline)
             servers = {server.id for server in (routing.snapshot or ((),) * 3)[2]}
             for name in servers & self.store.removals.keys():
                 if routing.revision >= self.store.removals[name].revision:
@@ -237,6 +252,21 @@
                     faults.append(f"{host}: {name} is still listed")
         return faults
 
+    def _list_evacuation_faults(
+        self, router: SimulatedRouter, deadline: float
+    ) -> list[str]:
+        """Return the evacuations that a router has missed."""
+        routing, host = router.board.routing, router.board.identity.host
+        now = asyncio.get_running_loop().time()
+        return [
+            f"{host}: the evacuation of {domain} is not {is_in_force}"
+            for domain, (write, is_in_force) in self.store.evacuations.items()
+            if (domain in routing.evacuated_domains) != is_in_force
+            and (
+                routing.revision >= write.revision or now - write.written_at > deadline
+            )
+        ]
+
     async def _deliver(self) -> None:
         while True:
             self.network.deliver(max_deliveries=1_000_000)
