--- a/src/sycamorehaven/blackboard/board.py
+++ b/src/sycamorehaven/blackboard/board.py
@@ -26,7 +26,6 @@
 from sycamorehaven.blackboard.unserved_services import UnservedServicesSection
 from sycamorehaven.blackboard.workload import WorkloadSection
 from sycamorehaven.decisions.usage_window import UsageWindow
-from sycamorehaven.gateway_settings import DEFAULT_EVACUATION_SECONDS
 from sycamorehaven.identity import RouterId, create_incarnation
 
 if TYPE_CHECKING:
@@ -46,8 +45,7 @@
     :param failure_domain: failure domain of this router's host.
     :param quota_window: length of the sliding window over which the usage of
         capacity is summed, in seconds.
-    :param evacuation_timeout: seconds from the order to evacuate a failure
-        domain until nothing may reach its servers.
+    :param routing: the section of published routes; an empty one if ``None``.
     """
 
     def __init__(
@@ -56,7 +54,7 @@
         address: str,
         failure_domain: str,
         quota_window: float = DEFAULT_QUOTA_WINDOW_SECONDS,
-        evacuation_timeout: float = DEFAULT_EVACUATION_SECONDS,
+        routing: RoutingSection | None = None,
     ) -> None:
         own = Member(
             identity.host, identity.incarnation, address, failure_domain, "alive"
@@ -79,7 +77,7 @@
         self._counters = CountersSection(identity)
         self._tokens = TokensSection()
         self._suspect_requests = SuspectRequestsSection()
-        self._routing = RoutingSection(evacuation_timeout)
+        self._routing = routing or RoutingSection()
         self._server_conditions = ServerConditionsSection(identity.host)
         self._fleet_load = FleetLoadSection(UsageWindow(quota_window))
         self._workload = WorkloadSection()
@@ -91,10 +89,8 @@
         address, domain = settings.peers_address, settings.failure_domain
         if settings.gateway is None:
             return cls(identity, address, domain)
-        window = settings.gateway.quota_window
-        return cls(
-            identity, address, domain, window, settings.gateway.evacuation_timeout
-        )
+        routing = RoutingSection.from_settings(settings.gateway)
+        return cls(identity, address, domain, settings.gateway.quota_window, routing)
 
     @property
     def identity(self) -> RouterId:
--- a/src/sycamorehaven/blackboard/routing.py
+++ b/src/sycamorehaven/blackboard/routing.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from sycamorehaven.blackboard.signal import Signal
 from sycamorehaven.decisions.evacuation.evacuations import Evacuations
 from sycamorehaven.decisions.evacuation.openings import find_evacuated_opening
+from sycamorehaven.decisions.evacuation.snapshot_recovery import SnapshotRecovery
 from sycamorehaven.decisions.server_directory import DirectoryChange, ServerDirectory
 from sycamorehaven.decisions.software_versions import SoftwareVersions
 from sycamorehaven.gateway_settings import DEFAULT_EVACUATION_SECONDS
@@ -14,6 +16,7 @@
 
 if TYPE_CHECKING:
     from sycamorehaven.decisions.server_openings import Opening
+    from sycamorehaven.gateway_settings import GatewaySettings
     from sycamorehaven.routing.model import (
         RoutingConfiguration,
         ServerRecord,
@@ -27,19 +30,34 @@
 
     :param copy_seconds: time for which prompts may be copied from the engines
         of a failure domain after its evacuation has become known.
+    :param max_pause: longest pause of the process after which requests may be
+        sent before a snapshot was read.
     """
 
-    def __init__(self, copy_seconds: float = DEFAULT_EVACUATION_SECONDS) -> None:
+    def __init__(
+        self,
+        copy_seconds: float = DEFAULT_EVACUATION_SECONDS,
+        max_pause: float = math.inf,
+    ) -> None:
         self._copy_seconds = copy_seconds
         self._snapshot: Snapshot | None = None
         self._configuration: RoutingConfiguration | None = None
         self._route_table = RouteTable(())
         self._directory = ServerDirectory()
         self._evacuations = Evacuations()
+        self._recovery = SnapshotRecovery(max_pause)
         self._software_versions = SoftwareVersions()
         self._read_at = 0.0
         self._changed = Signal()
 
+    @classmethod
+    def from_settings(cls, settings: GatewaySettings) -> RoutingSection:
+        """Return the section of a router that has read nothing."""
+        timeout = settings.evacuation_timeout
+        # A router that runs learns of an evacuation within half of the time,
+        # so a pause of the other half does no harm.
+        return cls(timeout, timeout / 2 if settings.has_evacuations else math.inf)
+
     @property
     def snapshot(self) -> Snapshot | None:
         """The newest snapshot; ``None`` before the first one."""
@@ -85,6 +103,11 @@
         """The software versions of the servers, also of those that left."""
         return self._software_versions
 
+    @property
+    def recovery(self) -> SnapshotRecovery:
+        """Whether requests have to wait for a snapshot after a pause."""
+        return self._recovery
+
     @property
     def evacuated_domains(self) -> frozenset[str]:
         """The failure domains to whose servers nothing may be sent."""
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -238,7 +238,7 @@
         undecided = [
             pending for pending in self._pending if not pending.applications.current
         ]
-        if not undecided:
+        if not undecided or self._board.routing.recovery.is_pending(now):
             self._board.event_loop.update_dispatch(now)
             return
         share_statuses = self._shares.compute_statuses(
--- a/src/sycamorehaven/controllers/routing_snapshots.py
+++ b/src/sycamorehaven/controllers/routing_snapshots.py
@@ -117,6 +117,7 @@
 
     async def on_stop(self) -> None:
         """Cancel the reads in progress."""
+        self._board.routing.recovery.stop()
         for task in self._read_tasks:
             task.cancel()
 
@@ -127,6 +128,8 @@
         read_at = -READ_PERIOD_SECONDS
         while not self.should_stop:
             now = self._clock()
+            if paused := self._board.routing.recovery.beat(now):
+                self._decision_log.record("snapshot_recovery", paused=round(paused, 3))
             if (
                 now - read_at >= READ_PERIOD_SECONDS
                 and len(self._read_tasks) < MAX_CONCURRENT_READS
@@ -176,6 +179,7 @@
             return
         self._record_availability(available=True, detail="")
         self._last_read_at = self._clock()
+        self._board.routing.recovery.record_read(started_at)
         self._apply_snapshot(snapshot, "platform", self._clock() - started_at)
 
     def _record_availability(self, *, available: bool, detail: str) -> None:
--- a/src/sycamorehaven/controllers/server_conditions.py
+++ b/src/sycamorehaven/controllers/server_conditions.py
@@ -88,10 +88,15 @@
         Check that a request may still be handed to a server's connection.
 
         :param copy_source: address of the server to copy from, or "".
-        :raises ServerUnwilling: if the server has said otherwise meanwhile, or
-            one of the two is in a failure domain that was evacuated.
+        :raises ServerUnwilling: if the server has said otherwise meanwhile,
+            one of the two was evacuated, or that isn't known after a pause.
         """
         routing, now = self._board.routing, self._clock()
+        if routing.recovery.is_pending(now):
+            raise ServerUnwilling(
+                "the process stood still and must read a snapshot first",
+                was_sent=False,
+            )
         if routing.is_evacuated(server):
             raise ServerUnwilling(
                 f"the failure domain of server {server.id} is evacuated",
--- a/src/sycamorehaven/gateway_settings.py
+++ b/src/sycamorehaven/gateway_settings.py
@@ -60,6 +60,8 @@
     :ivar cold_tolerance: requests that it may get in addition.
     :ivar evacuation_timeout: seconds from the order to evacuate a failure
         domain until nothing may reach its servers.
+    :ivar has_evacuations: whether the platform sets this time, so that
+        evacuations are to be expected.
     """
 
     readiness: str
@@ -75,6 +77,7 @@
     cold_overshoot: float = 1.0
     cold_tolerance: float = 0.0
     evacuation_timeout: float = DEFAULT_EVACUATION_SECONDS
+    has_evacuations: bool = False
 
     @classmethod
     def from_table(cls, table: GatewayTable) -> GatewaySettings:
@@ -96,4 +99,5 @@
                 "evacuation_timeout_ms", DEFAULT_EVACUATION_SECONDS * 1_000
             )
             / 1_000,
+            has_evacuations="evacuation_timeout_ms" in table,
         )
--- a/tests/controllers/evacuation/test_evacuated_engines.py
+++ b/tests/controllers/evacuation/test_evacuated_engines.py
@@ -142,3 +142,34 @@
     dispatcher.dispatch_pending()
     assert admissions.asked == ["s1", "s2"]
     task.cancel()
+
+
+# Requests that arrive during a pause are read before the store is.
+async def test_request_after_a_pause_waits_for_a_snapshot(clock: ManualClock) -> None:
+    settings = build_settings("127.0.0.1:1")
+    assert settings.gateway is not None
+    gateway = settings.gateway._replace(has_evacuations=True)
+    board = Blackboard.from_settings(settings._replace(gateway=gateway))
+    known = build_board(clock).routing.snapshot
+    assert known is not None
+    board.routing.apply_snapshot(known, clock())
+    board.routing.recovery.beat(clock())
+    clock.advance(6.0)
+    recorder = create_recorder(board, clock)
+    is_sent = True
+    try:
+        recorder.check_open(ENGINES[0])
+    except ServerUnwilling:
+        is_sent = False
+    assert not is_sent
+    dispatcher = Dispatcher(board, DecisionLog("a1", None), GatewayMetrics(), clock)
+    task = asyncio.create_task(dispatcher.acquire(build_request(clock())))
+    await asyncio.sleep(0)
+    board.routing.recovery.beat(clock())
+    dispatcher.dispatch_pending()
+    await asyncio.sleep(0)
+    assert not task.done()
+    evacuate(board, clock)
+    board.routing.recovery.record_read(clock())
+    dispatcher.dispatch_pending()
+    assert (await task).server.id == "s2"
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -42,6 +42,10 @@
     "e2": "model",
 }
 """Service of each backend server."""
+SOUTH_SERVERS = ("s3", "e2")
+"""Backend servers in the domain ``south``; the others are in ``north``."""
+EVACUATION_SECONDS = 5.0
+"""Time from the order to evacuate a domain until nothing may reach it."""
 ROUTER_HOSTS = ("north1", "north2", "south1")
 
 SETTINGS_TEMPLATE = """
@@ -69,6 +73,7 @@
 retry_window = {window}
 retry_slack = {slack}
 quota_window = 4.0
+evacuation_timeout_ms = {evacuation}
 """
 
 
@@ -173,7 +178,7 @@
         entry: dict[str, Any] = {
             "service": SERVICE_BY_SERVER[name],
             "address": self.server_proxies[name].address,
-            "zone": "north",
+            "zone": "south" if name in SOUTH_SERVERS else "north",
             "slots": 12,
             "state": state,
             "version": self.versions[name],
@@ -212,6 +217,7 @@
             ratio=ratio,
             window=RETRY_WINDOW_SECONDS,
             slack=RETRY_SLACK,
+            evacuation=EVACUATION_SECONDS * 1_000,
         )
         path.write_text(text)
         return path
