--- a/src/sycamorehaven/controllers/candidates.py
+++ b/src/sycamorehaven/controllers/candidates.py
@@ -161,9 +161,11 @@
 
     def find_opening(self, server: ServerRecord, now: float) -> Opening:
         """Return when a server takes the next request of this router."""
-        conditions = self._board.server_conditions
+        conditions, routing = self._board.server_conditions, self._board.routing
+        if conditions.is_empty and not routing.evacuated_domains:
+            return ALWAYS_OPEN
         gate = conditions.find(server.incarnation_id)
-        evacuated = self._board.routing.find_evacuated_opening(server, now)
+        evacuated = routing.find_evacuated_opening(server, now)
         is_leaving = gate is not None and gate.conditions.leaving_since is not None
         if evacuated is not None and not is_leaving:
             return evacuated
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -405,12 +405,12 @@
         delay = max(closed.opens_at - now, 0.0) + ahead / max(closed.rate, MIN_RATE)
         if decide_postponed_request(placement_request, delay, now) == "wait":
             return
-        # Nobody knows when an evacuation ends; its delay is infinite.
+        rate, time_left = closed.rate, pending.request.deadline - now
+        if closed.all_evacuated:
+            # Nobody knows when an evacuation ends.
+            delay, rate = NO_SERVER_RETRY_SECONDS, 1.0 / NO_SERVER_RETRY_SECONDS
         retry_after = choose_closed_retry_after(
-            NO_SERVER_RETRY_SECONDS if closed.all_evacuated else delay,
-            closed.rate,
-            pending.position,
-            pending.request.deadline - now,
+            delay, rate, pending.position, time_left
         )
         refusal = create_closed_refusal(pending.request.service, closed, retry_after)
         self._reject(
--- a/src/sycamorehaven/controllers/routed_refusals.py
+++ b/src/sycamorehaven/controllers/routed_refusals.py
@@ -74,8 +74,8 @@
     """
     if closed.all_evacuated:
         return DomainsEvacuated(
-            f"all backend servers of the service '{service}' are in evacuated"
-            " failure domains",
+            f"all backend servers of the service '{service}' that may serve the"
+            " request are in evacuated failure domains",
             retry_after=retry_after,
         )
     if closed.all_rest:
--- a/src/sycamorehaven/decisions/evacuation/evacuations.py
+++ b/src/sycamorehaven/decisions/evacuation/evacuations.py
@@ -33,11 +33,12 @@
         self._revisions: dict[str, int] = {}
         self._held_until: dict[str, float] = {}
         self._known_since: dict[str, float] = {}
+        self._domains: frozenset[str] = frozenset()
 
     @property
     def domains(self) -> frozenset[str]:
         """The failure domains to whose servers nothing may be sent."""
-        return frozenset(self._known_since)
+        return self._domains
 
     def get_known_since(self, domain: str) -> float | None:
         """
@@ -68,6 +69,7 @@
             domain: self._known_since.get(domain, now)
             for domain in sorted({*self._revisions, *self._held_until})
         }
+        self._domains = frozenset(self._known_since)
 
     def update_snapshot(self, snapshot: Snapshot) -> Snapshot:
         """
--- a/src/sycamorehaven/platform/store_client.py
+++ b/src/sycamorehaven/platform/store_client.py
@@ -11,6 +11,7 @@
 
 from sycamorehaven.platform.decoding import (
     EVACUATION_PREFIX,
+    MAX_DOMAIN_LENGTH,
     SERVERS_PREFIX,
     decode_configuration,
     decode_evacuations,
@@ -148,10 +149,10 @@
         malformed = {item.key for item in items if is_malformed_evacuation(item)}
         for key in sorted(malformed - self._malformed_keys):
             logging.error(
-                "item %.80r names no failure domain; it is ignored (its name has %d"
-                " characters)",
-                key,
-                len(key.removeprefix(EVACUATION_PREFIX)),
+                "item %r names no failure domain and is ignored; a name has 1 to %d"
+                " characters",
+                key[: len(EVACUATION_PREFIX) + MAX_DOMAIN_LENGTH],
+                MAX_DOMAIN_LENGTH,
             )
         self._malformed_keys = malformed
         return decode_evacuations(items)
