--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,7 +7,12 @@
 import time
 from typing import TYPE_CHECKING
 
-from tests.soak.fleet import ROUTER_HOSTS, SERVICE_BY_SERVER, SHUTDOWN_GRACE_SECONDS
+from tests.soak.fleet import (
+    EVACUATION_SECONDS,
+    ROUTER_HOSTS,
+    SERVICE_BY_SERVER,
+    SHUTDOWN_GRACE_SECONDS,
+)
 from tests.soak.records import Disturbance
 
 if TYPE_CHECKING:
@@ -23,6 +28,8 @@
 """Ratio of the faults that follow the previous one almost at once."""
 OPERATOR_TARGET = "operator"
 STORE_TARGET = "store"
+EVACUATION_KIND = "evacuate"
+"""Kind of the disturbance while a failure domain is evacuated."""
 
 
 class FaultInjector:
@@ -81,6 +88,23 @@
             tasks.append(asyncio.create_task(self._inject_fault()))
         await asyncio.gather(*tasks)
 
+    async def evacuate(self, seconds: float, rng: random.Random) -> None:
+        """
+        Evacuate a failure domain once, beside the faults.
+
+        :param seconds: period in whose first third the evacuation begins.
+        :param rng: a generator of its own, so that the faults of a seed stay.
+        """
+        await asyncio.sleep(rng.uniform(0.0, seconds / 3))
+        self._fleet.store.put("op/evacuate/south", {})
+        began_at, number = time.monotonic(), len(self._fleet.disturbances)
+        begun = Disturbance(EVACUATION_KIND, "south", began_at, float("inf"))
+        self._fleet.disturbances.append(begun)
+        await asyncio.sleep(EVACUATION_SECONDS + rng.uniform(2.0, 5.0))
+        ended = begun._replace(ended_at=time.monotonic())
+        self._fleet.disturbances[number] = ended
+        self._fleet.store.remove("op/evacuate/south")
+
     async def _inject_fault(self) -> None:
         scope, inject = self._random.choice(self._fault_kinds)
         target = self._choose_target(scope)
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -8,12 +8,14 @@
 from typing import TYPE_CHECKING
 
 from tests.soak.backend import STREAM_EVENT_COUNT, build_body, build_event
-from tests.soak.faults import OPERATOR_TARGET, STORE_TARGET
+from tests.soak.faults import EVACUATION_KIND, OPERATOR_TARGET, STORE_TARGET
 from tests.soak.fleet import (
+    EVACUATION_SECONDS,
     RETRY_RATIO,
     RETRY_SLACK,
     RETRY_WINDOW_SECONDS,
     SERVICE_BY_SERVER,
+    SOUTH_SERVERS,
 )
 from tests.soak.records import SOAK_TARGET
 
@@ -190,6 +192,26 @@
                 yield f"{run.attempt} reached {run.server} {late:.1f} s after it left"
 
 
+def check_evacuation(record: SoakRecord) -> Iterator[str]:
+    """An evacuated failure domain soon receives no more requests."""
+    requests = {request.attempt: request for request in record.requests}
+    for disturbance in record.disturbances:
+        if disturbance.kind != EVACUATION_KIND:
+            continue
+        bound = disturbance.began_at + EVACUATION_SECONDS
+        for run in record.runs:
+            request = requests.get(run.attempt)
+            if run.server not in SOUTH_SERVERS or request is None:
+                continue
+            if not bound < run.began_at <= disturbance.ended_at:
+                continue
+            if _is_settled(
+                record, request, STORE_TARGET, f"store-link/{request.router}"
+            ):
+                late = run.began_at - bound
+                yield f"{run.attempt} reached {run.server} {late:.1f} s after the bound"
+
+
 def check_refusal_logs(record: SoakRecord) -> Iterator[str]:
     """A router logs every request that it refuses."""
     if record.log_events.get(""):
@@ -226,6 +248,7 @@
     check_cancellations,
     check_retry_budget,
     check_draining,
+    check_evacuation,
     check_refusal_logs,
     check_recovery,
 )
--- a/tests/soak/seed_run.py
+++ b/tests/soak/seed_run.py
@@ -83,7 +83,10 @@
         tasks.append(asyncio.create_task(_detect_stalls(fleet.disturbances)))
         await asyncio.sleep(QUIET_SECONDS_BEFORE)
         player = FaultInjector(fleet, random.Random(seed))
-        await player.inject_faults(seconds, FAULT_INTERVAL_SECONDS)
+        await asyncio.gather(
+            player.inject_faults(seconds, FAULT_INTERVAL_SECONDS),
+            player.evacuate(seconds, random.Random(f"{seed}/evacuation")),
+        )
         await asyncio.sleep(QUIET_SECONDS_AFTER)
         for task in tasks:
             task.cancel()
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -139,6 +139,18 @@
     assert list_failed_checks(record) == ["check_draining"]
 
 
+def test_request_at_an_evacuated_domain() -> None:
+    evacuated = Disturbance("evacuate", "south", 2.0, 20.0)
+    run = RUN._replace(server="s3")
+    later = REQUEST._replace(attempt="c1-2", sent_at=25.0, body=build_body("c1-2"))
+    record = build_record(REQUEST, later, runs=(run,), disturbances=(evacuated,))
+    assert list_failed_checks(record) == ["check_evacuation"]
+    cut_off = Disturbance("harm_link", "store-link/north1", 5.0, 7.0)
+    faults = evacuated, cut_off
+    record = build_record(REQUEST, later, runs=(run,), disturbances=faults)
+    assert not list_failed_checks(record)
+
+
 def test_refusal_without_a_log_line() -> None:
     refused = REQUEST._replace(status=503, signed=False)
     record = build_record(refused, REQUEST)
