--- a/src/sycamorehaven/blackboard/routing.py
+++ b/src/sycamorehaven/blackboard/routing.py
@@ -29,7 +29,7 @@
     The newest snapshot, read from the platform's store or by a peer.
 
     :param copy_seconds: time for which prompts may be copied from the engines
-        of a failure domain after its evacuation has become known.
+        of a failure domain after the last snapshot without its evacuation.
     :param max_pause: longest pause of the process after which requests may be
         sent before a snapshot was read.
     """
@@ -115,16 +115,16 @@
 
     def is_evacuated(self, server: ServerRecord) -> bool:
         """Return whether nothing may be sent to a server."""
-        return self._evacuations.get_known_since(server.failure_domain) is not None
+        return self._evacuations.get_ordered_after(server.failure_domain) is not None
 
     def find_evacuated_opening(
         self, server: ServerRecord, now: float
     ) -> Opening | None:
         """Return the opening of an evacuated server, else ``None``."""
-        known_since = self._evacuations.get_known_since(server.failure_domain)
-        if known_since is None:
+        ordered_after = self._evacuations.get_ordered_after(server.failure_domain)
+        if ordered_after is None:
             return None
-        return find_evacuated_opening(known_since, self._copy_seconds, now)
+        return find_evacuated_opening(ordered_after, self._copy_seconds, now)
 
     def allows_copies_from(self, address: str, now: float) -> bool:
         """Return whether a server may be copied from, by its address."""
--- a/src/sycamorehaven/decisions/evacuation/evacuations.py
+++ b/src/sycamorehaven/decisions/evacuation/evacuations.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from sycamorehaven.decisions.server_directory import RECOVERY_GRACE_SECONDS
@@ -32,7 +33,8 @@
         self._position: tuple[int, int] | None = None
         self._revisions: dict[str, int] = {}
         self._held_until: dict[str, float] = {}
-        self._known_since: dict[str, float] = {}
+        self._ordered_after: dict[str, float] = {}
+        self._merged_at = -math.inf
         self._domains: frozenset[str] = frozenset()
 
     @property
@@ -40,13 +42,17 @@
         """The failure domains to whose servers nothing may be sent."""
         return self._domains
 
-    def get_known_since(self, domain: str) -> float | None:
+    def get_ordered_after(self, domain: str) -> float | None:
         """
-        Return when the evacuation of a failure domain became known.
+        Return a time after which the evacuation of a domain was ordered.
 
-        :returns: monotonic seconds; ``None`` if the domain isn't evacuated.
+        It is that of the last snapshot without the order. A router that has
+        just started, or stood still, can't know how old the order is.
+
+        :returns: monotonic seconds, minus infinity if no snapshot was without
+            the order; ``None`` if the domain isn't evacuated.
         """
-        return self._known_since.get(domain)
+        return self._ordered_after.get(domain)
 
     def merge(self, snapshot: Snapshot, now: float) -> None:
         """
@@ -65,11 +71,12 @@
             for domain, until in self._held_until.items()
             if now < until and domain not in self._revisions
         }
-        self._known_since = {
-            domain: self._known_since.get(domain, now)
+        self._ordered_after = {
+            domain: self._ordered_after.get(domain, self._merged_at)
             for domain in sorted({*self._revisions, *self._held_until})
         }
-        self._domains = frozenset(self._known_since)
+        self._domains = frozenset(self._ordered_after)
+        self._merged_at = max(now, self._merged_at)
 
     def update_snapshot(self, snapshot: Snapshot) -> Snapshot:
         """
@@ -89,7 +96,7 @@
     def _hold(self, now: float) -> None:
         """Begin an era, whose revisions don't continue those before."""
         until = now + RECOVERY_GRACE_SECONDS
-        self._held_until = dict.fromkeys(self._known_since, until)
+        self._held_until = dict.fromkeys(self._ordered_after, until)
         self._revisions, self._position = {}, None
 
     def _merge_items(self, snapshot: Snapshot) -> None:
--- a/tests/controllers/evacuation/test_evacuated_engines.py
+++ b/tests/controllers/evacuation/test_evacuated_engines.py
@@ -121,6 +121,7 @@
     assert settings.gateway is not None
     gateway = settings.gateway._replace(evacuation_timeout=1.0)
     board = Blackboard.from_settings(settings._replace(gateway=gateway))
+    board.routing.apply_snapshot(Snapshot(1, None, ENGINES), clock())
     evacuate(board, clock)
     assert board.routing.allows_copies_from("s1:80", clock() + 0.9)
     assert not board.routing.allows_copies_from("s1:80", clock() + 1.0)
--- a/tests/decisions/evacuation/test_evacuations.py
+++ b/tests/decisions/evacuation/test_evacuations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import NamedTuple
 
@@ -145,7 +146,8 @@
     evacuations.merge(build_snapshot(51), 11.1)
     evacuations.merge(copy, 10.9 + RECOVERY_GRACE_SECONDS)
     assert evacuations.domains == {"a", "b"}
-    assert evacuations.get_known_since("a") == 10.0
+    assert evacuations.get_ordered_after("a") == -math.inf
+    assert evacuations.get_ordered_after("b") == 10.0
     evacuations.merge(copy, 11.0 + RECOVERY_GRACE_SECONDS)
     assert evacuations.domains == {"b"}
 
@@ -167,6 +169,20 @@
     assert evacuations.domains == set()
 
 
+# A router that starts, or stood still, may learn of an old order.
+def test_order_is_as_old_as_the_last_snapshot_without_it() -> None:
+    evacuations = Evacuations()
+    evacuations.merge(build_snapshot(1, ("a", 1)), 10.0)
+    assert evacuations.get_ordered_after("a") == -math.inf
+    evacuations.merge(build_snapshot(2, ("a", 1)), 11.0)
+    evacuations.merge(build_snapshot(3, ("a", 1), ("b", 3)), 19.0)
+    assert evacuations.get_ordered_after("a") == -math.inf
+    assert evacuations.get_ordered_after("b") == 11.0
+    evacuations.merge(build_snapshot(4), 20.0)
+    evacuations.merge(build_snapshot(5, ("a", 5)), 21.0)
+    assert evacuations.get_ordered_after("a") == 20.0
+
+
 def test_copies_from_an_evacuated_server_end_with_the_timeout() -> None:
     opening = find_evacuated_opening(10.0, 5.0, 14.9)
     assert (opening.is_open, opening.allows_copies) == (False, True)
