--- a/src/sycamorehaven/blackboard/routing.py
+++ b/src/sycamorehaven/blackboard/routing.py
@@ -168,18 +168,14 @@
         :param read_at: when this router or a peer read it from the store, in
             seconds of the monotonic clock.
         """
-        is_merged = self._merge_configuration(snapshot.configuration)
         is_outdated = (snapshot.position, read_at) < (self.position, self._read_at)
-        evacuated_domains = self.evacuated_domains
-        self._evacuations.merge(snapshot, max(read_at, self._read_at))
-        known = self._snapshot
+        newest_read_at = max(read_at, self._read_at)
+        has_changed = self._merge_operator_items(snapshot, newest_read_at)
         if is_outdated:
-            if known is not None and snapshot.era == known.era:
-                self._snapshot = self._evacuations.update_snapshot(known)
-            if is_merged or self.evacuated_domains != evacuated_domains:
+            if has_changed:
                 self._changed.notify()
             return None
-        self._read_at = max(read_at, self._read_at)
+        self._read_at, known = newest_read_at, self._snapshot
         if known is not None and snapshot.servers_position < known.servers_position:
             snapshot = snapshot._replace(
                 servers=known.servers, servers_revision=known.servers_revision
@@ -191,6 +187,16 @@
         self._changed.notify()
         return change
 
+    def _merge_operator_items(self, snapshot: Snapshot, now: float) -> bool:
+        """Merge what operators have written; return whether it has changed."""
+        is_merged = self._merge_configuration(snapshot.configuration)
+        domains = self._evacuations.domains
+        self._evacuations.merge(snapshot, now)
+        known = self._snapshot
+        if known is not None and known.era == snapshot.era:
+            self._snapshot = self._evacuations.update_snapshot(known)
+        return is_merged or self._evacuations.domains != domains
+
     def _merge_configuration(self, newest: RoutingConfiguration | None) -> bool:
         """Put a configuration in force and return ``True`` if it is newer."""
         known = self._configuration
