--- a/src/sycamorehaven/blackboard/board.py
+++ b/src/sycamorehaven/blackboard/board.py
@@ -51,6 +51,7 @@
         capacity is summed, in seconds.
     :param cold_allowance: by how much the limits of cold servers may be
         exceeded.
+    :param routing: the section of published routes; an empty one if ``None``.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         failure_domain: str,
         quota_window: float = DEFAULT_QUOTA_WINDOW_SECONDS,
         cold_allowance: ColdAllowance = NO_ALLOWANCE,
+        routing: RoutingSection | None = None,
     ) -> None:
         own = Member(
             identity.host, identity.incarnation, address, failure_domain, "alive"
@@ -82,7 +84,7 @@
         self._counters = CountersSection(identity)
         self._tokens = TokensSection()
         self._suspect_requests = SuspectRequestsSection()
-        self._routing = RoutingSection()
+        self._routing = routing or RoutingSection()
         self._server_conditions = ServerConditionsSection(identity.host)
         self._cold_servers = ColdServersSection(cold_allowance)
         self._fleet_load = FleetLoadSection(UsageWindow(quota_window))
@@ -96,8 +98,14 @@
         gateway = settings.gateway
         if gateway is None:
             return cls(identity, address, domain)
-        allowance = ColdAllowance(gateway.cold_overshoot, gateway.cold_tolerance)
-        return cls(identity, address, domain, gateway.quota_window, allowance)
+        return cls(
+            identity,
+            address,
+            domain,
+            gateway.quota_window,
+            ColdAllowance(gateway.cold_overshoot, gateway.cold_tolerance),
+            RoutingSection.from_settings(gateway),
+        )
 
     @property
     def identity(self) -> RouterId:
--- a/src/sycamorehaven/controllers/candidates.py
+++ b/src/sycamorehaven/controllers/candidates.py
@@ -55,12 +55,14 @@
     :ivar refused_by_cold: number of those that were refused for a cold engine,
         which does not show that other engines are full.
     :ivar current: number of the one that has no answer yet, 0 for none.
+    :ivar server: the engine of the latest one.
     """
 
     def __init__(self) -> None:
         self.refused = 0
         self.refused_by_cold = 0
         self.current = 0
+        self.server: ServerRecord | None = None
 
 
 NO_APPLICATIONS = ApplicationHistory()
@@ -167,7 +169,10 @@
         :param is_admitted: whether its scheduler has admitted the request.
         """
         opening = self._find_stated_opening(server, now)
-        if self._board.cold_servers.is_empty or opening.closed_by == "leaving":
+        if self._board.cold_servers.is_empty or opening.closed_by in (
+            "leaving",
+            "evacuated",
+        ):
             return opening
         cold = self._cold_openings.find_opening(server, now, is_admitted=is_admitted)
         if opening.is_open:
@@ -175,11 +180,15 @@
         return max(opening, cold)
 
     def _find_stated_opening(self, server: ServerRecord, now: float) -> Opening:
-        """Return when a server takes a request, by what it says of itself."""
-        conditions = self._board.server_conditions
-        if conditions.is_empty:
+        """Return when a server takes a request, by what is said of it."""
+        conditions, routing = self._board.server_conditions, self._board.routing
+        if conditions.is_empty and not routing.evacuated_domains:
             return ALWAYS_OPEN
         gate = conditions.find(server.incarnation_id)
+        evacuated = routing.find_evacuated_opening(server, now)
+        is_leaving = gate is not None and gate.conditions.leaving_since is not None
+        if evacuated is not None and not is_leaving:
+            return evacuated
         if gate is None:
             return ALWAYS_OPEN
         limit = gate.conditions.limit.rate
@@ -305,8 +314,10 @@
         return ranks
 
     def _compute_ranks(self, service: str, subject: str) -> dict[str, int]:
-        servers = self._board.routing.list_available_servers(service)
-        ranked = rank_candidates(subject, [server.id for server in servers])
+        routing = self._board.routing
+        servers = routing.list_available_servers(service)
+        names = [server.id for server in servers if not routing.is_evacuated(server)]
+        ranked = rank_candidates(subject, names)
         return {name: place for place, name in enumerate(ranked)}
 
     def _get_cache_tokens(self, name: str) -> int:
--- a/src/sycamorehaven/controllers/cold_servers/recorder.py
+++ b/src/sycamorehaven/controllers/cold_servers/recorder.py
@@ -16,6 +16,7 @@
         ColdServer,
         RoutedService,
         RoutingConfiguration,
+        ServerRecord,
     )
     from sycamorehaven.telemetry.decision_log import DecisionLog
     from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
@@ -54,6 +55,16 @@
         board.routing.changed.subscribe(self._update)
         section.marked.subscribe(self._log_periods)
 
+    def record_evacuation_end(self, server: ServerRecord, now: float) -> None:
+        """
+        Take a server whose failure domain was evacuated for cold.
+
+        :param now: monotonic seconds.
+        """
+        self._board.cold_servers.mark_started(
+            server.incarnation_id, now, "evacuation", now
+        )
+
     def _update(self) -> None:
         """Apply the newest directory."""
         section, now = self._board.cold_servers, self._clock()
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -139,6 +139,7 @@
         self._request_arrived = asyncio.Event()
         self._next_pass_at = 0.0
         self._pause_ratio = DISPATCH_PAUSE_RATIO
+        board.routing.changed.subscribe(self._withdraw_evacuated)
 
     async def acquire(
         self,
@@ -237,7 +238,7 @@
         undecided = [
             pending for pending in self._pending if not pending.applications.current
         ]
-        if not undecided:
+        if not undecided or self._board.routing.recovery.is_pending(now):
             self._board.event_loop.update_dispatch(now)
             return
         share_statuses = self._shares.compute_statuses(
@@ -354,6 +355,9 @@
             shortest_wait = min(view.estimated_wait_seconds for view in load.views)
             self.reject_late(pending, shortest_wait, placement_request, best, now)
 
+    def _withdraw_evacuated(self) -> None:
+        self._applicant.withdraw_evacuated(self._pending)
+
     def reconsider_pending(self) -> None:
         """Look at the pending requests again in the next pass."""
         self._request_arrived.set()
@@ -401,8 +405,12 @@
         delay = max(closed.opens_at - now, 0.0) + ahead / max(closed.rate, MIN_RATE)
         if decide_postponed_request(placement_request, delay, now) == "wait":
             return
+        rate, time_left = closed.rate, pending.request.deadline - now
+        if closed.all_evacuated:
+            # Nobody knows when an evacuation ends.
+            delay, rate = NO_SERVER_RETRY_SECONDS, 1.0 / NO_SERVER_RETRY_SECONDS
         retry_after = choose_closed_retry_after(
-            delay, closed.rate, pending.position, pending.request.deadline - now
+            delay, rate, pending.position, time_left
         )
         refusal = create_closed_refusal(pending.request.service, closed, retry_after)
         self._reject(
--- a/src/sycamorehaven/gateway.py
+++ b/src/sycamorehaven/gateway.py
@@ -70,7 +70,9 @@
             self._board, decision_log, self._metrics
         )
         # Before the controllers, so that they find what it has marked.
-        ColdServerRecorder(self._board, decision_log, self._metrics)
+        self._cold_recorder = ColdServerRecorder(
+            self._board, decision_log, self._metrics
+        )
         self._backends = RoutedBackendClient(
             self._header_codec, self._condition_recorder
         )
@@ -90,6 +92,11 @@
         """The blackboard, which holds the state of this router."""
         return self._board
 
+    @property
+    def condition_recorder(self) -> ServerConditionRecorder:
+        """Records what servers say, and checks requests before sending."""
+        return self._condition_recorder
+
     @property
     def decision_log(self) -> DecisionLog:
         """The log of decisions and of changes of the fleet's state."""
@@ -136,7 +143,14 @@
             MembershipController(board, peers, self._settings),
             RotationController(board, peers, rotation, decision_log),
             news,
-            RoutingSnapshotController(board, news, self._store, decision_log, metrics),
+            RoutingSnapshotController(
+                board,
+                news,
+                self._store,
+                decision_log,
+                metrics,
+                evacuation_observer=self._cold_recorder,
+            ),
             FleetStateController(board, news, self._condition_recorder),
             EngineQueueController(board, peers, decision_log=decision_log),
             admissions,
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -7,7 +7,7 @@
 
 from sycamorehaven.platform.decoding import (
     decode_configuration,
-    decode_evacuated_domains,
+    decode_evacuations,
     decode_server,
 )
 from sycamorehaven.platform.documents import WireItem
@@ -58,4 +58,5 @@
     """Guards against other items of the operators taken for evacuations."""
     keys = ("op/config", "op/evacuate/south", "op/evacuate/", "op/evacuate/north")
     items = [WireItem(key, b"{}", 1) for key in keys]
-    assert decode_evacuated_domains(items) == ("north", "south")
+    domains = [evacuation.domain for evacuation in decode_evacuations(items)]
+    assert domains == ["north", "south"]
