Pool the results of plain servers between routers

Cause: plain servers are few and routers many. With 84 routers, each sees less than one result per second of each server, so none notices within seconds that a server fails half of its requests.

Nothing acts on this yet.

--- a/src/sycamorehaven/blackboard/board.py
+++ b/src/sycamorehaven/blackboard/board.py
@@ -16,6 +16,7 @@
 from sycamorehaven.blackboard.outcomes import OutcomesSection
 from sycamorehaven.blackboard.pauses import PausesSection
 from sycamorehaven.blackboard.permits import PermitsSection
+from sycamorehaven.blackboard.plain_servers import PlainServersSection
 from sycamorehaven.blackboard.queues import QueuesSection
 from sycamorehaven.blackboard.routing import RoutingSection
 from sycamorehaven.blackboard.seeds import SeedsSection
@@ -78,6 +79,7 @@
         self._routing = RoutingSection()
         self._server_conditions = ServerConditionsSection(identity.host)
         self._fleet_load = FleetLoadSection(UsageWindow(quota_window))
+        self._plain_servers = PlainServersSection(failure_domain)
         self._workload = WorkloadSection()
 
     @classmethod
@@ -194,6 +196,11 @@
         """Load of the servers of published routes, and usage by workspaces."""
         return self._fleet_load
 
+    @property
+    def plain_servers(self) -> PlainServersSection:
+        """Results, slowdowns and service times of the plain servers."""
+        return self._plain_servers
+
     @property
     def workload(self) -> WorkloadSection:
         """Requests of each workspace here, and time by activity."""
--- a/src/sycamorehaven/blackboard/routing.py
+++ b/src/sycamorehaven/blackboard/routing.py
@@ -86,6 +86,11 @@
             if server.service == service and not server.draining
         ]
 
+    def has_plain_servers(self, service: str) -> bool:
+        """Return whether a service is published and runs no engines."""
+        configuration = self._configuration
+        return configuration is not None and configuration.has_plain_servers(service)
+
     def list_server_ids(self) -> set[str]:
         """Return the ids of all registered servers."""
         return set(self._directory.servers)
--- a/src/sycamorehaven/controllers/fleet_state.py
+++ b/src/sycamorehaven/controllers/fleet_state.py
@@ -28,6 +28,7 @@
     PlacedPart,
     SaidOfItself,
     ServerLoad,
+    ServerResults,
     ServiceContention,
     ServiceDemand,
     WorkspaceUsage,
@@ -139,6 +140,10 @@
         contended = fleet_load.list_own_contentions(now)
         self._update_limited_services()
         said = self._list_said(members, now)
+        results = tuple(
+            ServerResults(*report)
+            for report in self._board.plain_servers.take_reports(members, now)
+        )
         through_collectors = uses_collectors(members)
         # Through collectors, reported requests count for long, so a report
         # without any ends them.
@@ -151,6 +156,7 @@
             or contended
             or ends_contention
             or said
+            or results
             or (
                 self._limited_services
                 and now - self._demands_told_at >= DEMAND_PERIOD_SECONDS
@@ -181,6 +187,7 @@
             routing.position[0],
             self._tell_demands(members, now),
             said,
+            results,
         )
 
     def _update_limited_services(self) -> None:
@@ -302,6 +309,7 @@
         for said in news.said:
             self._recorder.record_news(said, delivery.sender.host)
         self._record_demands(delivery.sender.host, news, now)
+        self._record_results(delivery.sender.host, news, now)
         if news.servers:
             fleet_load.changed.notify()
 
@@ -312,6 +320,20 @@
         for service in self._limited_services:
             conditions.get_shares(service).record_heard(host, now)
 
+    def _record_results(self, host: str, news: FleetNews, now: float) -> None:
+        """Add what another router tells of plain servers."""
+        member = self._board.members.find(host)
+        if member is None:
+            return
+        for result in news.results:
+            self._board.plain_servers.add_results(
+                result.server,
+                member.failure_domain,
+                result.answered,
+                result.failed,
+                now,
+            )
+
     def _record_usage(
         self, sender: RouterId, usage: WorkspaceUsage, now: float
     ) -> None:
--- a/src/sycamorehaven/controllers/reservations.py
+++ b/src/sycamorehaven/controllers/reservations.py
@@ -103,6 +103,20 @@
         self._prefill = None
         self._publish_load()
 
+    def record_answer(self, now: float, *, failed: bool, route: str = "") -> None:
+        """
+        Record that the server answered the request.
+
+        :param failed: whether the answer is an error of the server.
+        :param route: route of the request, "" if its time says nothing of
+            the other requests of the route.
+        """
+        if route and not failed and self._prefill is not None:
+            self._record_service_time(route, now)
+        self._model.health.record_answer(failed=failed)
+        self._record_result(now, failed=failed)
+        self.record_first_token(now)
+
     def record_failure(self, error: BackendError, now: float) -> None:
         """Record that the server failed the request."""
         if isinstance(error, ServerUnwilling):
@@ -118,11 +132,30 @@
             health.record_connection_failure(now)
         else:
             health.record_answer(failed=True)
+        if error.was_sent and not isinstance(error, ServerOverloaded):
+            self._record_result(now, failed=True)
         if self._prefill is not None:
             self.refund(now)
         if isinstance(error, ConnectFailed):
             self._return_allowance()
 
+    def _record_result(self, now: float, *, failed: bool) -> None:
+        """Count a result of a plain server for all routers."""
+        if self._board.routing.has_plain_servers(self._server.service):
+            self._board.plain_servers.record_own_result(
+                self._server.id, now, failed=failed
+            )
+
+    def _record_service_time(self, route: str, now: float) -> None:
+        """Measure the time of a request by which servers are compared."""
+        section = self._board.plain_servers
+        if self._prefill and self._board.routing.has_plain_servers(
+            self._server.service
+        ):
+            factor = section.get_slowdown(self._server.id).estimate_factor(now)
+            seconds = now - self._prefill.sent_at
+            section.service_times.record(route, seconds, factor)
+
     def refund(self, now: float) -> None:
         """Take back the charge for a request whose answer did not begin."""
         if self._workspace:
--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -592,8 +592,12 @@
 
     def _record_answer(self, *, failed: bool) -> None:
         if self._reservation is not None:
-            self._reservation.model.health.record_answer(failed=failed)
-            self._reservation.record_first_token(self._context.clock())
+            route = self._request.route
+            self._reservation.record_answer(
+                self._context.clock(),
+                failed=failed,
+                route="" if route.is_streaming else route.name,
+            )
         self._guard.report_success()
 
     def close(self) -> None:
--- a/src/sycamorehaven/routing/model.py
+++ b/src/sycamorehaven/routing/model.py
@@ -143,6 +143,11 @@
     workspaces_by_key: dict[str, str] | None
     era: int = 0
 
+    def has_plain_servers(self, service: str) -> bool:
+        """Return whether a service is published and runs no engines."""
+        known = self.services.get(service)
+        return known is not None and known.engine_capacity is None
+
     def replaces(self, previous: RoutingConfiguration) -> bool:
         """
         Return whether this configuration is newer than another one.
--- a/src/sycamorehaven/transport/messages/fleet.py
+++ b/src/sycamorehaven/transport/messages/fleet.py
@@ -10,6 +10,8 @@
 from sycamorehaven.transport.messages.field_types import IncarnationName, ServerName
 
 Count = Annotated[int, msgspec.Meta(ge=0, lt=2**62)]
+ResultCount = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+"""Number of results in one report; more would be no count of one router."""
 NonNegativeNumber = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
 
 
@@ -103,6 +105,20 @@
     leaving: bool
 
 
+class ServerResults(NamedTuple):
+    """
+    Results of requests to a plain server at the sender.
+
+    :ivar server: id of the server.
+    :ivar answered: results since the sender last told any, failures included.
+    :ivar failed: number of failures among them.
+    """
+
+    server: ServerName
+    answered: ResultCount
+    failed: ResultCount
+
+
 class FleetNews(NamedTuple):
     """
     Reports what has changed at the sender since its last report.
@@ -116,6 +132,7 @@
     :ivar era: era of that snapshot.
     :ivar demands: demand for services of which a server names a limit.
     :ivar said: what servers have said of themselves.
+    :ivar results: results of requests to plain servers.
     """
 
     revision: Count
@@ -127,6 +144,7 @@
     era: Count = 0
     demands: tuple[ServiceDemand, ...] = ()
     said: tuple[SaidOfItself, ...] = ()
+    results: tuple[ServerResults, ...] = ()
 
 
 class NewsReport(NamedTuple):
