Choose plain servers by the results of all routers

Cause: routers count the requests at a server by news that are 0.2 to 0.6 s old, while requests take 15 to 90 ms. Requests then go to the failing server whatever its ratio, which is why its arrival rate stays even.

Change: while a server of a service fails more than others, requests that may run only once go to the servers that fail least, by average load and not by the last count. These get as many requests as they can run, those that can't be retried first. A failing server gets what is left, and two trials per second of requests that can be retried. While no server fails, the choice is as before.

--- a/src/sycamorehaven/controllers/candidates.py
+++ b/src/sycamorehaven/controllers/candidates.py
@@ -179,15 +179,16 @@
         return gate.find_opening(share, now)
 
     def list_candidates(
-        self, pending: PendingRequest, load: ServiceLoad
+        self, pending: PendingRequest, load: ServiceLoad, *, includes_full: bool = False
     ) -> list[Candidate]:
         """
         Return the servers with capacity for a request that may be the best.
 
         :param load: the servers of the request's service, at least one.
+        :param includes_full: whether open servers without capacity are listed.
         """
         has_prompt = bool(pending.prefixes)
-        if not load.has_capacity(has_prompt=has_prompt):
+        if not (includes_full or load.has_capacity(has_prompt=has_prompt)):
             return []
         available = load.map_available(pending.excluded_servers)
         server_ranks = self._rank_servers(pending)
@@ -203,7 +204,9 @@
             else list(available.values())
         )
         with_capacity = [
-            view for view in compared if view.has_capacity(has_prompt=has_prompt)
+            view
+            for view in compared
+            if includes_full or view.has_capacity(has_prompt=has_prompt)
         ]
         return [
             self._build_candidate(pending, view, levels, copy_sources, server_ranks)
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -18,6 +18,7 @@
     PendingRequest,
 )
 from sycamorehaven.controllers.pass_loads import LoadKey, PassLoads
+from sycamorehaven.controllers.plain_servers.selection import PlainServerSelector
 from sycamorehaven.controllers.reservations import ServerReservation
 from sycamorehaven.controllers.routed_refusals import create_closed_refusal
 from sycamorehaven.controllers.shares import WorkspaceShares
@@ -132,6 +133,7 @@
         self._applicant = EngineApplicant(
             board, self._candidate_finder, admissions, self, clock
         )
+        self._selector = PlainServerSelector(board, self._candidate_finder)
         self._shares = WorkspaceShares(board)
         self._excess_allowances: defaultdict[str, ExcessAllowance] = defaultdict(
             ExcessAllowance
@@ -179,6 +181,7 @@
             draw_position(request.head.attempt_id),
             ApplicationHistory(),
         )
+        self._selector.record_request(pending)
         self._pending.append(pending)
         if len(self._pending) == 1 and now >= self._next_pass_at:
             self.dispatch_pending()
@@ -338,7 +341,7 @@
             return
         candidates: list[Candidate] = []
         if placement_request.resumes or not placement_request.yields:
-            candidates = self._candidate_finder.list_candidates(pending, load)
+            candidates = self._selector.list_candidates(pending, load, now)
         action, best = self._choose_action(
             placement_request, candidates, bool(pending.prefixes), now
         )
@@ -479,6 +482,7 @@
         model = fleet_load.find_model(best.server.id)
         if gate := self._board.server_conditions.find(best.server.incarnation_id):
             gate.take()
+        self._selector.record_placement(best.server.id, now)
         prefill = model.start_request(best.uncached_tokens, now)
         model.prefix_cache.record_prompt(pending.prefixes)
         fleet_load.add_placements(pending.prefixes, best.server.id)
--- a/src/sycamorehaven/decisions/placement.py
+++ b/src/sycamorehaven/decisions/placement.py
@@ -47,7 +47,8 @@
     Server that could run a request.
 
     :ivar server: the server.
-    :ivar running_requests: number of requests that it runs.
+    :ivar running_requests: number of requests that it runs, which may be an
+        average.
     :ivar concurrency_limit: number of requests that it may run.
     :ivar pending_tokens: prompt tokens of earlier requests still to be read.
     :ivar uncached_tokens: prompt tokens of this request that it must read.
@@ -61,10 +62,12 @@
         the subject of the request, 0 for the first.
     :ivar has_scheduler: whether a router admits requests to it, at which a
         request can wait while it is full.
+    :ivar service_seconds: expected time of a request without a prompt from its
+        start to its end; 0 if unknown.
     """
 
     server: ServerRecord
-    running_requests: int
+    running_requests: float
     concurrency_limit: float
     pending_tokens: float
     uncached_tokens: int
@@ -75,6 +78,7 @@
     is_local: bool
     rank: int
     has_scheduler: bool = False
+    service_seconds: float = 0.0
 
     @property
     def running_ratio(self) -> float:
@@ -198,4 +202,5 @@
         + ERROR_COST_SECONDS * candidate.error_ratio
         + (0.0 if candidate.is_local else REMOTE_DOMAIN_COST_SECONDS)
         + RANK_COST_SECONDS / 100 * candidate.rank
+        + candidate.service_seconds
     )
--- /dev/null
+++ b/tests/controllers/plain_servers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the controllers of plain servers."""
