Compare plain servers by the slowdown that they report

Cause: plain servers are slow for 0.6 s at a time and say so in a fourth figure of Sycamorehaven-Server-Load, which nothing read.

--- a/src/sycamorehaven/controllers/forwarding.py
+++ b/src/sycamorehaven/controllers/forwarding.py
@@ -7,6 +7,7 @@
 
 from sycamorehaven.controllers.dispatch import Dispatcher
 from sycamorehaven.controllers.gone_servers import GoneServerExchange
+from sycamorehaven.controllers.plain_servers.load_reports import LoadReportRecorder
 from sycamorehaven.controllers.routed_run import RoutedRun
 from sycamorehaven.controllers.stream_origins import StreamOriginExchange
 from sycamorehaven.controllers.strike_exchange import StrikeExchange
@@ -71,6 +72,9 @@
         self._gone_servers = GoneServerExchange(
             board, link, context.decision_log, context.clock
         )
+        self._load_reports = LoadReportRecorder(
+            board, context.decision_log, context.clock
+        )
         self._event_buffers = EventBuffers()
         self._max_known_routers = 1
 
@@ -84,6 +88,11 @@
         """Memory for events that are not complete."""
         return self._event_buffers
 
+    @property
+    def load_reports(self) -> LoadReportRecorder:
+        """What plain servers say of their load."""
+        return self._load_reports
+
     @property
     def strikes(self) -> StrikeExchange:
         """Strikes against requests that seem to crash servers."""
--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -470,6 +470,9 @@
                 self._is_sending = False
                 self._handle_failure(error)
                 continue
+            self._controller.load_reports.record(
+                self._reservation.server, self._answer.head
+            )
             return self._answer
 
     async def _acquire_reservation(self) -> ServerReservation:
--- a/src/sycamorehaven/platform/header_codec.py
+++ b/src/sycamorehaven/platform/header_codec.py
@@ -58,6 +58,11 @@
 REST_HEADER = "Retry-After"
 """In a 503 of a server: seconds for which it wants nothing from this router.
 Clients get the header from the router, never from a server."""
+USUAL_LOAD_PERCENTAGE = 100
+"""Fourth figure of the load of a server that is as fast as usual."""
+SERVER_LOAD_HEADER = "Sycamorehaven-Server-Load"
+"""Running and waiting requests, slots and, at some servers, the time that work
+takes now in percent of the usual one."""
 REST_STATUS = 503
 """Status of the responses in which a server may ask for rest."""
 MISDIRECTED_REQUEST_STATUS = 421
@@ -65,6 +70,11 @@
 
 POSITIVE_DECIMAL = re.compile(r"(?=.*[1-9])\d{1,9}(\.\d{1,9})?", re.ASCII)
 """A positive number without an exponent, of a sensible length."""
+LOAD_FIGURES = re.compile(
+    r"\d{1,9}\s*,\s*\d{1,9}\s*,\s*\d{1,9}(?:\s*,\s*([1-9]\d{0,3}|10000))?",
+    re.ASCII,
+)
+"""Three figures of a server's load and perhaps a fourth one, 1 to 10,000."""
 MAX_LOGGED_VALUE_CHARACTERS = 40
 """Length to which a value is cut that is no number."""
 
@@ -167,6 +177,7 @@
     ) -> ResponseHead:
         """Return the metadata from the headers of a server's response."""
         values = CIMultiDict(headers)
+        slowdown, malformed_load = _parse_slowdown(values)
         return ResponseHead(
             attempt_id=values.get(ATTEMPT_ID_HEADER, ""),
             is_signed=RESPONSE_SIGNATURE_HEADER in values,
@@ -176,6 +187,8 @@
             statement=None
             if status == MISDIRECTED_REQUEST_STATUS
             else _parse_statement(status, values),
+            slowdown=slowdown,
+            malformed_load=malformed_load,
         )
 
 
@@ -196,6 +209,18 @@
     )
 
 
+def _parse_slowdown(values: CIMultiDict[str]) -> tuple[float | None, str]:
+    """Return the slowdown that a server reports, and what makes no sense."""
+    texts = values.getall(SERVER_LOAD_HEADER, [])
+    if not texts:
+        return None, ""
+    match = LOAD_FIGURES.fullmatch(texts[0].strip()) if len(texts) == 1 else None
+    if match is None:
+        return None, _describe_header(SERVER_LOAD_HEADER, texts)
+    percentage = match.group(1)
+    return (int(percentage) / USUAL_LOAD_PERCENTAGE if percentage else None), ""
+
+
 def _parse_positive_decimal(
     name: str, values: CIMultiDict[str], unreadable: list[str]
 ) -> float | None:
--- a/src/sycamorehaven/routing/requests.py
+++ b/src/sycamorehaven/routing/requests.py
@@ -161,6 +161,10 @@
         response.
     :ivar statement: what the server says of itself; ``None`` if another server
         answered, which has the address now.
+    :ivar slowdown: time that work takes at the server now, relative to the
+        usual one; ``None`` if it does not tell.
+    :ivar malformed_load: what the server says of its load if that makes no
+        sense, shortened; else "".
     """
 
     attempt_id: str
@@ -168,6 +172,8 @@
     was_executed: bool
     closes_connection: bool
     statement: ServerStatement | None
+    slowdown: float | None = None
+    malformed_load: str = ""
 
 
 class HeaderCodec(Protocol):
