--- a/src/sycamorehaven/gateway.py
+++ b/src/sycamorehaven/gateway.py
@@ -17,6 +17,7 @@
 from sycamorehaven.controllers.forwarding import ForwardingContext, ForwardingController
 from sycamorehaven.controllers.membership import MembershipController
 from sycamorehaven.controllers.news_link import NewsLink
+from sycamorehaven.controllers.plain_servers.monitor import PlainServerMonitor
 from sycamorehaven.controllers.rotation import RotationController
 from sycamorehaven.controllers.routing_snapshots import RoutingSnapshotController
 from sycamorehaven.controllers.server_conditions import ServerConditionRecorder
@@ -154,6 +155,7 @@
         cores = settings.cores
         return [
             EventLoopMonitor(board, log, metrics, cores=cores),
+            PlainServerMonitor(board, log, metrics),
             WorkloadMonitor(board, log, metrics, is_short_of_time, cores=cores),
             HealthListener(
                 board, settings, log, metrics, is_short_of_time=is_short_of_time
--- a/src/sycamorehaven/telemetry/gateway_metrics.py
+++ b/src/sycamorehaven/telemetry/gateway_metrics.py
@@ -15,8 +15,8 @@
     """
     The metrics of a gateway.
 
-    Every label has few values (service, kind, outcome, reason, dependency), so
-    the number of time series stays small.
+    Every label has few values (service, kind, outcome, reason, dependency,
+    plain server), so the number of time series stays small.
 
     :ivar requests: number of ended requests.
     :ivar first_byte_latency: time to the first byte of the response, in
@@ -35,6 +35,8 @@
     :ivar server_conditions: number of times that servers named, changed or
         ended a limit, a rest or their leaving, or sent a value that makes no
         sense.
+    :ivar server_failure_ratio: expected fraction of requests that fail at each
+        plain server, by the results of all routers. Plain servers are few.
     :ivar dependency_up: 1 if a dependency responds, else 0.
     :ivar snapshot_age: age of the routes and servers in use, in seconds.
     :ivar waiting_requests: number of requests that wait at the router.
@@ -109,6 +111,12 @@
             ("condition", "state"),
             registry=self._registry,
         )
+        self.server_failure_ratio = Gauge(
+            "sycamorehaven_server_failure_ratio",
+            "Expected fraction of requests that fail at a plain server.",
+            ("server",),
+            registry=self._registry,
+        )
         self.dependency_up = Gauge(
             "sycamorehaven_dependency_up",
             "Whether a dependency responds (1) or not (0).",
