--- a/benchmarks/plain_fleet.py
+++ b/benchmarks/plain_fleet.py
@@ -17,7 +17,6 @@
 
 import msgspec
 
-from sycamorehaven.blackboard.members import Member
 from sycamorehaven.controllers.dispatch import MIN_DISPATCH_PAUSE_SECONDS, Dispatcher
 from sycamorehaven.controllers.fleet_state import FleetStateController
 from sycamorehaven.controllers.news_link import BATCH_PERIOD_SECONDS, NewsLink
@@ -48,6 +47,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sycamorehaven.blackboard.members import Member
     from sycamorehaven.controllers.reservations import ServerReservation
     from sycamorehaven.routing.model import RouteKind
 
@@ -207,16 +207,7 @@
             create_board(f"a{number}", DOMAINS[number % len(DOMAINS)])
             for number in range(ROUTERS)
         ]
-        members = {
-            board.identity.host: Member(
-                board.identity.host,
-                1,
-                f"{board.identity.host}:1",
-                board.members.own.failure_domain,
-                "alive",
-            )
-            for board in self.boards
-        }
+        members = {board.identity.host: board.members.own for board in self.boards}
         for number in range(ROUTERS):
             self._start_router(number, dict(members))
 
--- a/src/sycamorehaven/controllers/plain_servers/selection.py
+++ b/src/sycamorehaven/controllers/plain_servers/selection.py
@@ -60,26 +60,9 @@
             for name, view in load.map_available(pending.excluded_servers).items()
         }
         self._update_trials(states, now)
-        best = find_best_servers(states) if states else set()
-        if len(best) == len(states) or are_overloaded(states.values()):
-            candidates = self._finder.list_candidates(pending, load)
-        else:
-            usable = self._choose_usable(pending, states, best, now)
-            candidates = [
-                candidate._replace(
-                    running_requests=min(
-                        states[candidate.server.id].requests,
-                        candidate.server.slots - MIN_FREE_SLOTS,
-                    )
-                )
-                for candidate in self._finder.list_candidates(
-                    pending, load, includes_full=True
-                )
-                if candidate.server.id in usable
-            ]
         return [
             self._estimate(candidate, pending, states[candidate.server.id], now)
-            for candidate in candidates
+            for candidate in self._list_usable(pending, load, states, now)
         ]
 
     def record_request(self, pending: PendingRequest) -> None:
@@ -117,6 +100,30 @@
             average.busy_slots,
         )
 
+    def _list_usable(
+        self,
+        pending: PendingRequest,
+        load: ServiceLoad,
+        states: Mapping[str, ServerState],
+        now: float,
+    ) -> list[Candidate]:
+        """Return the candidates among the servers that a request may go to."""
+        best = find_best_servers(states) if states else set()
+        if len(best) == len(states) or are_overloaded(states.values()):
+            return self._finder.list_candidates(pending, load)
+        usable = self._choose_usable(pending, states, best, now)
+        candidates = self._finder.list_candidates(pending, load, includes_full=True)
+        return [
+            candidate._replace(
+                running_requests=min(
+                    states[candidate.server.id].requests,
+                    candidate.server.slots - MIN_FREE_SLOTS,
+                )
+            )
+            for candidate in candidates
+            if candidate.server.id in usable
+        ]
+
     def _choose_usable(
         self,
         pending: PendingRequest,
--- a/tests/platform/test_server_load.py
+++ b/tests/platform/test_server_load.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
+from multidict import CIMultiDict
+
 from sycamorehaven.controllers.plain_servers.load_reports import (
     MALFORMED_LOG_PERIOD_SECONDS,
     LoadReportRecorder,
@@ -12,9 +15,11 @@
 from sycamorehaven.routing.model import ServerRecord
 from sycamorehaven.telemetry.decision_log import DecisionLog
 from tests.support.doubles import ManualClock, create_board
+from tests.support.gateway_client import send_request
 
 if TYPE_CHECKING:
     from sycamorehaven.routing.requests import ResponseHead
+    from tests.support.gateway_harness import GatewayHarness
 
 MALFORMED = (
     "",
@@ -65,3 +70,26 @@
     clock.advance(MALFORMED_LOG_PERIOD_SECONDS)
     recorder.record(server, parse("many"))
     assert len(lines) == 2
+
+
+async def test_results_and_slowdown_of_a_server_reach_the_blackboard(
+    harness: GatewayHarness,
+) -> None:
+    section = harness.board.plain_servers
+    for value in ("1,0,6", "1,0,6,-5", "1,0,6,250"):
+        for server in harness.servers:
+            server.statement_headers = CIMultiDict({"Sycamorehaven-Server-Load": value})
+        assert (await send_request(harness, "/look/x"))[0] == 200
+    names = [server.name for server in harness.servers]
+    assert 2.5 in [section.get_slowdown(name).factor for name in names]
+    assert section.service_times.get("look") > 0.0
+    for server in harness.servers:
+        server.behaviour = "lose"
+    await send_request(harness, "/book/x", "POST", attempt="a2")
+    counts = [
+        results.count_all(time.monotonic())
+        for name in names
+        if (results := section.find_results(name))
+    ]
+    assert 2.0 < sum(count.answered for count in counts) <= 4.0
+    assert 0.5 < sum(count.failed for count in counts) <= 1.0
