--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -470,6 +470,9 @@
                 self._is_sending = False
                 self._handle_failure(error)
                 continue
+            self._controller.load_reports.record(
+                self._reservation.server, self._answer.head
+            )
             return self._answer
 
     async def _acquire_reservation(self) -> ServerReservation:
@@ -592,8 +595,12 @@
 
     def _record_answer(self, *, failed: bool) -> None:
         if self._reservation is not None:
-            self._reservation.model.health.record_answer(failed=failed)
-            self._reservation.record_first_token(self._context.clock())
+            route = self._request.route
+            self._reservation.record_answer(
+                self._context.clock(),
+                failed=failed,
+                route="" if route.is_streaming else route.name,
+            )
         self._guard.report_success()
 
     def close(self) -> None:
--- a/src/sycamorehaven/telemetry/gateway_metrics.py
+++ b/src/sycamorehaven/telemetry/gateway_metrics.py
@@ -15,8 +15,8 @@
     """
     The metrics of a gateway.
 
-    Every label has few values (service, kind, outcome, reason, dependency), so
-    the number of time series stays small.
+    Every label has few values (service, kind, outcome, reason, dependency,
+    plain server), so the number of time series stays small.
 
     :ivar requests: number of ended requests.
     :ivar first_byte_latency: time to the first byte of the response, in
@@ -38,6 +38,8 @@
     :ivar cold_servers: number of servers that count as cold.
     :ivar cold_refusals: number of applications that schedulers refused for
         engines that are cold.
+    :ivar server_failure_ratio: expected fraction of requests that fail at each
+        plain server, by the results of all routers. Plain servers are few.
     :ivar dependency_up: 1 if a dependency responds, else 0.
     :ivar evacuated_domains: number of failure domains to whose servers nothing
         is sent.
@@ -124,6 +126,12 @@
             "Applications that schedulers refused for engines that are cold.",
             registry=self._registry,
         )
+        self.server_failure_ratio = Gauge(
+            "sycamorehaven_server_failure_ratio",
+            "Expected fraction of requests that fail at a plain server.",
+            ("server",),
+            registry=self._registry,
+        )
         self.dependency_up = Gauge(
             "sycamorehaven_dependency_up",
             "Whether a dependency responds (1) or not (0).",
