Pace engines that the scheduler still takes for evacuated

Routers learn up to 3 s apart that an evacuation has ended. Those that knew asked a scheduler that did not know yet that the engine was cold, and it admitted without pacing. The new test failed before.

--- a/src/sycamorehaven/blackboard/cold_servers.py
+++ b/src/sycamorehaven/blackboard/cold_servers.py
@@ -114,6 +114,10 @@
             return None
         return period
 
+    def find_limit(self, incarnation_id: str) -> ColdLimit | None:
+        """Return what a server tolerates while cold; ``None`` for no limit."""
+        return self._limits.get(incarnation_id)
+
     def get_limit(self, incarnation_id: str) -> ColdLimit:
         """Return what a cold server tolerates."""
         return self._limits[incarnation_id]
--- a/src/sycamorehaven/controllers/cold_servers/admission_pacing.py
+++ b/src/sycamorehaven/controllers/cold_servers/admission_pacing.py
@@ -50,13 +50,18 @@
     def update(self, incarnation_id: str, queue: EngineQueue, now: float) -> None:
         """Apply to a queue what is known of its engine."""
         section = self._board.cold_servers
-        if section.is_empty and not queue.is_paced:
+        evacuated = self._board.routing.evacuated_domains
+        if section.is_empty and not evacuated and not queue.is_paced:
             return
-        if section.find(incarnation_id, now) is None:
+        limit = section.find_limit(incarnation_id)
+        # Other routers may know before this one that an evacuation has ended.
+        if limit is None or (
+            limit.failure_domain not in evacuated
+            and section.find(incarnation_id, now) is None
+        ):
             queue.set_pace(None, now)
             self._counts.pop(incarnation_id, None)
             return
-        limit = section.get_limit(incarnation_id)
         pace = choose_scheduler_pace(
             limit.rate,
             section.allowance,
--- a/tests/controllers/cold_servers/test_cold_routers.py
+++ b/tests/controllers/cold_servers/test_cold_routers.py
@@ -7,15 +7,18 @@
 
 from sycamorehaven.blackboard.members import Member
 from sycamorehaven.controllers.candidates import CandidateFinder
+from sycamorehaven.controllers.cold_servers.admission_pacing import AdmissionPacing
 from sycamorehaven.controllers.cold_servers.recorder import ColdServerRecorder
 from sycamorehaven.controllers.gone_servers import GoneServerExchange
 from sycamorehaven.controllers.reservations import ServerReservation
 from sycamorehaven.decisions.cold_servers.paces import ColdAllowance
+from sycamorehaven.decisions.engine_queue import EngineQueue
 from sycamorehaven.decisions.outlier_detection import REFUSED_EJECTION_SECONDS
 from sycamorehaven.exceptions.backends import ConnectRefused, ServerReplaced
 from sycamorehaven.platform.header_codec import COLD_HEADER, PlatformHeaderCodec
 from sycamorehaven.routing.model import (
     EngineCapacity,
+    Evacuation,
     RequestLimits,
     RoutedService,
     RoutingConfiguration,
@@ -141,3 +144,17 @@
     )
     reservation.record_failure(ServerReplaced("another", was_sent=False), now)
     assert finder.find_opening(NEW, now).is_open
+
+
+# Routers that know earlier that an evacuation has ended ask the scheduler.
+def test_scheduler_paces_engines_of_a_domain_that_it_takes_for_evacuated() -> None:
+    router, queue = Router(), EngineQueue(OLD.slots, 4.0)
+    board, now = router.board, router.clock()
+    pacing = AdmissionPacing(board, None, router.clock)
+    snapshot = board.routing.snapshot
+    assert snapshot is not None
+    evacuated = snapshot._replace(revision=2, evacuations=(Evacuation("a", 2),))
+    for newest, is_paced in ((evacuated, True), (snapshot._replace(revision=3), False)):
+        board.routing.apply_snapshot(newest, now)
+        pacing.update(OLD.incarnation_id, queue, now)
+        assert queue.is_paced is is_paced
