--- a/src/sycamorehaven/blackboard/routing.py
+++ b/src/sycamorehaven/blackboard/routing.py
@@ -23,6 +23,10 @@
         Snapshot,
     )
 
+MIN_PAUSE_SECONDS = 1.0
+"""Shortest time without a look at the snapshot's age that counts as a pause of
+the process. A busy event loop can delay a look, which is due every 0.2 s."""
+
 
 class RoutingSection:
     """
@@ -56,7 +60,8 @@
         timeout = settings.evacuation_timeout
         # A router that runs learns of an evacuation within half of the time,
         # so a pause of the other half does no harm.
-        return cls(timeout, timeout / 2 if settings.has_evacuations else math.inf)
+        max_pause = max(timeout / 2, MIN_PAUSE_SECONDS)
+        return cls(timeout, max_pause if settings.has_evacuations else math.inf)
 
     @property
     def snapshot(self) -> Snapshot | None:
--- a/tests/decisions/evacuation/test_snapshot_recovery.py
+++ b/tests/decisions/evacuation/test_snapshot_recovery.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from sycamorehaven.blackboard.routing import RoutingSection
 from sycamorehaven.decisions.evacuation.snapshot_recovery import (
     RECOVERY_SECONDS,
     SnapshotRecovery,
 )
+from sycamorehaven.gateway_settings import GatewaySettings, GatewayTable
 
 
 def test_first_requests_after_a_pause_wait_for_a_read_that_began_after_it() -> None:
@@ -39,3 +41,24 @@
     stopped.beat(10.0)
     stopped.stop()
     assert not stopped.is_pending(20.0)
+
+
+# With half of a short timeout, each look at the snapshot would be late.
+def test_router_with_a_short_timeout_refuses_requests_without_a_pause() -> None:
+    table: GatewayTable = {
+        "readiness": "127.0.0.1:1",
+        "metrics": "127.0.0.1:2",
+        "grace": 8.0,
+        "retry_ratio": 0.2,
+        "retry_window": 10.0,
+        "retry_slack": 50.0,
+        "quota_window": 4.0,
+        "evacuation_timeout_ms": 300,
+    }
+    settings = GatewaySettings.from_table(table)
+    recovery = RoutingSection.from_settings(settings).recovery
+    for now in (0.0, 0.25, 0.9):
+        recovery.beat(now)
+        assert not recovery.is_pending(now)
+    recovery.beat(2.5)
+    assert recovery.is_pending(2.5)
