--- a/src/sycamorehaven/controllers/plain_servers/selection.py
+++ b/src/sycamorehaven/controllers/plain_servers/selection.py
@@ -41,6 +41,7 @@
         self._finder = finder
         self._trials: dict[str, TrialSchedule] = {}
         self._averages: dict[str, LoadAverage] = {}
+        self._observed: dict[str, tuple[float, ServerState]] = {}
         self._single_run_ratios: dict[str, float] = {}
         board.routing.changed.subscribe(self._forget_departed)
 
@@ -84,21 +85,28 @@
         servers = self._board.routing.list_server_ids()
         for name in self._averages.keys() - servers:
             self._averages.pop(name)
+            self._observed.pop(name, None)
             self._trials.pop(name, None)
 
     def _observe(self, view: ServerView, now: float) -> ServerState:
         name, requests = view.server.id, view.running_requests
+        # All requests of a pass see the same states.
+        known = self._observed.get(name)
+        if known is not None and known[0] == now:
+            return known[1]
         slots = view.server.slots
         average = self._averages.get(name)
         if average is None:
             average = self._averages[name] = LoadAverage(requests, slots, now)
         average.update(requests, slots, now)
-        return ServerState(
+        state = ServerState(
             self._board.plain_servers.estimate_failures(name, now),
             slots,
             average.requests,
             average.busy_slots,
         )
+        self._observed[name] = now, state
+        return state
 
     def _list_usable(
         self,
