Mend three small faults of cold servers at the seams

A router that may send nothing to a cold server told a rate of 0, so that all but the first request that could wait for the end were rejected; a server that rests and is cold was offered as a source of copies; and periods stayed when an operator withdrew coldPerS, so each look at a server took the longer way.

--- a/src/sycamorehaven/blackboard/cold_servers.py
+++ b/src/sycamorehaven/blackboard/cold_servers.py
@@ -133,7 +133,12 @@
         :param limits: limits of the registered servers that have one.
         """
         self._limits = limits
-        for name in [n for n, p in self._periods.items() if now >= p.until]:
+        ended = [
+            name
+            for name, period in self._periods.items()
+            if now >= period.until or not limits
+        ]
+        for name in ended:
             del self._periods[name]
             self._pacers.pop(name, None)
             self._deferred_until.pop(name, None)
--- a/src/sycamorehaven/controllers/candidates.py
+++ b/src/sycamorehaven/controllers/candidates.py
@@ -177,7 +177,7 @@
         cold = self._cold_openings.find_opening(server, now, is_admitted=is_admitted)
         if opening.is_open:
             return opening if cold is ALWAYS_OPEN else cold
-        return max(opening, cold)
+        return max(opening, cold)._replace(allows_copies=opening.allows_copies)
 
     def _find_stated_opening(self, server: ServerRecord, now: float) -> Opening:
         """Return when a server takes a request, by what is said of it."""
--- a/src/sycamorehaven/controllers/cold_servers/openings.py
+++ b/src/sycamorehaven/controllers/cold_servers/openings.py
@@ -101,7 +101,9 @@
                 server.id, hosts, limit.rate, section.allowance
             )
         if own not in senders:
-            return Opening(period.until, "cold", 0.0)
+            # The rate is that of a warm server, which is not known here.
+            part = limit.rate / self._board.members.count()
+            return Opening(period.until, "cold", part)
         pace = choose_sender_pace(limit.rate, section.allowance)
         at = section.get_pacer(server.incarnation_id, pace, now).get_opening(now)
         if at <= now:
