Parse what aiohttp left over when it paused

aiohttp pauses its parser behind 16,384 chunks of one body and calls data_received with no data to go on. FrontendProtocol took that for the body of a rejected request and dropped the call, so a chunked body whose rest had arrived already was never read to its end, and the request never answered.

The call is passed on.

--- a/src/sycamorehaven/transport/frontend_protocol.py
+++ b/src/sycamorehaven/transport/frontend_protocol.py
@@ -63,8 +63,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Handle data, which may hold a request that has yet to begin."""
-        data = self._discard(data)
+        received, data = data, self._discard(data)
+        if received and not data:
+            return
         if not data:
+            # aiohttp parses the rest of what it has received before.
+            super().data_received(data)
             return
         if self._is_waiting_for_request():
             rejection = self._reject_early(data)
