Hold the requests of clients to a byte budget

aiohttp bounds what it holds for one connection, but nothing bounded what all of them hold together: incomplete bodies, up to 32 requests that wait behind another one, and heads of any length. A connection with half a request never made way, and a head of more than 128 fields got 400.

What has arrived of requests that have not ended draws on a quarter of the process's memory, a header field with 512 bytes. When the budget is used up, the incomplete request longest without progress gets 408, then the newcomer 503 memory_short; neither has run. Heads and bodies have limits of size and time, checked once a second for all connections. 8 requests are parsed ahead, and reading pauses at 64 KB behind a request in progress. When there are too many connections, the slowest incomplete request makes way, then a client that takes nothing of its answer. Refusals of queued calls with an idempotency token don't say that they did not run.

--- a/src/sycamorehaven/blackboard/board.py
+++ b/src/sycamorehaven/blackboard/board.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sycamorehaven.blackboard.admission import AdmissionSection
+from sycamorehaven.blackboard.clients import ClientsSection
 from sycamorehaven.blackboard.configuration import ConfigurationSection
 from sycamorehaven.blackboard.control_traffic import ControlTrafficSection
 from sycamorehaven.blackboard.counters import CountersSection
@@ -79,6 +80,7 @@
         self._server_conditions = ServerConditionsSection(identity.host)
         self._fleet_load = FleetLoadSection(UsageWindow(quota_window))
         self._workload = WorkloadSection()
+        self._clients = ClientsSection()
 
     @classmethod
     def from_settings(cls, settings: RouterSettings) -> Blackboard:
@@ -194,6 +196,11 @@
         """Load of the servers of published routes, and usage by workspaces."""
         return self._fleet_load
 
+    @property
+    def clients(self) -> ClientsSection:
+        """Memory of requests, and clients that were disconnected."""
+        return self._clients
+
     @property
     def workload(self) -> WorkloadSection:
         """Requests of each workspace here, and time by activity."""
--- a/src/sycamorehaven/exceptions/refusals.py
+++ b/src/sycamorehaven/exceptions/refusals.py
@@ -131,6 +131,14 @@
     remedy = "send the whole body without long pauses"
 
 
+class HeadTimeout(Refusal):
+    """The request line and headers were not received within the time limit."""
+
+    code = "head_timeout"
+    status = 408
+    remedy = "send the whole head without pauses"
+
+
 class OutcomeUnknown(Refusal):
     """The router that owned the token is gone; the call is never repeated."""
 
@@ -294,6 +302,14 @@
     remedy = "send again after Retry-After seconds"
 
 
+class MemoryShort(Refusal):
+    """The requests of all clients occupy the memory for them."""
+
+    code = "memory_short"
+    status = 503
+    remedy = "send again after Retry-After seconds"
+
+
 class NotReady(Refusal):
     """The router has no configuration yet."""
 
--- a/src/sycamorehaven/gateway.py
+++ b/src/sycamorehaven/gateway.py
@@ -25,8 +25,10 @@
 from sycamorehaven.exceptions.startup import StartFailed
 from sycamorehaven.platform.header_codec import PlatformHeaderCodec
 from sycamorehaven.platform.store_client import PlatformStoreClient
+from sycamorehaven.telemetry.client_cuts import GatewayCutReporter
 from sycamorehaven.telemetry.decision_log import DecisionLog
 from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
+from sycamorehaven.transport.client_limits.guard import ClientGuard
 from sycamorehaven.transport.frontend_listener import FrontendListener
 from sycamorehaven.transport.health_listener import HealthListener
 from sycamorehaven.transport.routed_backend_client import RoutedBackendClient
@@ -71,6 +73,9 @@
         self._backends = RoutedBackendClient(
             self._header_codec, self._condition_recorder
         )
+        self._guard = ClientGuard(
+            GatewayCutReporter(decision_log, self._metrics), gateway_settings.memory
+        )
         self._frontend: FrontendListener | None = None
         self._forwarding: ForwardingController | None = None
 
@@ -125,6 +130,7 @@
             metrics,
             descriptors=self._gateway_settings.descriptors,
             rotation=rotation,
+            guard=self._guard,
         )
         self._frontend, self._forwarding = frontend, forwarding
         return [
@@ -155,6 +161,7 @@
         return [
             EventLoopMonitor(board, log, metrics, cores=cores),
             WorkloadMonitor(board, log, metrics, is_short_of_time, cores=cores),
+            self._guard,
             HealthListener(
                 board, settings, log, metrics, is_short_of_time=is_short_of_time
             ),
--- a/src/sycamorehaven/router.py
+++ b/src/sycamorehaven/router.py
@@ -31,11 +31,13 @@
 from sycamorehaven.controllers.tokens import TokenController
 from sycamorehaven.controllers.unserved_services import UnservedServiceController
 from sycamorehaven.exceptions.startup import StartFailed
+from sycamorehaven.telemetry.client_cuts import LoggedCutReporter
 from sycamorehaven.telemetry.monitor import Monitor
 from sycamorehaven.telemetry.tracing import SpanBuffer
 from sycamorehaven.transport.admin_listener import AdminListener
 from sycamorehaven.transport.backend_client import HttpBackendClient
 from sycamorehaven.transport.caller_listener import CallerListener
+from sycamorehaven.transport.client_limits.guard import ClientGuard
 from sycamorehaven.transport.engine_control import HttpEngineControl
 from sycamorehaven.transport.fault_injection import FaultFileFilter
 from sycamorehaven.transport.filtered_clients import (
@@ -135,7 +137,9 @@
         tokens = TokenController(board, calls, relays)
         self._token_handover = HandoverController(board, peers)
         monitor = Monitor(board, peers)
+        guard = ClientGuard(LoggedCutReporter(board.clients), settings.memory)
         return [
+            guard,
             monitor,
             AdminListener(board, settings, monitor, self._spans),
             peers,
@@ -154,7 +158,9 @@
             tokens,
             RelaySessionController(board, peers, tokens, adopted_tokens),
             self._token_handover,
-            CallerListener(board, settings, tokens, [TokenEndpoints(board, tokens)]),
+            CallerListener(
+                board, settings, tokens, [TokenEndpoints(board, tokens)], guard=guard
+            ),
         ]
 
     async def hand_over(self) -> bool:
--- a/src/sycamorehaven/settings.py
+++ b/src/sycamorehaven/settings.py
@@ -44,6 +44,7 @@
 
     address: Address
     body_limit: NotRequired[Annotated[int, Meta(ge=1, le=67_108_864)]]
+    memory: NotRequired[Annotated[float, Meta(gt=0)]]
     certificate: NotRequired[str]
     private_key: NotRequired[str]
 
@@ -116,6 +117,8 @@
     :ivar peer_faults: path of the file of faults to inject in tests, or "".
     :ivar trace_ratio: fraction of the requests without a ``traceparent``
         header that are traced.
+    :ivar memory: megabytes that the process may use; ``None`` for the memory
+        of its host.
     :ivar gateway: settings of a router that serves published routes, ``None``
         for a router that serves the operators' configuration.
     """
@@ -139,6 +142,7 @@
     peer_faults: str
     trace_ratio: float = DEFAULT_TRACE_RATIO
     gateway: GatewaySettings | None = None
+    memory: float | None = None
 
     @classmethod
     def from_file(cls, path: Path) -> RouterSettings:
@@ -335,4 +339,5 @@
         ),
         peer_faults=tables["testing"].get("peer_faults", ""),
         gateway=GatewaySettings.from_table(gateway) if gateway else None,
+        memory=callers.get("memory"),
     )
--- a/src/sycamorehaven/telemetry/gateway_metrics.py
+++ b/src/sycamorehaven/telemetry/gateway_metrics.py
@@ -39,6 +39,9 @@
     :ivar snapshot_age: age of the routes and servers in use, in seconds.
     :ivar waiting_requests: number of requests that wait at the router.
     :ivar open_connections: number of open connections of clients.
+    :ivar cut_clients: number of clients that were disconnected because they
+        did not keep to the limits, by reason.
+    :ivar body_bytes: bytes of memory that requests of clients occupy.
     :ivar event_loop_lag: time by which the event loop resumed a sleeping task
         late, in seconds.
     :ivar request_limit: number of requests that may be in progress before the
@@ -130,6 +133,17 @@
             "Connections of clients that were open when the last one arrived.",
             registry=self._registry,
         )
+        self.cut_clients = Counter(
+            "sycamorehaven_cut_clients",
+            "Clients that were disconnected by reason.",
+            ("reason",),
+            registry=self._registry,
+        )
+        self.body_bytes = Gauge(
+            "sycamorehaven_body_bytes",
+            "Bytes of memory that requests of clients occupy.",
+            registry=self._registry,
+        )
         self.event_loop_lag = Histogram(
             "sycamorehaven_event_loop_lag_seconds",
             "Seconds by which the event loop resumed a sleeping task late.",
--- a/src/sycamorehaven/telemetry/metrics.py
+++ b/src/sycamorehaven/telemetry/metrics.py
@@ -85,6 +85,7 @@
         yield from self._collect_router()
         yield from self._collect_anomalies()
         yield from self._collect_outcomes()
+        yield from self._collect_clients()
         yield from self._collect_queues()
         yield from self._collect_services()
         yield from self._collect_control_traffic()
@@ -160,6 +161,21 @@
             _to_label_tuples(outcomes.events),
         )
 
+    def _collect_clients(self) -> Iterable[Metric]:
+        clients = self._board.clients
+        yield build_counter(
+            "cut_clients",
+            "Clients that were disconnected by reason.",
+            ("reason",),
+            _to_label_tuples(clients.cut_clients),
+        )
+        yield build_gauge(
+            "body_bytes",
+            "Bytes of memory that requests of callers occupy.",
+            (),
+            {(): clients.body_bytes},
+        )
+
     def _collect_queues(self) -> Iterable[Metric]:
         now = self._clock()
         lengths: Counter[tuple[str, ...]] = Counter()
--- a/src/sycamorehaven/transport/call_reader.py
+++ b/src/sycamorehaven/transport/call_reader.py
@@ -38,6 +38,8 @@
 """Longest time limit; a longer ``Request-Timeout`` is reduced to it."""
 BODY_TIMEOUT_SECONDS = 60.0
 """Time limit for the whole body to arrive."""
+IDEMPOTENCY_TOKEN_HEADER = "Idempotency-Token"
+"""Header with the token of a call that must run at most once."""
 MAX_HEADERS_BYTES = 32_768
 """Limit for all headers of a request together."""
 MAX_TARGET_BYTES = 8_000
@@ -254,6 +256,6 @@
             cost_hint=read_positive_number(
                 request, "Cost-Hint", 0.0, service.largest_cost
             ),
-            token=request.headers.get("Idempotency-Token", ""),
+            token=request.headers.get(IDEMPOTENCY_TOKEN_HEADER, ""),
             body=await read_body(request, self._body_limit),
         )
--- a/src/sycamorehaven/transport/caller_listener.py
+++ b/src/sycamorehaven/transport/caller_listener.py
@@ -23,10 +23,16 @@
 from sycamorehaven.settings import split_address
 from sycamorehaven.telemetry.request_context import bind_request_id
 from sycamorehaven.transport.call_reader import (
+    IDEMPOTENCY_TOKEN_HEADER,
     CallReader,
     authenticate,
     check_request_head,
 )
+from sycamorehaven.transport.client_limits.caller_protocol import (
+    CallerProtocol,
+    create_caller_limits,
+)
+from sycamorehaven.transport.client_limits.guard import ClientGuard
 from sycamorehaven.transport.listening import (
     SHUTDOWN_TIMEOUT_SECONDS,
     abort_connection,
@@ -34,7 +40,6 @@
 )
 from sycamorehaven.transport.problem_details import (
     PROTOCOL_OPTIONS,
-    ProblemProtocol,
     build_problem_response,
     handle_expect_header,
     problem_middleware,
@@ -46,13 +51,12 @@
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.call import Answer, Call
     from sycamorehaven.settings import RouterSettings
+    from sycamorehaven.transport.client_limits.pool import ConnectionPool
 
 FORWARDED_METHODS = ("DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT")
 """Methods that are forwarded to backend servers."""
 CLOSING_GRACE_SECONDS = 0.3
 """Seconds in which requests on the connections accepted last are answered."""
-IDEMPOTENCY_TOKEN_HEADER = "Idempotency-Token"
-"""Header with the token of a call that must run at most once."""
 
 tracer = trace.get_tracer("sycamorehaven")
 
@@ -86,6 +90,7 @@
     :param handler: answers calls.
     :param route_sets: further routes to serve on the same address.
     :param clock: returns monotonic time, seconds.
+    :param guard: holds callers to limits of memory and time.
     """
 
     def __init__(
@@ -95,6 +100,7 @@
         handler: CallHandler,
         route_sets: Sequence[RouteSet] = (),
         clock: Callable[[], float] = time.monotonic,
+        guard: ClientGuard | None = None,
     ) -> None:
         super().__init__()
         self._board = board
@@ -103,6 +109,9 @@
         self._route_sets = route_sets
         self._clock = clock
         self._reader = CallReader(settings.body_limit)
+        self._guard = guard or ClientGuard()
+        self._limits = create_caller_limits()
+        self._pool: ConnectionPool | None = None
         self._listener: asyncio.Server | None = None
         self._runner: web.AppRunner | None = None
 
@@ -128,6 +137,7 @@
             shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS,
         )
         await self._runner.setup()
+        self._pool = self._guard.create_pool(lambda: self._limits)
         host, port = split_address(self._settings.callers_address)
         self._listener = await open_listener(
             self._create_protocol, host, port, self._create_tls_context()
@@ -144,8 +154,9 @@
     def _create_protocol(self) -> web.RequestHandler:
         server = self._runner.server if self._runner else None
         assert server is not None
+        assert self._pool is not None
         loop = asyncio.get_running_loop()
-        return ProblemProtocol(server, loop=loop, **PROTOCOL_OPTIONS)
+        return CallerProtocol(self._pool, server, loop=loop, **PROTOCOL_OPTIONS)
 
     def _create_tls_context(self) -> ssl.SSLContext | None:
         if not self._settings.certificate:
--- a/src/sycamorehaven/transport/frontend_listener.py
+++ b/src/sycamorehaven/transport/frontend_listener.py
@@ -7,7 +7,6 @@
 import random
 import resource
 import time
-from collections import OrderedDict
 from typing import TYPE_CHECKING, Protocol
 
 from absl import logging
@@ -28,6 +27,11 @@
 from sycamorehaven.routing.table import choose_service
 from sycamorehaven.settings import split_address
 from sycamorehaven.telemetry.request_context import bind_request_id
+from sycamorehaven.transport.client_limits.frontend_limits import (
+    create_frontend_limits,
+    get_max_fields,
+)
+from sycamorehaven.transport.client_limits.guard import ClientGuard
 from sycamorehaven.transport.frontend_protocol import FrontendProtocol
 from sycamorehaven.transport.headers import measure_headers
 from sycamorehaven.transport.listening import (
@@ -56,9 +60,11 @@
     from sycamorehaven.settings import RouterSettings
     from sycamorehaven.telemetry.decision_log import DecisionLog
     from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
+    from sycamorehaven.transport.client_limits.pool import (
+        ConnectionLimits,
+        ConnectionPool,
+    )
 
-DEFAULT_IDLE_TIMEOUT_SECONDS = 60.0
-"""Time limit for an unused connection until a configuration sets another."""
 CLIENT_DESCRIPTORS_RATIO = 0.4
 """Fraction of the process's file descriptors that connections of clients may
 use; the others are for connections to servers, routers and the platform."""
@@ -95,6 +101,7 @@
     :param descriptors: number of file descriptors of the process, of which
         clients get a fraction; ``None`` for the limit of the process.
     :param rotation: decides when the router leaves the balancer's rotation.
+    :param guard: holds clients to limits of memory and time.
     """
 
     def __init__(
@@ -108,6 +115,7 @@
         clock: Callable[[], float] = time.monotonic,
         descriptors: int | None = None,
         rotation: RotationControl | None = None,
+        guard: ClientGuard | None = None,
     ) -> None:
         super().__init__()
         self._board = board
@@ -131,11 +139,13 @@
         )
         self._server = web.Server(self._serve, handler_cancellation=True)
         self._listener: asyncio.Server | None = None
-        self._idle_connections: OrderedDict[FrontendProtocol, None] = OrderedDict()
+        self._guard = guard or ClientGuard()
+        self._pool: ConnectionPool | None = None
         self._max_connections = choose_max_connections(descriptors)
 
     async def on_start(self) -> None:
         """Start listening on the callers' address."""
+        self._pool = self._guard.create_pool(self._get_limits)
         host, port = split_address(self._settings.callers_address)
         self._listener = await open_listener(
             self._create_protocol,
@@ -169,44 +179,39 @@
 
     def list_idle_connections(self) -> list[FrontendProtocol]:
         """Return the connections without a request, longest unused first."""
-        return list(self._idle_connections)
+        idle = self._pool.idle if self._pool is not None else ()
+        return [c for c in idle if isinstance(c, FrontendProtocol)]
 
     def _create_protocol(self) -> FrontendProtocol:
+        assert self._pool is not None
         loop = asyncio.get_running_loop()
+        options = {**PROTOCOL_OPTIONS, "max_headers": get_max_fields(self._pool.limits)}
         protocol = FrontendProtocol(
-            self._idle_connections,
+            self._pool,
             self._arriving_connections,
             self._limit_connections,
             self._gate.reject_early,
             self._server,
             loop=loop,
-            **PROTOCOL_OPTIONS,
+            **options,
         )
         protocol.set_idle_timeout(self._get_idle_timeout())
         return protocol
 
     def _limit_connections(self) -> None:
-        """
-        Close the longest unused connection if too many are open.
-
-        It may be the newest connection, if all others have a request in
-        progress.
-        """
+        """Count a new connection, and close one if too many are open."""
+        assert self._pool is not None
         self._board.workload.count_connection()
-        open_connections = len(self._server.connections)
-        self._metrics.open_connections.set(open_connections)
-        if open_connections <= self._max_connections:
-            return
-        while self._idle_connections:
-            connection, _ = self._idle_connections.popitem(last=False)
-            if connection.close_if_idle():
-                return
+        self._metrics.open_connections.set(self._pool.size)
+        self._pool.make_room()
 
-    def _get_idle_timeout(self) -> float:
+    def _get_limits(self) -> ConnectionLimits:
         configuration = self._board.routing.configuration
-        if configuration is None:
-            return DEFAULT_IDLE_TIMEOUT_SECONDS
-        return configuration.limits.idle_timeout
+        limits = configuration.limits if configuration is not None else None
+        return create_frontend_limits(limits, self._max_connections)
+
+    def _get_idle_timeout(self) -> float:
+        return self._get_limits().body_timeout
 
     async def _serve(self, request: BaseRequest) -> web.StreamResponse:
         received_at = self._clock()
@@ -272,11 +277,12 @@
             head.client_key,
         )
         self._gate.check_time(workspace, head, received_at)
+        timeout = route.timeout
+        if head.client_timeout is not None:
+            timeout = min(head.client_timeout, timeout)
+        _limit_protocol(request, timeout, route.timeout)
         body = await _read_body(request, limits.max_body_bytes)
-        timeout = (
-            head.client_timeout if head.client_timeout is not None else route.timeout
-        )
-        deadline = received_at + min(timeout, route.timeout)
+        deadline = received_at + timeout
         self._check_end_in_time(route, deadline)
         return RoutedRequest(
             head=head,
@@ -414,10 +420,24 @@
     return max(int(descriptors * CLIENT_DESCRIPTORS_RATIO), 1)
 
 
+def _limit_protocol(
+    request: BaseRequest, request_timeout: float, write_timeout: float
+) -> None:
+    protocol = request.protocol
+    assert isinstance(protocol, FrontendProtocol)
+    protocol.request_timeout = request_timeout
+    protocol.write_timeout = write_timeout
+
+
 async def _read_body(request: BaseRequest, limit: int) -> bytes:
     body = bytearray()
-    async for chunk in request.content.iter_any():
-        body += chunk
-        if len(body) > limit:
-            raise BodyTooLarge(f"the body exceeds the limit of {limit} bytes")
+    is_too_large = (request.content_length or 0) > limit
+    if not is_too_large:
+        async for chunk in request.content.iter_any():
+            body += chunk
+            is_too_large = len(body) > limit
+            if is_too_large:
+                break
+    if is_too_large:
+        raise BodyTooLarge(f"the body exceeds the limit of {limit} bytes")
     return bytes(body)
--- a/src/sycamorehaven/transport/frontend_protocol.py
+++ b/src/sycamorehaven/transport/frontend_protocol.py
@@ -4,23 +4,22 @@
 
 from typing import TYPE_CHECKING, Any
 
-from sycamorehaven.transport.problem_details import ProblemProtocol
+from sycamorehaven.transport.client_limits.protocol import LimitedProtocol
 from sycamorehaven.transport.request_framing import HEAD_END, RequestFraming
 
 if TYPE_CHECKING:
     import asyncio
-    from collections import OrderedDict
     from collections.abc import Callable
 
+    from sycamorehaven.transport.client_limits.pool import ConnectionPool
     from sycamorehaven.transport.time_gate import EarlyRejection
 
 
-class FrontendProtocol(ProblemProtocol):
+class FrontendProtocol(LimitedProtocol):
     """
     The aiohttp protocol of one client connection.
 
-    :param idle_connections: the open connections without a request, from the
-        longest unused to the last used.
+    :param pool: the connections of the listener.
     :param on_connected: called when the connection has been made.
     :param arriving_connections: the connections with a request whose head has
         arrived and that the HTTP server has not begun to answer.
@@ -34,15 +33,14 @@
 
     def __init__(
         self,
-        idle_connections: OrderedDict[FrontendProtocol, None],
+        pool: ConnectionPool,
         arriving_connections: set[FrontendProtocol],
         on_connected: Callable[[], None],
         reject_early: Callable[[bytes], EarlyRejection | None],
         *args: Any,
         **options: Any,
     ) -> None:
-        super().__init__(*args, **options)
-        self._idle_connections = idle_connections
+        super().__init__(pool, *args, **options)
         self._arriving_connections = arriving_connections
         self._on_connected = on_connected
         self._reject_early = reject_early
@@ -52,12 +50,10 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Handle a new connection."""
         super().connection_made(transport)
-        self._idle_connections[self] = None
         self._on_connected()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Handle the end of the connection."""
-        self._idle_connections.pop(self, None)
         self._arriving_connections.discard(self)
         super().connection_lost(exc)
 
@@ -79,7 +75,6 @@
                 self._arriving_connections.add(self)
         self._framing.feed(data)
         self.has_active_request = True
-        self._idle_connections.pop(self, None)
         super().data_received(data)
 
     def _discard(self, data: bytes) -> bytes:
@@ -112,8 +107,7 @@
         assert self.transport is not None
         self.transport.write(rejection.response)
         self._discarded_bytes = rejection.remaining
-        if self in self._idle_connections:
-            self._idle_connections.move_to_end(self)
+        self.mark_idle()
         # The HTTP server closes connections that it takes for unused.
         self._next_keepalive_close_time = self._loop.time() + self._keepalive_timeout
 
@@ -121,13 +115,10 @@
         """Record that a request on the connection is in progress."""
         self.has_active_request = True
         self._arriving_connections.discard(self)
-        self._idle_connections.pop(self, None)
 
     def end_request(self) -> None:
         """Record that the request has ended."""
         self.has_active_request = False
-        if self.transport is not None:
-            self._idle_connections[self] = None
 
     def close_if_idle(self) -> bool:
         """
--- a/src/sycamorehaven/transport/listening.py
+++ b/src/sycamorehaven/transport/listening.py
@@ -36,6 +36,7 @@
     port: int,
     tls_context: ssl.SSLContext | None = None,
     wrap_socket: Callable[[socket.socket], socket.socket] | None = None,
+    accepts_per_turn: int = MAX_ACCEPTS_PER_TURN,
 ) -> asyncio.Server:
     """
     Listen on an address.
@@ -45,6 +46,8 @@
     :param tls_context: encrypts the connections, if given.
     :param wrap_socket: returns the socket that accepts the connections, from
         one that is bound to the address.
+    :param accepts_per_turn: connections that are accepted in one turn of the
+        event loop.
     :raises OSError: if the address is not available.
     """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
@@ -55,7 +58,7 @@
         server = await asyncio.get_running_loop().create_server(
             create_protocol,
             sock=listening,
-            backlog=MAX_ACCEPTS_PER_TURN,
+            backlog=accepts_per_turn,
             ssl=tls_context,
         )
     except BaseException:
--- a/src/sycamorehaven/transport/problem_details.py
+++ b/src/sycamorehaven/transport/problem_details.py
@@ -34,10 +34,12 @@
     "auto_decompress": False,
     "max_field_size": 32_768,
     "max_line_size": 16_384,
-    "max_headers": 128,
+    "max_headers": 8_192,
+    "read_bufsize": 65_536,
 }
-"""Options of aiohttp's protocol: size limits of the parser in bytes, a limit
-on the number of headers, and bodies that stay compressed."""
+"""Options of aiohttp's protocol: size limits of the parser in bytes, more
+headers than fit into the largest head, bodies that stay compressed, and half
+of the bytes of a body at which reading pauses."""
 
 
 def build_problem_response(refusal: Refusal, request_id: str) -> web.Response:
@@ -87,8 +89,11 @@
 def render_refusal(
     refusal: Refusal, request_id: str, *, closes_connection: bool = False
 ) -> bytes:
-    """Return a problem response with ``Retry-After`` as the bytes to send."""
+    """Return a problem response as the bytes to send."""
     connection = "Connection: close\r\n" if closes_connection else ""
+    retry_after = ""
+    if refusal.retry_after is not None:
+        retry_after = f"Retry-After: {refusal.retry_after:.3f}\r\n"
     body = encode_problem(refusal, request_id)
     head = (
         f"HTTP/1.1 {refusal.status} {HTTPStatus(refusal.status).phrase}\r\n"
@@ -96,7 +101,7 @@
         f"Content-Length: {len(body)}\r\n"
         f"Request-Id: {request_id}\r\n"
         f"{connection}"
-        f"Retry-After: {refusal.retry_after or 0.0:.3f}\r\n\r\n"
+        f"{retry_after}\r\n"
     )
     return head.encode("latin-1") + body
 
--- a/tests/support/hostile_routers.py
+++ b/tests/support/hostile_routers.py
@@ -175,7 +175,7 @@
     def write_settings(self, plan: RouterPlan) -> str:
         """Return the TOML settings of a router."""
         address = f'address = "{plan.callers_address}"\n'
-        limits = f"body_limit = {BODY_BYTES}\n"
+        limits = f"body_limit = {BODY_BYTES}\nmemory = {MEMORY_MEGABYTES}\n"
         return super().write_settings(plan).replace(address, address + limits)
 
     async def run_module(self, name: str, module: str, *arguments: str) -> None:
--- /dev/null
+++ b/tests/transport/client_limits/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the decision logic."""
+
+from __future__ import annotations
--- a/tests/transport/test_frontend_protocol.py
+++ b/tests/transport/test_frontend_protocol.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 from aiohttp import web
 
+from sycamorehaven.transport.client_limits.check_connections import CHECK_LIMITS
+from sycamorehaven.transport.client_limits.guard import ClientGuard
 from sycamorehaven.transport.frontend_protocol import FrontendProtocol
 from sycamorehaven.transport.request_framing import parse_arrived_request
 from sycamorehaven.transport.time_gate import EarlyRejection
@@ -55,8 +56,9 @@
         await asyncio.Event().wait()
         return web.Response()
 
+    pool = ClientGuard().create_pool(lambda: CHECK_LIMITS)
     protocol = FrontendProtocol(
-        OrderedDict(),
+        pool,
         set() if arriving is None else arriving,
         lambda: None,
         reject,
