Limit the listeners for readiness, metrics and operators

They accepted any number of connections, kept them open for an hour without a request, and held heads of up to 1 MB each and bodies that nothing reads. 612 silent connections to one of them took all descriptors of the process, so that no listener answered any more.

They share the guard of the other listeners, accept 32 connections each, of which the slowest or longest unused one makes way, take heads of 16 KB within 3 s, and close a connection whose request has a body.

--- a/src/sycamorehaven/gateway.py
+++ b/src/sycamorehaven/gateway.py
@@ -163,7 +163,12 @@
             WorkloadMonitor(board, log, metrics, is_short_of_time, cores=cores),
             self._guard,
             HealthListener(
-                board, settings, log, metrics, is_short_of_time=is_short_of_time
+                board,
+                settings,
+                log,
+                metrics,
+                is_short_of_time=is_short_of_time,
+                guard=self._guard,
             ),
         ]
 
--- a/src/sycamorehaven/router.py
+++ b/src/sycamorehaven/router.py
@@ -141,7 +141,7 @@
         return [
             guard,
             monitor,
-            AdminListener(board, settings, monitor, self._spans),
+            AdminListener(board, settings, monitor, self._spans, guard),
             peers,
             MembershipController(board, peers, settings),
             ConfigurationController(board, peers, platform, settings.seeds),
--- a/src/sycamorehaven/transport/admin_listener.py
+++ b/src/sycamorehaven/transport/admin_listener.py
@@ -21,8 +21,11 @@
 )
 from sycamorehaven.settings import split_address
 from sycamorehaven.telemetry import admin_documents as documents
+from sycamorehaven.transport.client_limits.check_connections import open_check_listener
+from sycamorehaven.transport.client_limits.guard import ClientGuard
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Awaitable, Callable
 
     from sycamorehaven.blackboard.board import Blackboard
@@ -47,6 +50,7 @@
     :param settings: the settings of this process.
     :param monitor: computes the fairness gaps and renders the metrics.
     :param spans: the finished spans that ``/v1/traces`` lists.
+    :param guard: holds clients to limits of memory and time.
     """
 
     def __init__(
@@ -55,22 +59,30 @@
         settings: RouterSettings,
         monitor: Monitor,
         spans: SpanBuffer,
+        guard: ClientGuard | None = None,
     ) -> None:
         super().__init__()
         self._board = board
         self._settings = settings
         self._monitor = monitor
         self._spans = spans
+        self._guard = guard or ClientGuard()
+        self._listener: asyncio.Server | None = None
 
     async def on_start(self) -> None:
         """Start listening on the admin address."""
         self._runner = web.AppRunner(self.build_application(), access_log=None)
         await self._runner.setup()
-        host, port = split_address(self._settings.admin_address)
-        await web.TCPSite(self._runner, host, port).start()
+        server = self._runner.server
+        assert server is not None
+        self._listener = await open_check_listener(
+            server, self._guard, *split_address(self._settings.admin_address)
+        )
 
     async def on_stop(self) -> None:
         """Close the listener and its connections."""
+        if self._listener is not None:
+            self._listener.close()
         await self._runner.cleanup()
 
     def build_application(self) -> web.Application:
--- a/src/sycamorehaven/transport/health_listener.py
+++ b/src/sycamorehaven/transport/health_listener.py
@@ -9,8 +9,12 @@
 from mode import Service
 
 from sycamorehaven.settings import split_address
+from sycamorehaven.transport.client_limits.check_connections import open_check_listener
+from sycamorehaven.transport.client_limits.guard import ClientGuard
+from sycamorehaven.transport.listening import SHUTDOWN_TIMEOUT_SECONDS
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Callable
 
     from aiohttp.web_request import BaseRequest
@@ -32,6 +36,7 @@
     :param clock: returns monotonic time, seconds.
     :param is_short_of_time: returns whether new connections should go to other
         routers.
+    :param guard: holds clients to limits of memory and time.
     """
 
     def __init__(
@@ -42,6 +47,7 @@
         metrics: GatewayMetrics,
         clock: Callable[[], float] = time.monotonic,
         is_short_of_time: Callable[[], bool] = lambda: False,
+        guard: ClientGuard | None = None,
     ) -> None:
         super().__init__()
         self._board = board
@@ -51,7 +57,9 @@
         self._clock = clock
         self._is_short_of_time = is_short_of_time
         self._ready = False
-        self._runners: list[web.ServerRunner] = []
+        self._guard = guard or ClientGuard()
+        self._servers: list[web.Server] = []
+        self._listeners: list[asyncio.Server] = []
 
     async def on_start(self) -> None:
         """Start both listeners."""
@@ -60,8 +68,10 @@
 
     async def on_stop(self) -> None:
         """Close both listeners."""
-        for runner in self._runners:
-            await runner.cleanup()
+        for listener in self._listeners:
+            listener.close()
+        for server in self._servers:
+            await server.shutdown(SHUTDOWN_TIMEOUT_SECONDS)
 
     async def _bind(
         self, address: str, handler: Callable[[BaseRequest], web.StreamResponse]
@@ -69,10 +79,11 @@
         async def handle(request: BaseRequest) -> web.StreamResponse:
             return handler(request)
 
-        runner = web.ServerRunner(web.Server(handle, access_log=None))
-        await runner.setup()
-        self._runners.append(runner)
-        await web.TCPSite(runner, *split_address(address)).start()
+        server = web.Server(handle)
+        self._servers.append(server)
+        self._listeners.append(
+            await open_check_listener(server, self._guard, *split_address(address))
+        )
 
     def _answer_readiness(self, _request: BaseRequest) -> web.StreamResponse:
         is_short_of_time = self._is_short_of_time()
