Bound what clients that don't read make a router hold

For each client that does not read its answer a router held up to 2 MB: the first megabyte, which is read whole so that another attempt can replace it, its copy in the transport, and 0.5 MB that were read from the server.

--- /dev/null
+++ b/src/sycamorehaven/controllers/client_limits/__init__.py
@@ -0,0 +1,3 @@
+"""Memory for what clients take slowly."""
+
+from __future__ import annotations
--- a/src/sycamorehaven/controllers/forwarding.py
+++ b/src/sycamorehaven/controllers/forwarding.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
+from sycamorehaven.controllers.client_limits.answer_memory import AnswerMemory
 from sycamorehaven.controllers.dispatch import Dispatcher
 from sycamorehaven.controllers.gone_servers import GoneServerExchange
 from sycamorehaven.controllers.routed_run import RoutedRun
@@ -72,6 +73,7 @@
             board, link, context.decision_log, context.clock
         )
         self._event_buffers = EventBuffers()
+        self._answer_memory = AnswerMemory()
         self._max_known_routers = 1
 
     @property
@@ -84,6 +86,11 @@
         """Memory for events that are not complete."""
         return self._event_buffers
 
+    @property
+    def answer_memory(self) -> AnswerMemory:
+        """Memory for answers that are read before they are passed on."""
+        return self._answer_memory
+
     @property
     def strikes(self) -> StrikeExchange:
         """Strikes against requests that seem to crash servers."""
--- a/src/sycamorehaven/controllers/routed_body.py
+++ b/src/sycamorehaven/controllers/routed_body.py
@@ -43,9 +43,3 @@
             await self._chunks.aclose()
         finally:
             self._run.close()
-
-
-async def yield_body(body: bytes) -> AsyncGenerator[bytes, None]:
-    """Yield a complete body as a single chunk."""
-    if body:
-        yield body
--- a/src/sycamorehaven/controllers/routed_run.py
+++ b/src/sycamorehaven/controllers/routed_run.py
@@ -7,10 +7,11 @@
 from typing import TYPE_CHECKING
 
 from sycamorehaven.call import Answer
+from sycamorehaven.controllers.client_limits.answer_memory import yield_pieces
 from sycamorehaven.controllers.crash_guard import CrashGuard
 from sycamorehaven.controllers.event_relay import EventRelay
 from sycamorehaven.controllers.reservations import UNREACHED_FAILURES
-from sycamorehaven.controllers.routed_body import RoutedBody, yield_body
+from sycamorehaven.controllers.routed_body import RoutedBody
 from sycamorehaven.controllers.routed_refusals import (
     create_failure_refusal,
     create_timeout_refusal,
@@ -88,6 +89,7 @@
         self._error_answer: Answer | None = None
         self._is_sending = False
         self._is_streaming = False
+        self._held = controller.answer_memory.open()
         self._has_ended = False
         self._last_event_at = 0.0
         self._has_begun = False
@@ -125,38 +127,42 @@
         """
         Return an answer whose body has been read completely.
 
-        A body that is too large for that is relayed as it arrives.
+        A body that is too large for that, or for which there is no memory, is
+        relayed as it arrives.
         """
         while True:
             answer = await self._send_until_answered()
             try:
-                body = await self._read_body(answer)
+                body, is_whole = await self._read_body(answer)
             except BackendError as error:
                 self._handle_failure(error)
                 continue
             self._record_answer(failed=answer.status >= 500)
             if answer.status < 300:
                 self._guard.report_begin()
-            if len(body) > MAX_BUFFERED_ANSWER_BYTES:
+            if not is_whole:
                 return self._create_stream_answer(answer, self._relay_body(body))
-            chunks = RoutedBody(self, yield_body(body))
+            held, self._held = self._held, self._controller.answer_memory.open()
+            chunks = RoutedBody(held, yield_pieces(body))
             complete_answer = Answer(answer.status, answer.headers, chunks)
             if answer.status < 500 or not self._try_prepare_retry():
                 return complete_answer
+            held.close()
             self._error_answer = complete_answer
 
-    async def _read_body(self, answer: RoutedBackendResponse) -> bytes:
+    async def _read_body(self, answer: RoutedBackendResponse) -> tuple[bytes, bool]:
         """
-        Return a whole body, or the beginning of one that is too large.
+        Return the beginning of a body, and whether it is the whole body.
 
         :raises BackendError: if the body breaks off.
         """
-        body = bytearray()
+        body, held = bytearray(), self._held
+        held.close()
         async for chunk in answer.body.read_chunks():
             body += chunk
-            if len(body) > MAX_BUFFERED_ANSWER_BYTES:
-                break
-        return bytes(body)
+            if not held.grow(len(chunk)) or len(body) > MAX_BUFFERED_ANSWER_BYTES:
+                return bytes(body), False
+        return bytes(body), True
 
     def _try_prepare_retry(self) -> bool:
         """
@@ -200,7 +206,7 @@
                 continue
             if not first_events:
                 self._record_answer(failed=False)
-                rest = yield_body(self._splitter.flush())
+                rest = yield_pieces(self._splitter.flush())
                 return self._create_stream_answer(answer, rest)
             self._is_streaming = True
             self._limit_reads(answer)
@@ -256,8 +262,10 @@
         """
         assert self._answer is not None
         self._set_body_deadline(self._answer)
-        if beginning:
-            yield beginning
+        async for piece in yield_pieces(beginning):
+            yield piece
+        del beginning
+        self._held.close()
         while chunk := await self._read_chunk():
             yield chunk
 
@@ -599,6 +607,7 @@
     def close(self) -> None:
         """Close the connection and release the reservation on the server."""
         self._controller.event_buffers.release(id(self))
+        self._held.close()
         if self._answer is not None:
             self._answer.close()
             self._answer = None
--- a/src/sycamorehaven/transport/pool_manager.py
+++ b/src/sycamorehaven/transport/pool_manager.py
@@ -18,6 +18,9 @@
 
 MAX_HEADER_BYTES = 32_768
 """Longest header line of a response."""
+READ_BUFFER_BYTES = 16_384
+"""Half of the bytes of a response at which reading it pauses. A client that
+does not read its answer makes the router hold them."""
 IDLE_TIMEOUT_SECONDS = 3.0
 """Time for which an unused connection is kept open."""
 KEEPALIVE_PROBE_PERIOD_SECONDS = 1
@@ -147,6 +150,7 @@
                 total=None, sock_connect=self._connect_timeout
             ),
             auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent"),
             max_field_size=MAX_HEADER_BYTES,
