--- a/src/sycamorehaven/transport/client_limits/protocol.py
+++ b/src/sycamorehaven/transport/client_limits/protocol.py
@@ -106,9 +106,9 @@
 
     def _limit_reading_ahead(self) -> None:
         """Stop reading while much waits behind the request in progress."""
-        if self._buffer_paused or self._held.ahead <= MAX_AHEAD_BYTES:
+        if self._current is None or not self._current.is_eof() or self._buffer_paused:
             return
-        if self._current is None or not self._current.is_eof():
+        if self._held.ahead <= MAX_AHEAD_BYTES:
             return
         self._pause_reading_for_buffer()
         # The kernel keeps what is not read, which is memory as well.
--- a/src/sycamorehaven/transport/frontend_listener.py
+++ b/src/sycamorehaven/transport/frontend_listener.py
@@ -55,7 +55,7 @@
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.call import Answer
     from sycamorehaven.decisions.rotation import RotationControl
-    from sycamorehaven.routing.model import Route
+    from sycamorehaven.routing.model import RequestLimits, Route
     from sycamorehaven.routing.requests import HeaderCodec, RequestHead
     from sycamorehaven.settings import RouterSettings
     from sycamorehaven.telemetry.decision_log import DecisionLog
@@ -142,6 +142,8 @@
         self._guard = guard or ClientGuard()
         self._pool: ConnectionPool | None = None
         self._max_connections = choose_max_connections(descriptors)
+        self._request_limits: RequestLimits | None = None
+        self._limits = create_frontend_limits(None, self._max_connections)
 
     async def on_start(self) -> None:
         """Start listening on the callers' address."""
@@ -208,7 +210,10 @@
     def _get_limits(self) -> ConnectionLimits:
         configuration = self._board.routing.configuration
         limits = configuration.limits if configuration is not None else None
-        return create_frontend_limits(limits, self._max_connections)
+        if limits is not self._request_limits:
+            self._request_limits = limits
+            self._limits = create_frontend_limits(limits, self._max_connections)
+        return self._limits
 
     def _get_idle_timeout(self) -> float:
         return self._get_limits().body_timeout
