--- /dev/null
+++ b/tests/controllers/client_limits/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the limits of clients."""
+
+from __future__ import annotations
--- a/tests/transport/client_limits/__init__.py
+++ b/tests/transport/client_limits/__init__.py
@@ -1,3 +1,3 @@
-"""Tests of the decision logic."""
+"""Tests of the limits of clients."""
 
 from __future__ import annotations
