--- a/src/sycamorehaven/blackboard/board.py
+++ b/src/sycamorehaven/blackboard/board.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sycamorehaven.blackboard.admission import AdmissionSection
+from sycamorehaven.blackboard.clients import ClientsSection
 from sycamorehaven.blackboard.cold_servers import ColdServersSection
 from sycamorehaven.blackboard.configuration import ConfigurationSection
 from sycamorehaven.blackboard.control_traffic import ControlTrafficSection
@@ -91,6 +92,7 @@
         self._fleet_load = FleetLoadSection(UsageWindow(quota_window))
         self._plain_servers = PlainServersSection(failure_domain)
         self._workload = WorkloadSection()
+        self._clients = ClientsSection()
 
     @classmethod
     def from_settings(cls, settings: RouterSettings) -> Blackboard:
@@ -224,6 +226,11 @@
         """Results, slowdowns and service times of the plain servers."""
         return self._plain_servers
 
+    @property
+    def clients(self) -> ClientsSection:
+        """Memory of requests, and clients that were disconnected."""
+        return self._clients
+
     @property
     def workload(self) -> WorkloadSection:
         """Requests of each workspace here, and time by activity."""
--- a/src/sycamorehaven/controllers/forwarding.py
+++ b/src/sycamorehaven/controllers/forwarding.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
+from sycamorehaven.controllers.client_limits.answer_memory import AnswerMemory
 from sycamorehaven.controllers.dispatch import Dispatcher
 from sycamorehaven.controllers.gone_servers import GoneServerExchange
 from sycamorehaven.controllers.plain_servers.load_reports import LoadReportRecorder
@@ -76,6 +77,7 @@
             board, context.decision_log, context.clock
         )
         self._event_buffers = EventBuffers()
+        self._answer_memory = AnswerMemory()
         self._max_known_routers = 1
 
     @property
@@ -93,6 +95,11 @@
         """What plain servers say of their load."""
         return self._load_reports
 
+    @property
+    def answer_memory(self) -> AnswerMemory:
+        """Memory for answers that are read before they are passed on."""
+        return self._answer_memory
+
     @property
     def strikes(self) -> StrikeExchange:
         """Strikes against requests that seem to crash servers."""
--- a/src/sycamorehaven/transport/listening.py
+++ b/src/sycamorehaven/transport/listening.py
@@ -17,12 +17,13 @@
 
 ACCEPT_BACKLOG = 1_024
 """Connections that the kernel queues until they are accepted."""
-MAX_ACCEPTS_PER_TURN = 64
+MAX_ACCEPTS_PER_TURN = 16
 """
 Connections that are accepted in one turn of the event loop.
 
 Each uses a file descriptor before its protocol exists, so that a listener
-cannot count it. In a larger batch they would use up the descriptors.
+cannot count it, and one that makes way is closed some turns later. Batches of
+64 exceeded the limit of connections by 250 in a burst.
 """
 SHUTDOWN_TIMEOUT_SECONDS = 1.0
 """Seconds in which open requests may finish once the listener has closed."""
@@ -36,6 +37,7 @@
     port: int,
     tls_context: ssl.SSLContext | None = None,
     wrap_socket: Callable[[socket.socket], socket.socket] | None = None,
+    accepts_per_turn: int = MAX_ACCEPTS_PER_TURN,
 ) -> asyncio.Server:
     """
     Listen on an address.
@@ -45,6 +47,8 @@
     :param tls_context: encrypts the connections, if given.
     :param wrap_socket: returns the socket that accepts the connections, from
         one that is bound to the address.
+    :param accepts_per_turn: connections that are accepted in one turn of the
+        event loop.
     :raises OSError: if the address is not available.
     """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
@@ -55,7 +59,7 @@
         server = await asyncio.get_running_loop().create_server(
             create_protocol,
             sock=listening,
-            backlog=MAX_ACCEPTS_PER_TURN,
+            backlog=accepts_per_turn,
             ssl=tls_context,
         )
     except BaseException:
