Reject requests that a router has no descriptors for

Requests beyond three tenths of the descriptors are rejected with router_busy, so that the load leaves the host. The test of the descriptors counts a connection to a server for each request now instead of 260; a second test fails without the limit.

--- a/src/sycamorehaven/transport/frontend_listener.py
+++ b/src/sycamorehaven/transport/frontend_listener.py
@@ -68,6 +68,10 @@
 CLIENT_DESCRIPTORS_RATIO = 0.4
 """Fraction of the process's file descriptors that connections of clients may
 use; the others are for connections to servers, routers and the platform."""
+SERVER_DESCRIPTORS_RATIO = 0.3
+"""The same for connections to servers, one for each request in progress. A
+router whose clients use all descriptors can't accept connections any more,
+not even to reject their requests."""
 NOT_READY_RETRY_SECONDS = 0.5
 """``Retry-After`` of requests that arrive before the first configuration."""
 DRAINING_RETRY_SECONDS = 0.1
@@ -136,6 +140,7 @@
             clock,
             rotation,
             self._arriving_connections,
+            choose_max_requests(descriptors),
         )
         self._server = web.Server(self._serve, handler_cancellation=True)
         self._listener: asyncio.Server | None = None
@@ -413,6 +418,16 @@
         )
 
 
+def choose_max_requests(descriptors: int | None) -> int:
+    """
+    Return how many requests may be in progress at a time.
+
+    :param descriptors: number of file descriptors of the process; ``None`` for
+        the limit that the operating system states.
+    """
+    return max(int(_count_descriptors(descriptors) * SERVER_DESCRIPTORS_RATIO), 1)
+
+
 def choose_max_connections(descriptors: int | None) -> int:
     """
     Return how many connections of clients may be open at a time.
@@ -420,9 +435,14 @@
     :param descriptors: number of file descriptors of the process; ``None`` for
         the limit that the operating system states.
     """
-    if descriptors is None:
-        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return max(int(descriptors * CLIENT_DESCRIPTORS_RATIO), 1)
+    return max(int(_count_descriptors(descriptors) * CLIENT_DESCRIPTORS_RATIO), 1)
+
+
+def _count_descriptors(configured: int | None) -> int:
+    if configured is not None:
+        return configured
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return limit
 
 
 def _limit_protocol(
--- a/src/sycamorehaven/transport/time_gate.py
+++ b/src/sycamorehaven/transport/time_gate.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -68,6 +69,8 @@
     :param rotation: decides when the router leaves the balancer's rotation.
     :param arriving_connections: the connections with a request that has not
         begun.
+    :param max_requests: requests that may be in progress at a time, each with
+        a connection to a server.
     """
 
     def __init__(
@@ -79,6 +82,7 @@
         clock: Callable[[], float] = time.monotonic,
         rotation: RotationControl | None = None,
         arriving_connections: Sized = (),
+        max_requests: float = math.inf,
     ) -> None:
         self._board = board
         self._header_codec = header_codec
@@ -89,6 +93,7 @@
         self._rotation = rotation or RotationControl()
         self._budget = RelayBudget(self._rotation.cores)
         self._arriving_connections = arriving_connections
+        self._max_requests = max_requests
 
     def is_short_of_time(self) -> bool:
         """Return whether new connections should go to other routers."""
@@ -107,7 +112,7 @@
             workspace,
             event_loop.lag,
             received_at,
-            has_room=in_progress <= event_loop.request_limit
+            has_room=in_progress <= self._get_request_limit()
             and self._has_time_for_more(received_at),
         )
         self._count(workspace, received_at, is_admitted=is_admitted)
@@ -124,7 +129,7 @@
         # The request would be one more in progress.
         arriving = len(self._arriving_connections)
         has_room = (
-            lifecycle.requests_in_progress + arriving < event_loop.request_limit
+            lifecycle.requests_in_progress + arriving < self._get_request_limit()
             and self._has_time_for_more(self._clock(), arriving)
         )
         return not (
@@ -133,6 +138,10 @@
             or not self._board.routing.is_ready
         )
 
+    def _get_request_limit(self) -> float:
+        """Return how many requests may be in progress."""
+        return min(self._board.event_loop.request_limit, self._max_requests)
+
     def _has_time_for_more(self, now: float, arriving: int = 0) -> bool:
         """
         Return whether there is time to dispatch and relay one request more.
--- a/tests/transport/test_frontend_listener.py
+++ b/tests/transport/test_frontend_listener.py
@@ -14,6 +14,7 @@
 from sycamorehaven.transport.frontend_listener import (
     FrontendListener,
     choose_max_connections,
+    choose_max_requests,
 )
 from tests.support.doubles import create_board
 from tests.support.gateway_harness import build_settings
@@ -121,9 +122,12 @@
         await listener.stop()
 
 
+# Servers that answer slowly keep more requests in progress than the 260 that a
+# router with as many descriptors had in a flood.
 def test_clients_leave_descriptors_to_a_router_that_relays_a_flood() -> None:
     descriptors, reserved = 1_638, 200
-    routers, server_connections = 70, 260
+    routers = 70
+    server_connections = choose_max_requests(descriptors)
     # A socket to a router, one from it, and the event descriptor of ZeroMQ.
     other_routers = 3 * routers
     used = choose_max_connections(descriptors) + other_routers + server_connections
--- a/tests/transport/test_time_gate.py
+++ b/tests/transport/test_time_gate.py
@@ -7,9 +7,13 @@
 import socket
 import time
 from typing import TYPE_CHECKING
+from unittest import mock
 
 from sycamorehaven.blackboard.event_loop import EventLoopSection
 from sycamorehaven.decisions.arrivals import MAX_LAG_SECONDS
+from sycamorehaven.platform.header_codec import PlatformHeaderCodec
+from sycamorehaven.telemetry.decision_log import DecisionLog
+from sycamorehaven.transport.time_gate import TimeGate
 from tests.support.gateway_client import send_request
 from tests.support.gateway_harness import API_KEY, ROUTE_HOST
 
@@ -110,6 +114,29 @@
             assert await asyncio.wait_for(reader.read(1), 0.3) == b""
 
 
+# Connections to servers would use the descriptors for accepting connections.
+async def test_idle_router_rejects_requests_that_it_has_no_descriptors_for(
+    harness: GatewayHarness,
+) -> None:
+    assert (await send_request(harness, "/look/1"))[0] == 200
+    board = harness.board
+
+    def is_full(max_requests: float) -> bool:
+        gate = TimeGate(
+            board,
+            PlatformHeaderCodec(),
+            DecisionLog("a1", None),
+            mock.Mock(),
+            max_requests=max_requests,
+        )
+        return gate.may_reject_early()
+
+    for _ in range(3):
+        board.lifecycle.begin_request()
+    assert not is_full(4)
+    assert is_full(3)
+
+
 # Setting up connections to reject their requests takes the time for answers.
 async def test_late_router_sets_up_no_connection_for_requests_that_it_rejects(
     harness: GatewayHarness,
