--- a/tests/controllers/cold_servers/test_cold_routers.py
+++ b/tests/controllers/cold_servers/test_cold_routers.py
@@ -25,6 +25,7 @@
     ServerRecord,
     Snapshot,
 )
+from sycamorehaven.routing.requests import ServerStatement
 from sycamorehaven.telemetry.decision_log import DecisionLog
 from sycamorehaven.telemetry.gateway_metrics import GatewayMetrics
 from tests.support.doubles import (
@@ -43,9 +44,11 @@
 class Router:
     """A router that knows one engine."""
 
-    def __init__(self, members: int = 1, cold_rate: float = 8.8) -> None:
+    def __init__(
+        self, members: int = 1, cold_rate: float = 8.8, host: str = "a0"
+    ) -> None:
         self.clock, self.metrics = ManualClock(), GatewayMetrics()
-        self.board = create_board("a0", cold_allowance=ColdAllowance(1.5, 5.0))
+        self.board = create_board(host, cold_allowance=ColdAllowance(1.5, 5.0))
         hosts = [f"a{n}" for n in range(members)]
         self.board.members.replace(
             {host: Member(host, 1, f"{host}:1", "a", "alive") for host in hosts}
@@ -158,3 +161,36 @@
         board.routing.apply_snapshot(newest, now)
         pacing.update(OLD.incarnation_id, queue, now)
         assert queue.is_paced is is_paced
+
+
+# All requests but the first one would be rejected, as if they waited for ever.
+def test_router_that_is_no_sender_expects_a_cold_server_to_serve_nothing_later() -> (
+    None
+):
+    openings = []
+    for number in range(12):
+        router = Router(members=12, host=f"a{number}")
+        router.read(2, NEW)
+        finder = CandidateFinder(router.board)
+        openings.append(finder.find_opening(NEW, router.clock()))
+    waits = [opening for opening in openings if opening.closed_by]
+    assert len(waits) > 2
+    assert all(opening.rate > 0.0 for opening in waits)
+
+
+def test_cold_server_that_rests_is_a_source_of_copies() -> None:
+    router, now = Router(), 1_000.0
+    router.read(2, NEW)
+    gate = router.board.server_conditions.get(NEW.incarnation_id)
+    gate.conditions.apply_response(ServerStatement(rest=0.05), now, now)
+    opening = CandidateFinder(router.board).find_opening(NEW, now)
+    assert not opening.is_open
+    assert not opening.allows_copies
+
+
+def test_servers_stay_cold_when_their_limit_is_withdrawn() -> None:
+    router = Router()
+    router.read(2, NEW)
+    assert not router.board.cold_servers.is_empty
+    router.board.cold_servers.replace_limits({}, router.clock())
+    assert router.board.cold_servers.is_empty
