Log why engines deny requests and how long hosts are overloaded

Cause: the lines could not tell the hypotheses on FAIR apart: how long a host was overloaded before it left, what a denied request lacked at an engine, and how many schedulers refused a request that is turned away.

Change: rotation_left tells overloaded_for, workload lines tell denials by cause, and turned_away tells the refusals. No logic changed.

--- a/src/sycamorehaven/blackboard/workload.py
+++ b/src/sycamorehaven/blackboard/workload.py
@@ -99,6 +99,7 @@
         self._passes = DispatchPasses()
         self._rejection_stages: Counter[str] = Counter()
         self._verdicts: dict[str, Counter[str]] = {}
+        self._denials: Counter[str] = Counter()
         self._seconds: dict[str, float] = {}
 
     def count_arrival(self, workspace: str) -> None:
@@ -143,6 +144,14 @@
         side = "over_share" if is_over_share else "within_share"
         self._verdicts.setdefault(side, Counter())[verdict] += 1
 
+    def count_denial(self, cause: str) -> None:
+        """
+        Count a request that an engine did not admit at once.
+
+        :param cause: what it had to wait for.
+        """
+        self._denials[cause] += 1
+
     def count_attempt(self, workspace: str) -> None:
         """Count an attempt on a backend server."""
         self._tried[workspace] += 1
@@ -216,6 +225,11 @@
         verdicts, self._verdicts = self._verdicts, {}
         return {side: dict(counts) for side, counts in verdicts.items()}
 
+    def take_denials(self) -> dict[str, int]:
+        """Return and clear the denials of a scheduler, by cause."""
+        denials, self._denials = self._denials, Counter()
+        return dict(denials)
+
     def take_rejection_stages(self) -> dict[str, int]:
         """Return and clear the rejections for lack of time, by stage."""
         stages, self._rejection_stages = self._rejection_stages, Counter()
--- a/src/sycamorehaven/controllers/dispatch.py
+++ b/src/sycamorehaven/controllers/dispatch.py
@@ -556,6 +556,7 @@
             asked_before=round(placement_request.elapsed_seconds, 3),
             expected=round(best.first_token_seconds, 3) if best else None,
             engine_wait=round(best.wait_seconds, 3) if best else None,
+            refused=pending.applications.refused,
             within_share=placement_request.within_share,
             entitled=placement_request.entitled,
             satisfaction=round(placement_request.satisfaction, 2),
--- a/src/sycamorehaven/controllers/engine_queues.py
+++ b/src/sycamorehaven/controllers/engine_queues.py
@@ -122,6 +122,9 @@
         )
         verdict = queue.submit(queued, self._get_levels, now)
         self._board.workload.count_verdict(verdict, is_over_share=is_over_share)
+        if verdict != "admitted":
+            cause = queue.find_denial_cause(queued, now)
+            self._board.workload.count_denial(cause)
         self._pacing.record(request.server, queue, (verdict,), now)
         if verdict == "queued":
             self._request_waits.set()
--- a/src/sycamorehaven/controllers/workload.py
+++ b/src/sycamorehaven/controllers/workload.py
@@ -89,6 +89,7 @@
         accepted = workload.take_accepted()
         rejection_stages = workload.take_rejection_stages()
         passes, verdicts = workload.take_passes(), workload.take_verdicts()
+        denials = workload.take_denials()
         if not workspaces:
             return
         usage = self._board.fleet_load.usage_window
@@ -106,6 +107,7 @@
             rejections=rejection_stages,
             passes=passes._asdict(),
             verdicts=verdicts,
+            denials=denials,
             relayed_events=relayed_events,
             first_events={
                 "count": first_events.events,
--- a/src/sycamorehaven/decisions/engine_queue.py
+++ b/src/sycamorehaven/decisions/engine_queue.py
@@ -66,6 +66,9 @@
 """Returns what workspaces received, as fractions of what all received."""
 Verdict = Literal["admitted", "queued", "refused"]
 """What a scheduler decides on a request."""
+DenialCause = Literal["slots", "reading", "pacing", "order"]
+"""What a request that is not admitted at once waits for: a slot, prompts that
+are read before, the pace of a cold engine, or others whose turn is before."""
 
 
 class AdmissionKey(NamedTuple):
@@ -240,6 +243,15 @@
         self._waiting[request.key] = request
         return "queued"
 
+    def find_denial_cause(self, request: QueuedRequest, now: float) -> DenialCause:
+        """Return what a request that was not admitted at once waits for."""
+        if not self._cold_pacer.is_open(now):
+            return "pacing"
+        limit, max_backlog = self._get_limits(request, now)
+        if len(self._running) >= limit:
+            return "slots"
+        return "reading" if self._get_backlog(now) > max_backlog else "order"
+
     def advance(
         self, get_levels: LevelSource, now: float
     ) -> list[tuple[AdmissionKey, Verdict]]:
--- a/src/sycamorehaven/decisions/rotation.py
+++ b/src/sycamorehaven/decisions/rotation.py
@@ -114,6 +114,12 @@
         """Requests per second that the router accepted when it left."""
         return self._carried_rate
 
+    def measure_overload(self, now: float) -> float:
+        """Return the seconds for which requests have been rejected."""
+        self._slide(now)
+        since = self._overloaded_since
+        return now - since if since is not None else 0.0
+
     def record(self, workspace: str, now: float, *, accepted: bool) -> Departure | None:
         """
         Count a request, and decide whether the router leaves because of it.
--- a/src/sycamorehaven/transport/time_gate.py
+++ b/src/sycamorehaven/transport/time_gate.py
@@ -221,6 +221,7 @@
                 reason=departure,
                 workspaces=self._rotation.flooding,
                 carried=round(self._rotation.carried_rate, 1),
+                overloaded_for=round(self._rotation.measure_overload(received_at), 2),
                 requests_in_progress=self._board.lifecycle.requests_in_progress,
                 request_limit=round(event_loop.request_limit, 1),
                 lag=round(event_loop.lag, 3),
--- a/tests/controllers/test_workload.py
+++ b/tests/controllers/test_workload.py
@@ -151,8 +151,10 @@
     board.workload.count_arrival("w1")
     board.workload.count_verdict("refused", is_over_share=False)
     board.workload.count_verdict("admitted", is_over_share=True)
+    board.workload.count_denial("slots")
     (line,) = read_reports(board, clock, GatewayMetrics())
     assert line["verdicts"] == {
         "within_share": {"refused": 1},
         "over_share": {"admitted": 1},
     }
+    assert line["denials"] == {"slots": 1}
--- a/tests/decisions/test_engine_queue.py
+++ b/tests/decisions/test_engine_queue.py
@@ -234,3 +234,14 @@
         raise AssertionError(workspaces)
 
     assert queue.advance(fail, NOW) == []
+
+
+def test_cause_of_a_denial_is_what_the_request_lacks(queue: EngineQueue) -> None:
+    fill(queue)
+    request = build_request(SLOTS)
+    assert queue.find_denial_cause(request, NOW) == "slots"
+    queue.record_end(AdmissionKey(ROUTER, 0), NOW)
+    assert queue.find_denial_cause(request, NOW) == "order"
+    queue.submit(build_request(9, tokens=SECOND_OF_TOKENS), get_no_levels, NOW)
+    queue.record_end(AdmissionKey(ROUTER, 1), NOW)
+    assert queue.find_denial_cause(request, NOW) == "reading"
