Test that a host without time uses the idle ones beside it

All clients of a workspace may enter at one host. What that host has no time for is rejected, however idle the other hosts of the failure domain are, and the load balancer moves the clients to another host of the same size after two seconds.

--- a/tests/support/runner.py
+++ b/tests/support/runner.py
@@ -19,6 +19,7 @@
     edge_harness,  # noqa: F401
     fleet,  # noqa: F401
     gateway_harness,  # noqa: F401
+    gateway_pair,  # noqa: F401
     hostile_routers,  # noqa: F401
 )
 from tests.support.loader import ROOT, load_cases
--- /dev/null
+++ b/tests/transport/offload/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of requests that are offloaded to other routers."""
+
+from __future__ import annotations
