Pass requests on that a host has no time for

Cause: a workspace depends on the one host at which its clients enter. No host of 0.516 of a core carries a flood of 600 requests a second; leaving the rotation moves it to the next host of the same size, eight of them in 13 s.

Change: where a request would be rejected for lack of time, a router of the failure domain that has time answers it. The bytes are passed on, one request a connection. Overloaded routers ask the others anyway; the replies tell the address and the idle processor besides.

--- a/src/sycamorehaven/blackboard/lifecycle.py
+++ b/src/sycamorehaven/blackboard/lifecycle.py
@@ -23,6 +23,7 @@
         self._is_draining = False
         self._ends_at = math.inf
         self._requests_in_progress = 0
+        self._offloaded_requests = 0
         self._changed = Signal()
 
     @property
@@ -45,6 +46,16 @@
         """Number of received requests that are not completely answered yet."""
         return self._requests_in_progress
 
+    @property
+    def offloaded_requests(self) -> int:
+        """Number of those that another router answers."""
+        return self._offloaded_requests
+
+    @property
+    def own_requests(self) -> int:
+        """Number of those that this router answers."""
+        return self._requests_in_progress - self._offloaded_requests
+
     @property
     def changed(self) -> Signal:
         """Notified when draining begins and when a request ends."""
@@ -70,6 +81,16 @@
         """Record that a request is in progress."""
         self._requests_in_progress += 1
 
+    def begin_offload(self) -> None:
+        """Record that another router answers a request."""
+        self._offloaded_requests += 1
+        self.begin_request()
+
+    def end_offload(self) -> None:
+        """Record that a request that another router answers has ended."""
+        self._offloaded_requests -= 1
+        self.end_request()
+
     def end_request(self) -> None:
         """Record that a request has ended."""
         self._requests_in_progress -= 1
--- a/src/sycamorehaven/blackboard/workload.py
+++ b/src/sycamorehaven/blackboard/workload.py
@@ -96,6 +96,7 @@
         self._relayed_events = 0
         self._connections = 0
         self._accepted = 0
+        self._offloaded = 0
         self._passes = DispatchPasses()
         self._rejection_stages: Counter[str] = Counter()
         self._verdicts: dict[str, Counter[str]] = {}
@@ -122,6 +123,10 @@
         """Count a request that the router has time for."""
         self._accepted += 1
 
+    def count_offloaded(self) -> None:
+        """Count a request that another router answers."""
+        self._offloaded += 1
+
     def count_pass(self, decisions: int, *, is_cut_short: bool) -> None:
         """
         Count a pass of the dispatcher.
@@ -215,6 +220,11 @@
         accepted, self._accepted = self._accepted, 0
         return accepted
 
+    def take_offloaded(self) -> int:
+        """Return and clear the number of requests that others answer."""
+        offloaded, self._offloaded = self._offloaded, 0
+        return offloaded
+
     def take_passes(self) -> DispatchPasses:
         """Return and clear the passes of the dispatcher."""
         passes, self._passes = self._passes, DispatchPasses()
--- a/src/sycamorehaven/controllers/event_loop.py
+++ b/src/sycamorehaven/controllers/event_loop.py
@@ -95,7 +95,7 @@
         :param lag: seconds by which a sleeping task was resumed late.
         """
         now = self._clock()
-        in_progress = self._board.lifecycle.requests_in_progress
+        in_progress = self._board.lifecycle.own_requests
         rejections = self._board.event_loop.take_rejections()
         self._request_limit.observe(lag, in_progress, rejections)
         limit = self._request_limit.limit
--- a/src/sycamorehaven/controllers/rotation.py
+++ b/src/sycamorehaven/controllers/rotation.py
@@ -43,6 +43,7 @@
     :param rotation: decides when this router leaves and returns.
     :param decision_log: records when this router returns.
     :param clock: returns monotonic time in seconds.
+    :param callers_address: where this router accepts requests, ``ip:port``.
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         rotation: RotationControl,
         decision_log: DecisionLog,
         clock: Callable[[], float] = time.monotonic,
+        callers_address: str = "",
     ) -> None:
         super().__init__()
         self._board = board
@@ -59,6 +61,7 @@
         self._rotation = rotation
         self._decision_log = decision_log
         self._clock = clock
+        self._callers_address = callers_address
         self._asked_at = float("-inf")
         link.subscribe(RotationRequest, self._handle_request)
         link.subscribe(RotationReply, self._handle_reply)
@@ -105,6 +108,8 @@
             [WorkspaceRate(name, rate) for name, rate in rates.items()],
             self._rotation.cores,
             self._rotation.is_absent or not self._takes_connections(),
+            self._callers_address,
+            self._measure_spare_cores(),
         )
         self._link.send(delivery.sender.host, reply)
 
@@ -112,6 +117,10 @@
         lifecycle = self._board.lifecycle
         return self._board.routing.is_ready and not lifecycle.is_draining
 
+    def _measure_spare_cores(self) -> float:
+        idle_ratio = max(1.0 - self._board.event_loop.utilization, 0.0)
+        return self._rotation.cores * idle_ratio
+
     def _handle_reply(self, delivery: Delivery) -> None:
         reply: RotationReply = delivery.message
         report = RotationReport(
@@ -119,5 +128,7 @@
             reply.cores,
             reply.is_absent,
             self._clock(),
+            reply.callers_address,
+            reply.spare_cores,
         )
         self._rotation.record_report(delivery.sender.host, report)
--- a/src/sycamorehaven/controllers/workload.py
+++ b/src/sycamorehaven/controllers/workload.py
@@ -86,7 +86,7 @@
         )
         first_events = workload.take_first_events()
         connections = workload.take_connections()
-        accepted = workload.take_accepted()
+        accepted, offloaded = workload.take_accepted(), workload.take_offloaded()
         rejection_stages = workload.take_rejection_stages()
         passes, verdicts = workload.take_passes(), workload.take_verdicts()
         denials = workload.take_denials()
@@ -103,6 +103,7 @@
             cores=round(self._cores, 3),
             connections=connections,
             accepted=accepted,
+            offloaded=offloaded,
             accept_rate=round(workload.accept_rate, 1),
             rejections=rejection_stages,
             passes=passes._asdict(),
--- /dev/null
+++ b/src/sycamorehaven/decisions/offload/__init__.py
@@ -0,0 +1,3 @@
+"""Requests that are left to another router of the failure domain."""
+
+from __future__ import annotations
--- a/src/sycamorehaven/decisions/rotation.py
+++ b/src/sycamorehaven/decisions/rotation.py
@@ -61,12 +61,16 @@
     :ivar cores: processor that its host has, in cores.
     :ivar is_absent: whether it has left the rotation.
     :ivar heard_at: when it said so, in monotonic seconds.
+    :ivar callers_address: where it accepts requests, ``ip:port``.
+    :ivar spare_cores: processor that it does not use, in cores.
     """
 
     rates: dict[str, float]
     cores: float
     is_absent: bool
     heard_at: float
+    callers_address: str = ""
+    spare_cores: float = 0.0
 
 
 class RotationControl:
@@ -159,6 +163,18 @@
         """
         self._reports[host] = report
 
+    def forget_report(self, host: str) -> None:
+        """Forget what another router has said, since it can't be reached."""
+        self._reports.pop(host, None)
+
+    def get_reports(self, now: float) -> dict[str, RotationReport]:
+        """Return what the other routers have said lately, by host."""
+        return {
+            host: report
+            for host, report in self._reports.items()
+            if now - report.heard_at < REPORT_LIFETIME_SECONDS
+        }
+
     def needs_reports(self, now: float) -> bool:
         """Return whether the load of the other routers has to be known."""
         self._slide(now)
@@ -200,11 +216,7 @@
         return max(own, *elsewhere, 0.0)
 
     def _list_reports(self, now: float) -> list[RotationReport]:
-        return [
-            report
-            for report in self._reports.values()
-            if now - report.heard_at < REPORT_LIFETIME_SECONDS
-        ]
+        return list(self.get_reports(now).values())
 
     def _choose_departure(self, now: float, overloaded_for: float) -> Departure | None:
         reports = self._list_reports(now)
--- a/src/sycamorehaven/gateway.py
+++ b/src/sycamorehaven/gateway.py
@@ -148,7 +148,13 @@
             *self._create_monitors(frontend.is_short_of_time),
             peers,
             MembershipController(board, peers, self._settings),
-            RotationController(board, peers, rotation, decision_log),
+            RotationController(
+                board,
+                peers,
+                rotation,
+                decision_log,
+                callers_address=self._settings.callers_address,
+            ),
             news,
             RoutingSnapshotController(
                 board,
--- a/src/sycamorehaven/transport/frontend_listener.py
+++ b/src/sycamorehaven/transport/frontend_listener.py
@@ -14,6 +14,7 @@
 from mode import Service
 
 from sycamorehaven.decisions.drain_admission import AnswerDurations, can_end_in_time
+from sycamorehaven.decisions.rotation import RotationControl
 from sycamorehaven.exceptions.base import SycamorehavenError
 from sycamorehaven.exceptions.refusals import (
     BodyTooLarge,
@@ -40,6 +41,7 @@
     open_listener,
 )
 from sycamorehaven.transport.listening_socket import RejectingSocket
+from sycamorehaven.transport.offload.offloads import Offloads
 from sycamorehaven.transport.problem_details import (
     PROTOCOL_OPTIONS,
     build_problem_response,
@@ -54,7 +56,6 @@
 
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.call import Answer
-    from sycamorehaven.decisions.rotation import RotationControl
     from sycamorehaven.routing.model import RequestLimits, Route
     from sycamorehaven.routing.requests import HeaderCodec, RequestHead
     from sycamorehaven.settings import RouterSettings
@@ -64,6 +65,7 @@
         ConnectionLimits,
         ConnectionPool,
     )
+    from sycamorehaven.transport.frontend_protocol import OffloadStart
 
 CLIENT_DESCRIPTORS_RATIO = 0.4
 """Fraction of the process's file descriptors that connections of clients may
@@ -132,6 +134,10 @@
         self._random = random.Random(board.identity.incarnation)
         self._durations = AnswerDurations()
         self._arriving_connections: set[FrontendProtocol] = set()
+        rotation = rotation or RotationControl()
+        self._offloads = Offloads(
+            board, rotation, _count_descriptors(descriptors), clock
+        )
         self._gate = TimeGate(
             board,
             header_codec,
@@ -141,6 +147,7 @@
             rotation,
             self._arriving_connections,
             choose_max_requests(descriptors),
+            self._offloads,
         )
         self._server = web.Server(self._serve, handler_cancellation=True)
         self._listener: asyncio.Server | None = None
@@ -182,6 +189,7 @@
         """Close the listener and its connections."""
         if self._listener is not None:
             self._listener.close()
+        self._offloads.abandon_all()
         await self._server.shutdown(SHUTDOWN_TIMEOUT_SECONDS)
 
     def list_idle_connections(self) -> list[FrontendProtocol]:
@@ -198,6 +206,7 @@
             self._arriving_connections,
             self._limit_connections,
             self._gate.reject_early,
+            self._find_offload,
             self._server,
             loop=loop,
             **options,
@@ -205,6 +214,13 @@
         protocol.set_idle_timeout(self._get_idle_timeout())
         return protocol
 
+    def _find_offload(self, data: bytes) -> OffloadStart | None:
+        """Return what lets another router answer a request, if one can."""
+        offload = self._gate.find_offload(data)
+        if offload is None:
+            return None
+        return functools.partial(self._offloads.begin, offload, data)
+
     def _limit_connections(self) -> None:
         """Count a new connection, and close one if too many are open."""
         assert self._pool is not None
@@ -232,7 +248,7 @@
         try:
             protocol.set_idle_timeout(self._get_idle_timeout())
             response = await self._answer(request, received_at)
-            if self._board.lifecycle.is_draining:
+            if self._board.lifecycle.is_draining or protocol.is_offloaded:
                 response.force_close()
             return response
         finally:
@@ -344,6 +360,9 @@
         response = web.StreamResponse(status=answer.status)
         for name, value in answer.headers:
             response.headers.add(name, value)
+        protocol = request.protocol
+        if isinstance(protocol, FrontendProtocol) and protocol.is_offloaded:
+            response.force_close()
         failure: BaseException | None = None
         try:
             await response.prepare(request)
--- a/src/sycamorehaven/transport/frontend_protocol.py
+++ b/src/sycamorehaven/transport/frontend_protocol.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from sycamorehaven.transport.client_limits.protocol import LimitedProtocol
+from sycamorehaven.transport.offload.preface import PrefaceReader
 from sycamorehaven.transport.request_framing import HEAD_END, RequestFraming
 
 if TYPE_CHECKING:
@@ -14,6 +15,8 @@
     from sycamorehaven.transport.client_limits.pool import ConnectionPool
     from sycamorehaven.transport.time_gate import EarlyRejection
 
+    OffloadStart = Callable[[asyncio.Transport], None]
+
 
 class FrontendProtocol(LimitedProtocol):
     """
@@ -25,6 +28,8 @@
         arrived and that the HTTP server has not begun to answer.
     :param reject_early: returns the rejection of a request that the router has
         no time for; ``None`` leaves the request to the HTTP server.
+    :param find_offload: returns what lets another router answer a request that
+        this one has no time for; ``None`` if none does.
     :ivar has_active_request: whether a request on the connection is in
         progress, or has been received at least in part.
     """
@@ -37,6 +42,7 @@
         arriving_connections: set[FrontendProtocol],
         on_connected: Callable[[], None],
         reject_early: Callable[[bytes], EarlyRejection | None],
+        find_offload: Callable[[bytes], OffloadStart | None],
         *args: Any,
         **options: Any,
     ) -> None:
@@ -44,6 +50,8 @@
         self._arriving_connections = arriving_connections
         self._on_connected = on_connected
         self._reject_early = reject_early
+        self._find_offload = find_offload
+        self._preface = PrefaceReader()
         self._framing = RequestFraming()
         self._discarded_bytes = 0
 
@@ -59,14 +67,18 @@
 
     def data_received(self, data: bytes) -> None:
         """Handle data, which may hold a request that has yet to begin."""
-        received, data = data, self._discard(data)
+        received, data = data, self._discard(self._preface.strip(data))
         if received and not data:
             return
         if not data:
             # aiohttp parses the rest of what it has received before.
             super().data_received(data)
             return
-        if self._is_waiting_for_request():
+        if self._is_waiting_for_request() and not self.is_offloaded:
+            offload = self._find_offload(data)
+            if offload is not None:
+                self._hand_over(offload)
+                return
             rejection = self._reject_early(data)
             if rejection is not None:
                 self._answer_early(rejection)
@@ -77,6 +89,18 @@
         self.has_active_request = True
         super().data_received(data)
 
+    @property
+    def is_offloaded(self) -> bool:
+        """Whether another router has passed the request on."""
+        return self._preface.is_offloaded
+
+    def _hand_over(self, offload: OffloadStart) -> None:
+        """Leave the connection to another protocol."""
+        transport, self.transport = self.transport, None
+        assert transport is not None
+        self.connection_lost(None)
+        offload(transport)
+
     def _discard(self, data: bytes) -> bytes:
         """Return what does not belong to the body of a rejected request."""
         if not self._discarded_bytes:
--- a/src/sycamorehaven/transport/messages/rotation.py
+++ b/src/sycamorehaven/transport/messages/rotation.py
@@ -7,6 +7,7 @@
 import msgspec
 
 Workspaces = Annotated[list[str], msgspec.Meta(max_length=16)]
+Address = Annotated[str, msgspec.Meta(max_length=64)]
 Rate = Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
 
 
@@ -39,8 +40,12 @@
     :ivar rates: what arrives of the workspaces that were named.
     :ivar cores: processor that the sender's host has, in cores.
     :ivar is_absent: whether the sender has left the balancer's rotation.
+    :ivar callers_address: where the sender accepts requests, ``ip:port``.
+    :ivar spare_cores: processor that the sender does not use, in cores.
     """
 
     rates: list[WorkspaceRate]
     cores: Rate
     is_absent: bool
+    callers_address: Address
+    spare_cores: Rate
--- /dev/null
+++ b/src/sycamorehaven/transport/offload/__init__.py
@@ -0,0 +1,3 @@
+"""Connections whose request another router answers."""
+
+from __future__ import annotations
--- a/src/sycamorehaven/transport/time_gate.py
+++ b/src/sycamorehaven/transport/time_gate.py
@@ -23,6 +23,8 @@
     RouterBusy,
     UnknownPath,
 )
+from sycamorehaven.routing.model import Route
+from sycamorehaven.transport.offload.offloads import Offload
 from sycamorehaven.transport.problem_details import render_refusal
 from sycamorehaven.transport.request_framing import parse_arrived_request
 
@@ -32,9 +34,11 @@
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.blackboard.routing import RoutingSection
     from sycamorehaven.blackboard.workload import RejectionStage
-    from sycamorehaven.routing.model import Route, RoutingConfiguration
+    from sycamorehaven.decisions.offload.peers import OffloadPeer
+    from sycamorehaven.routing.model import RoutingConfiguration
     from sycamorehaven.routing.requests import HeaderCodec, RequestHead
     from sycamorehaven.telemetry.decision_log import DecisionLog
+    from sycamorehaven.transport.offload.offloads import Offloads
     from sycamorehaven.transport.request_framing import ArrivedRequest
 
 
@@ -56,6 +60,24 @@
     remaining: int
 
 
+class RequestSender(NamedTuple):
+    """
+    Who sent a request, by its head.
+
+    :ivar workspace: its workspace, "" on a public route.
+    :ivar route: its route.
+    :ivar attempt_id: id of the client's attempt.
+    :ivar client_timeout: seconds for which the client waits.
+    :ivar received_at: when it was received, in monotonic seconds.
+    """
+
+    workspace: str
+    route: Route
+    attempt_id: str
+    client_timeout: float | None
+    received_at: float
+
+
 class TimeGate:
     """
     Rejects requests of the workspaces that take most of a router's time.
@@ -71,6 +93,8 @@
         begun.
     :param max_requests: requests that may be in progress at a time, each with
         a connection to a server.
+    :param offloads: finds other routers that have time; ``None`` if there are
+        none.
     """
 
     def __init__(
@@ -83,6 +107,7 @@
         rotation: RotationControl | None = None,
         arriving_connections: Sized = (),
         max_requests: float = math.inf,
+        offloads: Offloads | None = None,
     ) -> None:
         self._board = board
         self._header_codec = header_codec
@@ -94,6 +119,7 @@
         self._budget = RelayBudget(self._rotation.cores)
         self._arriving_connections = arriving_connections
         self._max_requests = max_requests
+        self._offloads = offloads
 
     def is_short_of_time(self) -> bool:
         """Return whether new connections should go to other routers."""
@@ -107,7 +133,7 @@
         """
         self._board.workload.count_arrival(workspace)
         event_loop = self._board.event_loop
-        in_progress = self._board.lifecycle.requests_in_progress
+        in_progress = self._board.lifecycle.own_requests
         is_admitted = self._arrivals.admit(
             workspace,
             event_loop.lag,
@@ -129,7 +155,7 @@
         # The request would be one more in progress.
         arriving = len(self._arriving_connections)
         has_room = (
-            lifecycle.requests_in_progress + arriving < self._get_request_limit()
+            lifecycle.own_requests + arriving < self._get_request_limit()
             and self._has_time_for_more(self._clock(), arriving)
         )
         return not (
@@ -153,6 +179,30 @@
             return False
         return self._budget.has_room(event_loop.utilization, now, arriving)
 
+    def find_offload(self, data: bytes) -> Offload | None:
+        """
+        Return how another router answers a request that there is no time for.
+
+        :param data: what a client without a request in progress has sent.
+        :returns: ``None`` if it is read here or rejected.
+        """
+        peer = self._find_peer()
+        if peer is None or not self.may_reject_early():
+            return None
+        with self._board.workload.measure("rejection"):
+            request = parse_arrived_request(data)
+            sender = self._identify(request) if request is not None else None
+            if sender is None:
+                return None
+            self._board.workload.count_arrival(sender.workspace)
+            self._board.workload.count_offloaded()
+            self._record_departure(sender.workspace, sender.received_at, accepted=False)
+            timeout = min(sender.client_timeout or math.inf, sender.route.timeout)
+            return Offload(peer, timeout, create_busy_refusal(sender.client_timeout))
+
+    def _find_peer(self) -> OffloadPeer | None:
+        return self._offloads.find_peer() if self._offloads is not None else None
+
     def reject_early(self, data: bytes) -> EarlyRejection | None:
         """
         Return the rejection of a request that the router has no time for.
@@ -178,13 +228,20 @@
         :param data: all that it has received.
         :returns: ``None`` if the connection has to be accepted.
         """
+        if self._find_peer() is not None:
+            return None
         with self._board.workload.measure("rejection"):
             request = parse_arrived_request(data)
             if request is None or request.remaining:
                 return None
             return self._reject(request, "on_arrival")
 
-    def _reject(self, request: ArrivedRequest, stage: RejectionStage) -> bytes | None:
+    def _identify(self, request: ArrivedRequest) -> RequestSender | None:
+        """
+        Return who sent a request that may be rejected for lack of time.
+
+        :returns: ``None`` if it has to be read as usual.
+        """
         received_at = self._clock()
         configuration = self._board.routing.configuration
         if configuration is None or (
@@ -193,20 +250,28 @@
             return None
         try:
             identity = self._header_codec.parse_identity(request.headers)
-            _, workspace = identify_request(
+            route, workspace = identify_request(
                 self._board.routing, request.host, request.target, identity.client_key
             )
         except Refusal:
             return None
         if not self._arrivals.takes_even_part(workspace, received_at):
             return None
-        self._board.workload.count_arrival(workspace)
-        self._count(workspace, received_at, is_admitted=False)
+        return RequestSender(
+            workspace, route, identity.attempt_id, identity.client_timeout, received_at
+        )
+
+    def _reject(self, request: ArrivedRequest, stage: RejectionStage) -> bytes | None:
+        sender = self._identify(request)
+        if sender is None:
+            return None
+        self._board.workload.count_arrival(sender.workspace)
+        self._count(sender.workspace, sender.received_at, is_admitted=False)
         self._board.workload.count_rejection_stage(stage)
-        refusal = create_busy_refusal(identity.client_timeout)
-        self._record_refusal(identity.attempt_id, received_at, refusal)
+        refusal = create_busy_refusal(sender.client_timeout)
+        self._record_refusal(sender.attempt_id, sender.received_at, refusal)
         return render_refusal(
-            refusal, identity.attempt_id, closes_connection=stage == "on_arrival"
+            refusal, sender.attempt_id, closes_connection=stage == "on_arrival"
         )
 
     def _count(self, workspace: str, received_at: float, *, is_admitted: bool) -> None:
@@ -214,7 +279,14 @@
         if not is_admitted:
             event_loop.count_rejection()
             self._board.workload.count_rejection(workspace, RouterBusy.code)
-        departure = self._rotation.record(workspace, received_at, accepted=is_admitted)
+        self._record_departure(workspace, received_at, accepted=is_admitted)
+
+    def _record_departure(
+        self, workspace: str, received_at: float, *, accepted: bool
+    ) -> None:
+        """Count a request for the decision to leave the rotation."""
+        event_loop = self._board.event_loop
+        departure = self._rotation.record(workspace, received_at, accepted=accepted)
         if departure is not None:
             self._decision_log.record(
                 "rotation_left" if departure == "left" else "rotation_kept",
--- a/tests/transport/test_frontend_protocol.py
+++ b/tests/transport/test_frontend_protocol.py
@@ -62,6 +62,7 @@
         set() if arriving is None else arriving,
         lambda: None,
         reject,
+        lambda _: None,
         web.Server(hang),
         loop=asyncio.get_running_loop(),
     )
