Log requests that another router was passed and does not answer

Change: an offload_failed line with the other host and the code. The other router is avoided until it is heard again.

--- a/src/sycamorehaven/transport/frontend_listener.py
+++ b/src/sycamorehaven/transport/frontend_listener.py
@@ -136,7 +136,7 @@
         self._arriving_connections: set[FrontendProtocol] = set()
         rotation = rotation or RotationControl()
         self._offloads = Offloads(
-            board, rotation, _count_descriptors(descriptors), clock
+            board, rotation, decision_log, _count_descriptors(descriptors), clock
         )
         self._gate = TimeGate(
             board,
--- a/src/sycamorehaven/transport/offload/offloaded_request.py
+++ b/src/sycamorehaven/transport/offload/offloaded_request.py
@@ -41,8 +41,8 @@
     :param peer: the other router.
     :param timeout: seconds until the request has to be answered.
     :param refusal: the response if the other router can't be reached.
-    :param on_unreachable: called with the other router's host if it can't be
-        reached.
+    :param on_failure: called with what the client is answered if the other
+        router does not answer.
     :param on_end: called once the connection of the client is closed.
     """
 
@@ -52,14 +52,14 @@
         peer: OffloadPeer,
         timeout: float,
         refusal: Refusal,
-        on_unreachable: Callable[[str], None],
+        on_failure: Callable[[OffloadedRequest, Refusal], None],
         on_end: Callable[[OffloadedRequest], None],
     ) -> None:
         self._transport = transport
         self._peer = peer
         self._timeout = timeout
         self._refusal = refusal
-        self._on_unreachable = on_unreachable
+        self._on_failure = on_failure
         self._on_end = on_end
         self._peer_transport: asyncio.Transport | None = None
         self._has_answer = False
@@ -96,7 +96,6 @@
                     lambda: PeerConnection(self, self._transport), host, port
                 )
         except (OSError, TimeoutError):
-            self._on_unreachable(self._peer.host)
             self._refuse(self._refusal)
             return
         if self._has_ended:
@@ -168,6 +167,7 @@
         """Send the last response on the connection."""
         self._has_answer = True
         if not self._transport.is_closing():
+            self._on_failure(self, refusal)
             response = render_refusal(
                 refusal, secrets.token_hex(8), closes_connection=True
             )
--- a/src/sycamorehaven/transport/offload/offloads.py
+++ b/src/sycamorehaven/transport/offload/offloads.py
@@ -21,6 +21,7 @@
 
     from sycamorehaven.blackboard.board import Blackboard
     from sycamorehaven.decisions.rotation import RotationControl
+    from sycamorehaven.telemetry.decision_log import DecisionLog
 
 
 class Offload(NamedTuple):
@@ -43,6 +44,7 @@
 
     :param board: shared state of this router.
     :param rotation: knows which routers of the failure domain have time.
+    :param decision_log: records requests that are not answered.
     :param descriptors: number of file descriptors of the process.
     :param clock: returns monotonic time in seconds.
     """
@@ -51,11 +53,13 @@
         self,
         board: Blackboard,
         rotation: RotationControl,
+        decision_log: DecisionLog,
         descriptors: int,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._board = board
         self._rotation = rotation
+        self._decision_log = decision_log
         self._max_requests = choose_max_offloads(descriptors, rotation.cores)
         self._clock = clock
         self._random = random.Random(board.identity.incarnation)
@@ -86,7 +90,7 @@
             offload.peer,
             offload.timeout,
             offload.refusal,
-            self._rotation.forget_report,
+            self._handle_failure,
             self._end,
         )
         self._requests.add(request)
@@ -98,6 +102,13 @@
         for request in list(self._requests):
             request.abandon()
 
+    def _handle_failure(self, request: OffloadedRequest, refusal: Refusal) -> None:
+        """Record a request that is not answered, and avoid that router."""
+        self._rotation.forget_report(request.host)
+        self._decision_log.record(
+            "offload_failed", peer=request.host, code=refusal.code
+        )
+
     def _end(self, request: OffloadedRequest) -> None:
         self._requests.discard(request)
         self._board.lifecycle.end_offload()
