Disconnect clients that send empty lines without end

Callers saw: beside 150 clients that send empty lines and no request, an ordinary request got no answer in 10 s.

Cause: empty lines before a request belong to no head, so that neither the limit of a head's size nor that of its time counted them, and reading them took all time of the event loop.

Change: more than 4,096 bytes of them in a row get 431 and the end of the connection. Some clients send one such line of two bytes.

--- a/src/sycamorehaven/transport/client_limits/cuttable_protocol.py
+++ b/src/sycamorehaven/transport/client_limits/cuttable_protocol.py
@@ -75,7 +75,7 @@
         self._current: StreamReader | None = None
         self._is_chunked = False
         self._began_at = self._progressed_at = 0.0
-        self._received = 0
+        self._received = self._empty_bytes = 0
         self._refusal: Refusal | None = None
         self._is_cut = False
         self.write_timeout = 0.0
--- a/src/sycamorehaven/transport/client_limits/protocol.py
+++ b/src/sycamorehaven/transport/client_limits/protocol.py
@@ -19,6 +19,9 @@
 
 MAX_AHEAD_BYTES = 65_536
 """Bytes behind the request in progress at which reading pauses."""
+MAX_EMPTY_BYTES = 4_096
+"""Bytes of empty lines that may come before a request; some clients send one
+line."""
 
 
 class LimitedProtocol(CuttableProtocol):
@@ -52,6 +55,7 @@
 
     def _count_requests(self, new: int, data: bytes) -> None:
         """Account for requests whose heads are now complete."""
+        self._empty_bytes = 0
         queued = list(itertools.islice(reversed(self._messages), new))
         message, payload = queued[0]
         grown = self._held.add_requests([message for message, _ in queued], data)
@@ -81,7 +85,10 @@
 
     def _count_head(self, data: bytes) -> None:
         """Account for bytes of an incomplete head, or of trailers."""
-        if self._is_cut or (not self._held.head_size and not data.strip(b"\r\n")):
+        if self._is_cut:
+            return
+        if not self._held.head_size and not data.strip(b"\r\n"):
+            self._count_empty_lines(len(data))
             return
         if len(self._messages) >= self._max_msg_queue_size:
             # They are not parsed, and may hold more than one head.
@@ -96,6 +103,13 @@
                 "header_bytes",
             )
 
+    def _count_empty_lines(self, size: int) -> None:
+        """Account for empty lines, which belong to no request."""
+        self._empty_bytes += size
+        if self._empty_bytes > MAX_EMPTY_BYTES:
+            detail = f"more than {MAX_EMPTY_BYTES} bytes of empty lines"
+            self.cut(HeadersTooLarge(detail), "header_bytes")
+
     def _set_unfinished(self, is_unfinished: bool) -> None:
         """Record whether the last request is incomplete."""
         if not is_unfinished:
--- a/tests/support/hostile_clients.py
+++ b/tests/support/hostile_clients.py
@@ -99,6 +99,25 @@
         yield b"10000\r\n" + b"x" * 65_536 + b"\r\n"
 
 
+def send_large_chunk(target: Target) -> Iterator[bytes]:
+    """Yield a body of legal size as one chunk that lacks its last byte."""
+    yield target.build_head(extra=b"Transfer-Encoding: chunked\r\n\r\n")
+    yield b"%x\r\n" % BODY_BYTES + b"x" * (BODY_BYTES - 1)
+
+
+def send_tiny_chunks(target: Target) -> Iterator[bytes]:
+    """Yield a body of legal size in chunks of one byte, without its end."""
+    yield target.build_head(extra=b"Transfer-Encoding: chunked\r\n\r\n")
+    for _ in range(BODY_BYTES // CHUNK_BYTES - 1):
+        yield b"1\r\nx\r\n" * CHUNK_BYTES
+
+
+def send_empty_lines(_target: Target) -> Iterator[bytes]:
+    """Yield empty lines, and no request."""
+    for _ in range(OVERSIZE_BYTES // 65_536):
+        yield b"\r\n" * 32_768
+
+
 def build_short_fields(size: int = SHORT_FIELDS_BYTES) -> bytes:
     """Return header lines of very short fields with different names."""
     lines, length, number = [], 0, 0
