Keep freed bodies from staying with the process

Callers saw: a crowd of 150 clients whose bodies of 4 MB stop just short of their end took a router of 128 MB to 141 to 152 MB (one large chunk each), so that it would run out of memory, though the budget for requests held.

Cause: glibc raises the size from which blocks get pages of their own to that of the largest such block that is freed. After the first body of megabytes all others came from the heap, where what is freed stays in pieces.

Change: a router fixes the threshold at 512 KB as it starts.

--- a/src/sycamorehaven/daemon.py
+++ b/src/sycamorehaven/daemon.py
@@ -13,8 +13,9 @@
 def main() -> None:
     """Run the command line of the daemon."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    from sycamorehaven import router_command
+    from sycamorehaven import allocator, router_command
 
+    allocator.fix_thresholds()
     router_command.main()
 
 
